--- /dev/null
+++ b/crates/burst/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions of a weights transfer.
--- /dev/null
+++ b/crates/claim/src/lib.rs
@@ -0,0 +1,1 @@
+//! Interval claims of calls that must not be repeated.
--- /dev/null
+++ b/crates/gate/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions of the gate in front of an engine.
--- /dev/null
+++ b/crates/gossip/src/record.rs
@@ -0,0 +1,96 @@
+//! Records, their keys and versions.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// What a record describes.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+pub enum Key {
+    /// A catalogue entry, by `kind/name`.
+    Catalog(String),
+    /// An entry VM, by name.
+    Entry(String),
+    /// A target VM, by name.
+    Target(String),
+}
+
+/// Order of the versions of one record.
+///
+/// For catalogue entries `major` is the platform's revision. For members `major` is the incarnation and `minor` counts
+/// the member's own changes. An observer that finds a member dead sets `down` on the version it saw; any later change
+/// of the member itself is higher.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
+pub struct Version {
+    /// Platform revision or incarnation.
+    pub major: u64,
+    /// Change within an incarnation.
+    pub minor: u64,
+    /// Set by an observer that no longer hears from the member.
+    pub down: bool,
+}
+
+/// A versioned value.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Record {
+    /// What the record describes.
+    pub key: Key,
+    /// Order among records of the same key.
+    pub version: Version,
+    /// The content.
+    pub value: Value,
+}
+
+/// Content of a record.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub enum Value {
+    /// JSON text of a catalogue entry.
+    Catalog(String),
+    /// An entry VM.
+    Entry(Node),
+    /// A target VM.
+    Target(Target),
+}
+
+/// An entry VM.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Node {
+    /// Failure domain.
+    pub domain: String,
+    /// Region of the failure domain.
+    pub region: String,
+    /// Address of the peer port.
+    pub peer: SocketAddr,
+    /// Whether the VM takes work.
+    pub phase: Phase,
+}
+
+/// A target VM.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Target {
+    /// Failure domain.
+    pub domain: String,
+    /// Region of the failure domain.
+    pub region: String,
+    /// Service that the target serves.
+    pub service: String,
+    /// Address for calls.
+    pub call: SocketAddr,
+    /// Address for chunks of weights.
+    pub chunk: SocketAddr,
+    /// Whether the target takes work.
+    pub phase: Phase,
+}
+
+/// Life cycle of a member as others see it.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+pub enum Phase {
+    /// Takes work or will do so when its weights are complete.
+    Live,
+    /// Finishes what is in progress and takes no new work.
+    Leaving,
+    /// Not heard from.
+    Down,
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! Runtime, settings, logs and operator port of a process.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's object API.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission, queueing, target choice and retries.
--- /dev/null
+++ b/crates/weights/src/lib.rs
@@ -0,0 +1,16 @@
+//! Digests, manifests and pins of model weights.
+//!
+//! A [`Manifest`] lists the digest of each chunk of a version. The digest of the manifest's canonical text names the
+//! version: whoever holds the manifest and every chunk with its listed digest holds exactly these weights. A [`Pin`]
+//! names the weights that a request must be answered from.
+
+mod digest;
+mod manifest;
+mod pin;
+
+pub use digest::{Digest, ParseError};
+pub use manifest::{Error, Manifest};
+pub use pin::Pin;
+
+/// Position of a chunk within a manifest, from zero.
+pub type ChunkIndex = u32;
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,11 @@
+//! What the system's own processes say to each other.
+//!
+//! Control messages are calls of the tarpc service [`Peer`] on an entry's peer port. Requests and chunks travel over
+//! HTTP with the header names of [`header`].
+
+pub mod header;
+mod message;
+mod peer;
+
+pub use message::{Delta, Digest, Gate, Reply, Report};
+pub use peer::{Peer, PeerClient, PeerRequest, PeerResponse};
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,73 @@
+//! Messages of the peer port.
+
+use gossip::Record;
+use serde::{Deserialize, Serialize};
+
+/// State and load of a target, sent once a second.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Report {
+    /// Name of the target.
+    pub target: String,
+    /// Incarnation of the agent.
+    pub incarnation: u64,
+    /// Number of the report within the incarnation.
+    pub sequence: u64,
+    /// Whether requests are passed on.
+    pub gate: Gate,
+    /// First 8 bytes of the digest of the weights in service.
+    pub weights: Option<u64>,
+    /// Chunks held of the version that is being transferred.
+    pub chunks: u32,
+    /// Requests running at the backend.
+    pub running: u32,
+    /// Requests waiting at the backend.
+    pub waiting: u32,
+    /// Bit set of the claim slots that the target owns.
+    pub slots: u16,
+    /// Hash of the records that the target holds.
+    pub view: u64,
+    /// The target's own record, until a reply confirms it.
+    pub member: Option<Record>,
+}
+
+/// Whether an agent passes requests on.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+pub enum Gate {
+    /// No request is passed on.
+    Closed,
+    /// Requests for the weights in service are passed on.
+    Open,
+    /// Requests in progress finish; new ones are refused.
+    Draining,
+}
+
+/// Answer to a report.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Reply {
+    /// True once the entry holds the target's own record.
+    pub known: bool,
+    /// Hash of the records that concern the target.
+    pub view: u64,
+    /// These records, when the hashes differ.
+    pub records: Vec<Record>,
+}
+
+/// Hashes of a record store.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Digest {
+    /// Hash of the whole store.
+    pub root: u64,
+    /// Hash of each bucket; empty in the first round.
+    pub buckets: Vec<u64>,
+}
+
+/// What two stores differ in.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Delta {
+    /// Hash of the answering store.
+    pub root: u64,
+    /// Hashes of its buckets, when the roots differ.
+    pub buckets: Vec<u64>,
+    /// Records of the buckets that differ.
+    pub records: Vec<Record>,
+}
