--- a/crates/gossip/src/record.rs
+++ b/crates/gossip/src/record.rs
@@ -33,7 +33,7 @@
 }
 
 /// A versioned value.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Record {
     /// What the record describes.
     pub key: Key,
--- /dev/null
+++ b/crates/node/src/event.rs
@@ -0,0 +1,43 @@
+//! The table of log events of all binaries.
+//!
+//! Ranges: node 1xx, entry 2xx, agent 3xx, catalog 4xx, load 5xx, standin 6xx. `docs/EVENTS.md` lists each event with
+//! its fields, meaning and the operator's action; a test keeps page and table equal. Numbers are never reused.
+
+use log::Level;
+
+/// A numbered kind of log line.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Event {
+    /// Number, unique over all binaries.
+    pub number: u16,
+    /// Level at which the event is logged.
+    pub level: Level,
+    /// Name in lower case with dashes.
+    pub name: &'static str,
+}
+
+macro_rules! events {
+    ($($constant:ident = $number:literal $level:ident $name:literal;)*) => {
+        $(
+            #[doc = concat!("Event ", $number, ", `", $name, "`.")]
+            pub const $constant: Event = Event {
+                number: $number,
+                level: Level::$level,
+                name: $name,
+            };
+        )*
+
+        /// Every event, in the order of the numbers.
+        pub const ALL: &[Event] = &[$($constant),*];
+    };
+}
+
+events! {
+    STARTED = 100 Info "started";
+    STOPPED = 101 Info "stopped";
+    STOP_REQUESTED = 102 Info "stop-requested";
+    NO_SIGNAL_HANDLER = 103 Error "no-signal-handler";
+    ACCEPT_FAILED = 110 Warn "accept-failed";
+    CONNECTION_FAILED = 111 Debug "connection-failed";
+    DRAIN_CUT = 112 Warn "drain-cut";
+}
--- /dev/null
+++ b/crates/node/src/http/body.rs
@@ -0,0 +1,146 @@
+//! A body in one piece or as a stream.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use futures::channel::mpsc;
+use futures::stream::LocalBoxStream;
+use futures::{SinkExt, Stream, StreamExt};
+use hyper::body::{Frame, SizeHint};
+
+/// Body of a request that is sent or of a response that is served.
+///
+/// When a stream yields an error, the connection ends without the end of the body, so that the receiver can tell a cut
+/// body from a whole one.
+///
+/// ```
+/// let body = node::http::Body::from("text");
+/// assert_eq!(body.len(), Some(4));
+/// ```
+pub struct Body(Kind);
+
+enum Kind {
+    Full(Option<Bytes>),
+    Stream(LocalBoxStream<'static, io::Result<Bytes>>),
+}
+
+/// The writing end of [`Body::channel`].
+///
+/// Dropping it without [`Sender::finish`] cuts the body.
+pub struct Sender(mpsc::Sender<Option<Bytes>>);
+
+impl Body {
+    /// Returns an empty body.
+    pub fn empty() -> Self {
+        Self(Kind::Full(None))
+    }
+
+    /// Returns a body that is read from `stream`.
+    pub fn stream(stream: impl Stream<Item = io::Result<Bytes>> + 'static) -> Self {
+        Self(Kind::Stream(stream.boxed_local()))
+    }
+
+    /// Returns a body and its writing end, which waits while `capacity` pieces are unsent.
+    pub fn channel(capacity: usize) -> (Sender, Self) {
+        let (sender, receiver) = mpsc::channel(capacity);
+        let stream = futures::stream::unfold(Some(receiver), |receiver| async {
+            let mut receiver: mpsc::Receiver<Option<Bytes>> = receiver?;
+            match receiver.next().await {
+                Some(Some(piece)) => Some((Ok(piece), Some(receiver))),
+                Some(None) => None,
+                None => Some((Err(io::ErrorKind::UnexpectedEof.into()), None)),
+            }
+        });
+        (Sender(sender), Self::stream(stream))
+    }
+
+    /// Returns the length in bytes, or `None` for a stream.
+    #[expect(clippy::len_without_is_empty, reason = "a stream's length is unknown")]
+    pub fn len(&self) -> Option<usize> {
+        match &self.0 {
+            Kind::Full(bytes) => Some(bytes.as_ref().map_or(0, Bytes::len)),
+            Kind::Stream(_) => None,
+        }
+    }
+}
+
+impl Sender {
+    /// Sends a piece of the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`io::ErrorKind::BrokenPipe`] when the receiver is gone.
+    pub async fn send(&mut self, piece: impl Into<Bytes>) -> io::Result<()> {
+        self.put(Some(piece.into())).await
+    }
+
+    /// Ends the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`io::ErrorKind::BrokenPipe`] when the receiver is gone.
+    pub async fn finish(mut self) -> io::Result<()> {
+        self.put(None).await
+    }
+
+    async fn put(&mut self, item: Option<Bytes>) -> io::Result<()> {
+        self.0
+            .send(item)
+            .await
+            .map_err(|_| io::ErrorKind::BrokenPipe.into())
+    }
+}
+
+impl From<Bytes> for Body {
+    fn from(bytes: Bytes) -> Self {
+        Self(Kind::Full(Some(bytes).filter(|bytes| !bytes.is_empty())))
+    }
+}
+
+impl From<Vec<u8>> for Body {
+    fn from(bytes: Vec<u8>) -> Self {
+        Bytes::from(bytes).into()
+    }
+}
+
+impl From<String> for Body {
+    fn from(text: String) -> Self {
+        Bytes::from(text).into()
+    }
+}
+
+impl From<&'static str> for Body {
+    fn from(text: &'static str) -> Self {
+        Bytes::from_static(text.as_bytes()).into()
+    }
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        match &mut self.0 {
+            Kind::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Kind::Stream(stream) => stream
+                .poll_next_unpin(cx)
+                .map(|item| item.map(|piece| piece.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self.0, Kind::Full(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self.len() {
+            Some(len) => SizeHint::with_exact(len as u64),
+            None => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/http/client.rs
@@ -0,0 +1,226 @@
+//! The client side: what failed before and after the request was written, and deadlines.
+
+use std::fmt::Display;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use bytes::{Bytes, BytesMut};
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use futures::stream;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
+use hyper::client::conn::http1;
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, Response};
+
+use super::Body;
+use super::pool::{Connection, Pool};
+
+/// An HTTP/1.1 client with keep-alive connections per address; clones share them.
+///
+/// A connection is used again only after an answer was read to its end in time.
+#[derive(Clone, Default)]
+pub struct Client {
+    pool: Pool,
+}
+
+/// A request without a whole answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No byte of the request was written: it did not run.
+    #[error("request to {peer} not written: {reason}")]
+    NotWritten {
+        /// Address that was tried.
+        peer: SocketAddr,
+        /// What failed.
+        reason: String,
+    },
+    /// The request may have been written, in whole or in part: it may have run.
+    #[error("no whole answer from {peer}: {reason}")]
+    Unknown {
+        /// Address that was called.
+        peer: SocketAddr,
+        /// What failed.
+        reason: String,
+    },
+}
+
+/// Body of an answer.
+///
+/// Dropping it before its end closes the connection.
+pub struct Answer {
+    peer: SocketAddr,
+    deadline: Instant,
+    body: Incoming,
+    lease: Option<(Connection, Pool)>,
+}
+
+impl Client {
+    /// Returns a client without connections.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sends `request` to `peer` and returns the head of the answer, at the latest at `deadline`.
+    ///
+    /// The deadline also holds for the answer's body, until [`Answer::set_deadline`]. A `host` header is added when
+    /// absent. The request's URI should hold only the path and query.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotWritten`] or [`Error::Unknown`].
+    pub async fn send(
+        &self,
+        peer: SocketAddr,
+        mut request: Request<Body>,
+        deadline: Instant,
+    ) -> Result<Response<Answer>, Error> {
+        if !request.headers().contains_key(HOST) {
+            let host = HeaderValue::try_from(peer.to_string()).expect("an address is a valid host");
+            request.headers_mut().insert(HOST, host);
+        }
+        loop {
+            let (mut connection, fresh) = match self.pool.take(peer).await {
+                Some(connection) => (connection, false),
+                None => (connect(peer, deadline).await?, true),
+            };
+            let sent = connection.sender.try_send_request(request);
+            match compio::time::timeout_at(deadline, sent).await {
+                Ok(Ok(response)) => {
+                    let lease = Some((connection, self.pool.clone()));
+                    return Ok(response.map(|body| Answer::new(peer, deadline, body, lease)));
+                }
+                Ok(Err(mut error)) => match error.take_message() {
+                    // The peer closed an idle connection; a new one decides.
+                    Some(message) if !fresh => request = message,
+                    Some(_) => return Err(not_written(peer, &error.error())),
+                    None => return Err(unknown(peer, &error.error())),
+                },
+                Err(_) => return Err(unknown(peer, &"the deadline passed")),
+            }
+        }
+    }
+}
+
+async fn connect(peer: SocketAddr, deadline: Instant) -> Result<Connection, Error> {
+    let attempt = async {
+        let stream = TcpStream::connect(peer)
+            .await
+            .map_err(|e| not_written(peer, &e))?;
+        // An error only means that Nagle's algorithm stays on.
+        let _ = stream.set_nodelay(true);
+        http1::handshake(HyperStream::new_plain(stream))
+            .await
+            .map_err(|error| not_written(peer, &error))
+    };
+    let (sender, connection) = compio::time::timeout_at(deadline, attempt)
+        .await
+        .map_err(|_| not_written(peer, &"the deadline passed while connecting"))??;
+    let task = compio::runtime::spawn(async move {
+        // The error of a broken connection also reaches the request.
+        let _ = connection.await;
+    });
+    Ok(Connection::new(sender, task))
+}
+
+impl Answer {
+    fn new(
+        peer: SocketAddr,
+        deadline: Instant,
+        body: Incoming,
+        lease: Option<(Connection, Pool)>,
+    ) -> Self {
+        let mut answer = Self {
+            peer,
+            deadline,
+            body,
+            lease,
+        };
+        if answer.body.is_end_stream() {
+            answer.release();
+        }
+        answer
+    }
+
+    /// Moves the deadline of the rest of the body.
+    pub fn set_deadline(&mut self, deadline: Instant) {
+        self.deadline = deadline;
+    }
+
+    /// Returns the next piece of the body, or `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Unknown`] when the body is cut or the deadline passes; the connection is closed.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
+        loop {
+            let frame = match compio::time::timeout_at(self.deadline, self.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(None) => {
+                    self.release();
+                    return Ok(None);
+                }
+                Ok(Some(Err(error))) => return Err(self.fail(&error)),
+                Err(_) => return Err(self.fail(&"the deadline passed within the body")),
+            };
+            if let Ok(piece) = frame.into_data() {
+                return Ok(Some(piece));
+            }
+        }
+    }
+
+    /// Returns the whole rest of the body, of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Unknown`] when the body is cut or too long or the deadline passes.
+    pub async fn bytes(mut self, limit: usize) -> Result<Bytes, Error> {
+        let mut whole = BytesMut::new();
+        while let Some(piece) = self.next().await? {
+            if whole.len() + piece.len() > limit {
+                return Err(self.fail(&format_args!("the body exceeds {limit} bytes")));
+            }
+            whole.extend_from_slice(&piece);
+        }
+        Ok(whole.freeze())
+    }
+
+    /// Turns the rest into a body that can be served; a cut stays a cut.
+    pub fn into_body(self) -> Body {
+        Body::stream(stream::unfold(Some(self), |answer| async {
+            let mut answer = answer?;
+            match answer.next().await {
+                Ok(Some(piece)) => Some((Ok(piece), Some(answer))),
+                Ok(None) => None,
+                Err(error) => Some((Err(io::Error::other(error)), None)),
+            }
+        }))
+    }
+
+    fn release(&mut self) {
+        if let Some((connection, pool)) = self.lease.take() {
+            pool.put(self.peer, connection);
+        }
+    }
+
+    fn fail(&mut self, reason: &dyn Display) -> Error {
+        self.lease = None;
+        unknown(self.peer, reason)
+    }
+}
+
+fn not_written(peer: SocketAddr, reason: &dyn Display) -> Error {
+    Error::NotWritten {
+        peer,
+        reason: reason.to_string(),
+    }
+}
+
+fn unknown(peer: SocketAddr, reason: &dyn Display) -> Error {
+    Error::Unknown {
+        peer,
+        reason: reason.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/http/server.rs
@@ -0,0 +1,204 @@
+//! The server side: limits, slow senders and graceful shutdown.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::{CompioTimer, HyperStream};
+use futures::future::{Either, FusedFuture, Shared, select};
+use futures::stream::FuturesUnordered;
+use futures::{FutureExt, StreamExt, select_biased};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode, header};
+
+use super::{Body, response};
+use crate::event;
+
+/// Wait after a failed accept, for example when no file descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Limits of a served port.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Most bytes of a request's line and headers; above it the answer is 431.
+    pub header: usize,
+    /// Most bytes of a request's body; above it the answer is 413.
+    pub body: usize,
+    /// Time in which a request's headers must arrive, and the same again for its body; the answer to a late body is 408.
+    pub receive: Duration,
+    /// Time that requests in progress get to finish after a shutdown began.
+    pub drain: Duration,
+    /// Most connections; further ones wait in the listener's backlog.
+    pub connections: usize,
+}
+
+impl Default for Limits {
+    /// Returns 16 KB of headers, 4 MB of body, 10 s to receive, 60 s to drain and 4,096 connections.
+    fn default() -> Self {
+        Self {
+            header: 16 << 10,
+            body: 4 << 20,
+            receive: Duration::from_secs(10),
+            drain: Duration::from_secs(60),
+            connections: 4096,
+        }
+    }
+}
+
+/// Serves HTTP/1.1 on `listener` until `shutdown` resolves and the requests in progress are finished.
+///
+/// `handler` gets each request with its whole body. When the caller closes its connection, the handler's future is
+/// dropped; work that must go on regardless belongs in a task of its own.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: Limits,
+    handler: H,
+    shutdown: impl Future<Output = ()>,
+) where
+    H: Fn(SocketAddr, Request<Bytes>) -> F + Clone,
+    F: Future<Output = Response<Body>>,
+{
+    let (stop, stopped) = futures::channel::oneshot::channel::<()>();
+    let stopped = stopped.map(|_| ()).shared();
+    let mut shutdown = pin!(shutdown.fuse());
+    let mut connections = FuturesUnordered::new();
+    while !shutdown.is_terminated() {
+        let full = connections.len() >= limits.connections;
+        let mut accept = pin!(accept(&listener, full).fuse());
+        loop {
+            select_biased! {
+                () = shutdown => break,
+                _ = connections.select_next_some() => {
+                    if full {
+                        break;
+                    }
+                }
+                (stream, peer) = accept => {
+                    connections.push(connection(stream, peer, &limits, handler.clone(), stopped.clone()));
+                    break;
+                }
+            }
+        }
+    }
+    drop(listener);
+    drop(stop);
+    drain(connections, limits.drain).await;
+}
+
+async fn drain<F: Future>(mut connections: FuturesUnordered<F>, time: Duration) {
+    let finish = async { while connections.next().await.is_some() {} };
+    if compio::time::timeout(time, finish).await.is_err() {
+        crate::event!(event::DRAIN_CUT, open = connections.len());
+    }
+}
+
+async fn accept(listener: &TcpListener, full: bool) -> (TcpStream, SocketAddr) {
+    if full {
+        std::future::pending::<()>().await;
+    }
+    loop {
+        match listener.accept().await {
+            Ok(accepted) => return accepted,
+            Err(error) => {
+                crate::event!(event::ACCEPT_FAILED, error = error);
+                compio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection<H, F>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    limits: &Limits,
+    handler: H,
+    stopped: Shared<impl Future<Output = ()>>,
+) where
+    H: Fn(SocketAddr, Request<Bytes>) -> F,
+    F: Future<Output = Response<Body>>,
+{
+    // An error only means that Nagle's algorithm stays on.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|request| {
+        let handler = &handler;
+        async move {
+            Ok::<_, Infallible>(match receive(request, limits).await {
+                Ok(request) => handler(peer, request).await,
+                Err(refusal) => refusal,
+            })
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(CompioTimer)
+        .header_read_timeout(limits.receive)
+        .max_header_size(limits.header)
+        .serve_connection(HyperStream::new_plain(stream), service);
+    let mut connection = pin!(connection);
+    let result = match select(connection.as_mut(), stopped).await {
+        Either::Left((result, _)) => result,
+        Either::Right(_) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        crate::event!(event::CONNECTION_FAILED, peer = peer, error = error);
+    }
+}
+
+/// Returns the request with its whole body, or the response that refuses it.
+async fn receive(
+    request: Request<Incoming>,
+    limits: &Limits,
+) -> Result<Request<Bytes>, Response<Body>> {
+    let (parts, body) = request.into_parts();
+    let announced = parts
+        .headers
+        .get(header::CONTENT_LENGTH)
+        .and_then(|length| length.to_str().ok()?.parse::<u64>().ok())
+        .unwrap_or(0);
+    // A moderately large body is read and dropped before the refusal: closing the connection over unread bytes resets
+    // it, and the caller would lose the answer.
+    if announced > 2 * limits.body as u64 {
+        return Err(refusal(StatusCode::PAYLOAD_TOO_LARGE));
+    }
+    match compio::time::timeout(limits.receive, collect(body, limits.body)).await {
+        Ok(Ok(Some(bytes))) => Ok(Request::from_parts(parts, bytes)),
+        Ok(Ok(None)) => Err(refusal(StatusCode::PAYLOAD_TOO_LARGE)),
+        Ok(Err(_)) => Err(refusal(StatusCode::BAD_REQUEST)),
+        Err(_) => Err(refusal(StatusCode::REQUEST_TIMEOUT)),
+    }
+}
+
+/// Reads a body; returns `None` when it is longer than `limit`.
+async fn collect(mut body: Incoming, limit: usize) -> Result<Option<Bytes>, hyper::Error> {
+    let mut whole = BytesMut::new();
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(piece) = frame?.into_data() else {
+            continue;
+        };
+        length += piece.len();
+        match length {
+            _ if length > 2 * limit => return Ok(None),
+            _ if length > limit => whole.clear(),
+            _ => whole.extend_from_slice(&piece),
+        }
+    }
+    Ok((length <= limit).then(|| whole.freeze()))
+}
+
+fn refusal(status: StatusCode) -> Response<Body> {
+    let mut refusal = response(status, "");
+    refusal.headers_mut().insert(
+        header::CONNECTION,
+        header::HeaderValue::from_static("close"),
+    );
+    refusal
+}
--- /dev/null
+++ b/crates/node/src/log.rs
@@ -0,0 +1,80 @@
+//! The log: numbered events with fields, one a line, on standard output.
+//!
+//! A line is `TIME LEVEL PROCESS NUMBER NAME field=value …`; values with spaces are quoted.
+
+use std::fmt::{self, Display, Write};
+
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::pattern::PatternEncoder;
+
+use crate::Event;
+
+/// Environment variable with the lowest level that is logged; `info` when absent.
+pub const LEVEL_VARIABLE: &str = "CAROBPORT_LOG";
+
+/// Logs an event with fields.
+///
+/// ```
+/// node::event!(node::event::STARTED, name = "example", pid = 7);
+/// ```
+#[macro_export]
+macro_rules! event {
+    ($event:expr $(, $field:ident = $value:expr)* $(,)?) => {
+        $crate::log::write($event, &[$((stringify!($field), &$value)),*])
+    };
+}
+
+/// Starts logging for the process `name`; later calls have no effect.
+pub fn start(name: &str) {
+    let level = std::env::var(LEVEL_VARIABLE)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(log::LevelFilter::Info);
+    let pattern = format!("{{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)}} {{l}} {name} {{m}}{{n}}");
+    let stdout = ConsoleAppender::builder()
+        .target(Target::Stdout)
+        .encoder(Box::new(PatternEncoder::new(&pattern)))
+        .build();
+    let config = Config::builder()
+        .appender(Appender::builder().build("stdout", Box::new(stdout)))
+        .build(Root::builder().appender("stdout").build(level));
+    if let Ok(config) = config {
+        // Fails when a logger is already set, which then stays.
+        let _ = log4rs::init_config(config);
+    }
+}
+
+/// Logs `event` with `fields`; use the macro [`event!`](crate::event!).
+pub fn write(event: Event, fields: &[(&str, &dyn Display)]) {
+    if log::log_enabled!(event.level) {
+        log::log!(event.level, "{}", Line { event, fields });
+    }
+}
+
+/// Formats an event as it is logged, without time, level and process.
+pub fn line(event: Event, fields: &[(&str, &dyn Display)]) -> String {
+    Line { event, fields }.to_string()
+}
+
+struct Line<'a> {
+    event: Event,
+    fields: &'a [(&'a str, &'a dyn Display)],
+}
+
+impl Display for Line<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.event.number, self.event.name)?;
+        for (name, value) in self.fields {
+            let value = value.to_string();
+            let plain = !value.is_empty()
+                && !value.contains(|c: char| c.is_whitespace() || c.is_control() || c == '"');
+            f.write_char(' ')?;
+            match plain {
+                true => write!(f, "{name}={value}")?,
+                false => write!(f, "{name}={value:?}")?,
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/node/tests/http.rs
@@ -0,0 +1,239 @@
+//! The HTTP server and client against each other and against raw connections.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::net::TcpStream;
+use node::http::{Body, Client, Error, Limits, Request, Response, StatusCode, response, serve};
+use yare::parameterized;
+
+const SOON: Duration = Duration::from_millis(400);
+
+fn limits() -> Limits {
+    Limits {
+        body: 1000,
+        receive: Duration::from_millis(150),
+        drain: Duration::from_secs(2),
+        ..Limits::default()
+    }
+}
+
+fn loopback() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+/// Answers `/wait/MS` after that time, `/cut` with a cut body, `/stream` in pieces, and anything else with the body.
+async fn handler(_: SocketAddr, request: Request<bytes::Bytes>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    if let Some(ms) = path.strip_prefix("/wait/") {
+        compio::time::sleep(Duration::from_millis(ms.parse().unwrap())).await;
+        return response(StatusCode::OK, path);
+    }
+    if path == "/cut" || path == "/stream" {
+        let (mut sender, body) = Body::channel(1);
+        compio::runtime::spawn(async move {
+            for piece in ["one ", "two"] {
+                sender.send(piece).await.unwrap();
+            }
+            if path == "/stream" {
+                sender.finish().await.unwrap();
+            }
+        })
+        .detach();
+        return response(StatusCode::OK, body);
+    }
+    response(StatusCode::OK, request.into_body())
+}
+
+fn with_server<F: Future<Output = ()>>(test: impl FnOnce(SocketAddr) -> F) {
+    node::run("test", async {
+        let listener = node::listen(loopback()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = serve(listener, limits(), handler, std::future::pending());
+        let server = compio::runtime::spawn(server);
+        test(address).await;
+        server.cancel().await;
+    })
+    .unwrap();
+}
+
+fn get(path: &str) -> Request<Body> {
+    Request::get(path).body(Body::empty()).unwrap()
+}
+
+async fn text(client: &Client, address: SocketAddr, path: &str) -> Result<String, Error> {
+    let answer = client
+        .send(address, get(path), Instant::now() + SOON)
+        .await?;
+    let bytes = answer.into_body().bytes(1 << 20).await?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+/// Sends raw bytes and returns what arrives until the connection ends.
+async fn raw(address: SocketAddr, bytes: Vec<u8>) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    let mut whole = Vec::new();
+    while let Ok(compio::BufResult(Ok(1..), piece)) =
+        compio::time::timeout(SOON, stream.read(Vec::with_capacity(4096))).await
+    {
+        whole.extend(piece);
+    }
+    String::from_utf8_lossy(&whole).into_owned()
+}
+
+// Guards against requests that get round the limits, and against refusals that never reach the sender.
+#[parameterized(
+    largest_body = { "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1000\r\n\r\n", 1000, "200" },
+    large_body = { "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1001\r\n\r\n", 1001, "413" },
+    huge_body = { "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9000000\r\n\r\n", 0, "413" },
+    chunked_body = { "POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n5dc\r\n", 1500, "413" },
+    slow_body = { "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\n", 5, "408" },
+    large_header = { "GET / HTTP/1.1\r\nhost: x\r\nlarge: ", 17000, "431" },
+)]
+fn serve_limits(head: &str, body: usize, status: &str) {
+    let chunk_end = if head.contains("chunked") {
+        "\r\n0\r\n\r\n"
+    } else {
+        ""
+    };
+    let bytes = [head, &"x".repeat(body), chunk_end].concat().into_bytes();
+    with_server(|address| async move {
+        let answer = raw(address, bytes).await;
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status}")),
+            "{answer}"
+        );
+    });
+}
+
+// Guards against a sender that holds a connection by sending its headers a byte at a time.
+#[test]
+fn serve_slow_header_closes() {
+    with_server(|address| async move {
+        let start = Instant::now();
+        raw(address, b"GET / HT".to_vec()).await;
+        assert!(start.elapsed() < SOON);
+    });
+}
+
+// Guards against a shutdown that cuts off requests in progress or keeps idle connections open.
+#[test]
+fn serve_shutdown_finishes_requests() {
+    node::run("test", async {
+        let listener = node::listen(loopback()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let (stop, stopped) = futures::channel::oneshot::channel::<()>();
+        let shutdown = async {
+            let _ = stopped.await;
+        };
+        let server = compio::runtime::spawn(serve(listener, limits(), handler, shutdown));
+        let (busy, idle) = (Client::new(), Client::new());
+        text(&idle, address, "/wait/0").await.unwrap();
+        let request = text(&busy, address, "/wait/150");
+        let stop = async {
+            compio::time::sleep(Duration::from_millis(50)).await;
+            drop(stop);
+        };
+        assert_eq!(futures::join!(request, stop).0.unwrap(), "/wait/150");
+        assert!(compio::time::timeout(SOON, server).await.is_ok());
+        let error = text(&idle, address, "/wait/0").await.unwrap_err();
+        assert!(matches!(error, Error::NotWritten { .. }), "{error}");
+    })
+    .unwrap();
+}
+
+// Guards against a late answer that reaches the next request of the same connection.
+#[test]
+fn client_timeout_not_reused() {
+    with_server(|address| async move {
+        let client = Client::new();
+        for _ in 0..3 {
+            let late = client
+                .send(
+                    address,
+                    get("/wait/80"),
+                    Instant::now() + Duration::from_millis(40),
+                )
+                .await;
+            assert!(matches!(late, Err(Error::Unknown { .. })));
+            compio::time::sleep(Duration::from_millis(60)).await;
+            assert_eq!(text(&client, address, "/wait/1").await.unwrap(), "/wait/1");
+        }
+    });
+}
+
+// Guards against a connection that is used again before its answer was read to the end.
+#[test]
+fn client_unread_answer_not_reused() {
+    with_server(|address| async move {
+        let client = Client::new();
+        let deadline = Instant::now() + SOON;
+        let mut answer = client
+            .send(address, get("/stream"), deadline)
+            .await
+            .unwrap();
+        answer.body_mut().next().await.unwrap();
+        drop(answer);
+        assert_eq!(text(&client, address, "/wait/1").await.unwrap(), "/wait/1");
+    });
+}
+
+// Guards against a cut body that passes for a whole one, also when it is forwarded.
+#[test]
+fn client_cut_body_is_error() {
+    with_server(|address| async move {
+        let client = Client::new();
+        assert_eq!(text(&client, address, "/stream").await.unwrap(), "one two");
+        let error = text(&client, address, "/cut").await.unwrap_err();
+        assert!(matches!(error, Error::Unknown { .. }), "{error}");
+    });
+}
+
+// Guards against a connection per request: at 5,800 requests a second, ports would run out.
+#[test]
+fn client_reuses_connections() {
+    node::run("test", async {
+        let listener = node::listen(loopback()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let ports = Rc::new(Cell::new([0; 3]));
+        let seen = ports.clone();
+        let handler = move |peer: SocketAddr, _| {
+            let [_, second, third] = seen.get();
+            seen.set([second, third, peer.port()]);
+            async { response(StatusCode::OK, "ok") }
+        };
+        let server = serve(listener, limits(), handler, std::future::pending());
+        let _server = compio::runtime::spawn(server);
+        let client = Client::new();
+        for _ in 0..3 {
+            text(&client, address, "/").await.unwrap();
+        }
+        let [first, second, third] = ports.get();
+        assert!(first == second && second == third && first != 0);
+    })
+    .unwrap();
+}
+
+// Guards against "not written" for a request that the peer read, and "unknown" for one that it never got.
+#[test]
+fn client_tells_written_from_not() {
+    node::run("test", async {
+        let listener = node::listen(loopback()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = compio::runtime::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.read(Vec::with_capacity(4096)).await.unwrap();
+        });
+        let client = Client::new();
+        let error = text(&client, address, "/").await.unwrap_err();
+        assert!(matches!(error, Error::Unknown { .. }), "{error}");
+        server.await.unwrap();
+        let error = text(&client, address, "/").await.unwrap_err();
+        assert!(matches!(error, Error::NotWritten { .. }), "{error}");
+    })
+    .unwrap();
+}
--- /dev/null
+++ b/crates/node/tests/settings.rs
@@ -0,0 +1,99 @@
+//! Findings about settings.
+
+use node::settings::{Fields, Finding, Settings, load, parse};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+#[derive(Debug, PartialEq)]
+struct Port {
+    slots: u32,
+    peers: Vec<Peer>,
+}
+
+#[derive(Debug, PartialEq)]
+struct Peer {
+    address: std::net::SocketAddr,
+    name: String,
+}
+
+impl Settings for Port {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let slots = fields.number("slots", 1..=64, Some(8));
+        let peers = fields.objects("peers");
+        Some(Self {
+            slots: slots?,
+            peers: peers?,
+        })
+    }
+}
+
+impl Settings for Peer {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let address = fields.required("address", "an IP address and port");
+        let name = fields.text("name");
+        Some(Self {
+            address: address?,
+            name: name?,
+        })
+    }
+}
+
+// Guards against a report that stops at the first finding, so that an operator needs a start per mistake.
+#[test]
+fn parse_all_findings_at_once() {
+    let text = r#"{"slots": 65, "a/b~c": [1], "peers": [
+        {"address": "10.0.0.1", "name": ""}, {"name": 7}, 9]}"#;
+    let findings = parse::<Port>(text).unwrap_err();
+    let found: Vec<_> = findings
+        .iter()
+        .map(|Finding { pointer, read, .. }| (pointer.as_str(), read.as_str()))
+        .collect();
+    let expected = [
+        ("/slots", "65"),
+        ("/peers/0/address", "\"10.0.0.1\""),
+        ("/peers/0/name", "\"\""),
+        ("/peers/1/address", "nothing"),
+        ("/peers/1/name", "7"),
+        ("/peers/2", "9"),
+        ("/a~1b~0c", "[1]"),
+    ];
+    assert_eq!(found, expected);
+    assert!(findings.iter().all(|finding| !finding.allowed.is_empty()));
+}
+
+// Guards against defaults that aren't applied and against findings about valid settings.
+#[test]
+fn parse_valid() {
+    let text = r#"{"peers": [{"address": "10.0.0.1:80", "name": "a"}]}"#;
+    let port: Port = parse(text).unwrap();
+    assert_eq!((port.slots, port.peers.len()), (8, 1));
+}
+
+// Guards against a missing or broken file that is reported without its name.
+#[test]
+fn load_missing_names_file() {
+    let findings = load::<Port>("/nonexistent/entry.json").unwrap_err();
+    assert!(
+        findings
+            .to_string()
+            .starts_with("/nonexistent/entry.json: 1 finding")
+    );
+    assert_eq!(parse::<Port>("{").unwrap_err().len(), 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(0x7365),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Guards against panics on any text, and against a number that passes outside its range.
+    #[test]
+    fn parse_number_range(slots in any::<i64>(), name in "\\PC{0,120}") {
+        let peers = serde_json::json!([{"address": "[::1]:80", "name": name}]);
+        let text = serde_json::json!({"slots": slots, "peers": peers}).to_string();
+        let valid = (1..=64).contains(&slots) && !name.is_empty();
+        prop_assert_eq!(parse::<Port>(&text).is_ok(), valid);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/object.rs
@@ -0,0 +1,65 @@
+//! Objects, lists and VMs.
+
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+/// A version of an object.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Object {
+    /// Name within its kind.
+    pub name: String,
+    /// Revision of the write that made this version.
+    pub revision: u64,
+    /// The value, as the JSON text that was written.
+    pub value: Box<RawValue>,
+}
+
+/// Objects of a kind.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Listing {
+    /// Highest revision that the platform had given when it made the list; watch after it.
+    pub revision: u64,
+    /// The objects, or the changed ones of a watch, in the order of their revisions.
+    pub objects: Vec<Object>,
+}
+
+/// What must hold for a write to be accepted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Condition {
+    /// The object doesn't exist.
+    Absent,
+    /// The object has this revision.
+    Revision(u64),
+    /// Nothing; the write replaces whatever is there.
+    Any,
+}
+
+/// Result of a write that the platform decided on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Put {
+    /// The write took effect with this revision.
+    Accepted(u64),
+    /// The condition didn't hold; the current revision, or `None` when the object doesn't exist.
+    Conflict(Option<u64>),
+}
+
+/// A VM of the platform's list.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Vm {
+    /// Name of the VM.
+    pub name: String,
+    /// Failure domain.
+    pub domain: String,
+    /// What the platform last knew of the VM; lags behind.
+    pub state: State,
+}
+
+/// State of a VM in the platform's list.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// Runs.
+    Live,
+    /// Is about to be stopped.
+    Leaving,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,9 @@
 pub mod header;
 mod message;
 mod peer;
+mod report;
+pub mod transport;
 
 pub use message::{Delta, Digest, Gate, Reply, Report};
 pub use peer::{Peer, PeerClient, PeerRequest, PeerResponse};
+pub use transport::{Client, connect, serve};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// State and load of a target, sent once a second.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Report {
     /// Name of the target.
     pub target: String,
--- /dev/null
+++ b/crates/wire/src/transport.rs
@@ -0,0 +1,38 @@
+//! tarpc over TCP with postcard encoding and bounded frames.
+//!
+//! A frame is a 4-byte big-endian length and that many bytes of postcard. Both sides refuse frames above
+//! [`MAX_FRAME`]; a malformed or oversized frame ends the connection with an error. [`connect`] and [`serve`] need a
+//! compio runtime and an entered Tokio timer context, which `node::run` sets up: tarpc's client panics without the
+//! latter. Its own deadlines don't fire there, so [`Client`] ends each call itself.
+
+mod client;
+mod codec;
+mod frame;
+mod server;
+
+use std::io;
+
+use compio::net::TcpStream;
+use compio_io::framed::Framed;
+
+pub use client::{Client, Error, connect};
+pub use codec::Postcard;
+pub use frame::{Bounded, MAX_FRAME};
+pub use server::serve;
+
+/// A connection that sends `Out` and receives `In`.
+pub type Transport<Out, In> = Framed<ReadHalf, WriteHalf, Postcard, Bounded, Out, In>;
+
+type ReadHalf = <TcpStream as compio::io::util::Splittable>::ReadHalf;
+type WriteHalf = <TcpStream as compio::io::util::Splittable>::WriteHalf;
+
+/// Returns a transport over `stream`.
+///
+/// # Errors
+///
+/// Fails when the stream's options can't be set.
+pub fn transport<Out, In>(stream: TcpStream) -> io::Result<Transport<Out, In>> {
+    // Messages are small and answered at once; Nagle's algorithm would delay them by up to 40 ms.
+    stream.set_nodelay(true)?;
+    Ok(Framed::new::<Out, In>(Postcard, Bounded).with_duplex(stream))
+}
