Start a whole system on loopback from a plan

Cause: experiments need stand-ins, entries and agents as separate processes with settings of their own. Change: Plan, Deployment, members that can be restarted, switches and counts of stand-ins. Measurement: none yet.

--- /dev/null
+++ b/bins/load/src/lib.rs
@@ -0,0 +1,20 @@
+//! Load and experiments with real processes on loopback.
+//!
+//! A [`Deployment`] starts a whole system from a [`Plan`]. A [`Process`] is a child that is killed when its guard is dropped. A [`Network`] gives each VM of an experiment a
+//! loopback address. A [`Load`] sends live requests at a steady rate and returns a [`Tally`] of their outcomes.
+
+mod address;
+mod deployment;
+mod plan;
+mod process;
+mod sample;
+mod traffic;
+
+pub use address::{
+    BACKEND_CONTROL_PORT, BACKEND_PORT, CALL_PORT, Network, OPERATOR_PORT, ORDER_PORT, PEER_PORT,
+};
+pub use deployment::{Deployment, Error, MODEL, MODEL_SERVICE, Member, PLAIN_SERVICE, WORKSPACE};
+pub use plan::Plan;
+pub use process::{Process, Usage};
+pub use sample::Percentiles;
+pub use traffic::{Load, Tally};
--- /dev/null
+++ b/bins/load/src/plan.rs
@@ -0,0 +1,68 @@
+//! What an experiment consists of.
+
+use serde::{Deserialize, Serialize};
+
+/// Domains, targets, weights and links of an experiment.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Plan {
+    /// Failure domains; each is a region of its own.
+    pub domains: Vec<String>,
+    /// Entry VMs of each domain.
+    pub entries: u8,
+    /// Targets with a model engine in each domain.
+    pub engines: u8,
+    /// Targets with a plain service in each domain.
+    pub plains: u8,
+    /// What the transfer saves first, as in the catalogue.
+    pub transfer: String,
+    /// Size of each version of the model, in bytes.
+    pub model_bytes: u64,
+    /// Size of a chunk, in bytes.
+    pub chunk_bytes: u32,
+    /// Rate of the origin's link, in bytes a second.
+    pub origin_bytes_per_s: u64,
+    /// Rate of each agent's link in each direction, in bytes a second.
+    pub link_bytes_per_s: u64,
+    /// Rate at which each agent receives from other regions, in bytes a second.
+    pub region_bytes_per_s: u64,
+    /// Whether engines refuse orders with an old fencing number.
+    pub engines_check_fencing: bool,
+    /// Requests that an engine runs at once.
+    pub engine_slots: u32,
+    /// Time to the first token, in milliseconds.
+    pub first_token_ms: u64,
+    /// Time between tokens, in milliseconds.
+    pub token_ms: u64,
+    /// Time that a plain service takes for a call, in milliseconds.
+    pub service_ms: u64,
+}
+
+impl Plan {
+    /// Returns the number of targets with an engine.
+    pub fn replicas(&self) -> usize {
+        self.domains.len() * usize::from(self.engines)
+    }
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            domains: vec!["levis".into(), "beauce".into()],
+            entries: 1,
+            engines: 3,
+            plains: 1,
+            transfer: "origin_bytes".into(),
+            model_bytes: 16 << 20,
+            chunk_bytes: 256 << 10,
+            origin_bytes_per_s: 16 << 20,
+            link_bytes_per_s: 8 << 20,
+            region_bytes_per_s: 4 << 20,
+            engines_check_fencing: true,
+            engine_slots: 8,
+            first_token_ms: 20,
+            token_ms: 2,
+            service_ms: 5,
+        }
+    }
+}
--- a/bins/load/src/process.rs
+++ b/bins/load/src/process.rs
@@ -24,8 +24,7 @@
 }
 
 /// Processor time and memory of a process.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-#[derive(serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
 pub struct Usage {
     /// Processor time since the start, in seconds.
     pub cpu_s: f64,
@@ -50,7 +49,12 @@
             .stdout(output.try_clone()?)
             .stderr(output)
             .spawn()
-            .map_err(|error| io::Error::new(error.kind(), format!("starting {}: {error}", binary.display())))?;
+            .map_err(|error| {
+                io::Error::new(
+                    error.kind(),
+                    format!("starting {}: {error}", binary.display()),
+                )
+            })?;
         Ok(Self {
             name: name.into(),
             child,
--- a/bins/load/src/sample.rs
+++ b/bins/load/src/sample.rs
@@ -5,8 +5,7 @@
 use serde::Serialize;
 
 /// Percentiles of a set of durations, in milliseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-#[derive(Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct Percentiles {
     /// Number of durations.
     pub count: usize,
--- a/bins/load/src/traffic.rs
+++ b/bins/load/src/traffic.rs
@@ -34,8 +34,7 @@
 }
 
 /// What became of the requests.
-#[derive(Clone, Debug, Default)]
-#[derive(Serialize)]
+#[derive(Clone, Debug, Default, Serialize)]
 pub struct Tally {
     /// Requests sent.
     pub sent: u64,
