Decide how records merge, spread and reach agents

Cause: members and catalogue must reach every entry within seconds, and a domain's reports must not cost more than a few KB/s per entry. Change: gossip::Store with an order-independent merge (equal versions are ordered by hash), three-step exchange, choice of peers, watchers and report entries, detection, a member's own record that refutes others, views for agents. Digest and Delta moved from wire to gossip, which decides about them; wire re-exports them. Both gained the hashes of single records, so that an exchange sends only the records that differ instead of whole buckets. A member that sees a higher incarnation of itself rises above it: a number from the clock is far above the platform's revisions. Every 64th exchange tries an entry that is down, so that domains meet again after each declared the other down. A view covers all services of the catalogue, from which both sides derive which services share a model.

--- /dev/null
+++ b/crates/gossip/examples/cost.rs
@@ -0,0 +1,145 @@
+//! Measures the record store and prints JSON: cost of a merge, memory per record and bytes of an exchange.
+//!
+//! Run with `cargo run --release -p gossip --example cost -- RECORDS`. Memory is measured once, before anything else
+//! has used the heap; run the program several times. The other figures are lists of all runs, in their order.
+
+use std::fs;
+use std::time::Instant;
+
+use gossip::{Key, Phase, Record, Scope, Store, Target, Value, Version};
+use serde_json::{Value as Json, json};
+
+const RUNS: usize = 5;
+
+fn main() {
+    let argument = std::env::args().nth(1).and_then(|text| text.parse().ok());
+    let Some(size) = argument else {
+        eprintln!("usage: cost RECORDS");
+        std::process::exit(2);
+    };
+    let before = resident();
+    let store = filled(size);
+    let memory = resident().saturating_sub(before) / store.len();
+    println!("{}", measure(size, memory));
+}
+
+fn measure(size: usize, memory: usize) -> Json {
+    let mut first = Vec::new();
+    let mut stale = Vec::new();
+    let mut change = Vec::new();
+    let mut view = Vec::new();
+    for _ in 0..RUNS {
+        let batch = records(size, 0);
+        let (again, newer) = (batch.clone(), records(size, 1));
+        let mut store = Store::new();
+        first.push(time(size, || merge(&mut store, batch)));
+        stale.push(time(size, || merge(&mut store, again)));
+        change.push(time(size, || merge(&mut store, newer)));
+        let services = vec!["assistant".into()];
+        let scope = Scope {
+            domain: "levis".into(),
+            services,
+        };
+        view.push(time(size, || assert_ne!(scope.hash(&store), 0)));
+    }
+    let changed = [0, 1, 10, 100]
+        .into_iter()
+        .filter(|changed| *changed <= size);
+    let exchanges: Vec<Json> = changed.map(|changed| exchange(size, changed)).collect();
+    json!({
+        "records": size,
+        "merge_new_ns": first,
+        "merge_same_ns": stale,
+        "merge_newer_ns": change,
+        "view_hash_ns_per_record": view,
+        "resident_bytes_per_record": memory,
+        "exchange": exchanges,
+    })
+}
+
+fn exchange(size: usize, changed: usize) -> Json {
+    let (mut asks, mut answers) = (filled(size), filled(size));
+    merge(&mut answers, records(changed, 1));
+    let mut bytes = Vec::new();
+    let digest = asks.digest();
+    bytes.push(length(&digest));
+    let first = answers.answer(&digest);
+    bytes.push(length(&first));
+    if let Some(details) = asks.details(&first) {
+        bytes.push(length(&details));
+        let second = answers.answer(&details);
+        bytes.push(length(&second));
+        merge(&mut asks, second.records.clone());
+        bytes.push(length(&asks.wanted(&second)));
+    }
+    assert!(asks == answers);
+    let all: Vec<Record> = records(size, 0);
+    json!({
+        "changed": changed,
+        "message_bytes": bytes,
+        "total_bytes": bytes.iter().sum::<usize>(),
+        "changed_records_bytes": length(&records(changed, 1)),
+        "whole_store_bytes": length(&all),
+    })
+}
+
+fn filled(size: usize) -> Store {
+    let mut store = Store::new();
+    for index in 0..size {
+        store.merge(record(index, 0));
+    }
+    store
+}
+
+fn records(count: usize, minor: u64) -> Vec<Record> {
+    (0..count).map(|index| record(index, minor)).collect()
+}
+
+fn record(index: usize, minor: u64) -> Record {
+    let host = [10, 0, (index / 250) as u8, (index % 250) as u8];
+    Record {
+        key: Key::Target(format!("vm-{index:05}")),
+        version: Version {
+            major: 1_000_000 + index as u64,
+            minor,
+            down: false,
+        },
+        value: Value::Target(Target {
+            domain: "levis".into(),
+            region: "levis".into(),
+            service: "assistant".into(),
+            call: (host, 8080).into(),
+            chunk: (host, 8081).into(),
+            phase: Phase::Live,
+        }),
+    }
+}
+
+fn merge(store: &mut Store, records: Vec<Record>) {
+    for record in records {
+        store.merge(record);
+    }
+}
+
+/// Returns the time of `work` per record, in nanoseconds.
+fn time(records: usize, work: impl FnOnce()) -> u128 {
+    let start = Instant::now();
+    work();
+    start.elapsed().as_nanos() / records as u128
+}
+
+fn length<T: serde::Serialize>(value: &T) -> usize {
+    postcard::to_stdvec(value)
+        .expect("a message in memory is encoded")
+        .len()
+}
+
+/// Returns the resident memory of the process, in bytes.
+fn resident() -> usize {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text
+        .split_whitespace()
+        .nth(1)
+        .and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0) * 4096
+}
--- /dev/null
+++ b/crates/gossip/src/choice.rs
@@ -0,0 +1,151 @@
+//! Which members talk to which.
+
+use crate::hash;
+use crate::random::Random;
+use crate::record::{Node, Phase};
+use crate::store::Store;
+
+/// Number of peers that a changed record is pushed to.
+const FAN_OUT: usize = 3;
+
+/// One of this many exchanges and pushes reaches another domain.
+const ABROAD: u64 = 8;
+
+/// Number of entries of a domain that watch the platform.
+const WATCHERS: usize = 2;
+
+/// Fewest entries that a target reports to, where there are as many.
+const REPORTS_MIN: usize = 3;
+
+/// Reports that an entry would get if every target of a service chose the same number of entries.
+const REPORTS_PER_ENTRY: usize = 8;
+
+/// Choice of the peers of one entry.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    name: String,
+    domain: String,
+    random: Random,
+    exchanges: u64,
+    pushes: u64,
+}
+
+impl Peers {
+    /// Returns the choices of the entry `name` in `domain`, made with `random`.
+    pub fn new(name: &str, domain: &str, random: Random) -> Self {
+        Self {
+            name: name.into(),
+            domain: domain.into(),
+            random,
+            exchanges: 0,
+            pushes: 0,
+        }
+    }
+
+    /// Returns the entries to push changed records to: 3 of the own domain, and now and then one of another.
+    pub fn push(&mut self, store: &Store) -> Vec<(String, Node)> {
+        self.pushes += 1;
+        let mut chosen = self.pick(store, true, FAN_OUT);
+        if self.pushes.is_multiple_of(ABROAD) || chosen.is_empty() {
+            chosen.extend(self.pick(store, false, 1));
+        }
+        chosen
+    }
+
+    /// Returns the entry to compare stores with: of the own domain, but every eighth time of another.
+    ///
+    /// Where one kind has no live entry, the other is chosen. Every 64th choice is among the entries that are down, so
+    /// that domains find each other again after a partition in which each side declared the other down.
+    pub fn exchange(&mut self, store: &Store) -> Option<(String, Node)> {
+        self.exchanges += 1;
+        if self.exchanges.is_multiple_of(ABROAD * ABROAD) || self.live(store).next().is_none() {
+            let down = store
+                .entries()
+                .filter(|(name, node)| node.phase == Phase::Down && *name != self.name);
+            let down = down
+                .map(|(name, node)| (name.to_owned(), node.clone()))
+                .collect();
+            if let Some(chosen) = self.random.choose(down, 1).pop() {
+                return Some(chosen);
+            }
+        }
+        let home = !self.exchanges.is_multiple_of(ABROAD);
+        let chosen = self.pick(store, home, 1).pop();
+        chosen.or_else(|| self.pick(store, !home, 1).pop())
+    }
+
+    fn pick(&mut self, store: &Store, home: bool, count: usize) -> Vec<(String, Node)> {
+        let list = self
+            .live(store)
+            .filter(|(_, node)| (node.domain == self.domain) == home);
+        let list = list.collect::<Vec<_>>();
+        let chosen = self.random.choose(list, count).into_iter();
+        chosen
+            .map(|(name, node)| (name.to_owned(), node.clone()))
+            .collect()
+    }
+
+    fn live<'a>(&self, store: &'a Store) -> impl Iterator<Item = (&'a str, &'a Node)> + use<'a> {
+        let me = self.name.clone();
+        store
+            .entries()
+            .filter(move |(name, node)| node.phase != Phase::Down && *name != me)
+    }
+}
+
+/// Returns the entries of `domain` that watch the platform: the first two live ones in rendezvous order.
+pub fn watchers<'a>(store: &'a Store, domain: &str) -> Vec<&'a str> {
+    let live = store
+        .entries()
+        .filter(|(_, node)| node.phase == Phase::Live && node.domain == domain);
+    let mut order = rendezvous(domain, live.map(|(name, _)| name));
+    order.truncate(WATCHERS);
+    order
+}
+
+/// Returns the number of entries that a target reports to: `ceil(8 * entries / targets)`, between 3 and `entries`.
+///
+/// ```
+/// assert_eq!(gossip::report_count(67, 722), 3);
+/// assert_eq!(gossip::report_count(67, 20), 27);
+/// assert_eq!(gossip::report_count(2, 5), 2);
+/// ```
+pub fn report_count(entries: usize, targets: usize) -> usize {
+    let wanted = (REPORTS_PER_ENTRY * entries).div_ceil(targets.max(1));
+    wanted.max(REPORTS_MIN).min(entries)
+}
+
+/// Returns the entries that `target` reports to, first in rendezvous order first.
+///
+/// They are live entries of the target's domain; a domain without any makes its targets report to entries elsewhere.
+/// Targets of the same service and domain are counted as long as they are not down.
+pub fn report_entries<'a>(
+    store: &'a Store,
+    target: &str,
+    domain: &str,
+    service: &str,
+) -> Vec<(&'a str, &'a Node)> {
+    let live: Vec<_> = store
+        .entries()
+        .filter(|(_, node)| node.phase == Phase::Live)
+        .collect();
+    let home: Vec<_> = live
+        .iter()
+        .filter(|(_, node)| node.domain == domain)
+        .copied()
+        .collect();
+    let mut list = if home.is_empty() { live } else { home };
+    let targets = store.targets().filter(|(_, other)| {
+        other.domain == domain && other.service == service && other.phase != Phase::Down
+    });
+    let count = report_count(list.len(), targets.count());
+    list.sort_by_cached_key(|(name, _)| std::cmp::Reverse(hash::weight(target, name)));
+    list.truncate(count);
+    list
+}
+
+fn rendezvous<'a>(subject: &str, names: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
+    let mut order: Vec<_> = names.collect();
+    order.sort_by_cached_key(|name| std::cmp::Reverse(hash::weight(subject, name)));
+    order
+}
--- /dev/null
+++ b/crates/gossip/src/view.rs
@@ -0,0 +1,203 @@
+//! The records that agents are given.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::exchange::size;
+use crate::record::{Key, Record, Value};
+use crate::store::Store;
+
+/// Size of the records in one reply, about, in bytes.
+const REPLY_BYTES: usize = 32 * 1024;
+
+/// Number of changes that a reply can make up for without sending all records.
+const CHANGES_KEPT: usize = 1024;
+
+/// Number of earlier hashes kept of each view.
+const HASHES_KEPT: usize = 256;
+
+/// Replies with the latest changes before all records are sent again to a target whose hash stays unknown.
+///
+/// A target that reports to several entries holds what the newest of them sent, so its hash is often unknown to the
+/// others for a second or two.
+const PATIENCE: u8 = 5;
+
+/// Number of latest changes sent to a target whose hash is unknown.
+const LATEST: usize = 32;
+
+/// The records that concern a target: all services of the catalogue, the entries of its domain and the targets of some
+/// services.
+///
+/// All services are covered because both sides derive from them which services share the target's model; with fewer,
+/// an agent would never learn that another service moved to a model of its own.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Scope {
+    /// Failure domain of the target.
+    pub domain: String,
+    /// The target's service and those that serve the same model, in order.
+    pub services: Vec<String>,
+}
+
+/// Replies to the targets that report to one entry.
+#[derive(Clone, Debug, Default)]
+pub struct Views {
+    scopes: BTreeMap<Scope, View>,
+    targets: BTreeMap<String, Progress>,
+    changed: VecDeque<(u64, Key)>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct View {
+    /// State of the store that `hash` was computed from.
+    at: u64,
+    hash: u64,
+    /// Earlier hashes and the states of the store up to which they held.
+    past: VecDeque<(u64, u64)>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Progress {
+    unknown: u8,
+    /// Last record sent while all records are being sent.
+    cursor: Option<Key>,
+}
+
+impl Scope {
+    /// Tells whether a record concerns the target.
+    pub fn covers(&self, key: &Key, value: &Value) -> bool {
+        match (key, value) {
+            (Key::Catalog(name), _) => name.starts_with("service/"),
+            (_, Value::Entry(node)) => node.domain == self.domain,
+            (_, Value::Target(target)) => self.services.contains(&target.service),
+            _ => false,
+        }
+    }
+
+    /// Returns the hash of the records in `store` that concern the target; 0 if there are none.
+    pub fn hash(&self, store: &Store) -> u64 {
+        let covered = store
+            .hashes()
+            .filter(|(key, value, _)| self.covers(key, value));
+        covered.fold(0, |sum, (_, _, hash)| sum ^ hash)
+    }
+}
+
+impl Views {
+    /// Notes that a record changed in `store`; call it after each merge that returned true.
+    pub fn changed(&mut self, store: &Store, key: Key) {
+        self.changed.push_back((store.changes(), key));
+        if self.changed.len() > CHANGES_KEPT {
+            self.changed.pop_front();
+        }
+    }
+
+    /// Drops what is kept of a target, such as one that is down.
+    pub fn forget(&mut self, target: &str) {
+        self.targets.remove(target);
+    }
+
+    /// Returns the hash of a target's view and the records that it seems to lack.
+    ///
+    /// `reported` is the hash that the target reported. A known earlier hash is answered with the changes since; 0 with
+    /// all records, in parts; an unknown hash first with the latest changes and then with all.
+    pub fn reply(
+        &mut self,
+        store: &Store,
+        target: &str,
+        scope: &Scope,
+        reported: u64,
+    ) -> (u64, Vec<Record>) {
+        let view = self.view(store, scope);
+        let hash = view.hash;
+        let since = view
+            .past
+            .iter()
+            .rev()
+            .find(|(past, _)| *past == reported)
+            .map(|(_, at)| *at);
+        if reported == hash {
+            self.targets.remove(target);
+            return (hash, Vec::new());
+        }
+        let kept = self.changed.front().map_or(u64::MAX, |(at, _)| *at);
+        if let Some(since) = since.filter(|since| since + 1 >= kept) {
+            let records = self.since(store, scope, since);
+            if total(&records) <= REPLY_BYTES {
+                return (hash, records);
+            }
+        }
+        let progress = self.targets.entry(target.into()).or_default();
+        if reported != 0 && progress.cursor.is_none() && progress.unknown < PATIENCE {
+            progress.unknown += 1;
+            let first = self.changed.len().saturating_sub(LATEST);
+            let since = self.changed.get(first).map_or(0, |(at, _)| at - 1);
+            return (hash, self.since(store, scope, since));
+        }
+        (hash, progress.next(store, scope))
+    }
+
+    fn view(&mut self, store: &Store, scope: &Scope) -> &View {
+        if !self.scopes.contains_key(scope) {
+            self.scopes.insert(scope.clone(), View::default());
+        }
+        let view = self.scopes.entry(scope.clone()).or_default();
+        if view.at != store.changes() {
+            let hash = scope.hash(store);
+            if hash != view.hash {
+                view.past.push_back((view.hash, view.at));
+                if view.past.len() > HASHES_KEPT {
+                    view.past.pop_front();
+                }
+            }
+            view.hash = hash;
+            view.at = store.changes();
+        }
+        view
+    }
+
+    fn since(&self, store: &Store, scope: &Scope, since: u64) -> Vec<Record> {
+        let mut keys: Vec<&Key> = self
+            .changed
+            .iter()
+            .filter(|(at, _)| *at > since)
+            .map(|(_, key)| key)
+            .collect();
+        keys.sort_unstable();
+        keys.dedup();
+        let records = keys.into_iter().filter_map(|key| store.get(key));
+        records
+            .filter(|record| scope.covers(&record.key, &record.value))
+            .collect()
+    }
+}
+
+impl Progress {
+    fn next(&mut self, store: &Store, scope: &Scope) -> Vec<Record> {
+        let mut records = Vec::new();
+        let mut bytes = 0;
+        let cursor = self.cursor.take();
+        let rest = store.iter().filter(|(key, _, value)| {
+            cursor.as_ref().is_none_or(|cursor| *key > cursor) && scope.covers(key, value)
+        });
+        for (key, version, value) in rest {
+            bytes += size(key, value);
+            records.push(Record {
+                key: key.clone(),
+                version,
+                value: value.clone(),
+            });
+            if bytes >= REPLY_BYTES {
+                self.cursor = Some(key.clone());
+                return records;
+            }
+        }
+        self.unknown = 0;
+        records
+    }
+}
+
+fn total(records: &[Record]) -> usize {
+    records
+        .iter()
+        .map(|record| size(&record.key, &record.value))
+        .sum()
+}
--- /dev/null
+++ b/crates/gossip/tests/choice.rs
@@ -0,0 +1,197 @@
+//! Watchers, report entries, detection and views.
+
+use std::time::{Duration, Instant};
+
+use gossip::{
+    Detector, Key, Member, Node, Peers, Phase, Random, Record, Scope, Sign, Store, Target, Value,
+    Version, Views, report_entries, watchers,
+};
+
+fn entry(name: &str, domain: &str, minor: u64, phase: Phase) -> Record {
+    let (domain, region) = (domain.to_owned(), domain.to_owned());
+    let value = Value::Entry(Node {
+        domain,
+        region,
+        peer: "127.0.0.1:7000".parse().unwrap(),
+        phase,
+    });
+    Record {
+        key: Key::Entry(name.into()),
+        version: Version {
+            major: 1,
+            minor,
+            down: false,
+        },
+        value,
+    }
+}
+
+fn target(name: &str, minor: u64) -> Record {
+    let address = "127.0.0.1:7000".parse().unwrap();
+    let value = Value::Target(Target {
+        domain: "north".into(),
+        region: "north".into(),
+        service: "drafting".into(),
+        call: address,
+        chunk: address,
+        phase: Phase::Live,
+    });
+    Record {
+        key: Key::Target(name.into()),
+        version: Version {
+            major: 1,
+            minor,
+            down: false,
+        },
+        value,
+    }
+}
+
+fn fleet() -> Store {
+    let mut store = Store::new();
+    for index in 0..20 {
+        store.merge(entry(&format!("n{index}"), "north", 0, Phase::Live));
+        store.merge(entry(&format!("s{index}"), "south", 0, Phase::Live));
+        store.merge(target(&format!("t{index}"), 0));
+    }
+    store
+}
+
+/// Guards against a domain without watchers after its watchers died.
+#[test]
+fn watchers_after_death() {
+    let mut store = fleet();
+    let first: Vec<String> = watchers(&store, "north")
+        .into_iter()
+        .map(String::from)
+        .collect();
+    store.merge(store.down(&Key::Entry(first[0].clone())).unwrap());
+    let second = watchers(&store, "north");
+    assert_eq!(second.len(), 2);
+    assert_eq!(second[0], first[1]);
+}
+
+/// Guards against reports to dead entries or to another domain, and against moving all reports when one entry dies.
+#[test]
+fn report_entries_after_death() {
+    let mut store = fleet();
+    let chosen = |store: &Store| -> Vec<String> {
+        let list = report_entries(store, "t1", "north", "drafting");
+        list.into_iter().map(|(name, _)| name.to_owned()).collect()
+    };
+    let before = chosen(&store);
+    assert_eq!(before.len(), 8);
+    assert!(before.iter().all(|name| name.starts_with('n')));
+    store.merge(store.down(&Key::Entry(before[0].clone())).unwrap());
+    assert_eq!(chosen(&store)[..7], before[1..]);
+}
+
+/// Guards against exchanges that never leave the domain, or never return to a domain that was declared down.
+#[test]
+fn exchange_leaves_the_domain() {
+    let mut store = fleet();
+    let mut peers = Peers::new("n0", "north", Random::new(3));
+    let abroad = |store: &Store, peers: &mut Peers| {
+        let chosen = (0..640).filter_map(|_| peers.exchange(store));
+        chosen.filter(|(name, _)| name.starts_with('s')).count()
+    };
+    assert_eq!(abroad(&store, &mut peers), 80);
+    for index in 0..20 {
+        store.merge(store.down(&Key::Entry(format!("s{index}"))).unwrap());
+    }
+    assert_eq!(abroad(&store, &mut peers), 10);
+}
+
+/// Guards against declaring all members down after a pause of the observer itself.
+#[test]
+fn silent_after_own_pause() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut detector = Detector::default();
+    detector.heard("t1", at(0));
+    detector.silent(at(1));
+    assert!(detector.silent(at(60)).is_empty());
+    assert_eq!(detector.sign("t1", at(60)), Sign::Suspect);
+    assert!(detector.silent(at(61)).is_empty());
+    assert_eq!(detector.silent(at(63)), ["t1"]);
+}
+
+/// Guards against an agent's view that never matches its entries' or that costs a full copy for each change.
+#[test]
+fn reply_converges_at_little_cost() {
+    let scope = Scope {
+        domain: "north".into(),
+        services: vec!["drafting".into()],
+    };
+    let mut random = Random::new(11);
+    let mut stores = [fleet(), fleet()];
+    let mut views = [Views::default(), Views::default()];
+    let mut agent = Store::new();
+    let mut sent = 0;
+    for step in 1..400 {
+        // Each change reaches the two entries at different times.
+        let change = match random.below(3) {
+            0 => entry(
+                &format!("n{}", random.below(20)),
+                "north",
+                step,
+                Phase::Leaving,
+            ),
+            1 => entry(
+                &format!("s{}", random.below(20)),
+                "south",
+                step,
+                Phase::Leaving,
+            ),
+            _ => target(&format!("t{}", random.below(20)), step),
+        };
+        let first = random.below(2);
+        for at in [first, 1 - first] {
+            if stores[at].merge(change.clone()) {
+                views[at].changed(&stores[at], change.key.clone());
+            }
+            let reported = scope.hash(&agent);
+            let (_, records) = views[at].reply(&stores[at], "t1", &scope, reported);
+            sent += records.len();
+            for record in records {
+                agent.merge(record);
+            }
+        }
+        assert_eq!(scope.hash(&agent), scope.hash(&stores[0]), "step {step}");
+    }
+    assert!(sent < 400 * 4, "{sent} records sent");
+}
+
+/// Guards against a view that stays incomplete when it doesn't fit one reply.
+#[test]
+fn reply_in_parts() {
+    let scope = Scope {
+        domain: "north".into(),
+        services: vec!["drafting".into()],
+    };
+    let mut store = Store::new();
+    for index in 0..2000 {
+        store.merge(target(&format!("t{index}"), 0));
+    }
+    let (mut views, mut agent) = (Views::default(), Store::new());
+    let mut replies = 0;
+    while scope.hash(&agent) != scope.hash(&store) {
+        replies += 1;
+        assert!(replies < 20, "{} of {} records", agent.len(), store.len());
+        let (_, records) = views.reply(&store, "t1", &scope, scope.hash(&agent));
+        assert!(records.len() < 700);
+        for record in records {
+            agent.merge(record);
+        }
+    }
+}
+
+/// Guards against a restarted agent whose clock-based incarnation is above the number it gets from the platform.
+#[test]
+fn refute_earlier_process() {
+    let mut old = target("t1", 9);
+    old.version.major = 1_760_000_000_000;
+    let mut member = Member::new(old.key.clone(), 52, target("t1", 0).value);
+    assert!(member.refute(&old));
+    assert!(member.incarnation() > old.version.major);
+}
--- /dev/null
+++ b/crates/gossip/tests/store.rs
@@ -0,0 +1,221 @@
+//! Laws of the merge and convergence of stores.
+
+use gossip::{Key, Member, Node, Peers, Phase, Random, Record, Store, Target, Value, Version};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn node(domain: usize, phase: Phase) -> Node {
+    let domain = format!("domain-{domain}");
+    Node {
+        region: domain.clone(),
+        domain,
+        peer: "127.0.0.1:7000".parse().unwrap(),
+        phase,
+    }
+}
+
+fn phase() -> impl Strategy<Value = Phase> {
+    prop_oneof![Just(Phase::Live), Just(Phase::Leaving), Just(Phase::Down)]
+}
+
+/// Few keys and versions, so that records collide, also with equal versions and different values.
+fn record() -> impl Strategy<Value = Record> {
+    let version = (0..3_u64, 0..3_u64, any::<bool>());
+    (0..3_usize, 0..4_u8, version, phase(), 0..3_usize).prop_map(
+        |(kind, name, version, phase, domain)| {
+            let name = format!("name-{name}");
+            let (key, value) = match kind {
+                0 => (
+                    Key::Catalog(name),
+                    Value::Catalog(format!("{{\"rank\":{domain}}}")),
+                ),
+                1 => (Key::Entry(name), Value::Entry(node(domain, phase))),
+                _ => {
+                    let Node {
+                        domain,
+                        region,
+                        peer,
+                        phase,
+                    } = node(domain, phase);
+                    let service = "assistant".into();
+                    (
+                        Key::Target(name),
+                        Value::Target(Target {
+                            domain,
+                            region,
+                            service,
+                            call: peer,
+                            chunk: peer,
+                            phase,
+                        }),
+                    )
+                }
+            };
+            let (major, minor, down) = version;
+            Record {
+                key,
+                version: Version { major, minor, down },
+                value,
+            }
+        },
+    )
+}
+
+fn store(records: &[Record]) -> Store {
+    let mut store = Store::new();
+    for record in records {
+        store.merge(record.clone());
+    }
+    store
+}
+
+/// Runs the three steps of one exchange, in which the last message may be lost.
+fn exchange(stores: &mut [Store], asks: usize, answers: usize, pushes: bool) {
+    let first = stores[answers].answer(&stores[asks].digest());
+    let Some(details) = stores[asks].details(&first) else {
+        return;
+    };
+    let second = stores[answers].answer(&details);
+    for record in second.records.clone() {
+        stores[asks].merge(record);
+    }
+    if pushes {
+        for record in stores[asks].wanted(&second) {
+            stores[answers].merge(record);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(config(2000))]
+
+    /// Guards against stores that depend on the order or the number of deliveries.
+    #[test]
+    fn merge_any_order(records in prop::collection::vec(record(), 0..40), seed in any::<u64>(), again in 0..40_usize) {
+        let once = store(&records);
+        let mut shuffled = records.clone();
+        shuffled.extend(records.iter().take(again).cloned());
+        let count = shuffled.len();
+        let other = store(&Random::new(seed).choose(shuffled, count));
+        prop_assert_eq!(once.root(), other.root());
+        prop_assert_eq!(once.buckets(), other.buckets());
+        prop_assert!(once == other);
+    }
+
+    /// Guards against a version that goes back under stale reads and late events.
+    #[test]
+    fn merge_never_reverts(records in prop::collection::vec(record(), 0..60)) {
+        let mut store = Store::new();
+        for record in records {
+            let before = store.version(&record.key);
+            let changed = store.merge(record.clone());
+            let after = store.version(&record.key);
+            prop_assert!(after >= before && after >= Some(record.version));
+            prop_assert!(!changed || after == Some(record.version));
+        }
+    }
+
+    /// Guards against stores that stay different after partitions have healed.
+    #[test]
+    fn exchange_converges(
+        records in prop::collection::vec((record(), 0..5_usize), 0..60),
+        cut in prop::collection::vec((0..5_usize, 0..5_usize, any::<bool>()), 0..40),
+        seed in any::<u64>(),
+    ) {
+        let mut stores = vec![Store::new(); 5];
+        for (record, at) in &records {
+            stores[*at].merge(record.clone());
+        }
+        // During the partition only the pairs of `cut` meet.
+        for (asks, answers, pushes) in cut {
+            exchange(&mut stores, asks, answers, pushes);
+        }
+        let mut random = Random::new(seed);
+        for _ in 0..20 {
+            for asks in 0..5 {
+                exchange(&mut stores, asks, random.below(5), true);
+            }
+        }
+        let all = store(&records.into_iter().map(|(record, _)| record).collect::<Vec<_>>());
+        for store in &stores {
+            prop_assert!(*store == all);
+        }
+    }
+
+    /// Guards against a live member that stays down for others, whatever is said about it.
+    #[test]
+    fn refute_wins(seen in prop::collection::vec(record(), 0..30), incarnation in 0..4_u64) {
+        let key = Key::Entry("name-0".into());
+        let mut member = Member::new(key.clone(), incarnation, Value::Entry(node(0, Phase::Live)));
+        let mut store = Store::new();
+        store.merge(member.record().clone());
+        for record in seen {
+            store.merge(record);
+            store.down(&key).map(|down| store.merge(down));
+            member.refute(&store.get(&key).unwrap());
+            store.merge(member.record().clone());
+            prop_assert_eq!(store.get(&key), Some(member.record().clone()));
+        }
+    }
+}
+
+/// Guards against a change that misses entries, or that needs more than the rounds the design counts on.
+#[test]
+fn push_reaches_a_domain() {
+    let names: Vec<String> = (0..67).map(|index| format!("entry-{index}")).collect();
+    let mut all = Store::new();
+    for name in &names {
+        all.merge(
+            Member::new(
+                Key::Entry(name.clone()),
+                1,
+                Value::Entry(node(0, Phase::Live)),
+            )
+            .record()
+            .clone(),
+        );
+    }
+    for seed in 0..50 {
+        let mut peers: Vec<Peers> = (0..67)
+            .map(|index| {
+                Peers::new(
+                    &names[index],
+                    "domain-0",
+                    Random::new(seed * 100 + index as u64),
+                )
+            })
+            .collect();
+        let mut reached = [false; 67];
+        reached[0] = true;
+        let mut fresh = vec![0];
+        let mut rounds = 0;
+        while !fresh.is_empty() {
+            rounds += 1;
+            let mut next = Vec::new();
+            for at in fresh {
+                for (name, _) in peers[at].push(&all) {
+                    let index = names.iter().position(|other| *other == name).unwrap();
+                    if !std::mem::replace(&mut reached[index], true) {
+                        next.push(index);
+                    }
+                }
+            }
+            fresh = next;
+        }
+        // The exchange brings the change to the few that random choice leaves out.
+        assert!(
+            reached.iter().filter(|reached| **reached).count() >= 55,
+            "seed {seed}"
+        );
+        assert!(rounds <= 9, "seed {seed}: {rounds} rounds");
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,5 +7,6 @@
 mod message;
 mod peer;
 
-pub use message::{Delta, Digest, Gate, Reply, Report};
+pub use gossip::{Delta, Digest};
+pub use message::{Gate, Reply, Report};
 pub use peer::{Peer, PeerClient, PeerRequest, PeerResponse};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -51,23 +51,3 @@
     /// These records, when the hashes differ.
     pub records: Vec<Record>,
 }
-
-/// Hashes of a record store.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
-pub struct Digest {
-    /// Hash of the whole store.
-    pub root: u64,
-    /// Hash of each bucket; empty in the first round.
-    pub buckets: Vec<u64>,
-}
-
-/// What two stores differ in.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
-pub struct Delta {
-    /// Hash of the answering store.
-    pub root: u64,
-    /// Hashes of its buckets, when the roots differ.
-    pub buckets: Vec<u64>,
-    /// Records of the buckets that differ.
-    pub records: Vec<Record>,
-}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,8 +1,8 @@
 //! The RPC service of an entry's peer port.
 
-use gossip::Record;
+use gossip::{Delta, Digest, Record};
 
-use crate::message::{Delta, Digest, Reply, Report};
+use crate::message::{Reply, Report};
 
 /// Calls that entries and agents make to an entry.
 #[tarpc::service]
