--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -22,6 +22,7 @@
 //! ```
 
 mod choice;
+mod codec;
 mod detect;
 mod exchange;
 mod hash;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,7 +6,10 @@
 pub mod header;
 mod message;
 mod peer;
+mod report;
+pub mod transport;
 
 pub use gossip::{Delta, Digest};
 pub use message::{Gate, Reply, Report};
 pub use peer::{Peer, PeerClient, PeerRequest, PeerResponse};
+pub use transport::{Client, connect, serve};
