--- /dev/null
+++ b/bins/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! The entry's process.
+
+fn main() {}
