route: decide admission, queueing, target choice and retries

Entries need their decisions as pure code: events and the time in, actions out.

Adds the router: admission against the catalogue revision held, rate and concurrency shares, a bounded queue (strict ranks with a 10% floor, weights within a rank, turns among workspaces, early refusal from the expected wait), target choice (own domain, prefix affinity, two random choices), adaptive concurrency, retry budget and the request's typestate.

--- /dev/null
+++ b/crates/route/src/budget.rs
@@ -0,0 +1,51 @@
+//! The retry budget of one workspace at one service.
+
+use std::time::Instant;
+
+/// Tokens that a success adds.
+const PER_SUCCESS: f64 = 0.1;
+/// Tokens that a second adds.
+const PER_SECOND: f64 = 1.0;
+/// Most tokens held; this bounds what counts as recent.
+const MOST: f64 = 10.0;
+
+/// Tokens for retries: 10% of recent successes plus 1 per second.
+///
+/// ```
+/// let now = std::time::Instant::now();
+/// let mut budget = route::Budget::new(now);
+/// assert!(budget.take(now));
+/// assert!(!budget.take(now));
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    tokens: f64,
+    filled: Instant,
+}
+
+impl Budget {
+    /// Returns a budget of one retry.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            tokens: 1.0,
+            filled: now,
+        }
+    }
+
+    /// Counts a request that was answered.
+    pub fn success(&mut self) {
+        self.tokens = (self.tokens + PER_SUCCESS).min(MOST);
+    }
+
+    /// Takes a token for a retry and returns whether there was one.
+    pub fn take(&mut self, now: Instant) -> bool {
+        let passed = now.saturating_duration_since(self.filled).as_secs_f64();
+        self.tokens = (self.tokens + passed * PER_SECOND).min(MOST);
+        self.filled = self.filled.max(now);
+        let taken = self.tokens >= 1.0;
+        if taken {
+            self.tokens -= 1.0;
+        }
+        taken
+    }
+}
--- /dev/null
+++ b/crates/route/src/concurrency.rs
@@ -0,0 +1,66 @@
+//! The concurrency limit of a target, adapted to its answers.
+
+use std::time::Instant;
+
+/// Factor of a cut.
+const DECREASE: f64 = 0.7;
+/// Highest limit of a target whose service sets none.
+const UNLIMITED: u32 = 1024;
+/// First limit of a target whose service sets none.
+const INITIAL: u32 = 16;
+
+/// A limit between 1 and a ceiling: additive increase, multiplicative decrease.
+#[derive(Clone, Copy, Debug)]
+pub struct Concurrency {
+    limit: f64,
+    ceiling: f64,
+    in_time: u32,
+    cut: Option<Instant>,
+}
+
+impl Concurrency {
+    /// Returns the limit of a target whose service allows `per_target` requests.
+    pub fn new(per_target: Option<u32>) -> Self {
+        Self {
+            limit: f64::from(per_target.unwrap_or(INITIAL).max(1)),
+            ceiling: f64::from(per_target.unwrap_or(UNLIMITED).max(1)),
+            in_time: 0,
+            cut: None,
+        }
+    }
+
+    /// Returns the number of requests that the target may have in progress.
+    pub fn limit(&self) -> u32 {
+        self.limit as u32
+    }
+
+    /// Sets the ceiling that the catalogue gives.
+    pub fn set_ceiling(&mut self, per_target: Option<u32>) {
+        let ceiling = f64::from(per_target.unwrap_or(UNLIMITED).max(1));
+        if ceiling != self.ceiling {
+            self.ceiling = ceiling;
+            self.limit = self.limit.min(ceiling);
+        }
+    }
+
+    /// Counts an answer that started in time; a full window of them raises the limit by one.
+    pub fn in_time(&mut self) {
+        self.in_time += 1;
+        if self.in_time >= self.limit() {
+            self.in_time = 0;
+            self.limit = (self.limit + 1.0).min(self.ceiling);
+        }
+    }
+
+    /// Cuts the limit after an overload or a timeout of a request sent at `sent`.
+    ///
+    /// Requests sent before the last cut were sent under the old limit and don't cut again.
+    pub fn overloaded(&mut self, now: Instant, sent: Instant) {
+        if self.cut.is_some_and(|cut| sent <= cut) {
+            return;
+        }
+        self.cut = Some(now);
+        self.in_time = 0;
+        self.limit = (self.limit * DECREASE).max(1.0);
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,35 @@
 //! Admission, queueing, target choice and retries.
+//!
+//! A [`Router`] takes events and the time and returns [`Action`]s; it does no I/O. A request enters with
+//! [`Router::submit`], which checks it against the [`Catalogue`] and the limits and puts it into the queue of its
+//! service. [`Router::poll`] takes requests from the queues in the order of their classes and gives each to a target.
+//! The caller of the router reports what became of an attempt with [`Router::answering`], [`Router::finished`] and
+//! [`Router::failed`].
+//!
+//! The life cycle of a [`Request`] is a typestate: only a request of which nothing was ever written to a backend can
+//! end as [`Outcome::NotRun`].
+
+mod admission;
+mod budget;
+mod concurrency;
+mod drain;
+mod lane;
+mod limit;
+mod outcome;
+mod pool;
+mod queue;
+mod request;
+mod router;
+mod target;
+
+pub use admission::{Admission, Catalogue};
+pub use budget::Budget;
+pub use concurrency::Concurrency;
+pub use limit::{Permit, TokenBucket, share};
+pub use outcome::{NotRun, Outcome, Reason, Refusal, Unknown};
+pub use pool::{Pool, Query};
+pub use request::{
+    Answering, Done, InFlight, Origin, Queued, Request, RequestId, Requeued, Sent, Waiting,
+};
+pub use router::{Action, Failure, Router, Submission};
+pub use target::{State, Target};
--- /dev/null
+++ b/crates/route/src/limit.rs
@@ -0,0 +1,143 @@
+//! Rate and concurrency limits of one entry's share.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use catalog::Limits;
+
+use crate::outcome::{Reason, Refusal};
+
+/// Wait named to a caller whose limit allows no requests at all.
+const NEVER: Duration = Duration::from_secs(60);
+/// Time after which a caller that reached a concurrency limit may try again.
+const CONCURRENCY_WAIT: Duration = Duration::from_secs(1);
+
+/// Tokens that fill at a rate, up to what one second adds but at least one.
+#[derive(Clone, Copy, Debug)]
+pub struct TokenBucket {
+    tokens: f64,
+    filled: Instant,
+}
+
+/// One unit of a concurrency limit; dropping it releases the unit.
+#[derive(Debug)]
+pub struct Permit(Rc<Cell<u32>>);
+
+/// Use of the limits of one workspace, class or service.
+#[derive(Debug)]
+struct Usage {
+    bucket: TokenBucket,
+    in_progress: Rc<Cell<u32>>,
+}
+
+/// Use of all limits, by scope.
+#[derive(Debug, Default)]
+pub(crate) struct Limiter {
+    usage: HashMap<String, Usage>,
+}
+
+/// Returns one entry's share of a limit of the whole system, rounded up.
+///
+/// ```
+/// assert_eq!(route::share(120, 9), 14);
+/// ```
+pub fn share(limit: u32, entries: u32) -> u32 {
+    limit.div_ceil(entries.max(1))
+}
+
+impl TokenBucket {
+    /// Returns a full bucket.
+    pub fn new(now: Instant, rate: f64) -> Self {
+        Self {
+            tokens: burst(rate),
+            filled: now,
+        }
+    }
+
+    /// Fills the bucket up to `now` and returns the time until it holds a token, zero when it does.
+    pub fn wait(&mut self, now: Instant, rate: f64) -> Duration {
+        let passed = now.saturating_duration_since(self.filled).as_secs_f64();
+        self.tokens = (self.tokens + passed * rate).min(burst(rate));
+        self.filled = self.filled.max(now);
+        if self.tokens >= 1.0 {
+            return Duration::ZERO;
+        }
+        if rate <= 0.0 {
+            return NEVER;
+        }
+        Duration::try_from_secs_f64((1.0 - self.tokens) / rate)
+            .unwrap_or(NEVER)
+            .min(NEVER)
+    }
+
+    /// Takes a token; the bucket must hold one.
+    pub fn take(&mut self) {
+        self.tokens -= 1.0;
+    }
+}
+
+impl Permit {
+    /// Takes a unit of the limit whose use `count` holds.
+    pub(crate) fn new(count: &Rc<Cell<u32>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Limiter {
+    /// Takes a token and a permit of every scope, or nothing when one of them is at its limit.
+    ///
+    /// The concurrency limit of the last scope is not checked: the service's queue holds back what exceeds it.
+    pub(crate) fn admit(
+        &mut self,
+        now: Instant,
+        entries: u32,
+        scopes: &[(String, Limits)],
+    ) -> Result<Vec<Permit>, Refusal> {
+        let share_of = |rate: f64| rate / f64::from(entries.max(1));
+        for (index, (scope, limits)) in scopes.iter().enumerate() {
+            let rate = limits.rate_per_s.map(share_of);
+            let usage = self.usage.entry(scope.clone()).or_insert_with(|| Usage {
+                bucket: TokenBucket::new(now, rate.unwrap_or(0.0)),
+                in_progress: Rc::default(),
+            });
+            if let Some(rate) = rate {
+                let wait = usage.bucket.wait(now, rate);
+                if !wait.is_zero() {
+                    return Err(Refusal::retry(Reason::Rate, wait));
+                }
+            }
+            let queued = index + 1 == scopes.len();
+            if let Some(limit) = limits.concurrent
+                && !queued
+                && usage.in_progress.get() >= share(limit, entries)
+            {
+                return Err(Refusal::retry(Reason::Concurrency, CONCURRENCY_WAIT));
+            }
+        }
+        Ok(scopes
+            .iter()
+            .filter_map(|(scope, limits)| self.take(scope, limits))
+            .collect())
+    }
+
+    fn take(&mut self, scope: &str, limits: &Limits) -> Option<Permit> {
+        let usage = self.usage.get_mut(scope)?;
+        if limits.rate_per_s.is_some() {
+            usage.bucket.take();
+        }
+        Some(Permit::new(&usage.in_progress))
+    }
+}
+
+fn burst(rate: f64) -> f64 {
+    rate.max(1.0)
+}
--- /dev/null
+++ b/crates/route/src/pool.rs
@@ -0,0 +1,219 @@
+//! The targets of one service and the choice among them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use rand::{Rng, RngExt};
+use weights::Pin;
+
+use crate::target::{State, Target, sharers};
+
+/// Load relative to the mean above which the target that prefix affinity prefers is not used.
+const AFFINITY_LIMIT: f64 = 1.25;
+/// Share of the open targets that must serve the catalogue's pin before the pin that it replaced is no longer accepted.
+const SWITCHED: (usize, usize) = (3, 4);
+
+/// Targets by name.
+#[derive(Debug, Default)]
+pub struct Pool {
+    domain: String,
+    entries: u32,
+    targets: BTreeMap<String, Target>,
+}
+
+/// What a request asks of a target.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Query<'a> {
+    /// Weights that may answer, the catalogue's first; empty for plain services.
+    pub pins: &'a [Pin],
+    /// Hash of the prompt's prefix.
+    pub affinity: Option<u64>,
+    /// Claim slot of the key of a call that must not be repeated.
+    pub slot: Option<u8>,
+    /// Targets that were tried before.
+    pub tried: &'a [String],
+    /// The only target that may be used.
+    pub only: Option<&'a str>,
+}
+
+impl Pool {
+    /// Returns an empty pool for an entry in `domain`.
+    pub fn new(domain: &str) -> Self {
+        Self {
+            domain: domain.into(),
+            entries: 1,
+            targets: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the target called `name`.
+    pub fn get(&self, name: &str) -> Option<&Target> {
+        self.targets.get(name)
+    }
+
+    /// Returns the targets by name.
+    pub fn iter(&self) -> impl Iterator<Item = (&String, &Target)> {
+        self.targets.iter()
+    }
+
+    /// Sets the number of live entries.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.entries = entries.max(1);
+    }
+
+    /// Returns the target called `name`, to be changed.
+    pub fn get_mut(&mut self, name: &str) -> Option<&mut Target> {
+        self.targets.get_mut(name)
+    }
+
+    /// Adds the target `name` or replaces its member record.
+    pub fn put(&mut self, name: &str, member: &gossip::Target, per_target: Option<u32>) {
+        match self.targets.get_mut(name) {
+            Some(target) => {
+                target.domain.clone_from(&member.domain);
+                target.phase = member.phase;
+                target.concurrency.set_ceiling(per_target);
+            }
+            None => {
+                self.targets
+                    .insert(name.into(), Target::new(member, per_target));
+            }
+        }
+    }
+
+    /// Forgets the target called `name`.
+    pub fn remove(&mut self, name: &str) {
+        self.targets.remove(name);
+    }
+
+    /// Sets the ceiling of every target's concurrency limit.
+    pub fn set_ceiling(&mut self, per_target: Option<u32>) {
+        for target in self.targets.values_mut() {
+            target.concurrency.set_ceiling(per_target);
+        }
+    }
+
+    /// Returns how many of `pins` are accepted: the second, replaced pin only until most open targets have switched.
+    pub fn accepted<'a>(&self, now: Instant, pins: &'a [Pin]) -> &'a [Pin] {
+        let Some((current, _)) = pins.split_first() else {
+            return pins;
+        };
+        let open = self
+            .targets
+            .values()
+            .filter(|target| target.state(now) == State::Open);
+        let (mut all, mut switched) = (0, 0);
+        for target in open {
+            all += 1;
+            switched += usize::from(target.pin(std::slice::from_ref(current)).is_some());
+        }
+        let replaced = switched * SWITCHED.1 >= all * SWITCHED.0 && switched > 0;
+        if replaced { &pins[..1] } else { pins }
+    }
+
+    /// Tells whether any target is open for `query`, with or without room.
+    pub fn is_open(&self, now: Instant, query: &Query<'_>) -> bool {
+        !self.open(now, query).is_empty()
+    }
+
+    /// Tells whether any target that takes work has room.
+    pub fn has_room(&self, now: Instant) -> bool {
+        let sharers = self.sharers();
+        self.targets.values().any(|target| {
+            matches!(target.state(now), State::Open | State::Unreported) && target.has_room(sharers)
+        })
+    }
+
+    /// Chooses a target with room for `query`.
+    ///
+    /// The target that the prefix hash prefers is used unless its load is above 1.25 times the mean; else the less
+    /// loaded of two random targets.
+    pub fn choose(&self, now: Instant, query: &Query<'_>, random: &mut impl Rng) -> Option<&str> {
+        let open = self.open(now, query);
+        let mean = open.iter().map(|(_, target)| target.load()).sum::<f64>() / open.len() as f64;
+        let sharers = self.sharers();
+        let free: Vec<_> = open
+            .into_iter()
+            .filter(|(_, target)| target.has_room(sharers))
+            .collect();
+        if let Some(prefix) = query.affinity
+            && let Some((name, target)) = free.iter().max_by_key(|(name, _)| affinity(prefix, name))
+            && target.load() <= AFFINITY_LIMIT * mean
+        {
+            return Some(name);
+        }
+        match free.as_slice() {
+            [] => None,
+            [(name, _)] => Some(name),
+            _ => {
+                let first = random.random_range(..free.len());
+                let second = (first + random.random_range(1..free.len())) % free.len();
+                let (one, other) = (free[first], free[second]);
+                Some(if other.1.load() < one.1.load() {
+                    other.0
+                } else {
+                    one.0
+                })
+            }
+        }
+    }
+
+    /// Returns the targets open for `query`: of the own domain, or of the others when it has none.
+    ///
+    /// Targets that report to this entry come before those known from their member records alone.
+    fn open(&self, now: Instant, query: &Query<'_>) -> Vec<(&str, &Target)> {
+        let pins = self.accepted(now, query.pins);
+        let tried: BTreeSet<&str> = query.tried.iter().map(String::as_str).collect();
+        let usable: Vec<(&str, &Target, State)> = self
+            .targets
+            .iter()
+            .map(|(name, target)| (name.as_str(), target, target.state(now)))
+            .filter(|(name, target, state)| {
+                matches!(state, State::Open | State::Unreported)
+                    && (query.pins.is_empty() || target.pin(pins).is_some())
+                    && match query.only {
+                        Some(only) => only == *name,
+                        None => !tried.contains(name),
+                    }
+            })
+            .collect();
+        let select = |filter: &dyn Fn(&Target, State) -> bool| -> Vec<(&str, &Target)> {
+            let chosen = usable
+                .iter()
+                .filter(|(_, target, state)| filter(target, *state));
+            chosen.map(|(name, target, _)| (*name, *target)).collect()
+        };
+        if let Some(slot) = query.slot {
+            let owners = select(&|target, _| target.owns(slot));
+            if !owners.is_empty() && query.only.is_none() {
+                return owners;
+            }
+        }
+        let own = |target: &Target| target.domain == self.domain;
+        let mut open = select(&|target, state| own(target) && state == State::Open);
+        if open.is_empty() {
+            open = select(&|target, _| own(target));
+        }
+        if open.is_empty() {
+            open = select(&|_, state| state == State::Open);
+        }
+        if open.is_empty() {
+            open = select(&|_, _| true);
+        }
+        open
+    }
+
+    fn sharers(&self) -> u32 {
+        sharers(self.entries, self.targets.len())
+    }
+}
+
+/// Returns the rendezvous weight of a target for a prefix.
+fn affinity(prefix: u64, name: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&prefix.to_le_bytes());
+    hasher.update(name.as_bytes());
+    let mut head = [0; 8];
+    head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_be_bytes(head)
+}
--- /dev/null
+++ b/crates/route/src/request.rs
@@ -0,0 +1,373 @@
+//! The life cycle of one request as a typestate.
+//!
+//! ```text
+//! Queued ──► Sent<Queued> ──► Answering ──► Done
+//!   ▲             │ │
+//!   └── not run ──┘ └── may have run ──► Requeued ──► Sent<Requeued> ──► …
+//! ```
+//!
+//! [`Queued`] means that nothing was written to a backend. [`Requeued`] means that an earlier attempt may have run: a
+//! request in this state, or sent from it, can end as unknown but never as not run.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use weights::Pin;
+
+use crate::admission::Admission;
+use crate::limit::Permit;
+use crate::outcome::{NotRun, Outcome, Refusal, Unknown};
+
+/// Number of a request within one router.
+pub type RequestId = u64;
+
+/// A request in state `S`.
+#[derive(Debug)]
+pub struct Request<S> {
+    pub(crate) core: Core,
+    state: S,
+}
+
+/// Waits for a target; nothing was written to a backend.
+#[derive(Clone, Copy, Debug)]
+pub struct Queued(());
+
+/// Waits for a target after an attempt that may have run.
+#[derive(Clone, Copy, Debug)]
+pub struct Requeued(Unknown);
+
+/// Sent to a target from the state `Q`.
+#[derive(Debug)]
+pub struct Sent<Q> {
+    origin: Q,
+    dispatch: Dispatch,
+}
+
+/// The start of the answer has arrived; its body is being passed on.
+#[derive(Debug)]
+pub struct Answering {
+    dispatch: Dispatch,
+}
+
+/// Ended; the permits of the request are released.
+#[derive(Debug)]
+pub struct Done {
+    outcome: Outcome,
+}
+
+/// A state in which a request can wait: [`Queued`] or [`Requeued`].
+pub trait Origin: Copy + sealed::Sealed {
+    /// Returns the outcome of a request that is refused in this state.
+    fn refused(self, refusal: Refusal) -> Outcome;
+
+    /// Returns `request` as a waiting request of either kind.
+    fn waiting(request: Request<Self>) -> Waiting;
+}
+
+/// A waiting request of either kind.
+#[derive(Debug)]
+pub enum Waiting {
+    /// Nothing was written to a backend.
+    Fresh(Request<Queued>),
+    /// An earlier attempt may have run.
+    Again(Request<Requeued>),
+}
+
+/// A sent request of either kind.
+#[derive(Debug)]
+pub enum InFlight {
+    /// Only this attempt may have run.
+    Fresh(Request<Sent<Queued>>),
+    /// An earlier attempt may have run as well.
+    Again(Request<Sent<Requeued>>),
+}
+
+/// What stays the same over the life of a request, and what its attempts have shown.
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub id: RequestId,
+    pub admission: Rc<Admission>,
+    pub submitted: Instant,
+    pub deadline: Instant,
+    pub affinity: Option<u64>,
+    pub slot: Option<u8>,
+    pub attempts: u32,
+    pub tried: Vec<String>,
+    pub only: Option<String>,
+    pub redirected: bool,
+    pub asked_again: bool,
+    pub permits: Vec<Permit>,
+}
+
+/// One attempt: where it went and the slots that it occupies.
+#[derive(Debug)]
+pub(crate) struct Dispatch {
+    pub target: String,
+    pub pin: Option<Pin>,
+    pub at: Instant,
+    pub _slots: [Permit; 2],
+}
+
+mod sealed {
+    pub trait Sealed {}
+    impl Sealed for super::Queued {}
+    impl Sealed for super::Requeued {}
+}
+
+impl Request<Queued> {
+    pub(crate) fn new(core: Core) -> Self {
+        Self {
+            core,
+            state: Queued(()),
+        }
+    }
+}
+
+impl<S> Request<S> {
+    /// Returns the number of the request.
+    pub fn id(&self) -> RequestId {
+        self.core.id
+    }
+
+    /// Returns the record that the request is evaluated against.
+    pub fn admission(&self) -> &Admission {
+        &self.core.admission
+    }
+
+    /// Returns the time at which the request's deadline passes.
+    pub fn deadline(&self) -> Instant {
+        self.core.deadline
+    }
+
+    /// Returns the time at which the request was submitted.
+    pub fn submitted(&self) -> Instant {
+        self.core.submitted
+    }
+
+    fn end(self, outcome: Outcome) -> Request<Done> {
+        let mut core = self.core;
+        core.permits.clear();
+        Request {
+            core,
+            state: Done { outcome },
+        }
+    }
+}
+
+impl<Q: Origin> Request<Q> {
+    /// Sends the request to a target.
+    pub(crate) fn send(mut self, dispatch: Dispatch) -> Request<Sent<Q>> {
+        self.core.attempts += 1;
+        Request {
+            core: self.core,
+            state: Sent {
+                origin: self.state,
+                dispatch,
+            },
+        }
+    }
+
+    /// Gives the request up: not run if nothing was ever written to a backend, else unknown.
+    pub fn refuse(self, refusal: Refusal) -> Request<Done> {
+        let outcome = self.state.refused(refusal);
+        self.end(outcome)
+    }
+}
+
+impl<Q: Origin> Request<Sent<Q>> {
+    /// Returns the name of the target.
+    pub fn target(&self) -> &str {
+        &self.state.dispatch.target
+    }
+
+    /// Returns the weights that the answer must be made from.
+    pub fn pin(&self) -> Option<&Pin> {
+        self.state.dispatch.pin.as_ref()
+    }
+
+    /// Returns the time at which the request was sent.
+    pub fn sent_at(&self) -> Instant {
+        self.state.dispatch.at
+    }
+
+    /// Returns to the queue after the agent said, or the failed connection shows, that nothing was written to the
+    /// backend.
+    pub(crate) fn not_run(mut self) -> Request<Q> {
+        self.core.tried.push(self.state.dispatch.target);
+        Request {
+            core: self.core,
+            state: self.state.origin,
+        }
+    }
+
+    /// Returns to the queue although this attempt may have run.
+    pub(crate) fn may_have_run(mut self, why: Unknown) -> Request<Requeued> {
+        self.core.tried.push(self.state.dispatch.target);
+        Request {
+            core: self.core,
+            state: Requeued(why),
+        }
+    }
+
+    /// Starts to pass the answer on.
+    pub(crate) fn answering(self) -> Request<Answering> {
+        Request {
+            core: self.core,
+            state: Answering {
+                dispatch: self.state.dispatch,
+            },
+        }
+    }
+}
+
+impl Request<Answering> {
+    /// Returns the name of the target.
+    pub fn target(&self) -> &str {
+        &self.state.dispatch.target
+    }
+
+    /// Returns the time at which the request was sent.
+    pub fn sent_at(&self) -> Instant {
+        self.state.dispatch.at
+    }
+
+    /// Ends the request; an answer that isn't whole leaves the outcome unknown.
+    pub(crate) fn finish(self, whole: bool) -> Request<Done> {
+        let outcome = if whole {
+            Outcome::Answered
+        } else {
+            Outcome::Unknown(Unknown::Cut)
+        };
+        self.end(outcome)
+    }
+}
+
+impl Request<Done> {
+    /// Returns how the request ended.
+    pub fn outcome(&self) -> &Outcome {
+        &self.state.outcome
+    }
+}
+
+impl Origin for Queued {
+    fn refused(self, refusal: Refusal) -> Outcome {
+        Outcome::NotRun(NotRun::new(refusal))
+    }
+
+    fn waiting(request: Request<Self>) -> Waiting {
+        Waiting::Fresh(request)
+    }
+}
+
+impl Origin for Requeued {
+    fn refused(self, _: Refusal) -> Outcome {
+        Outcome::Unknown(self.0)
+    }
+
+    fn waiting(request: Request<Self>) -> Waiting {
+        Waiting::Again(request)
+    }
+}
+
+impl Waiting {
+    pub(crate) fn core(&self) -> &Core {
+        match self {
+            Self::Fresh(request) => &request.core,
+            Self::Again(request) => &request.core,
+        }
+    }
+
+    pub(crate) fn core_mut(&mut self) -> &mut Core {
+        match self {
+            Self::Fresh(request) => &mut request.core,
+            Self::Again(request) => &mut request.core,
+        }
+    }
+
+    pub(crate) fn send(self, dispatch: Dispatch) -> InFlight {
+        match self {
+            Self::Fresh(request) => InFlight::Fresh(request.send(dispatch)),
+            Self::Again(request) => InFlight::Again(request.send(dispatch)),
+        }
+    }
+
+    /// Gives the request up.
+    pub fn refuse(self, refusal: Refusal) -> Request<Done> {
+        match self {
+            Self::Fresh(request) => request.refuse(refusal),
+            Self::Again(request) => request.refuse(refusal),
+        }
+    }
+}
+
+impl InFlight {
+    /// Returns the number of the request.
+    pub fn id(&self) -> RequestId {
+        self.core().id
+    }
+
+    /// Returns the record that the request is evaluated against.
+    pub fn admission(&self) -> &Admission {
+        &self.core().admission
+    }
+
+    /// Returns the time at which the request's deadline passes.
+    pub fn deadline(&self) -> Instant {
+        self.core().deadline
+    }
+
+    /// Returns the name of the target.
+    pub fn target(&self) -> &str {
+        &self.dispatch().target
+    }
+
+    /// Returns the weights that the answer must be made from.
+    pub fn pin(&self) -> Option<&Pin> {
+        self.dispatch().pin.as_ref()
+    }
+
+    /// Returns the time at which the request was sent.
+    pub fn sent_at(&self) -> Instant {
+        self.dispatch().at
+    }
+
+    /// Returns the number of attempts so far, this one included.
+    pub fn attempts(&self) -> u32 {
+        self.core().attempts
+    }
+
+    pub(crate) fn answering(self) -> Request<Answering> {
+        match self {
+            Self::Fresh(request) => request.answering(),
+            Self::Again(request) => request.answering(),
+        }
+    }
+
+    pub(crate) fn not_run(self) -> Waiting {
+        match self {
+            Self::Fresh(request) => Queued::waiting(request.not_run()),
+            Self::Again(request) => Requeued::waiting(request.not_run()),
+        }
+    }
+
+    pub(crate) fn may_have_run(self, why: Unknown) -> Request<Requeued> {
+        match self {
+            Self::Fresh(request) => request.may_have_run(why),
+            Self::Again(request) => request.may_have_run(why),
+        }
+    }
+
+    pub(crate) fn core(&self) -> &Core {
+        match self {
+            Self::Fresh(request) => &request.core,
+            Self::Again(request) => &request.core,
+        }
+    }
+
+    fn dispatch(&self) -> &Dispatch {
+        match self {
+            Self::Fresh(request) => &request.state.dispatch,
+            Self::Again(request) => &request.state.dispatch,
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/tests/route/events.rs
@@ -0,0 +1,216 @@
+//! Invariants over random sequences of events.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::common::{World, config, ms};
+use gossip::Phase;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use route::{Answering, Failure, InFlight, Outcome, Request, RequestId, State};
+use wire::Gate;
+
+const TARGETS: usize = 4;
+const WORKSPACES: [&str; 4] = ["urgent-a", "standard-a", "relaxed-b", "bulk-a"];
+const LIMITS: &str = r#"{"concurrent":7,"per_target":3,"queue":12}"#;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Submit(usize),
+    Pass(u64),
+    Answer(usize),
+    Finish(usize, bool),
+    Fail(usize, Failure),
+    Report(usize, Gate, u32),
+    Leave(usize),
+    Cancel(usize),
+}
+
+/// What the model knows of every request.
+#[derive(Default)]
+struct Model {
+    submitted: Vec<RequestId>,
+    ended: BTreeMap<RequestId, Outcome>,
+    cancelled: BTreeSet<RequestId>,
+    may_have_run: BTreeSet<RequestId>,
+    sent: Vec<InFlight>,
+    answering: Vec<Request<Answering>>,
+    left: BTreeSet<String>,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let failure = prop_oneof![
+        Just(Failure::Rejected),
+        Just(Failure::Overloaded),
+        Just(Failure::Closed),
+        Just(Failure::NotConnected),
+        Just(Failure::Lost),
+        Just(Failure::TimedOut),
+        Just(Failure::Reported),
+    ];
+    let gate = prop_oneof![4 => Just(Gate::Open), 1 => Just(Gate::Closed)];
+    prop_oneof![
+        6 => (0..WORKSPACES.len()).prop_map(Event::Submit),
+        3 => (1..400u64).prop_map(Event::Pass),
+        4 => any::<usize>().prop_map(Event::Answer),
+        4 => (any::<usize>(), prop::bool::weighted(0.9)).prop_map(|(i, whole)| Event::Finish(i, whole)),
+        2 => (any::<usize>(), failure).prop_map(|(i, failure)| Event::Fail(i, failure)),
+        4 => (0..TARGETS, gate, 0..3u32).prop_map(|(i, gate, running)| Event::Report(i, gate, running)),
+        1 => (0..TARGETS * 4).prop_map(Event::Leave),
+        1 => any::<usize>().prop_map(Event::Cancel),
+    ]
+}
+
+impl Model {
+    fn end(&mut self, id: RequestId, outcome: Outcome) {
+        if let Outcome::NotRun(_) = outcome {
+            assert!(!self.may_have_run.contains(&id), "{id} may have run");
+        }
+        assert!(self.submitted.contains(&id), "{id} was never submitted");
+        assert!(!self.cancelled.contains(&id), "{id} was cancelled");
+        assert!(self.ended.insert(id, outcome).is_none(), "{id} ended twice");
+    }
+
+    fn take(&mut self, world: &mut World, event: Event) {
+        match event {
+            Event::Submit(index) => self.submitted.extend(world.submit(WORKSPACES[index])),
+            Event::Pass(time) => world.now += ms(time),
+            Event::Answer(index) if !self.sent.is_empty() => {
+                let request = self.sent.swap_remove(index % self.sent.len());
+                self.may_have_run.insert(request.id());
+                self.answering
+                    .push(world.router.answering(world.now, request));
+            }
+            Event::Finish(index, whole) if !self.answering.is_empty() => {
+                let request = self.answering.swap_remove(index % self.answering.len());
+                let done = world.router.finished(world.now, request, whole);
+                self.end(done.id(), done.outcome().clone());
+            }
+            Event::Fail(index, failure) if !self.sent.is_empty() => {
+                let request = self.sent.swap_remove(index % self.sent.len());
+                if matches!(
+                    failure,
+                    Failure::Lost | Failure::TimedOut | Failure::Reported
+                ) {
+                    self.may_have_run.insert(request.id());
+                }
+                world.fail(request, failure);
+            }
+            Event::Report(index, gate, running) => {
+                world.report(&format!("t{index}"), gate, running, 0)
+            }
+            // Half of the targets never leave, so that sequences don't end without any.
+            Event::Leave(index) if index < TARGETS / 2 => {
+                world.member(&format!("t{index}"), "desk", "levis", Phase::Leaving);
+                self.left.insert(format!("t{index}"));
+            }
+            Event::Cancel(index) if !self.submitted.is_empty() => {
+                let id = self.submitted[index % self.submitted.len()];
+                if world.router.cancel(id) {
+                    self.cancelled.insert(id);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn poll(&mut self, world: &mut World) {
+        let (sent, done) = world.poll();
+        for request in sent {
+            let target = world
+                .router
+                .pool("desk")
+                .unwrap()
+                .get(request.target())
+                .unwrap();
+            assert_eq!(
+                target.state(world.now),
+                State::Open,
+                "{} takes no work",
+                request.target()
+            );
+            assert!(
+                !self.left.contains(request.target()),
+                "{} has left",
+                request.target()
+            );
+            self.sent.push(request);
+        }
+        for (id, outcome) in done {
+            self.end(id, outcome);
+        }
+    }
+
+    fn check(&self, world: &World) {
+        let busy = self.sent.len() + self.answering.len();
+        assert_eq!(
+            world.router.in_progress("desk") as usize,
+            busy,
+            "a slot leaked"
+        );
+        assert!(busy <= 7, "{busy} requests exceed the service's limit");
+        let names = self.sent.iter().map(InFlight::target);
+        let names = names.chain(self.answering.iter().map(Request::<Answering>::target));
+        let mut on_target: BTreeMap<&str, u32> = BTreeMap::new();
+        names.for_each(|name| *on_target.entry(name).or_default() += 1);
+        assert!(
+            on_target.values().all(|count| *count <= 3),
+            "per-target limit: {on_target:?}"
+        );
+        let waiting: usize = world.router.waiting("desk").values().sum();
+        let known = self.ended.len() + self.cancelled.len() + busy + waiting;
+        assert_eq!(known, self.submitted.len(), "a request was lost");
+    }
+}
+
+proptest! {
+    #![proptest_config(config(400))]
+
+    /// Guards against lost or doubly ended requests, leaked slots, exceeded limits, work for targets that take none,
+    /// and `not-run` after a request was written.
+    #[test]
+    fn router_random_events(events in vec(event(), 1..150)) {
+        let mut world = World::new(LIMITS);
+        world.targets(TARGETS);
+        let mut model = Model::default();
+        for event in events {
+            model.take(&mut world, event);
+            model.poll(&mut world);
+            model.check(&world);
+        }
+        for request in std::mem::take(&mut model.sent) {
+            model.may_have_run.insert(request.id());
+            world.fail(request, Failure::TimedOut);
+        }
+        for request in std::mem::take(&mut model.answering) {
+            let done = world.router.finished(world.now, request, true);
+            model.end(done.id(), done.outcome().clone());
+        }
+        world.now += ms(10_000);
+        model.poll(&mut world);
+        prop_assert!(model.sent.is_empty());
+        prop_assert_eq!(model.ended.len() + model.cancelled.len(), model.submitted.len());
+    }
+
+    /// Guards against a request that waits although a target has room for it.
+    #[test]
+    fn router_work_conservation(
+        arrivals in vec(0..WORKSPACES.len(), 1..60),
+        finished in vec(any::<usize>(), 0..60),
+    ) {
+        let mut world = World::new(r#"{"per_target":2}"#);
+        world.targets(TARGETS);
+        let mut model = Model::default();
+        let mut finished = finished.into_iter();
+        for index in arrivals {
+            model.take(&mut world, Event::Submit(index));
+            if let Some(index) = finished.next() {
+                model.take(&mut world, Event::Answer(index));
+                model.take(&mut world, Event::Finish(index, true));
+            }
+            model.poll(&mut world);
+            let waiting: usize = world.router.waiting("desk").values().sum();
+            let full = world.router.in_progress("desk") == 2 * TARGETS as u32;
+            prop_assert!(waiting == 0 || full, "{} wait for {} busy", waiting, world.router.in_progress("desk"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/tests/route/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the router.
+
+mod common;
+mod events;
+mod queue;
+mod targets;
--- /dev/null
+++ b/crates/route/tests/route/targets.rs
@@ -0,0 +1,293 @@
+//! Choice of targets, retries and calls with keys.
+
+use crate::common::{World, config, ms};
+use gossip::Phase;
+use proptest::prelude::*;
+use route::{Concurrency, Failure, Outcome, Reason, State, Submission, Unknown};
+use wire::Gate;
+use yare::parameterized;
+
+/// Guards against work for a target that is silent, closed, draining or leaving.
+#[parameterized(
+    suspect = { 2000, Gate::Open, Phase::Live, State::Suspect },
+    down = { 5000, Gate::Open, Phase::Live, State::Down },
+    closed = { 0, Gate::Closed, Phase::Live, State::Closed },
+    draining = { 0, Gate::Draining, Phase::Live, State::Closed },
+    leaving = { 0, Gate::Open, Phase::Leaving, State::Leaving },
+    down_by_others = { 0, Gate::Open, Phase::Down, State::Down },
+)]
+fn target_state_gets_no_work(silent: u64, gate: Gate, phase: Phase, expected: State) {
+    let mut world = World::new("{}");
+    world.targets(1);
+    world.report("t0", gate, 0, 0);
+    world.member("t0", "desk", "levis", phase);
+    world.now += ms(silent);
+    let state = world
+        .router
+        .pool("desk")
+        .unwrap()
+        .get("t0")
+        .unwrap()
+        .state(world.now);
+    assert_eq!(state, expected);
+    assert_eq!(world.submit("urgent-a").unwrap_err().reason, Reason::Target);
+}
+
+/// Guards against requests that cross domains while the own domain has an open target, even a busy one.
+#[test]
+fn target_own_domain_first() {
+    let mut world = World::new(r#"{"per_target":2}"#);
+    world.targets(1);
+    world.member("far", "desk", "beauce", Phase::Live);
+    world.report("far", Gate::Open, 0, 0);
+    for _ in 0..4 {
+        world.submit("urgent-a").unwrap();
+    }
+    let (sent, _) = world.poll();
+    assert_eq!(
+        sent.iter()
+            .map(|request| request.target())
+            .collect::<Vec<_>>(),
+        ["t0", "t0"]
+    );
+    world.report("t0", Gate::Closed, 0, 0);
+    let (sent, _) = world.poll();
+    assert_eq!(
+        sent.iter()
+            .map(|request| request.target())
+            .collect::<Vec<_>>(),
+        ["far", "far"]
+    );
+}
+
+/// Guards against herding: with reports that lag, requests sent since the report must count.
+#[test]
+fn target_lagging_reports_count_own() {
+    let mut world = World::new(r#"{"per_target":10}"#);
+    world.targets(2);
+    world.report("t0", Gate::Open, 4, 0);
+    for _ in 0..12 {
+        world.submit("urgent-a").unwrap();
+    }
+    let (sent, _) = world.poll();
+    let on_t0 = sent
+        .iter()
+        .filter(|request| request.target() == "t0")
+        .count();
+    assert_eq!(on_t0, 4, "the two loads must end equal at 8");
+}
+
+/// Guards against a prefix that keeps its target although others are idle.
+#[test]
+fn target_affinity_yields_under_load() {
+    let mut world = World::new(r#"{"per_target":10}"#);
+    world.targets(4);
+    let submission = Submission {
+        workspace: "urgent-a",
+        service: "desk",
+        affinity: Some(42),
+        ..Submission::default()
+    };
+    let mut names = Vec::new();
+    for _ in 0..5 {
+        world.router.submit(world.now, &submission).unwrap();
+        let request = world.poll_one();
+        names.push(request.target().to_owned());
+        world.answer(request);
+    }
+    names.dedup();
+    assert_eq!(
+        names.len(),
+        1,
+        "idle targets: the prefix keeps one, got {names:?}"
+    );
+    let mut held = Vec::new();
+    for _ in 0..16 {
+        world.router.submit(world.now, &submission).unwrap();
+        held.push(world.poll_one());
+    }
+    let preferred = held
+        .iter()
+        .filter(|request| request.target() == names[0])
+        .count();
+    assert!(
+        (4..=6).contains(&preferred),
+        "{preferred} of 16 on one of 4 targets"
+    );
+}
+
+/// Guards against a limit that collapses from one burst of refusals or leaves its bounds.
+#[test]
+fn concurrency_adapts_within_bounds() {
+    let now = std::time::Instant::now();
+    let mut limit = Concurrency::new(Some(10));
+    limit.overloaded(now + ms(10), now);
+    limit.overloaded(now + ms(11), now);
+    assert_eq!(
+        limit.limit(),
+        7,
+        "requests sent before the cut must not cut again"
+    );
+    for round in 2..50 {
+        limit.overloaded(now + ms(20 * round), now + ms(20 * round - 1));
+    }
+    assert_eq!(limit.limit(), 1);
+    (0..200).for_each(|_| limit.in_time());
+    assert_eq!(limit.limit(), 10);
+}
+
+/// Guards against a model request that is sent to other weights, and against a service that stops while its targets
+/// switch: the replaced pin is accepted until three quarters have switched.
+#[parameterized(
+    none_switched = { 0, &["old"] },
+    half_switched = { 2, &["old", "new"] },
+    most_switched = { 3, &["new"] },
+)]
+fn target_pin_during_switch(switched: usize, expected: &[&str]) {
+    let mut world = World::new("{}");
+    let (old, new) = (weights::Digest::of(b"old"), weights::Digest::of(b"new"));
+    for digest in [old, new] {
+        world.apply(&format!(
+            r#"{{"kind":"service","name":"desk","owner":"ops","class":"urgent","backend":"model",
+            "repeatable":true,"deadline_ms":5000,"limits":{{"per_target":5}},
+            "model":{{"name":"m","version":"v","digest":"{digest}","plan":"direct"}}}}"#
+        ));
+    }
+    for index in 0..5 {
+        let name = format!("t{index}");
+        world.member(&name, "desk", "levis", Phase::Live);
+        let weights = match index {
+            4 => weights::Digest::of(b"other"),
+            _ if index < switched => new,
+            _ => old,
+        };
+        world.router.report(
+            world.now,
+            &wire::Report {
+                target: name,
+                incarnation: 1,
+                sequence: 1,
+                gate: if index == 4 { Gate::Closed } else { Gate::Open },
+                weights: Some(weights.short()),
+                chunks: 0,
+                running: 0,
+                waiting: 0,
+                slots: 0,
+                view: 0,
+                member: None,
+            },
+        );
+    }
+    for _ in 0..20 {
+        world.submit("urgent-a").unwrap();
+    }
+    let (sent, _) = world.poll();
+    let mut seen: Vec<_> = sent
+        .iter()
+        .map(|request| {
+            let index: usize = request.target()[1..].parse().unwrap();
+            let digest = request.pin().unwrap().digest;
+            assert_eq!(digest, if index < switched { new } else { old });
+            if digest == old { "old" } else { "new" }
+        })
+        .collect();
+    seen.sort_by(|one, other| other.cmp(one));
+    seen.dedup();
+    assert_eq!(seen, expected);
+}
+
+/// Guards against a second run: a keyed call whose connection broke goes to the same owner once more, then is unknown,
+/// even when that owner says not run.
+#[test]
+fn keyed_lost_asks_same_owner_once() {
+    let mut world = World::new("{}");
+    for name in ["b0", "b1"] {
+        world.member(name, "bookings", "levis", Phase::Live);
+    }
+    world.report("b0", Gate::Open, 0, 0b10);
+    world.report("b1", Gate::Open, 0, 0b01);
+    for last in [Failure::Lost, Failure::Overloaded, Failure::Closed] {
+        let id = world.submit_keyed(1);
+        let request = world.poll_one();
+        assert_eq!(request.target(), "b0");
+        world.fail(request, Failure::Lost);
+        let again = world.poll_one();
+        assert_eq!(again.target(), "b0");
+        world.fail(again, last);
+        assert_eq!(world.poll().1, [(id, Outcome::Unknown(Unknown::Lost))]);
+        world.report("b0", Gate::Open, 0, 0b10);
+    }
+}
+
+/// Guards against a key that is bounced between agents: the named owner is followed once.
+#[test]
+fn keyed_follows_owner_once() {
+    let mut world = World::new("{}");
+    for name in ["b0", "b1"] {
+        world.member(name, "bookings", "levis", Phase::Live);
+        world.report(name, Gate::Open, 0, 0);
+    }
+    world.submit_keyed(1);
+    let request = world.poll_one();
+    let owner = if request.target() == "b0" { "b1" } else { "b0" };
+    world.fail(request, Failure::Elsewhere(owner.into()));
+    let request = world.poll_one();
+    assert_eq!(request.target(), owner);
+    let other = if owner == "b0" { "b1" } else { "b0" };
+    world.fail(request, Failure::Elsewhere(other.into()));
+    let (sent, done) = world.poll();
+    assert!(sent.iter().all(|request| request.target() == owner));
+    assert!(
+        done.iter()
+            .all(|(_, outcome)| matches!(outcome, Outcome::NotRun(_)))
+    );
+}
+
+/// Guards against an answer taken for not run after an attempt of a repeatable call may have run.
+#[test]
+fn repeatable_retry_after_lost_stays_unknown() {
+    let mut world = World::new("{}");
+    world.targets(3);
+    let id = world.submit("urgent-a").unwrap();
+    let request = world.poll_one();
+    world.fail(request, Failure::Lost);
+    let request = world.poll_one();
+    world.fail(request, Failure::Overloaded);
+    assert_eq!(world.poll().1, [(id, Outcome::Unknown(Unknown::Lost))]);
+}
+
+proptest! {
+    #![proptest_config(config(100))]
+
+    /// Guards against a retry storm: when all targets refuse, retries stay within the budget.
+    #[test]
+    fn retries_within_budget_when_all_refuse(
+        answered in 0..200u32,
+        gaps in proptest::collection::vec(0..50u64, 1..300),
+    ) {
+        let mut world = World::new("{}");
+        world.targets(5);
+        let start = world.now;
+        for _ in 0..answered {
+            world.submit("urgent-a").unwrap();
+            let request = world.poll_one();
+            world.answer(request);
+        }
+        let mut retries = 0;
+        for gap in gaps {
+            world.now += ms(gap);
+            (0..5).for_each(|index| world.report(&format!("t{index}"), Gate::Open, 0, 0));
+            world.submit("urgent-a").unwrap();
+            while let (sent, _) = world.poll() && !sent.is_empty() {
+                for request in sent {
+                    retries += u32::from(request.attempts() > 1);
+                    prop_assert!(request.attempts() <= 3);
+                    world.fail(request, Failure::Overloaded);
+                }
+            }
+        }
+        let passed = (world.now - start).as_secs_f64();
+        let most = 1.0 + 0.1 * f64::from(answered) + passed + 1e-6;
+        prop_assert!(f64::from(retries) <= most, "{} retries, at most {}", retries, most);
+    }
+}
