Add the decisions of a weights transfer and the chunk store

Change: burst gets stripes, rendezvous orders of members and domains, the downloader, the uploader with its slots and redirects, permit objects and token buckets; weights gets verified chunks and a store bounded in bytes. Property tests deliver the events of 9 and 12 agents in random order with stalls, corruption, lost answers and a death, and check the grants, the draws and the completions after each event.

--- /dev/null
+++ b/crates/burst/src/choice.rs
@@ -0,0 +1,446 @@
+//! Which chunk to request next, and where.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use catalog::Plan;
+use weights::ChunkIndex;
+
+use crate::draw::{Backoff, Permit};
+use crate::hash::Sequence;
+use crate::peers::{Owner, Peers};
+use crate::{Action, Grant, Members, Setup, Source, StripeIndex, Stripes, Version};
+
+/// Permits asked for at once; with more, the writes of a burst would come all at its start.
+const ASKING: usize = 2;
+
+/// Redirects and refusals in a row after which a chunk's stripe pauses.
+const MAX_HOPS: u8 = 4;
+
+/// Pause after [`MAX_HOPS`].
+const HOP_PAUSE: Duration = Duration::from_millis(50);
+
+/// Bounds of the time to wait that a peer may ask for.
+const WAIT_BOUNDS: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(5));
+
+/// Least time between requests to the peers of a stripe that can't be drawn.
+const SEARCH_PAUSE: Duration = Duration::from_millis(200);
+
+/// Time after which a stripe whose owners are all avoided is looked at again.
+const NOBODY_PAUSE: Duration = Duration::from_secs(1);
+
+/// Domains that draw for themselves with [`Plan::TimeToReplicas`]; the fourth permit is left for a failure.
+const DRAWING_DOMAINS: usize = 3;
+
+/// Why a source was chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Kind {
+    /// The owner within the domain.
+    Owner,
+    /// Named by a redirect.
+    Holder,
+    /// The next owner of an own stripe, which may hold it from before this agent came.
+    Probe,
+    /// The owner in another domain.
+    Upstream,
+    /// Any peer, because the stripe can't be drawn now.
+    Search,
+    /// A second holder in the endgame.
+    Duplicate,
+    /// The origin, under the permit of an attempt.
+    Draw(u32),
+}
+
+impl Kind {
+    /// Tells whether the request brings a chunk into the domain.
+    pub(crate) fn is_upstream(self) -> bool {
+        matches!(
+            self,
+            Self::Probe | Self::Upstream | Self::Search | Self::Draw(_)
+        )
+    }
+}
+
+/// Queues and permits of the stripes.
+#[derive(Debug)]
+pub(crate) struct Chooser {
+    plan: Plan,
+    holder: String,
+    upstream_limit: usize,
+    seed: u64,
+    random: Sequence,
+    stripes: Stripes,
+    peers: Peers,
+    lanes: Vec<Lane>,
+    /// Stripes to look at: owned ones first, then the others in random order.
+    order: Vec<StripeIndex>,
+    owned: usize,
+    cursor: usize,
+    holders: HashMap<ChunkIndex, Holders>,
+    /// Stripes of chunks that were redirected just now; they are looked at first.
+    redirected: Vec<StripeIndex>,
+    store: Backoff,
+}
+
+/// Holders that redirects named for a chunk and that weren't asked yet.
+#[derive(Debug, Default)]
+struct Holders {
+    left: Vec<SocketAddr>,
+    hops: u8,
+}
+
+/// State of a stripe.
+#[derive(Debug)]
+struct Lane {
+    /// Missing chunks that aren't requested, in random order.
+    pending: Vec<ChunkIndex>,
+    wait: Option<Instant>,
+    permit: Permit,
+    probed: bool,
+    turn: usize,
+}
+
+enum Choice {
+    Ask(SocketAddr, Kind),
+    Draw(u32),
+    Blocked,
+}
+
+impl Chooser {
+    pub(crate) fn new(
+        setup: &Setup,
+        version: &Version,
+        members: &Members,
+        missing: &[ChunkIndex],
+    ) -> Self {
+        let peers = Peers::new(members, setup.me.clone(), *version.stripes());
+        Self::with_peers(setup, version, peers, missing)
+    }
+
+    /// Returns the state for another version, with the same members and avoided peers.
+    pub(crate) fn replace(self, setup: &Setup, version: &Version, missing: &[ChunkIndex]) -> Self {
+        let peers = self.peers.with_stripes(*version.stripes());
+        Self::with_peers(setup, version, peers, missing)
+    }
+
+    fn with_peers(setup: &Setup, version: &Version, peers: Peers, missing: &[ChunkIndex]) -> Self {
+        let stripes = *version.stripes();
+        let mut random = Sequence::new(setup.seed);
+        let lane = |_| Lane {
+            pending: Vec::new(),
+            wait: None,
+            permit: Permit::NEW,
+            probed: false,
+            turn: 0,
+        };
+        let mut lanes: Vec<Lane> = (0..stripes.count()).map(lane).collect();
+        for chunk in missing {
+            lanes[stripes.of(*chunk) as usize].pending.push(*chunk);
+        }
+        for lane in &mut lanes {
+            random.shuffle(&mut lane.pending);
+        }
+        let mut chooser = Self {
+            plan: setup.plan,
+            holder: setup.holder.clone(),
+            upstream_limit: (setup.parallel / 2).max(1),
+            seed: setup.seed,
+            random,
+            stripes,
+            peers,
+            lanes,
+            order: Vec::new(),
+            owned: 0,
+            cursor: 0,
+            holders: HashMap::new(),
+            redirected: Vec::new(),
+            store: Backoff::default(),
+        };
+        chooser.sort();
+        chooser
+    }
+
+    pub(crate) fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
+    pub(crate) fn set_members(&mut self, members: &Members) {
+        self.peers.set_members(members);
+        for lane in &mut self.lanes {
+            lane.probed = false;
+        }
+        self.sort();
+    }
+
+    pub(crate) fn deadline(&self) -> Option<Instant> {
+        let waiting = self.lanes.iter().filter(|lane| !lane.pending.is_empty());
+        waiting.filter_map(|lane| lane.wait).min()
+    }
+
+    /// Takes the next chunk to request off its queue, or adds a request for a permit to `actions`.
+    ///
+    /// At most half of the parallel requests bring chunks into the domain, so that a slow origin doesn't keep the
+    /// chunks that peers hold waiting.
+    pub(crate) fn pick(
+        &mut self,
+        upstream: usize,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) -> Option<(ChunkIndex, Source, Kind)> {
+        while let Some(stripe) = self.redirected.pop() {
+            if let Some(picked) = self.pick_from(stripe, upstream, now, actions) {
+                return Some(picked);
+            }
+        }
+        let others = self.order.len() - self.owned;
+        for step in 0..self.order.len() {
+            let place = if step < self.owned {
+                step
+            } else {
+                self.owned + (self.cursor + step - self.owned) % others
+            };
+            let stripe = self.order[place];
+            if let Some(picked) = self.pick_from(stripe, upstream, now, actions) {
+                if place >= self.owned {
+                    self.cursor = place - self.owned + 1;
+                }
+                return Some(picked);
+            }
+        }
+        None
+    }
+
+    /// Returns a peer that may hold `chunk`, other than `from`.
+    pub(crate) fn second(
+        &self,
+        chunk: ChunkIndex,
+        from: Source,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let not = match from {
+            Source::Peer(peer) => Some(peer),
+            Source::Origin => None,
+        };
+        self.peers.another(self.stripes.of(chunk), not, now)
+    }
+
+    pub(crate) fn requeue(&mut self, chunk: ChunkIndex) {
+        self.lane(chunk).pending.push(chunk);
+    }
+
+    pub(crate) fn received(&mut self, chunk: ChunkIndex, kind: Kind) {
+        self.holders.remove(&chunk);
+        self.lane(chunk).pending.retain(|pending| *pending != chunk);
+        if matches!(kind, Kind::Draw(_)) {
+            self.store.reset();
+        }
+    }
+
+    pub(crate) fn corrupted(&mut self, chunk: ChunkIndex, kind: Kind, from: Source, now: Instant) {
+        if let Kind::Draw(attempt) = kind {
+            self.lane(chunk).permit.spend(attempt);
+        }
+        self.failed(kind, from, now);
+    }
+
+    pub(crate) fn failed(&mut self, kind: Kind, from: Source, now: Instant) {
+        match from {
+            Source::Origin => self.store.fail(now),
+            // The chooser of a duplicate expects no particular peer to hold the chunk, but an error is an error.
+            Source::Peer(peer) => self.peers.avoid(peer, now),
+        }
+        debug_assert_eq!(from == Source::Origin, matches!(kind, Kind::Draw(_)));
+    }
+
+    pub(crate) fn holders(
+        &mut self,
+        chunk: ChunkIndex,
+        mut holders: Vec<SocketAddr>,
+        now: Instant,
+    ) {
+        self.random.shuffle(&mut holders);
+        self.holders.entry(chunk).or_default().left = holders;
+        self.redirected.push(self.stripes.of(chunk));
+        self.hop(chunk, now);
+    }
+
+    pub(crate) fn not_yet(&mut self, chunk: ChunkIndex, kind: Kind, time: Duration, now: Instant) {
+        let time = time.clamp(WAIT_BOUNDS.0, WAIT_BOUNDS.1);
+        match kind {
+            Kind::Owner | Kind::Upstream => self.lane(chunk).wait = Some(now + time),
+            Kind::Holder => self.hop(chunk, now),
+            Kind::Probe => self.lane(chunk).probed = true,
+            Kind::Search => {
+                let lane = self.lane(chunk);
+                lane.turn += 1;
+                lane.wait = Some(now + time.max(SEARCH_PAUSE));
+            }
+            Kind::Duplicate => {}
+            Kind::Draw(_) => self.store.wait(time, now),
+        }
+    }
+
+    pub(crate) fn permit(&mut self, stripe: StripeIndex, grant: Grant, now: Instant) {
+        if let Some(lane) = self.lanes.get_mut(stripe as usize) {
+            lane.permit.take(grant, now);
+        }
+    }
+
+    fn lane(&mut self, chunk: ChunkIndex) -> &mut Lane {
+        &mut self.lanes[self.stripes.of(chunk) as usize]
+    }
+
+    /// Counts a request that led nowhere and pauses before a cycle of busy holders turns into a storm of requests.
+    fn hop(&mut self, chunk: ChunkIndex, now: Instant) {
+        let holders = self.holders.entry(chunk).or_default();
+        holders.hops += 1;
+        if holders.hops >= MAX_HOPS {
+            holders.hops = 0;
+            self.lane(chunk).wait = Some(now + HOP_PAUSE);
+        }
+    }
+
+    fn sort(&mut self) {
+        let (mut order, mut others): (Vec<_>, Vec<_>) =
+            (0..self.stripes.count()).partition(|stripe| self.peers.rank(*stripe) == Some(0));
+        let mut random = Sequence::new(self.seed);
+        random.shuffle(&mut order);
+        random.shuffle(&mut others);
+        self.owned = order.len();
+        order.append(&mut others);
+        self.order = order;
+        self.cursor = 0;
+    }
+
+    fn pick_from(
+        &mut self,
+        stripe: StripeIndex,
+        upstream: usize,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) -> Option<(ChunkIndex, Source, Kind)> {
+        let lane = &mut self.lanes[stripe as usize];
+        if lane.wait.is_some_and(|wait| wait > now) {
+            return None;
+        }
+        lane.wait = None;
+        let chunk = *lane.pending.last()?;
+        let (from, kind) = match self.choose(stripe, chunk, upstream, now, actions) {
+            Choice::Ask(peer, kind) => (Source::Peer(peer), kind),
+            Choice::Draw(attempt) => (Source::Origin, Kind::Draw(attempt)),
+            Choice::Blocked => return None,
+        };
+        self.lanes[stripe as usize].pending.pop();
+        Some((chunk, from, kind))
+    }
+
+    fn choose(
+        &mut self,
+        stripe: StripeIndex,
+        chunk: ChunkIndex,
+        upstream: usize,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) -> Choice {
+        if let Some(holder) = self.next_holder(chunk, now) {
+            return Choice::Ask(holder, Kind::Holder);
+        }
+        if self.plan == Plan::Direct {
+            return self.draw_direct(stripe, now);
+        }
+        match self.peers.owner(stripe, now) {
+            Owner::Peer(peer) => Choice::Ask(peer, Kind::Owner),
+            Owner::Nobody => self.pause(stripe, now + NOBODY_PAUSE),
+            Owner::Own if upstream >= self.upstream_limit => Choice::Blocked,
+            Owner::Own => self.bring_in(stripe, now, actions),
+        }
+    }
+
+    fn next_holder(&mut self, chunk: ChunkIndex, now: Instant) -> Option<SocketAddr> {
+        let holders = self.holders.get_mut(&chunk)?;
+        while let Some(holder) = holders.left.pop() {
+            if self.peers.usable(holder, now) && !self.peers.is_me(holder) {
+                return Some(holder);
+            }
+        }
+        None
+    }
+
+    fn draw_direct(&mut self, stripe: StripeIndex, now: Instant) -> Choice {
+        match self.store.blocked(now) {
+            Some(until) => self.pause(stripe, until),
+            None => Choice::Draw(0),
+        }
+    }
+
+    /// Chooses the source of a stripe that this agent brings into its domain.
+    fn bring_in(&mut self, stripe: StripeIndex, now: Instant, actions: &mut Vec<Action>) -> Choice {
+        if !self.lanes[stripe as usize].probed
+            && let Some(peer) = self.peers.another(stripe, None, now)
+        {
+            return Choice::Ask(peer, Kind::Probe);
+        }
+        if let Some(peer) = self.upstream(stripe, now) {
+            return Choice::Ask(peer, Kind::Upstream);
+        }
+        let asking = self
+            .lanes
+            .iter()
+            .filter(|lane| matches!(lane.permit, Permit::Asked { .. }));
+        let asking = asking.count();
+        let store = self.store.blocked(now);
+        let lane = &mut self.lanes[stripe as usize];
+        let retry = match lane.permit {
+            Permit::Asked { .. } => return Choice::Blocked,
+            Permit::Granted { attempt } if store.is_none() => return Choice::Draw(attempt),
+            Permit::Granted { .. } => store,
+            Permit::Refused => None,
+            Permit::Wanted { at: Some(at), .. } if at > now => Some(at),
+            Permit::Wanted { .. } if store.is_some() => store,
+            Permit::Wanted { .. } if asking >= ASKING => return Choice::Blocked,
+            Permit::Wanted { attempt, read, .. } => {
+                lane.permit = Permit::Asked { attempt };
+                let holder = format!("{}/{attempt}", self.holder);
+                actions.push(Action::AskPermit {
+                    stripe,
+                    holder,
+                    read,
+                });
+                return Choice::Blocked;
+            }
+        };
+        match self
+            .peers
+            .any(stripe, self.lanes[stripe as usize].turn, now)
+        {
+            Some(peer) => Choice::Ask(peer, Kind::Search),
+            None => self.pause(stripe, retry.unwrap_or(now + NOBODY_PAUSE)),
+        }
+    }
+
+    /// Returns the owner in another domain that this domain fetches `stripe` from, or `None` when it draws itself.
+    fn upstream(&self, stripe: StripeIndex, now: Instant) -> Option<SocketAddr> {
+        let (order, own) = self.peers.home(stripe);
+        let drawing = match self.plan {
+            Plan::OriginBytes => 1,
+            Plan::TimeToReplicas => DRAWING_DOMAINS,
+            Plan::Direct => return None,
+        };
+        if own < drawing {
+            return None;
+        }
+        // Domains behind the drawing ones spread over them; those before the own one are next when all are avoided.
+        let first = own % drawing;
+        let mut before: Vec<&str> = order[..own].to_vec();
+        before[..drawing].rotate_left(first);
+        before
+            .into_iter()
+            .find_map(|domain| self.peers.owner_in(domain, stripe, now))
+    }
+
+    fn pause(&mut self, stripe: StripeIndex, until: Instant) -> Choice {
+        self.lanes[stripe as usize].wait = Some(until);
+        Choice::Blocked
+    }
+}
--- /dev/null
+++ b/crates/burst/src/downloader.rs
@@ -0,0 +1,386 @@
+//! The life of a transfer to one agent.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use catalog::Plan;
+use weights::{Chunk, ChunkIndex, Digest};
+
+use crate::choice::{Chooser, Kind};
+use crate::{
+    Action, Answer, Complete, Grant, Members, Peer, RequestId, Source, StripeIndex, Version,
+};
+
+/// Time without a byte after which a request is given up.
+const STALL: Duration = Duration::from_secs(2);
+
+/// Missing chunks below which slow ones are requested twice.
+const ENDGAME: usize = 8;
+
+/// Age from which a request counts as slow in the endgame.
+const SLOW: Duration = Duration::from_millis(500);
+
+/// Who transfers, and how.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// This agent.
+    pub me: Peer,
+    /// Start of the holder names in permit objects. It must be unique per transfer: a second transfer under the same
+    /// name would draw with the grants of the first.
+    pub holder: String,
+    /// What the transfer saves first.
+    pub plan: Plan,
+    /// Most requests in progress, duplicates apart.
+    pub parallel: usize,
+    /// Seed of the order of chunks that this agent doesn't own; agents should differ.
+    pub seed: u64,
+}
+
+/// Counters of a transfer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Stats {
+    /// Chunks from other agents.
+    pub from_peers: u32,
+    /// Chunks from the origin.
+    pub from_origin: u32,
+    /// Chunks that had another digest than listed.
+    pub corrupted: u32,
+    /// Requests given up after a stall.
+    pub stalled: u32,
+    /// Requests that ended with an error.
+    pub failed: u32,
+}
+
+/// Decides how one agent gets all chunks of a version.
+///
+/// Its methods take an event and the current time and return the actions to perform. [`Downloader::tick`] must be
+/// called at [`Downloader::deadline`] or earlier.
+///
+/// ```
+/// use std::time::Instant;
+/// use burst::{Action, Answer, Downloader, Grant, Members, Peer, Setup, Source, Version};
+///
+/// let manifest = weights::Manifest::build(b"0123", 4);
+/// let version = Version::check(manifest.digest(), manifest).unwrap();
+/// let me = Peer {
+///     name: "vm-1".into(),
+///     domain: "levis".into(),
+///     region: "levis".into(),
+///     address: ([127, 0, 0, 1], 1).into(),
+/// };
+/// let setup = Setup { me, holder: "vm-1/5/0".into(), plan: catalog::Plan::OriginBytes, parallel: 8, seed: 1 };
+/// let now = Instant::now();
+/// let (mut downloader, actions) = Downloader::start(setup, version, &Members::default(), |_| false, now);
+/// assert!(matches!(&actions[..], [Action::AskPermit { stripe: 0, .. }]));
+/// let actions = downloader.permit(0, Grant::Granted, now);
+/// let [Action::Fetch { request, from: Source::Origin, .. }] = actions[..] else { panic!() };
+/// let actions = downloader.answer(request, Answer::Bytes("0123".into()), now);
+/// assert!(matches!(&actions[..], [Action::Stage { .. }, Action::Complete(_)]));
+/// ```
+#[derive(Debug)]
+pub struct Downloader {
+    setup: Setup,
+    version: Version,
+    chooser: Chooser,
+    requests: BTreeMap<RequestId, Request>,
+    next: RequestId,
+    missing: usize,
+    stats: Stats,
+}
+
+#[derive(Debug)]
+struct Request {
+    chunk: ChunkIndex,
+    from: Source,
+    kind: Kind,
+    since: Instant,
+    last: Instant,
+    doubled: bool,
+}
+
+impl Downloader {
+    /// Starts the transfer of `version`; `held` tells which chunks the agent holds already, verified.
+    pub fn start(
+        setup: Setup,
+        version: Version,
+        members: &Members,
+        held: impl Fn(&Digest) -> bool,
+        now: Instant,
+    ) -> (Self, Vec<Action>) {
+        let missing = |chunk: &ChunkIndex| !held(&version.chunk(*chunk));
+        let missing: Vec<ChunkIndex> = (0..version.chunks()).filter(missing).collect();
+        let mut downloader = Self {
+            chooser: Chooser::new(&setup, &version, members, &missing),
+            missing: missing.len(),
+            setup,
+            version,
+            requests: BTreeMap::new(),
+            next: 0,
+            stats: Stats::default(),
+        };
+        let mut actions = Vec::new();
+        if downloader.missing == 0 {
+            actions.push(Action::Complete(Complete::new(downloader.version.digest())));
+        }
+        downloader.fill(now, &mut actions);
+        (downloader, actions)
+    }
+
+    /// Stops this transfer and starts the one of `version`, which inherits the avoided peers.
+    ///
+    /// Chunks that `held` accepts are not requested again.
+    pub fn replace(
+        self,
+        holder: String,
+        plan: Plan,
+        version: Version,
+        held: impl Fn(&Digest) -> bool,
+        now: Instant,
+    ) -> (Self, Vec<Action>) {
+        let setup = Setup {
+            holder,
+            plan,
+            ..self.setup.clone()
+        };
+        let first = self.next;
+        let (mut actions, chooser) = self.cancel_all();
+        let missing: Vec<ChunkIndex> = (0..version.chunks())
+            .filter(|chunk| !held(&version.chunk(*chunk)))
+            .collect();
+        let mut downloader = Self {
+            chooser: chooser.replace(&setup, &version, &missing),
+            missing: missing.len(),
+            setup,
+            version,
+            requests: BTreeMap::new(),
+            // Numbers go on, so that a late answer of the stopped transfer is recognised.
+            next: first,
+            stats: Stats::default(),
+        };
+        if downloader.missing == 0 {
+            actions.push(Action::Complete(Complete::new(downloader.version.digest())));
+        }
+        downloader.fill(now, &mut actions);
+        (downloader, actions)
+    }
+
+    /// Stops the transfer and returns the cancellations.
+    pub fn stop(self) -> Vec<Action> {
+        self.cancel_all().0
+    }
+
+    /// Returns the version that is transferred.
+    pub fn version(&self) -> &Version {
+        &self.version
+    }
+
+    /// Returns the number of chunks that aren't verified yet.
+    pub fn missing(&self) -> usize {
+        self.missing
+    }
+
+    /// Returns the counters.
+    pub fn stats(&self) -> Stats {
+        self.stats
+    }
+
+    /// Tells whether this agent must keep the chunks of `stripe`: the first two owners do, so that a domain holds two
+    /// copies after the burst.
+    pub fn keeps(&self, stripe: StripeIndex) -> bool {
+        self.chooser
+            .peers()
+            .rank(stripe)
+            .is_some_and(|rank| rank < 2)
+    }
+
+    /// Returns when [`Downloader::tick`] must be called, or `None` when nothing is awaited.
+    pub fn deadline(&self, now: Instant) -> Option<Instant> {
+        let stalls = self.requests.values().map(|request| {
+            let slow = request.since + SLOW;
+            let stall = request.last + STALL;
+            if self.missing < ENDGAME && !request.doubled && slow > now {
+                slow.min(stall)
+            } else {
+                stall
+            }
+        });
+        stalls.chain(self.chooser.deadline()).min()
+    }
+
+    /// Notes that bytes of `request` arrived, or that its own limits hold it back.
+    pub fn progress(&mut self, request: RequestId, now: Instant) {
+        if let Some(request) = self.requests.get_mut(&request) {
+            request.last = now;
+        }
+    }
+
+    /// Takes the answer to `request`; unknown requests are ignored.
+    pub fn answer(&mut self, request: RequestId, answer: Answer, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if let Some(request) = self.requests.remove(&request) {
+            self.take(&request, answer, now, &mut actions);
+        }
+        self.fill(now, &mut actions);
+        actions
+    }
+
+    /// Takes the answer to [`Action::AskPermit`].
+    pub fn permit(&mut self, stripe: StripeIndex, grant: Grant, now: Instant) -> Vec<Action> {
+        self.chooser.permit(stripe, grant, now);
+        let mut actions = Vec::new();
+        self.fill(now, &mut actions);
+        actions
+    }
+
+    /// Replaces the members.
+    pub fn set_members(&mut self, members: &Members, now: Instant) -> Vec<Action> {
+        self.chooser.set_members(members);
+        let mut actions = Vec::new();
+        self.fill(now, &mut actions);
+        actions
+    }
+
+    /// Gives up stalled requests and starts those whose time to wait is over.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let stalled =
+            |(id, request): (&RequestId, &Request)| (request.last + STALL <= now).then_some(*id);
+        let stalled: Vec<RequestId> = self.requests.iter().filter_map(stalled).collect();
+        for id in stalled {
+            if let Some(request) = self.requests.remove(&id) {
+                self.stats.stalled += 1;
+                self.chooser.failed(request.kind, request.from, now);
+                self.requeue(request.chunk);
+                actions.push(Action::Cancel { request: id });
+            }
+        }
+        self.fill(now, &mut actions);
+        actions
+    }
+
+    fn take(&mut self, request: &Request, answer: Answer, now: Instant, actions: &mut Vec<Action>) {
+        match answer {
+            Answer::Bytes(bytes) => match Chunk::verify(self.version.chunk(request.chunk), bytes) {
+                Ok(content) => return self.accept(request, content, actions),
+                Err(_) => {
+                    self.stats.corrupted += 1;
+                    self.chooser
+                        .corrupted(request.chunk, request.kind, request.from, now);
+                }
+            },
+            Answer::Holders(holders) => self.chooser.holders(request.chunk, holders, now),
+            Answer::NotYet(time) => self.chooser.not_yet(request.chunk, request.kind, time, now),
+            Answer::Failed => {
+                self.stats.failed += 1;
+                self.chooser.failed(request.kind, request.from, now);
+            }
+        }
+        self.requeue(request.chunk);
+    }
+
+    fn accept(&mut self, request: &Request, content: Chunk, actions: &mut Vec<Action>) {
+        match request.from {
+            Source::Origin => self.stats.from_origin += 1,
+            Source::Peer(_) => self.stats.from_peers += 1,
+        }
+        self.chooser.received(request.chunk, request.kind);
+        self.missing -= 1;
+        self.cancel_chunk(request.chunk, actions);
+        actions.push(Action::Stage {
+            chunk: request.chunk,
+            content,
+            keep: self.keeps(self.version.stripes().of(request.chunk)),
+        });
+        if self.missing == 0 {
+            actions.push(Action::Complete(Complete::new(self.version.digest())));
+        }
+    }
+
+    fn cancel_chunk(&mut self, chunk: ChunkIndex, actions: &mut Vec<Action>) {
+        let others =
+            |(id, request): (&RequestId, &Request)| (request.chunk == chunk).then_some(*id);
+        let others: Vec<RequestId> = self.requests.iter().filter_map(others).collect();
+        for id in others {
+            self.requests.remove(&id);
+            actions.push(Action::Cancel { request: id });
+        }
+    }
+
+    fn cancel_all(self) -> (Vec<Action>, Chooser) {
+        let ids = self.requests.into_keys();
+        (
+            ids.map(|request| Action::Cancel { request }).collect(),
+            self.chooser,
+        )
+    }
+
+    /// Makes a chunk eligible again unless another request for it is in progress.
+    fn requeue(&mut self, chunk: ChunkIndex) {
+        if !self.requests.values().any(|request| request.chunk == chunk) {
+            self.chooser.requeue(chunk);
+        }
+    }
+
+    fn fill(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        while self.requests.len() < self.setup.parallel {
+            let upstream = self
+                .requests
+                .values()
+                .filter(|request| request.kind.is_upstream())
+                .count();
+            let Some((chunk, from, kind)) = self.chooser.pick(upstream, now, actions) else {
+                break;
+            };
+            self.send(chunk, from, kind, now, actions);
+        }
+        if self.missing < ENDGAME {
+            self.double(now, actions);
+        }
+    }
+
+    /// Requests slow chunks from a second holder, never from the origin.
+    fn double(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let slow = |(id, request): (&RequestId, &Request)| {
+            (!request.doubled && request.since + SLOW <= now).then_some((
+                *id,
+                request.chunk,
+                request.from,
+            ))
+        };
+        let slow: Vec<_> = self.requests.iter().filter_map(slow).collect();
+        for (id, chunk, from) in slow {
+            if let Some(request) = self.requests.get_mut(&id) {
+                request.doubled = true;
+            }
+            if let Some(peer) = self.chooser.second(chunk, from, now) {
+                self.send(chunk, Source::Peer(peer), Kind::Duplicate, now, actions);
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        chunk: ChunkIndex,
+        from: Source,
+        kind: Kind,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let request = self.next;
+        self.next += 1;
+        let record = Request {
+            chunk,
+            from,
+            kind,
+            since: now,
+            last: now,
+            doubled: kind == Kind::Duplicate,
+        };
+        self.requests.insert(request, record);
+        actions.push(Action::Fetch {
+            request,
+            chunk,
+            from,
+        });
+    }
+}
--- a/crates/burst/src/lib.rs
+++ b/crates/burst/src/lib.rs
@@ -1,1 +1,28 @@
 //! Decisions of a weights transfer.
+//!
+//! A version's chunks are grouped into [`Stripes`]. For each stripe, [`Members`] orders the agents of a failure domain
+//! and the domains. A [`Downloader`] decides which chunk to request where, an [`Uploader`] answers such requests,
+//! [`permit::Draws`] counts the draws from the origin and a [`Bucket`] limits the rate. All of them take events and
+//! the current time and do no I/O.
+
+mod action;
+mod bucket;
+mod choice;
+mod downloader;
+mod draw;
+mod hash;
+mod members;
+mod peers;
+pub mod permit;
+mod stripes;
+mod uploader;
+mod version;
+
+pub use action::{Action, Answer, Complete, RequestId, Source};
+pub use bucket::{Bucket, Ticket};
+pub use downloader::{Downloader, Setup, Stats};
+pub use draw::Grant;
+pub use members::{Members, Peer};
+pub use stripes::{MAX_STRIPES, StripeIndex, Stripes};
+pub use uploader::{MAX_HOLDERS, Response, Slot, Uploader};
+pub use version::{Error, Version};
--- /dev/null
+++ b/crates/burst/src/permit.rs
@@ -0,0 +1,87 @@
+//! Permits for draws from the origin.
+//!
+//! The object `draws/{digest}.{stripe}` lists the holders of the grants for one stripe, at most [`MAX_GRANTS`]. It is
+//! changed by conditional updates only, so a delayed write either comes first, and a later reader finds its holder
+//! listed, or fails. A lost answer is therefore resolved by reading the object and deciding again.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// Most draws of a stripe; the origin's link carries about four copies during a burst.
+pub const MAX_GRANTS: usize = 4;
+
+/// Content of a permit object: the holders of its grants, in order.
+///
+/// A holder names an agent, its incarnation and the number of its attempt, so that a restarted agent doesn't take a
+/// grant that its predecessor used.
+///
+/// ```
+/// use burst::permit::{Decision, Draws};
+///
+/// let Decision::Write(value) = Draws::decide(None, "vm-1/5/0").unwrap() else { panic!() };
+/// assert_eq!(value.to_string(), r#"{"draws":["vm-1/5/0"]}"#);
+/// assert_eq!(Draws::decide(Some(&value), "vm-1/5/0").unwrap(), Decision::Granted);
+/// ```
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Draws {
+    draws: Vec<String>,
+}
+
+/// What to do about a permit object that was read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// The holder is listed: it may draw.
+    Granted,
+    /// The value to write on the condition that the object is still as read.
+    Write(Value),
+    /// All grants are taken by others.
+    Refused,
+}
+
+/// A value that isn't a permit object.
+#[derive(Debug, thiserror::Error)]
+#[error("`{value}` is not a permit object: {source}")]
+pub struct Error {
+    value: Value,
+    source: serde_json::Error,
+}
+
+impl Draws {
+    /// Decides for `holder` about the object's value as read; `None` when there is no object.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when the value has another shape; no draw is allowed then.
+    pub fn decide(read: Option<&Value>, holder: &str) -> Result<Decision, Error> {
+        let mut draws = match read {
+            Some(value) => Self::read(value)?,
+            None => Self::default(),
+        };
+        if draws.draws.iter().any(|listed| listed == holder) {
+            return Ok(Decision::Granted);
+        }
+        if draws.draws.len() >= MAX_GRANTS {
+            return Ok(Decision::Refused);
+        }
+        draws.draws.push(holder.into());
+        Ok(Decision::Write(serde_json::json!({ "draws": draws.draws })))
+    }
+
+    /// Reads a permit object's value.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when the value has another shape.
+    pub fn read(value: &Value) -> Result<Self, Error> {
+        Self::deserialize(value).map_err(|source| Error {
+            value: value.clone(),
+            source,
+        })
+    }
+
+    /// Returns the holders of the grants.
+    pub fn holders(&self) -> &[String] {
+        &self.draws
+    }
+}
--- /dev/null
+++ b/crates/burst/src/uploader.rs
@@ -0,0 +1,181 @@
+//! Decisions of the agent that is asked for a chunk.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use weights::Digest;
+
+/// Most holders that a redirect names.
+pub const MAX_HOLDERS: usize = 4;
+
+/// Receivers remembered per chunk; four redirects' worth, so that the names rotate.
+const REMEMBERED: usize = 16;
+
+/// Time to wait that is given before any chunk was sent.
+const FIRST_WAIT: Duration = Duration::from_millis(50);
+
+/// Bounds of the time to wait: shorter ones flood the uploader with requests, longer ones leave its slots empty.
+const WAIT_BOUNDS: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
+
+/// Answers requests for chunks with an upload slot, a redirect or a time to wait.
+///
+/// A chunk that is not held gets "not yet". While all slots are busy, askers are sent to agents that have received the
+/// chunk, those first that were named least often, so each chunk spreads over a tree that follows the load.
+///
+/// ```
+/// use std::time::Instant;
+/// use burst::{Response, Uploader};
+///
+/// let now = Instant::now();
+/// let uploader = Uploader::new(1);
+/// let chunk = weights::Digest::of(b"chunk");
+/// let [a, b] = [1, 2].map(|port| ([127, 0, 0, 1], port).into());
+/// let Response::Send(slot) = uploader.answer(chunk, true, a, now) else { panic!() };
+/// assert!(matches!(uploader.answer(chunk, true, b, now), Response::Wait(_)));
+/// slot.sent(now);
+/// assert!(matches!(uploader.answer(chunk, true, b, now), Response::Send(_)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Uploader(Rc<RefCell<Inner>>);
+
+#[derive(Debug)]
+struct Inner {
+    slots: usize,
+    busy: usize,
+    /// Moving average of the time that sending a chunk took.
+    pace: Option<Duration>,
+    receivers: HashMap<Digest, Vec<Receiver>>,
+}
+
+#[derive(Debug)]
+struct Receiver {
+    address: SocketAddr,
+    /// How often redirects named this receiver for this chunk.
+    named: u32,
+}
+
+/// What an asker gets.
+#[derive(Debug)]
+pub enum Response {
+    /// The chunk, sent while the slot is held.
+    Send(Slot),
+    /// At most [`MAX_HOLDERS`] agents that have the chunk.
+    Redirect(Vec<SocketAddr>),
+    /// Nothing yet; ask again after this time.
+    Wait(Duration),
+}
+
+/// An upload slot in use; it is free again on drop.
+#[derive(Debug)]
+pub struct Slot {
+    uploader: Uploader,
+    chunk: Digest,
+    asker: SocketAddr,
+    since: Instant,
+}
+
+impl Uploader {
+    /// Returns an uploader that sends at most `slots` chunks at once.
+    pub fn new(slots: usize) -> Self {
+        Self(Rc::new(RefCell::new(Inner {
+            slots,
+            busy: 0,
+            pace: None,
+            receivers: HashMap::new(),
+        })))
+    }
+
+    /// Returns the number of slots in use.
+    pub fn busy(&self) -> usize {
+        self.0.borrow().busy
+    }
+
+    /// Answers a request of `asker` for `chunk`; `held` tells whether the chunk can be sent.
+    pub fn answer(&self, chunk: Digest, held: bool, asker: SocketAddr, now: Instant) -> Response {
+        let mut inner = self.0.borrow_mut();
+        if held && inner.busy < inner.slots {
+            inner.busy += 1;
+            return Response::Send(Slot {
+                uploader: self.clone(),
+                chunk,
+                asker,
+                since: now,
+            });
+        }
+        // The receivers of a chunk that was evicted here still hold it, most likely.
+        let holders = inner.name_holders(chunk, asker);
+        if holders.is_empty() {
+            return Response::Wait(inner.wait());
+        }
+        Response::Redirect(holders)
+    }
+
+    /// Forgets receivers that `live` rejects, so that redirects don't name them.
+    pub fn retain(&self, live: impl Fn(&SocketAddr) -> bool) {
+        for receivers in self.0.borrow_mut().receivers.values_mut() {
+            receivers.retain(|receiver| live(&receiver.address));
+        }
+    }
+
+    /// Forgets the receivers of all chunks that `wanted` rejects.
+    pub fn retain_chunks(&self, wanted: impl Fn(&Digest) -> bool) {
+        self.0
+            .borrow_mut()
+            .receivers
+            .retain(|chunk, _| wanted(chunk));
+    }
+}
+
+impl Slot {
+    /// Releases the slot after the whole chunk was sent and remembers the asker as a holder.
+    pub fn sent(self, now: Instant) {
+        let mut inner = self.uploader.0.borrow_mut();
+        let took = now.saturating_duration_since(self.since);
+        inner.pace = Some(inner.pace.map_or(took, |pace| (pace * 7 + took) / 8));
+        let receivers = inner.receivers.entry(self.chunk).or_default();
+        receivers.retain(|receiver| receiver.address != self.asker);
+        if receivers.len() == REMEMBERED {
+            receivers.remove(0);
+        }
+        receivers.push(Receiver {
+            address: self.asker,
+            named: 0,
+        });
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.uploader.0.borrow_mut().busy -= 1;
+    }
+}
+
+impl Inner {
+    fn name_holders(&mut self, chunk: Digest, asker: SocketAddr) -> Vec<SocketAddr> {
+        let Some(receivers) = self.receivers.get_mut(&chunk) else {
+            return Vec::new();
+        };
+        let mut order: Vec<&mut Receiver> = receivers
+            .iter_mut()
+            .rev()
+            .filter(|receiver| receiver.address != asker)
+            .collect();
+        order.sort_by_key(|receiver| receiver.named);
+        order
+            .into_iter()
+            .take(MAX_HOLDERS)
+            .map(|receiver| {
+                receiver.named += 1;
+                receiver.address
+            })
+            .collect()
+    }
+
+    fn wait(&self) -> Duration {
+        let (least, most) = WAIT_BOUNDS;
+        self.pace.unwrap_or(FIRST_WAIT).clamp(least, most)
+    }
+}
--- /dev/null
+++ b/crates/burst/src/version.rs
@@ -0,0 +1,92 @@
+//! A version of a model whose manifest was checked.
+
+use std::sync::Arc;
+
+use weights::{ChunkIndex, Digest, Manifest};
+
+use crate::Stripes;
+
+/// A manifest whose digest is the one that the catalogue names, and its stripes.
+///
+/// ```
+/// let manifest = weights::Manifest::build(b"0123456789", 4);
+/// let digest = manifest.digest();
+/// assert_eq!(burst::Version::check(digest, manifest.clone()).unwrap().chunks(), 3);
+/// assert!(burst::Version::check(weights::Digest::of(b"other"), manifest).is_err());
+/// ```
+#[derive(Clone, Debug)]
+pub struct Version {
+    digest: Digest,
+    manifest: Arc<Manifest>,
+    stripes: Stripes,
+}
+
+/// A manifest that can't be used.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// The manifest has another digest.
+    #[error("the manifest has the digest {found}, but {expected} was expected")]
+    Digest {
+        /// Digest that the catalogue names.
+        expected: Digest,
+        /// Digest of the manifest.
+        found: Digest,
+    },
+    /// The manifest contradicts itself.
+    #[error("manifest {0}: {1}")]
+    Content(Digest, #[source] weights::Error),
+}
+
+impl Version {
+    /// Checks `manifest` against `digest` and against itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when the digest differs or [`Manifest::check`] fails.
+    pub fn check(digest: Digest, manifest: Manifest) -> Result<Self, Error> {
+        let found = manifest.digest();
+        if found != digest {
+            return Err(Error::Digest {
+                expected: digest,
+                found,
+            });
+        }
+        manifest
+            .check()
+            .map_err(|source| Error::Content(digest, source))?;
+        Ok(Self {
+            digest,
+            stripes: Stripes::of_manifest(digest, &manifest),
+            manifest: Arc::new(manifest),
+        })
+    }
+
+    /// Returns the digest of the manifest.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    /// Returns the manifest.
+    pub fn manifest(&self) -> &Manifest {
+        &self.manifest
+    }
+
+    /// Returns the stripes of the version.
+    pub fn stripes(&self) -> &Stripes {
+        &self.stripes
+    }
+
+    /// Returns the number of chunks.
+    pub fn chunks(&self) -> u32 {
+        self.manifest.chunks.len() as u32
+    }
+
+    /// Returns the digest of chunk `chunk`.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the version has no such chunk.
+    pub fn chunk(&self, chunk: ChunkIndex) -> Digest {
+        self.manifest.chunks[chunk as usize]
+    }
+}
--- /dev/null
+++ b/crates/burst/tests/burst/fleet.rs
@@ -0,0 +1,105 @@
+//! Invariants of several agents over orders of events and faults.
+
+use crate::support::{Fault, Fleet};
+use burst::permit::{Draws, MAX_GRANTS};
+use catalog::Plan;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 96,
+        rng_seed: RngSeed::Fixed(20),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn plans() -> impl Strategy<Value = Plan> {
+    prop_oneof![Just(Plan::OriginBytes), Just(Plan::TimeToReplicas)]
+}
+
+fn faults() -> impl Strategy<Value = Fault> {
+    prop_oneof![3 => Just(Fault::None), 1 => Just(Fault::Stall), 1 => Just(Fault::Spoil), 1 => Just(Fault::Break)]
+}
+
+/// Checks what must hold after each event.
+fn check(fleet: &Fleet) {
+    for (chunk, drawn) in &fleet.drawn {
+        let stripe = fleet.version.stripes().of(*chunk);
+        let grants = Draws::read(&fleet.permits[&stripe])
+            .unwrap()
+            .holders()
+            .len();
+        assert!(
+            grants <= MAX_GRANTS && *drawn <= grants,
+            "chunk {chunk}: {drawn} draws, {grants} grants"
+        );
+    }
+    for agent in fleet.agents.iter().flatten().filter(|agent| agent.complete) {
+        let digests = &fleet.version.manifest().chunks;
+        assert!(
+            digests.iter().all(|digest| agent.store.contains(digest)),
+            "complete without all chunks"
+        );
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    // Guards against a fifth draw, a draw without a grant and an early completion under loss, retry and take-over.
+    #[test]
+    fn grants_any_order(
+        plan in plans(),
+        steps in prop::collection::vec((any::<usize>(), faults()), 400..1200),
+        dead in 0..9usize,
+        when in 0..400usize,
+    ) {
+        let mut fleet = Fleet::new(&["a", "bb", "ccc"], 3, plan);
+        for (number, (choice, fault)) in steps.into_iter().enumerate() {
+            if number == when {
+                fleet.kill(dead);
+            }
+            fleet.step(choice, fault);
+            check(&fleet);
+        }
+    }
+
+    // Guards against a transfer that hangs after an agent died, whenever that happens.
+    #[test]
+    fn completes_one_dead(
+        plan in plans(),
+        choices in prop::collection::vec(any::<usize>(), 64),
+        dead in 0..9usize,
+        when in 0..1500usize,
+    ) {
+        let mut fleet = Fleet::new(&["a", "bb", "ccc"], 3, plan);
+        for number in 0..20_000 {
+            if number == when {
+                fleet.kill(dead);
+            }
+            fleet.step(choices[number % choices.len()], Fault::None);
+            check(&fleet);
+            if number > when && fleet.is_complete() {
+                break;
+            }
+        }
+        prop_assert!(fleet.is_complete());
+    }
+
+    // Guards against more copies from the origin than the plan needs when nothing fails.
+    #[test]
+    fn draws_by_plan(plan in plans(), choices in prop::collection::vec(any::<usize>(), 64)) {
+        let mut fleet = Fleet::new(&["a", "bb", "ccc", "dddd"], 3, plan);
+        for number in 0..20_000 {
+            fleet.step(choices[number % choices.len()], Fault::None);
+            if fleet.is_complete() {
+                break;
+            }
+        }
+        prop_assert!(fleet.is_complete());
+        let copies = if plan == Plan::OriginBytes { 1 } else { 3 };
+        prop_assert_eq!(fleet.drawn.values().sum::<usize>(), copies * 40);
+    }
+}
--- /dev/null
+++ b/crates/burst/tests/burst/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the decisions of a transfer.
+
+mod downloader;
+mod fleet;
+mod order;
+mod permit;
+mod sharing;
+mod support;
--- /dev/null
+++ b/crates/burst/tests/burst/sharing.rs
@@ -0,0 +1,99 @@
+//! Upload slots, redirects and token buckets.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use burst::{Bucket, Response, Uploader};
+use weights::Digest;
+
+fn asker(number: u16) -> SocketAddr {
+    ([127, 0, 0, 1], number + 1).into()
+}
+
+fn redirect(response: Response) -> Vec<SocketAddr> {
+    match response {
+        Response::Redirect(holders) => holders,
+        other => panic!("{other:?}"),
+    }
+}
+
+// Guards against a slot that stays taken after its connection broke, and against naming an agent that got nothing.
+#[test]
+fn slot_dropped() {
+    let (uploader, now, chunk) = (Uploader::new(1), Instant::now(), Digest::of(b"c"));
+    let response = uploader.answer(chunk, true, asker(0), now);
+    assert!(matches!(
+        uploader.answer(chunk, true, asker(1), now),
+        Response::Wait(_)
+    ));
+    drop(response);
+    assert_eq!(uploader.busy(), 0);
+    assert!(matches!(
+        uploader.answer(chunk, false, asker(1), now),
+        Response::Wait(_)
+    ));
+}
+
+// Guards against redirects that all name the same holders, the asker itself or a dead agent.
+#[test]
+fn redirect_spreads() {
+    let (uploader, now, chunk) = (Uploader::new(1), Instant::now(), Digest::of(b"c"));
+    for number in 0..8 {
+        if let Response::Send(slot) = uploader.answer(chunk, true, asker(number), now) {
+            slot.sent(now);
+        }
+    }
+    let _busy = uploader.answer(chunk, true, asker(100), now);
+    let mut named = redirect(uploader.answer(chunk, true, asker(101), now));
+    named.extend(redirect(uploader.answer(chunk, true, asker(102), now)));
+    named.sort();
+    named.dedup();
+    assert_eq!(named.len(), 8);
+    uploader.retain(|peer| *peer == asker(3) || *peer == asker(4));
+    assert_eq!(
+        redirect(uploader.answer(chunk, true, asker(3), now)),
+        [asker(4)]
+    );
+}
+
+/// Returns the bytes that one burst gets in a second, in pieces of 100.
+fn sent(bucket: &Bucket, now: Instant) -> u64 {
+    let (version, mut at, mut sent) = (Digest::of(b"a"), now, 0);
+    while at < now + Duration::from_secs(1) {
+        let ticket = bucket.join(version, 100);
+        while let Err(wait) = ticket.poll(at) {
+            at += wait;
+        }
+        sent += 100;
+    }
+    sent
+}
+
+// Guards against chunk traffic that keeps its full rate while live requests need the link.
+#[test]
+fn bucket_live() {
+    let now = Instant::now();
+    let bucket = Bucket::new(10_000.0, 100.0, now);
+    assert!((9_900..=10_300).contains(&sent(&bucket, now)));
+    let now = now + Duration::from_secs(2);
+    bucket.set_live(true, now);
+    assert!((4_900..=5_300).contains(&sent(&bucket, now)));
+}
+
+// Guards against a burst that waits behind all sends of another, and against a queue blocked by a cancelled send.
+#[test]
+fn bucket_turns() {
+    let now = Instant::now();
+    let bucket = Bucket::new(1000.0, 1000.0, now);
+    let (a, b) = (Digest::of(b"a"), Digest::of(b"b"));
+    let first = [bucket.join(a, 10), bucket.join(a, 10), bucket.join(a, 10)];
+    let second = [bucket.join(b, 10), bucket.join(b, 10)];
+    assert!(second[0].poll(now).is_err());
+    assert!(first[0].poll(now).is_ok());
+    assert!(first[1].poll(now).is_err());
+    assert!(second[0].poll(now).is_ok());
+    let [_, cancelled, third] = first;
+    drop(cancelled);
+    assert!(third.poll(now).is_ok());
+    assert!(second[1].poll(now).is_ok());
+}
