--- /dev/null
+++ b/crates/gate/src/gate.rs
@@ -0,0 +1,199 @@
+//! The life cycle of a gate and the guards of requests in progress.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Instant;
+
+use weights::Pin;
+
+/// A gate in one of its states.
+///
+/// The states are types of their own, so that a request can be admitted only by [`Open`] and a drain can end only
+/// when no request is in progress.
+#[derive(Debug)]
+pub enum Gate {
+    /// No request is admitted.
+    Closed(Closed),
+    /// Requests for the pin are admitted.
+    Open(Open),
+    /// Requests in progress finish; none is admitted.
+    Draining(Draining),
+}
+
+/// State in which no request is admitted.
+#[derive(Debug, Default)]
+pub struct Closed(());
+
+/// State in which requests for one pin are admitted.
+#[derive(Debug)]
+pub struct Open {
+    pin: Option<Pin>,
+}
+
+/// State in which requests in progress finish.
+#[derive(Debug)]
+pub struct Draining {
+    pin: Option<Pin>,
+    since: Instant,
+}
+
+/// Number of requests in progress on a target.
+#[derive(Clone, Debug, Default)]
+pub struct Calls(Rc<Cell<u32>>);
+
+/// A request in progress; dropping it releases its place.
+#[derive(Debug)]
+pub struct Call {
+    pin: Option<Pin>,
+    calls: Calls,
+}
+
+/// Why a request was not admitted. Nothing was written to the backend.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Refusal {
+    /// The gate is closed.
+    #[error("closed")]
+    Closed,
+    /// The request names other weights than those in service.
+    #[error("version")]
+    Version,
+    /// The target switches versions.
+    #[error("draining")]
+    Draining,
+    /// The target leaves.
+    #[error("leaving")]
+    Leaving,
+}
+
+impl Gate {
+    /// Returns the pin whose requests are admitted or finish; `None` for plain backends and closed gates.
+    pub fn pin(&self) -> Option<&Pin> {
+        match self {
+            Self::Closed(_) => None,
+            Self::Open(open) => open.pin.as_ref(),
+            Self::Draining(draining) => draining.pin.as_ref(),
+        }
+    }
+
+    /// Closes the gate at once; requests in progress keep their guards.
+    pub fn close(self) -> Self {
+        Self::Closed(match self {
+            Self::Closed(closed) => closed,
+            Self::Open(open) => open.close(),
+            Self::Draining(draining) => draining.close(),
+        })
+    }
+}
+
+impl Default for Gate {
+    fn default() -> Self {
+        Self::Closed(Closed::default())
+    }
+}
+
+impl Closed {
+    /// Opens the gate for requests with exactly `pin`.
+    pub fn open(self, pin: Option<Pin>) -> Open {
+        Open { pin }
+    }
+}
+
+impl Open {
+    /// Returns the pin in service; `None` for plain backends.
+    pub fn pin(&self) -> Option<&Pin> {
+        self.pin.as_ref()
+    }
+
+    /// Admits a request whose pin is the pin in service.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal::Version`] when the pins differ.
+    pub fn admit(&self, pin: Option<&Pin>, calls: &Calls) -> Result<Call, Refusal> {
+        if pin != self.pin.as_ref() {
+            return Err(Refusal::Version);
+        }
+        Ok(calls.start(self.pin.clone()))
+    }
+
+    /// Stops admission and lets requests in progress finish.
+    pub fn drain(self, now: Instant) -> Draining {
+        Draining {
+            pin: self.pin,
+            since: now,
+        }
+    }
+
+    /// Closes the gate without a drain.
+    pub fn close(self) -> Closed {
+        Closed::default()
+    }
+}
+
+impl Draining {
+    /// Returns the pin whose requests finish; `None` for plain backends.
+    pub fn pin(&self) -> Option<&Pin> {
+        self.pin.as_ref()
+    }
+
+    /// Returns the time at which the drain began.
+    pub fn since(&self) -> Instant {
+        self.since
+    }
+
+    /// Ends the drain when no request is in progress.
+    ///
+    /// # Errors
+    ///
+    /// Returns the state itself while requests are in progress.
+    pub fn finish(self, calls: &Calls) -> Result<Closed, Self> {
+        if calls.is_idle() {
+            Ok(Closed::default())
+        } else {
+            Err(self)
+        }
+    }
+
+    /// Gives up the drain and admits requests again.
+    pub fn reopen(self) -> Open {
+        Open { pin: self.pin }
+    }
+
+    /// Closes the gate without waiting for requests in progress.
+    pub fn close(self) -> Closed {
+        Closed::default()
+    }
+}
+
+impl Calls {
+    /// Returns the number of requests in progress.
+    pub fn count(&self) -> u32 {
+        self.0.get()
+    }
+
+    /// Tells whether no request is in progress.
+    pub fn is_idle(&self) -> bool {
+        self.count() == 0
+    }
+
+    fn start(&self, pin: Option<Pin>) -> Call {
+        self.0.set(self.0.get() + 1);
+        Call {
+            pin,
+            calls: self.clone(),
+        }
+    }
+}
+
+impl Call {
+    /// Returns the pin under which the request was admitted; `None` for plain backends.
+    pub fn pin(&self) -> Option<&Pin> {
+        self.pin.as_ref()
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.calls.0.set(self.calls.0.get() - 1);
+    }
+}
