--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -46,7 +46,7 @@
     Number(u64),
     /// All chunks of the weights are in the engine of this incarnation.
     Staged(Digest, Incarnation),
-    /// Whether it is this target's turn to switch, by [`turn::is_due`](crate::turn::is_due).
+    /// Whether it is this target's turn to switch, by [`turn::predecessor`](crate::turn::is_due).
     Turn(bool),
     /// The poll of this number was answered; `None` when the engine could not be reached.
     Polled(u64, Option<Status>),
