Start the agent with its shared state

Change: the package `agent` has its settings, the state shared by its tasks, and wake-ups between them. The binary does nothing yet.

Conclusion: other modules can be added.

--- /dev/null
+++ b/bins/agent/src/lib.rs
@@ -0,0 +1,12 @@
+//! The process on a target VM, in front of an engine or a plain service.
+//!
+//! Each module runs one or more tasks of the event loop; they share one [`Shared`]. Decisions are made by the crates
+//! `gate`, `burst` and `claim`; the modules here do their I/O.
+
+pub mod notify;
+pub mod settings;
+pub mod shared;
+
+pub use notify::Notify;
+pub use settings::Settings;
+pub use shared::Shared;
--- /dev/null
+++ b/bins/agent/src/main.rs
@@ -0,0 +1,8 @@
+//! The binary `carobport-agent`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    eprintln!("usage: carobport-agent SETTINGS");
+    ExitCode::from(2)
+}
