Add stand-ins of the outside systems; let a stopping port linger

Cause: tests of agents and entries need the platform, the weight store, engines and plain services as processes that can be made to fail. A planned stop that closes an idle connection while a request is written to it leaves the outcome of that request unknown.

Change: binary carobport-standin with subcommands platform, store, engine and plain; each is switched over /control. node::http::Limits::linger keeps idle connections open after a shutdown began and marks each answer as the last of its connection; node::http::cut ends a connection without an answer.

Conclusion: process-level tests cover the faults that each stand-in plays.

--- /dev/null
+++ b/bins/standin/src/main.rs
@@ -0,0 +1,76 @@
+//! Stand-ins for the outside systems of carobport, for tests and measurements.
+//!
+//! Each stand-in speaks the published protocol of section 10 of the design page and can be switched to misbehave:
+//! `GET /control` returns its switches and counts, `PUT /control` changes the switches named in a JSON object, and
+//! `POST /control/restart` with `{"down_ms":N}` cuts all connections, forgets the state and opens the port again.
+
+mod control;
+mod engine;
+mod plain;
+mod platform;
+mod server;
+mod slots;
+mod store;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use node::settings::{Settings, load};
+
+/// Stand-ins for the outside systems of carobport
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// The platform's object API and VM list
+    #[bpaf(command)]
+    Platform {
+        /// JSON settings
+        #[bpaf(positional("SETTINGS"))]
+        settings: PathBuf,
+    },
+    /// The weight store
+    #[bpaf(command)]
+    Store {
+        /// JSON settings
+        #[bpaf(positional("SETTINGS"))]
+        settings: PathBuf,
+    },
+    /// A model engine
+    #[bpaf(command)]
+    Engine {
+        /// JSON settings
+        #[bpaf(positional("SETTINGS"))]
+        settings: PathBuf,
+    },
+    /// A plain service
+    #[bpaf(command)]
+    Plain {
+        /// JSON settings
+        #[bpaf(positional("SETTINGS"))]
+        settings: PathBuf,
+    },
+}
+
+fn main() -> ExitCode {
+    match command().run() {
+        Command::Platform { settings } => start(settings, platform::run),
+        Command::Store { settings } => start(settings, store::run),
+        Command::Engine { settings } => start(settings, engine::run),
+        Command::Plain { settings } => start(settings, plain::run),
+    }
+}
+
+fn start<T: Settings>(path: PathBuf, run: impl AsyncFnOnce(T) -> std::io::Result<()>) -> ExitCode {
+    let settings = match load(path) {
+        Ok(settings) => settings,
+        Err(findings) => return findings.exit(),
+    };
+    match node::run("standin", run(settings)) {
+        Ok(Ok(())) => ExitCode::SUCCESS,
+        Ok(Err(error)) | Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/bins/standin/src/plain.rs
@@ -0,0 +1,125 @@
+//! A plain service that counts the runs of each key.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use node::http::{Body, Method, Request, Response, StatusCode, cut, json, response};
+use node::settings::{Fields, Settings};
+use serde::{Deserialize, Serialize};
+use wire::header;
+
+use crate::control::Control;
+use crate::server::{self, Standin};
+use crate::slots::Slots;
+
+/// Settings of a plain service's stand-in.
+pub struct PlainSettings {
+    listen: SocketAddr,
+    slots: u32,
+    service_ms: u64,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+struct Switches {
+    /// Whether every call is answered with 503 without running.
+    down: bool,
+    /// Time that a run takes, in milliseconds.
+    service_ms: u64,
+    /// Number of runs whose answer will be lost.
+    cut_answers: u32,
+}
+
+struct Plain {
+    control: Control<Switches>,
+    slots: Rc<Slots>,
+    /// Runs by key; kept over restarts, since they stand for what was booked.
+    runs: RefCell<BTreeMap<String, u64>>,
+}
+
+impl Settings for PlainSettings {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let listen = fields.required("listen", "an IP address and port");
+        let slots = fields.number("slots", 1..=10_000, Some(8));
+        let service_ms = fields.number("service_ms", 0..=600_000, Some(5));
+        Some(Self {
+            listen: listen?,
+            slots: slots?,
+            service_ms: service_ms?,
+        })
+    }
+}
+
+/// Serves a plain service's stand-in.
+pub async fn run(settings: PlainSettings) -> io::Result<()> {
+    let switches = Switches {
+        down: false,
+        service_ms: settings.service_ms,
+        cut_answers: 0,
+    };
+    let plain = Plain {
+        control: Control::new("plain", switches),
+        slots: Slots::new(settings.slots),
+        runs: RefCell::default(),
+    };
+    server::run(settings.listen, plain).await
+}
+
+impl Standin for Plain {
+    type Switches = Switches;
+
+    fn control(&self) -> &Control<Switches> {
+        &self.control
+    }
+
+    async fn answer(self: Rc<Self>, request: Request<Bytes>) -> Response<Body> {
+        let read = request.method() == Method::GET;
+        if read && request.uri().path() == "/runs" {
+            return json(StatusCode::OK, &*self.runs.borrow());
+        }
+        if self.control.switches().down {
+            return response(StatusCode::SERVICE_UNAVAILABLE, "the service is down");
+        }
+        let _slot = self.slots.acquire().await;
+        self.control.count(if read { "reads" } else { "runs" }, 1);
+        let run = if read { 0 } else { self.record(&request) };
+        let time = Duration::from_millis(self.control.switches().service_ms);
+        compio::time::sleep(time).await;
+        if self.control.change(cut_answer) {
+            return cut();
+        }
+        let echo = serde_json::json!({
+            "path": request.uri().path(),
+            "run": run,
+            "echo": String::from_utf8_lossy(request.body()),
+        });
+        json(StatusCode::OK, &echo)
+    }
+
+    fn forget(&self) {}
+}
+
+impl Plain {
+    /// Counts a run when it starts: one that is cut off has run too.
+    fn record(&self, request: &Request<Bytes>) -> u64 {
+        let key = request.headers().get(header::IDEMPOTENCY_KEY);
+        let key = key.map_or_else(String::new, |key| {
+            String::from_utf8_lossy(key.as_bytes()).into_owned()
+        });
+        let mut runs = self.runs.borrow_mut();
+        let count = runs.entry(key).or_default();
+        *count += 1;
+        *count
+    }
+}
+
+fn cut_answer(switches: &mut Switches) -> bool {
+    let cut = switches.cut_answers > 0;
+    switches.cut_answers -= u32::from(cut);
+    cut
+}
--- /dev/null
+++ b/bins/standin/tests/platform.rs
@@ -0,0 +1,103 @@
+//! The platform's stand-in, called by the platform client.
+
+mod support;
+
+use std::time::Duration;
+
+use platform::{Client, Condition, Error, Put, State};
+use serde_json::json;
+use support::Process;
+
+fn with_platform<F: Future<Output = ()>>(test: impl FnOnce(Process, Client) -> F) {
+    let vms = json!([{"name": "vm1", "domain": "levis", "state": "live"}]);
+    let process = Process::start("platform", json!({"vms": vms}));
+    let client = Client::new(process.address, Duration::from_millis(500));
+    node::run("test", test(process, client)).unwrap();
+}
+
+// Guards against a second writer that wins without having seen the first one's version.
+#[test]
+fn put_conditions() {
+    with_platform(|process, client| async move {
+        let _process = process;
+        let put = async |value, condition| client.put("k", "a/b", &value, condition).await.unwrap();
+        assert_eq!(put(1, Condition::Absent).await, Put::Accepted(1));
+        assert_eq!(put(2, Condition::Absent).await, Put::Conflict(Some(1)));
+        assert_eq!(put(3, Condition::Revision(1)).await, Put::Accepted(2));
+        assert_eq!(put(4, Condition::Revision(1)).await, Put::Conflict(Some(2)));
+        let object = client.get("k", "a/b").await.unwrap().unwrap();
+        assert_eq!((object.revision, object.value.get()), (2, "3"));
+        assert!(client.get("other", "a/b").await.unwrap().is_none());
+        let missing = client.put("k", "none", &1, Condition::Revision(1)).await;
+        assert_eq!(missing.unwrap(), Put::Conflict(None));
+    });
+}
+
+// Guards against watches that miss a change, report it twice, or never end.
+#[test]
+fn watch_changes() {
+    with_platform(|process, client| async move {
+        let _process = process;
+        let wait = Duration::from_millis(300);
+        client.put("k", "a", &1, Condition::Any).await.unwrap();
+        let start = client.list("k").await.unwrap();
+        assert_eq!((start.revision, start.objects.len()), (1, 1));
+        let write = async {
+            compio::time::sleep(Duration::from_millis(50)).await;
+            client.put("other", "x", &1, Condition::Any).await.unwrap();
+            client.put("k", "b", &2, Condition::Any).await.unwrap();
+        };
+        let (changed, ()) = futures::join!(client.watch("k", start.revision, wait), write);
+        let changed = changed.unwrap();
+        assert_eq!(
+            (changed.revision, changed.objects[0].name.as_str()),
+            (3, "b")
+        );
+        let nothing = client.watch("k", changed.revision, wait).await.unwrap();
+        assert_eq!((nothing.revision, nothing.objects.len()), (3, 0));
+    });
+}
+
+// Guards against faults that the stand-in doesn't play as the design page names them.
+#[test]
+fn put_faults() {
+    with_platform(|process, client| async move {
+        let put = async |value| client.put("k", "a", &value, Condition::Any).await;
+        process.switch(json!({"outage": "refuse"})).await;
+        assert!(matches!(put(1).await, Err(Error::Unavailable { .. })));
+        for outage in ["cut", "hang"] {
+            process.switch(json!({"outage": outage})).await;
+            assert!(matches!(put(2).await, Err(Error::Unknown { .. })));
+        }
+        process
+            .switch(json!({"outage": "none", "lose_answers": 1}))
+            .await;
+        assert!(client.get("k", "a").await.unwrap().is_none());
+        assert!(matches!(put(3).await, Err(Error::Unknown { .. })));
+        let object = client.get("k", "a").await.unwrap().unwrap();
+        assert_eq!(object.value.get(), "3");
+        put(4).await.unwrap();
+        process.switch(json!({"stale_reads": true})).await;
+        assert_eq!(
+            client.get("k", "a").await.unwrap().unwrap().revision,
+            object.revision
+        );
+        assert_eq!(process.count("lost_answers").await, 1);
+    });
+}
+
+// Guards against a VM list that can't follow a test's VMs, and against switches that are accepted unread.
+#[test]
+fn vms_states() {
+    with_platform(|process, client| async move {
+        assert_eq!(client.vms().await.unwrap()[0].state, State::Live);
+        let vms = json!([{"name": "vm1", "domain": "levis", "state": "leaving"}]);
+        process.switch(json!({"vms": vms})).await;
+        assert_eq!(client.vms().await.unwrap()[0].state, State::Leaving);
+        let (status, _, _) = process
+            .call("PUT /control", r#"{"outrage": 1}"#)
+            .await
+            .unwrap();
+        assert_eq!(status, 400);
+    });
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -40,4 +40,7 @@
     ACCEPT_FAILED = 110 Warn "accept-failed";
     CONNECTION_FAILED = 111 Debug "connection-failed";
     DRAIN_CUT = 112 Warn "drain-cut";
+    STANDIN_SERVING = 600 Info "standin-serving";
+    STANDIN_SWITCHED = 601 Info "standin-switched";
+    STANDIN_RESTARTED = 602 Info "standin-restarted";
 }
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -17,6 +17,13 @@
     response
 }
 
+/// Returns a response that makes the server end the connection without sending an answer.
+pub fn cut() -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    response.extensions_mut().insert(server::Cut);
+    response
+}
+
 /// Returns a response with `status` and `value` as JSON.
 ///
 /// # Panics
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -1,6 +1,5 @@
 //! The server side: limits, slow senders and graceful shutdown.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
@@ -23,6 +22,11 @@
 /// Wait after a failed accept, for example when no file descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Mark of a response that ends the connection instead of being sent.
+#[derive(Clone, Debug, thiserror::Error)]
+#[error("the handler ended the connection without an answer")]
+pub struct Cut;
+
 /// Limits of a served port.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -34,18 +38,24 @@
     pub receive: Duration,
     /// Time that requests in progress get to finish after a shutdown began.
     pub drain: Duration,
+    /// Time after a shutdown began in which idle connections stay open and their requests are still answered.
+    ///
+    /// Closing an idle connection at the moment when a request is written to it leaves that request's outcome unknown
+    /// to the caller. A port whose callers learn of the shutdown lingers until they have.
+    pub linger: Duration,
     /// Most connections; further ones wait in the listener's backlog.
     pub connections: usize,
 }
 
 impl Default for Limits {
-    /// Returns 16 KB of headers, 4 MB of body, 10 s to receive, 60 s to drain and 4,096 connections.
+    /// Returns 16 KB of headers, 4 MB of body, 10 s to receive, 60 s to drain, no linger and 4,096 connections.
     fn default() -> Self {
         Self {
             header: 16 << 10,
             body: 4 << 20,
             receive: Duration::from_secs(10),
             drain: Duration::from_secs(60),
+            linger: Duration::ZERO,
             connections: 4096,
         }
     }
@@ -125,13 +135,19 @@
 {
     // An error only means that Nagle's algorithm stays on.
     let _ = stream.set_nodelay(true);
+    let stopping = stopped.clone();
     let service = service_fn(|request| {
-        let handler = &handler;
+        let (handler, stopping) = (&handler, &stopping);
         async move {
-            Ok::<_, Infallible>(match receive(request, limits).await {
+            let response = match receive(request, limits).await {
                 Ok(request) => handler(peer, request).await,
                 Err(refusal) => refusal,
-            })
+            };
+            match response.extensions().get::<Cut>() {
+                Some(Cut) => Err(Cut),
+                None if stopping.peek().is_some() => Ok(last(response)),
+                None => Ok(response),
+            }
         }
     });
     let connection = http1::Builder::new()
@@ -143,8 +159,14 @@
     let result = match select(connection.as_mut(), stopped).await {
         Either::Left((result, _)) => result,
         Either::Right(_) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            let lingering = compio::time::timeout(limits.linger, connection.as_mut());
+            match lingering.await {
+                Ok(result) => result,
+                Err(_) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            }
         }
     };
     if let Err(error) = result {
@@ -195,10 +217,14 @@
 }
 
 fn refusal(status: StatusCode) -> Response<Body> {
-    let mut refusal = response(status, "");
-    refusal.headers_mut().insert(
+    last(response(status, ""))
+}
+
+/// Marks the last response of a connection.
+fn last(mut response: Response<Body>) -> Response<Body> {
+    response.headers_mut().insert(
         header::CONNECTION,
         header::HeaderValue::from_static("close"),
     );
-    refusal
+    response
 }
--- a/crates/node/tests/http.rs
+++ b/crates/node/tests/http.rs
@@ -146,6 +146,33 @@
     .unwrap();
 }
 
+// Guards against a planned stop that leaves the outcome of a request on an idle connection unknown.
+#[test]
+fn serve_shutdown_lingers() {
+    node::run("test", async {
+        let listener = node::listen(loopback()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let limits = Limits {
+            linger: Duration::from_millis(200),
+            ..limits()
+        };
+        let (stop, stopped) = futures::channel::oneshot::channel::<()>();
+        let shutdown = async {
+            let _ = stopped.await;
+        };
+        let server = compio::runtime::spawn(serve(listener, limits, handler, shutdown));
+        let client = Client::new();
+        text(&client, address, "/wait/0").await.unwrap();
+        drop(stop);
+        compio::time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(text(&client, address, "/wait/1").await.unwrap(), "/wait/1");
+        let error = text(&client, address, "/wait/2").await.unwrap_err();
+        assert!(matches!(error, Error::NotWritten { .. }), "{error}");
+        assert!(compio::time::timeout(SOON, server).await.is_ok());
+    })
+    .unwrap();
+}
+
 // Guards against a late answer that reaches the next request of the same connection.
 #[test]
 fn client_timeout_not_reused() {
