Transfer weights between agents over HTTP

Cause: the decisions of burst need I/O: manifests, chunks, draws, permits, the engine and the chunk port.

Change: the agent gets the modules transfer and chunk_server. An interrupted draw continues after the bytes received. A stripe whose owner has nothing yet is asked at growing intervals up to 1 s.

--- /dev/null
+++ b/bins/agent/src/chunk_server.rs
@@ -0,0 +1,160 @@
+//! The chunk port: manifests and chunks for other agents.
+//!
+//! `GET /chunks/{manifest digest}/{index}` gives the bytes, a redirect to holders (303) or a time to wait (503).
+//! `GET /manifests/{digest}` gives the manifest as JSON, or 404.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use burst::{Response as Choice, Slot};
+use bytes::Bytes;
+use compio::net::TcpListener;
+use futures::stream;
+use node::http::{self, Body, Limits, Method, Request, Response, StatusCode, json, response};
+use weights::{ChunkIndex, Digest};
+
+use crate::transfer::Holdings;
+
+/// Bytes that are sent before the token bucket is asked again. With whole chunks, a slow link would let one transfer
+/// hold up all others for longer than the stall time.
+const PIECE: usize = 64 << 10;
+
+/// Time to wait that is given for a version whose manifest isn't known here yet: the catalogue takes about 1.5 s.
+const UNKNOWN_WAIT: Duration = Duration::from_millis(300);
+
+/// Serves the chunk port on `listener` until `shutdown` resolves.
+pub async fn serve(
+    listener: TcpListener,
+    holdings: Rc<Holdings>,
+    shutdown: impl Future<Output = ()>,
+) {
+    let handler = move |_: SocketAddr, request: Request<Bytes>| {
+        let answer = answer(&holdings, &request);
+        async move { answer }
+    };
+    let limits = Limits {
+        body: 0,
+        ..Limits::default()
+    };
+    http::serve(listener, limits, handler, shutdown).await;
+}
+
+fn answer(holdings: &Rc<Holdings>, request: &Request<Bytes>) -> Response<Body> {
+    if request.method() != Method::GET {
+        return response(StatusCode::METHOD_NOT_ALLOWED, "only GET is served here\n");
+    }
+    let path: Vec<&str> = request.uri().path().split('/').skip(1).collect();
+    match path[..] {
+        ["manifests", digest] => manifest(holdings, digest),
+        ["chunks", digest, index] => match (digest.parse(), index.parse()) {
+            (Ok(digest), Ok(index)) => chunk(holdings, request, digest, index),
+            _ => not_found(request.uri().path()),
+        },
+        _ => not_found(request.uri().path()),
+    }
+}
+
+fn manifest(holdings: &Holdings, digest: &str) -> Response<Body> {
+    let version = digest
+        .parse()
+        .ok()
+        .and_then(|digest| holdings.version(&digest));
+    match version {
+        Some(version) => json(StatusCode::OK, version.manifest()),
+        None => not_found(digest),
+    }
+}
+
+fn chunk(
+    holdings: &Rc<Holdings>,
+    request: &Request<Bytes>,
+    digest: Digest,
+    index: ChunkIndex,
+) -> Response<Body> {
+    let Some(asker) = asker(request) else {
+        let text = format!(
+            "the header {} is missing or not an address\n",
+            wire::header::CHUNK_ADDRESS
+        );
+        return response(StatusCode::BAD_REQUEST, text);
+    };
+    let Some(version) = holdings.version(&digest) else {
+        return not_yet(UNKNOWN_WAIT);
+    };
+    let Some(chunk) = version.manifest().chunks.get(index as usize).copied() else {
+        return not_found(request.uri().path());
+    };
+    let held = holdings.contains(&chunk);
+    match holdings.uploader.answer(chunk, held, asker, Instant::now()) {
+        Choice::Send(slot) => match holdings.chunk(&chunk) {
+            Some(bytes) => response(StatusCode::OK, paced(holdings, digest, bytes, slot)),
+            None => not_yet(UNKNOWN_WAIT),
+        },
+        Choice::Redirect(holders) => {
+            let holders: Vec<String> = holders.iter().map(SocketAddr::to_string).collect();
+            with_header(
+                StatusCode::SEE_OTHER,
+                wire::header::HOLDERS,
+                &holders.join(","),
+            )
+        }
+        Choice::Wait(time) => not_yet(time),
+    }
+}
+
+fn asker(request: &Request<Bytes>) -> Option<SocketAddr> {
+    let value = request.headers().get(wire::header::CHUNK_ADDRESS)?;
+    value.to_str().ok()?.parse().ok()
+}
+
+/// Returns a body that follows the uplink's bucket. The slot is released when the body ends or is dropped.
+fn paced(holdings: &Rc<Holdings>, version: Digest, bytes: Bytes, slot: Slot) -> Body {
+    let holdings = Rc::clone(holdings);
+    Body::stream(stream::unfold(
+        (bytes, Some(slot)),
+        move |(mut rest, mut slot)| {
+            let holdings = Rc::clone(&holdings);
+            async move {
+                if rest.is_empty() {
+                    if let Some(slot) = slot.take() {
+                        slot.sent(Instant::now());
+                    }
+                    return None;
+                }
+                let piece = rest.split_to(rest.len().min(PIECE));
+                let ticket = holdings.uplink.join(version, piece.len() as u64);
+                while let Err(wait) = ticket.poll(Instant::now()) {
+                    compio::time::sleep(wait).await;
+                }
+                holdings.count(|traffic| traffic.to_peers += piece.len() as u64);
+                Some((io::Result::Ok(piece), (rest, slot)))
+            }
+        },
+    ))
+}
+
+fn not_yet(time: Duration) -> Response<Body> {
+    let ms = time.as_millis().to_string();
+    with_header(
+        StatusCode::SERVICE_UNAVAILABLE,
+        wire::header::RETRY_AFTER_MS,
+        &ms,
+    )
+}
+
+fn not_found(what: &str) -> Response<Body> {
+    response(
+        StatusCode::NOT_FOUND,
+        format!("{what} is not served here\n"),
+    )
+}
+
+fn with_header(status: StatusCode, name: &'static str, value: &str) -> Response<Body> {
+    let mut response = response(status, Body::empty());
+    let value = http::header::HeaderValue::from_str(value)
+        .expect("addresses and numbers are valid header values");
+    response.headers_mut().insert(name, value);
+    response
+}
--- a/bins/agent/src/lib.rs
+++ b/bins/agent/src/lib.rs
@@ -3,9 +3,11 @@
 //! Each module runs one or more tasks of the event loop; they share one [`Shared`]. Decisions are made by the crates
 //! `gate`, `burst` and `claim`; the modules here do their I/O.
 
+pub mod chunk_server;
 pub mod notify;
 pub mod settings;
 pub mod shared;
+pub mod transfer;
 
 pub use notify::Notify;
 pub use settings::Settings;
--- /dev/null
+++ b/bins/agent/src/transfer.rs
@@ -0,0 +1,168 @@
+//! Transfer of weights from other agents and the weight store into the engine.
+//!
+//! [`Transfer`] is the handle that the rest of the agent uses: it says which weights are wanted and who the members
+//! are. [`Worker::run`] does the work: it passes events to [`burst::Downloader`] and performs its actions. Verified
+//! chunks go to the engine and into [`Holdings`], from which [`crate::chunk_server`] serves other agents.
+
+mod fetch;
+mod holdings;
+mod manifest;
+mod permits;
+mod run;
+mod stage;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burst::{Answer, Grant, Members, Peer, RequestId, Stats, StripeIndex, Version};
+use catalog::Plan;
+use futures::channel::mpsc::{UnboundedSender, unbounded};
+use weights::Pin;
+
+pub use holdings::{Holdings, Rates, Traffic};
+pub use run::Worker;
+
+/// Time in which a call to the platform, the engine or a manifest's source must be answered.
+const CALL: Duration = Duration::from_secs(5);
+
+/// What a transfer must know of its VM.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This agent.
+    pub me: Peer,
+    /// Number that differs from that of all earlier processes of this name, for example the start time in
+    /// milliseconds. Permits are taken under name and number, and a permit must not be used by two processes.
+    pub incarnation: u64,
+    /// Address of the weight store.
+    pub store: SocketAddr,
+    /// Address of the engine.
+    pub engine: SocketAddr,
+    /// Most chunks requested at once.
+    pub parallel: usize,
+}
+
+/// Weights that the engine should have.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// The weights.
+    pub pin: Pin,
+    /// What the transfer saves first.
+    pub plan: Plan,
+}
+
+/// State of the current transfer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Progress {
+    /// Chunks of the version; 0 until the manifest is known.
+    pub chunks: u32,
+    /// Chunks that aren't verified yet.
+    pub missing: u32,
+    /// Counters of the transfer.
+    pub stats: Stats,
+}
+
+/// Handle of the transfer task; clones address the same task.
+///
+/// ```no_run
+/// use std::rc::Rc;
+/// use agent::transfer::{Holdings, Rates, Settings, Transfer};
+///
+/// # fn example(settings: Settings, platform: platform::Client, order: agent::transfer::Order) {
+/// let rates = Rates { uplink: 100_000_000, downlink: 100_000_000, inter_region: 2_500_000 };
+/// let holdings = Rc::new(Holdings::new(&rates, 64 << 20, 4));
+/// let on_complete = |pin: &weights::Pin| println!("{pin} is staged");
+/// let (transfer, worker) = Transfer::new(settings, holdings, platform, on_complete);
+/// compio::runtime::spawn(worker.run()).detach();
+/// transfer.set_members(burst::Members::default());
+/// transfer.want(Some(order));
+/// # }
+/// ```
+#[derive(Clone)]
+pub struct Transfer {
+    inputs: UnboundedSender<Input>,
+    progress: Rc<Cell<Progress>>,
+}
+
+/// What the transfer task reacts to. Inputs of an earlier transfer than the current one are ignored.
+enum Input {
+    Want(Option<Order>),
+    Restage,
+    Members(Members),
+    Manifest {
+        transfer: u64,
+        version: Version,
+    },
+    Progress {
+        transfer: u64,
+        request: RequestId,
+    },
+    Answer {
+        transfer: u64,
+        request: RequestId,
+        answer: Answer,
+    },
+    Permit {
+        transfer: u64,
+        stripe: StripeIndex,
+        grant: Grant,
+    },
+    Staged {
+        transfer: u64,
+    },
+}
+
+impl Transfer {
+    /// Returns the handle and the worker, whose [`Worker::run`] must be spawned.
+    ///
+    /// `on_complete` is called each time that every chunk of the wanted weights is verified and staged in the engine.
+    pub fn new(
+        settings: Settings,
+        holdings: Rc<Holdings>,
+        platform: platform::Client,
+        on_complete: impl Fn(&Pin) + 'static,
+    ) -> (Self, Worker) {
+        let (inputs, receiver) = unbounded();
+        let transfer = Self {
+            inputs,
+            progress: Rc::default(),
+        };
+        let worker = Worker::new(
+            settings,
+            holdings,
+            platform,
+            Box::new(on_complete),
+            &transfer,
+            receiver,
+        );
+        (transfer, worker)
+    }
+
+    /// Sets the wanted weights; a running transfer of others stops, and the same order again changes nothing.
+    ///
+    /// Members should be set first: an agent that knows of no others fetches from the origin.
+    pub fn want(&self, order: Option<Order>) {
+        self.send(Input::Want(order));
+    }
+
+    /// Stages the wanted weights anew, after the engine restarted and lost what it had.
+    pub fn restage(&self) {
+        self.send(Input::Restage);
+    }
+
+    /// Sets the live agents that want the same weights, with or without this one.
+    pub fn set_members(&self, members: Members) {
+        self.send(Input::Members(members));
+    }
+
+    /// Returns the state of the current transfer.
+    pub fn progress(&self) -> Progress {
+        self.progress.get()
+    }
+
+    fn send(&self, input: Input) {
+        // Without a worker there is no transfer that could react.
+        let _ = self.inputs.unbounded_send(input);
+    }
+}
--- /dev/null
+++ b/bins/agent/src/transfer/fetch.rs
@@ -0,0 +1,284 @@
+//! Requests for chunks and manifests, to other agents and to the weight store.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use burst::{Answer, Bucket, Version};
+use bytes::{Bytes, BytesMut};
+use node::event;
+use node::http::{self, Body, Client, HeaderMap, Request, StatusCode, header};
+use weights::{ChunkIndex, Digest, Manifest, Pin};
+
+use super::{Holdings, Settings};
+
+/// Time in which each part of an answer must arrive. The downloader gives up stalled requests earlier.
+const PART: Duration = Duration::from_secs(30);
+
+/// Largest manifest that is read, in bytes: 16,384 digests as text are 1.1 MB.
+const MAX_MANIFEST: usize = 2 << 20;
+
+/// Wait when an answer says to wait but not how long.
+const DEFAULT_WAIT: Duration = Duration::from_millis(500);
+
+/// Bytes of interrupted draws, by chunk.
+pub(super) type Partials = Rc<RefCell<HashMap<ChunkIndex, BytesMut>>>;
+
+/// Makes requests for one version.
+pub(super) struct Fetcher {
+    pub(super) settings: Rc<Settings>,
+    pub(super) holdings: Rc<Holdings>,
+    pub(super) http: Client,
+    pub(super) pin: Pin,
+    pub(super) partials: Partials,
+}
+
+/// The received part of a draw; it goes back to the partials when the draw ends early.
+struct Partial {
+    chunk: ChunkIndex,
+    bytes: BytesMut,
+    partials: Partials,
+}
+
+impl Fetcher {
+    /// Requests a chunk of `version` from another agent; `progress` is called for each piece.
+    pub(super) async fn request(
+        &self,
+        version: &Version,
+        chunk: ChunkIndex,
+        peer: SocketAddr,
+        progress: impl Fn(),
+    ) -> Answer {
+        let Some(len) = version.manifest().chunk_len(chunk) else {
+            return Answer::Failed;
+        };
+        let request = Request::get(format!("/chunks/{}/{chunk}", version.digest()))
+            .header(
+                wire::header::CHUNK_ADDRESS,
+                self.settings.me.address.to_string(),
+            )
+            .header(wire::header::DOMAIN, &self.settings.me.domain)
+            .body(Body::empty());
+        let Ok(request) = request else {
+            return Answer::Failed;
+        };
+        let Ok(answer) = self.http.send(peer, request, Instant::now() + PART).await else {
+            return Answer::Failed;
+        };
+        progress();
+        let (parts, body) = answer.into_parts();
+        match parts.status {
+            StatusCode::OK => {
+                let buckets = self.buckets(Some(&peer));
+                let mut bytes = BytesMut::with_capacity(len as usize);
+                match self
+                    .read(body, &mut bytes, len as usize, &buckets, progress)
+                    .await
+                {
+                    Ok(()) => {
+                        self.holdings
+                            .count(|traffic| traffic.from_peers += u64::from(len));
+                        Answer::Bytes(bytes.freeze())
+                    }
+                    Err(_) => Answer::Failed,
+                }
+            }
+            StatusCode::SEE_OTHER => Answer::Holders(holders(&parts.headers)),
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::NOT_FOUND => {
+                Answer::NotYet(wait(&parts.headers))
+            }
+            _ => Answer::Failed,
+        }
+    }
+
+    /// Draws a chunk of `version` from the store, after the bytes of an earlier draw that was interrupted.
+    pub(super) async fn draw(
+        &self,
+        version: &Version,
+        chunk: ChunkIndex,
+        progress: impl Fn(),
+    ) -> Answer {
+        match self.try_draw(version, chunk, progress).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                node::event!(event::DRAW_FAILED, chunk = chunk, error = error);
+                Answer::Failed
+            }
+        }
+    }
+
+    async fn try_draw(
+        &self,
+        version: &Version,
+        chunk: ChunkIndex,
+        progress: impl Fn(),
+    ) -> Result<Answer, Error> {
+        let manifest = version.manifest();
+        let len = manifest.chunk_len(chunk).ok_or(Error::NoChunk(chunk))? as usize;
+        let mut partial = Partial::take(&self.partials, chunk);
+        if partial.bytes.len() < len {
+            let first = manifest.offset(chunk) + partial.bytes.len() as u64;
+            let last = manifest.offset(chunk) + len as u64 - 1;
+            let request = Request::get(format!(
+                "/weights/{}/{}/data",
+                self.pin.model, self.pin.version
+            ))
+            .header(header::RANGE, format!("bytes={first}-{last}"))
+            .body(Body::empty())?;
+            let answer = self
+                .http
+                .send(self.settings.store, request, Instant::now() + PART)
+                .await?;
+            progress();
+            let (parts, body) = answer.into_parts();
+            match parts.status {
+                StatusCode::PARTIAL_CONTENT => {}
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                    return Ok(Answer::NotYet(wait(&parts.headers)));
+                }
+                status => return Err(Error::Status(status)),
+            }
+            let before = partial.bytes.len();
+            let buckets = self.buckets(None);
+            let read = self
+                .read(body, &mut partial.bytes, len, &buckets, progress)
+                .await;
+            let received = (partial.bytes.len() - before) as u64;
+            self.holdings
+                .count(|traffic| traffic.from_origin += received);
+            read?;
+        }
+        Ok(Answer::Bytes(partial.bytes.split().freeze()))
+    }
+
+    /// Fetches the manifest from another agent.
+    pub(super) async fn manifest_from_peer(&self, peer: SocketAddr) -> Result<Version, Error> {
+        self.manifest(peer, &format!("/manifests/{}", self.pin.digest))
+            .await
+    }
+
+    /// Fetches the manifest from the store.
+    pub(super) async fn manifest_from_store(&self) -> Result<Version, Error> {
+        let path = format!("/weights/{}/{}/manifest", self.pin.model, self.pin.version);
+        self.manifest(self.settings.store, &path).await
+    }
+
+    async fn manifest(&self, from: SocketAddr, path: &str) -> Result<Version, Error> {
+        let request = Request::get(path).body(Body::empty())?;
+        let answer = self
+            .http
+            .send(from, request, Instant::now() + super::CALL)
+            .await?;
+        let (parts, body) = answer.into_parts();
+        if parts.status != StatusCode::OK {
+            return Err(Error::Status(parts.status));
+        }
+        let manifest: Manifest = serde_json::from_slice(&body.bytes(MAX_MANIFEST).await?)?;
+        Ok(Version::check(self.pin.digest, manifest)?)
+    }
+
+    /// Reads a body up to `len` bytes in all, at the rate of the buckets.
+    async fn read(
+        &self,
+        mut body: http::Answer,
+        bytes: &mut BytesMut,
+        len: usize,
+        buckets: &[&Bucket],
+        progress: impl Fn(),
+    ) -> Result<(), Error> {
+        loop {
+            body.set_deadline(Instant::now() + PART);
+            let Some(piece) = body.next().await? else {
+                break;
+            };
+            progress();
+            if bytes.len() + piece.len() > len {
+                return Err(Error::Length(bytes.len() + piece.len(), len));
+            }
+            bytes.extend_from_slice(&piece);
+            for bucket in buckets {
+                pace(bucket, self.pin.digest, &piece, &progress).await;
+            }
+        }
+        match bytes.len() {
+            read if read == len => Ok(()),
+            read => Err(Error::Length(read, len)),
+        }
+    }
+
+    /// Returns the buckets of what `peer` sends; the origin (`None`) uses the downlink only.
+    fn buckets(&self, peer: Option<&SocketAddr>) -> Vec<&Bucket> {
+        let mut buckets = vec![&self.holdings.downlink];
+        if peer.is_some_and(|peer| !self.holdings.is_in(&self.settings.me.region, peer)) {
+            buckets.push(&self.holdings.inter_region);
+        }
+        buckets
+    }
+}
+
+impl Partial {
+    fn take(partials: &Partials, chunk: ChunkIndex) -> Self {
+        Self {
+            chunk,
+            bytes: partials.borrow_mut().remove(&chunk).unwrap_or_default(),
+            partials: Rc::clone(partials),
+        }
+    }
+}
+
+impl Drop for Partial {
+    fn drop(&mut self) {
+        if !self.bytes.is_empty() {
+            let bytes = std::mem::take(&mut self.bytes);
+            self.partials.borrow_mut().insert(self.chunk, bytes);
+        }
+    }
+}
+
+/// A fetch that failed.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum Error {
+    #[error("the version has no chunk {0}")]
+    NoChunk(ChunkIndex),
+    #[error("the answer's status is {0}")]
+    Status(StatusCode),
+    #[error("the answer has {0} bytes, but {1} were expected")]
+    Length(usize, usize),
+    #[error(transparent)]
+    Http(#[from] http::Error),
+    #[error("the request is invalid: {0}")]
+    Request(#[from] hyper::http::Error),
+    #[error("the manifest is not valid JSON: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error(transparent)]
+    Version(#[from] burst::Error),
+}
+
+/// Takes the bytes of `piece` out of the bucket. The wait counts as progress: the sender is not to blame for it.
+async fn pace(bucket: &Bucket, version: Digest, piece: &Bytes, progress: &impl Fn()) {
+    let ticket = bucket.join(version, piece.len() as u64);
+    while let Err(wait) = ticket.poll(Instant::now()) {
+        compio::time::sleep(wait.min(Duration::from_millis(500))).await;
+        progress();
+    }
+}
+
+fn holders(headers: &HeaderMap) -> Vec<SocketAddr> {
+    let value = headers
+        .get(wire::header::HOLDERS)
+        .and_then(|value| value.to_str().ok());
+    let addresses = value.unwrap_or("").split(',');
+    addresses
+        .filter_map(|address| address.trim().parse().ok())
+        .collect()
+}
+
+fn wait(headers: &HeaderMap) -> Duration {
+    let number = |name: &str| headers.get(name)?.to_str().ok()?.parse::<u64>().ok();
+    number(wire::header::RETRY_AFTER_MS)
+        .map(Duration::from_millis)
+        .or_else(|| number("retry-after").map(Duration::from_secs))
+        .unwrap_or(DEFAULT_WAIT)
+}
--- /dev/null
+++ b/bins/agent/src/transfer/holdings.rs
@@ -0,0 +1,144 @@
+//! Verified chunks and what the chunk port needs to serve them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use burst::{Bucket, Members, Uploader, Version};
+use bytes::Bytes;
+use weights::{Chunk, Digest, Store};
+
+/// Versions whose manifests are served: the current one and the one before, which other agents may still transfer.
+const VERSIONS: usize = 2;
+
+/// Limits of the chunk traffic of an agent.
+#[derive(Clone, Debug)]
+pub struct Rates {
+    /// Bytes a second sent to other agents; halved while live requests are in progress.
+    pub uplink: u64,
+    /// Bytes a second received.
+    pub downlink: u64,
+    /// Bytes a second received from other regions.
+    pub inter_region: u64,
+}
+
+/// Bytes moved since the start.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Traffic {
+    /// Bytes of chunks from other agents.
+    pub from_peers: u64,
+    /// Bytes of chunks from the weight store.
+    pub from_origin: u64,
+    /// Bytes of chunks to other agents.
+    pub to_peers: u64,
+}
+
+/// Chunks, manifests and token buckets, shared by the transfer and the chunk port.
+pub struct Holdings {
+    /// Rates of the three buckets.
+    pub uplink: Bucket,
+    /// Bucket of all chunks received.
+    pub downlink: Bucket,
+    /// Bucket of chunks received from other regions.
+    pub inter_region: Bucket,
+    /// Upload slots.
+    pub uploader: Uploader,
+    store: RefCell<Store>,
+    versions: RefCell<Vec<Version>>,
+    regions: RefCell<HashMap<SocketAddr, String>>,
+    traffic: Cell<Traffic>,
+}
+
+impl Holdings {
+    /// Returns empty holdings that cache at most `cache` bytes besides the chunks kept for others.
+    pub fn new(rates: &Rates, cache: u64, slots: usize) -> Self {
+        let now = Instant::now();
+        // A tenth of a second's bytes: short enough for live requests, long enough to use the whole rate.
+        let bucket = |rate: u64| Bucket::new(rate as f64, rate as f64 / 10.0, now);
+        Self {
+            uplink: bucket(rates.uplink),
+            downlink: bucket(rates.downlink),
+            inter_region: bucket(rates.inter_region),
+            uploader: Uploader::new(slots),
+            store: RefCell::new(Store::new(cache)),
+            versions: RefCell::default(),
+            regions: RefCell::default(),
+            traffic: Cell::default(),
+        }
+    }
+
+    /// Returns a version whose manifest is held.
+    pub fn version(&self, digest: &Digest) -> Option<Version> {
+        let versions = self.versions.borrow();
+        versions
+            .iter()
+            .find(|version| version.digest() == *digest)
+            .cloned()
+    }
+
+    /// Tells whether the chunk `digest` is held.
+    pub fn contains(&self, digest: &Digest) -> bool {
+        self.store.borrow().contains(digest)
+    }
+
+    /// Returns the content of chunk `digest`.
+    pub fn chunk(&self, digest: &Digest) -> Option<Bytes> {
+        self.store.borrow_mut().get(digest)
+    }
+
+    /// Returns the bytes moved since the start.
+    pub fn traffic(&self) -> Traffic {
+        self.traffic.get()
+    }
+
+    /// Returns the bytes of all chunks held.
+    pub fn bytes(&self) -> u64 {
+        let store = self.store.borrow();
+        store.kept_bytes() + store.cached_bytes()
+    }
+
+    /// Tells whether `peer` is known to be in `region`; strangers count as being elsewhere.
+    pub fn is_in(&self, region: &str, peer: &SocketAddr) -> bool {
+        self.regions
+            .borrow()
+            .get(peer)
+            .is_some_and(|of_peer| of_peer == region)
+    }
+
+    pub(crate) fn add_version(&self, version: &Version) {
+        let mut versions = self.versions.borrow_mut();
+        versions.retain(|held| held.digest() != version.digest());
+        versions.insert(0, version.clone());
+        versions.truncate(VERSIONS);
+        let wanted: std::collections::HashSet<&Digest> = versions
+            .iter()
+            .flat_map(|version| &version.manifest().chunks)
+            .collect();
+        self.uploader.retain_chunks(|chunk| wanted.contains(chunk));
+    }
+
+    pub(crate) fn insert(&self, chunk: Chunk, keep: bool) {
+        self.store.borrow_mut().insert(chunk, keep);
+    }
+
+    pub(crate) fn keep_only(&self, owned: impl Fn(&Digest) -> bool) {
+        self.store.borrow_mut().keep_only(owned);
+    }
+
+    pub(crate) fn set_members(&self, members: &Members) {
+        let regions: HashMap<SocketAddr, String> = members
+            .iter()
+            .map(|peer| (peer.address, peer.region.clone()))
+            .collect();
+        self.uploader
+            .retain(|address| regions.contains_key(address));
+        *self.regions.borrow_mut() = regions;
+    }
+
+    pub(crate) fn count(&self, change: impl FnOnce(&mut Traffic)) {
+        let mut traffic = self.traffic.get();
+        change(&mut traffic);
+        self.traffic.set(traffic);
+    }
+}
--- /dev/null
+++ b/bins/agent/tests/transfer/main.rs
@@ -0,0 +1,149 @@
+//! Transfers between several agents over loopback.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use burst::Peer;
+use bytes::Bytes;
+use catalog::Plan;
+use compio::runtime::spawn;
+use node::http::{Limits, Request, StatusCode, response, serve};
+use support::{CHUNK, data, introduce, listen, order, wait_chunks, wait_complete, with_world};
+use yare::parameterized;
+
+// Guards against more copies from the origin than the plan allows, and against weights that arrive incomplete.
+#[parameterized(
+    origin_bytes = { Plan::OriginBytes, 1 },
+    time_to_replicas = { Plan::TimeToReplicas, 3 },
+    direct = { Plan::Direct, 8 },
+)]
+fn transfer_by_plan(plan: Plan, copies: u64) {
+    with_world(|world| async move {
+        let agents = world.fleet(&["a", "b", "c", "d"], plan);
+        wait_complete(&agents, &world.pin("v1")).await;
+        world.check_staged(&agents, "v1");
+        assert_eq!(world.drawn.get(), copies * world.size("v1"));
+    });
+}
+
+// Guards against a transfer that hangs when an agent dies in its middle, and against a fifth copy by take-over.
+#[parameterized(early = { 5 }, middle = { 100 }, late = { 230 })]
+fn transfer_agent_dies(held: u32) {
+    with_world(|world| async move {
+        let mut agents = world.fleet(&["a", "b", "c"], Plan::OriginBytes);
+        wait_chunks(&agents, held).await;
+        drop(agents.remove(0));
+        wait_complete(&agents, &world.pin("v1")).await;
+        world.check_staged(&agents, "v1");
+        assert!(world.drawn.get() <= 4 * world.size("v1"));
+    });
+}
+
+// Guards against wrong bytes in an engine and against asking a peer that sends them for ever.
+#[test]
+fn transfer_peer_corrupts() {
+    with_world(|world| async move {
+        let (listener, address) = listen();
+        let wrong =
+            |_: SocketAddr, _: Request<Bytes>| async { response(StatusCode::OK, vec![1; CHUNK]) };
+        let _server = spawn(serve(
+            listener,
+            Limits::default(),
+            wrong,
+            std::future::pending(),
+        ));
+        let peer = |name: &str| Peer {
+            name: name.into(),
+            domain: "a".into(),
+            region: "a".into(),
+            address,
+        };
+        let agents = [world.start("a", 0), world.start("a", 1)];
+        introduce(&agents, &[peer("wrong")]);
+        order(&agents, &world.pin("v1"), Plan::OriginBytes);
+        wait_complete(&agents, &world.pin("v1")).await;
+        world.check_staged(&agents, "v1");
+        assert!(
+            agents
+                .iter()
+                .any(|agent| agent.transfer.progress().stats.corrupted > 0)
+        );
+    });
+}
+
+// Guards against a transfer of an old version that goes on, and against fetching equal chunks again.
+#[test]
+fn transfer_version_changes() {
+    with_world(|world| async move {
+        let agents = world.fleet(&["a", "b"], Plan::OriginBytes);
+        wait_complete(&agents, &world.pin("v1")).await;
+        let drawn = world.drawn.get();
+        // 24 of the 48 chunks are those of the first version; a version in between is replaced at once.
+        let between = world.publish("v2", data(1000, 48));
+        let next = world.publish("v3", data(24, 48));
+        order(&agents, &between, Plan::OriginBytes);
+        wait_chunks(&agents, 1).await;
+        let wasted = world.drawn.get();
+        order(&agents, &next, Plan::OriginBytes);
+        wait_complete(&agents, &next).await;
+        world.check_staged(&agents, "v3");
+        assert!(
+            agents
+                .iter()
+                .all(|agent| !agent.complete.borrow().contains(&between))
+        );
+        let half = world.size("v3") / 2;
+        assert!(
+            wasted - drawn < world.size("v2")
+                && world.drawn.get() - wasted <= half + 16 * CHUNK as u64
+        );
+    });
+}
+
+// Guards against draws without a grant, a second grant for a lost answer, and bytes that are drawn again after a
+// connection broke.
+#[test]
+fn transfer_lost_answers() {
+    with_world(|world| async move {
+        world.writes_lost.set(5);
+        world.writes_refused.set(5);
+        world.store_refuses.set(3);
+        world.store_cuts.set(10);
+        let agents = world.fleet(&["a", "b"], Plan::OriginBytes);
+        wait_complete(&agents, &world.pin("v1")).await;
+        world.check_staged(&agents, "v1");
+        assert_eq!(world.objects.borrow().len(), 48);
+        let grants = world
+            .objects
+            .borrow()
+            .values()
+            .all(|(revision, _)| *revision == 1);
+        assert!(grants);
+        assert_eq!(world.drawn.get(), world.size("v1"));
+    });
+}
+
+// Guards against a replacement VM that burdens the origin, and against an engine restart that fetches chunks again.
+#[test]
+fn transfer_replacement() {
+    with_world(|world| async move {
+        let mut agents = world.fleet(&["a"], Plan::OriginBytes);
+        wait_complete(&agents, &world.pin("v1")).await;
+        agents.push(world.start("a", 2));
+        introduce(&agents, &[]);
+        order(&agents, &world.pin("v1"), Plan::OriginBytes);
+        wait_complete(&agents, &world.pin("v1")).await;
+        world.check_staged(&agents, "v1");
+        let traffic = agents[2].holdings.traffic();
+        agents[2].engine.staged.borrow_mut().clear();
+        agents[2].transfer.restage();
+        while agents[2].complete.borrow().len() < 2 {
+            compio::time::sleep(Duration::from_millis(5)).await;
+        }
+        world.check_staged(&agents, "v1");
+        assert_eq!(agents[2].holdings.traffic().from_peers, traffic.from_peers);
+        assert_eq!(world.drawn.get(), world.size("v1"));
+    });
+}
--- /dev/null
+++ b/bins/agent/tests/transfer/support.rs
@@ -0,0 +1,343 @@
+//! Agents' transfer parts in one process, with a small store, platform and engines on loopback.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use agent::chunk_server;
+use agent::transfer::{Holdings, Order, Rates, Settings, Transfer};
+use burst::{Members, Peer};
+use bytes::Bytes;
+use catalog::Plan;
+use compio::runtime::{JoinHandle, spawn};
+use node::http::{
+    Body, Limits, Method, Request, Response, StatusCode, header, json, response, serve,
+};
+use weights::{Digest, Manifest, Pin};
+
+pub const CHUNK: usize = 16 << 10;
+
+/// Store and platform behind one port.
+#[derive(Default)]
+pub struct World {
+    pub address: Cell<Option<SocketAddr>>,
+    pub versions: RefCell<HashMap<String, (Manifest, Vec<u8>)>>,
+    pub objects: RefCell<BTreeMap<String, (u64, Bytes)>>,
+    pub drawn: Cell<u64>,
+    /// Draws that get 503 before the store works.
+    pub store_refuses: Cell<u32>,
+    /// Draws that break off after half of the bytes.
+    pub store_cuts: Cell<u32>,
+    /// Writes that take effect without an answer.
+    pub writes_lost: Cell<u32>,
+    /// Writes that get 503.
+    pub writes_refused: Cell<u32>,
+}
+
+/// What the engine of an agent was given.
+#[derive(Default)]
+pub struct Engine {
+    pub staged: RefCell<HashSet<(Digest, u32)>>,
+    pub manifests: RefCell<HashMap<Digest, Manifest>>,
+}
+
+pub struct Agent {
+    pub peer: Peer,
+    pub transfer: Transfer,
+    pub holdings: Rc<Holdings>,
+    pub engine: Rc<Engine>,
+    pub complete: Rc<RefCell<Vec<Pin>>>,
+    _tasks: [JoinHandle<()>; 3],
+}
+
+/// Takes one off `count`, if there is one.
+fn take(count: &Cell<u32>) -> bool {
+    let before = count.get();
+    count.set(before.saturating_sub(1));
+    before > 0
+}
+
+pub fn data(seed: u64, chunks: usize) -> Vec<u8> {
+    let block = |n: u64| (seed + n).to_le_bytes().repeat(CHUNK / 8);
+    (0..chunks as u64).flat_map(block).collect()
+}
+
+pub fn listen() -> (compio::net::TcpListener, SocketAddr) {
+    let listener = node::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// Runs `test` with a store that holds version `v1` of 48 chunks.
+pub fn with_world<F: Future<Output = ()>>(test: impl FnOnce(Rc<World>) -> F) {
+    node::run("test", async {
+        let world = Rc::new(World::default());
+        world.publish("v1", data(0, 48));
+        let (listener, address) = listen();
+        world.address.set(Some(address));
+        let handler = {
+            let world = Rc::clone(&world);
+            move |_: SocketAddr, request: Request<Bytes>| {
+                let world = Rc::clone(&world);
+                async move { world.answer(&request).await }
+            }
+        };
+        let server = spawn(serve(
+            listener,
+            Limits::default(),
+            handler,
+            std::future::pending(),
+        ));
+        test(world).await;
+        drop(server);
+    })
+    .unwrap();
+}
+
+impl World {
+    pub fn publish(&self, version: &str, data: Vec<u8>) -> Pin {
+        let manifest = Manifest::build(&data, CHUNK as u32);
+        let pin = Pin::new("m", version, manifest.digest());
+        self.versions
+            .borrow_mut()
+            .insert(version.into(), (manifest, data));
+        pin
+    }
+
+    pub fn pin(&self, version: &str) -> Pin {
+        Pin::new("m", version, self.versions.borrow()[version].0.digest())
+    }
+
+    pub fn size(&self, version: &str) -> u64 {
+        self.versions.borrow()[version].1.len() as u64
+    }
+
+    async fn answer(&self, request: &Request<Bytes>) -> Response<Body> {
+        let path: Vec<&str> = request.uri().path().split('/').skip(1).collect();
+        match path[..] {
+            ["weights", _, version, "manifest"] => {
+                json(StatusCode::OK, &self.versions.borrow()[version].0)
+            }
+            ["weights", _, version, "data"] => self.draw(version, request),
+            ["objects", ..] => self.object(request).await,
+            _ => response(StatusCode::NOT_FOUND, ""),
+        }
+    }
+
+    fn draw(&self, version: &str, request: &Request<Bytes>) -> Response<Body> {
+        if take(&self.store_refuses) {
+            return response(StatusCode::SERVICE_UNAVAILABLE, "");
+        }
+        let range = request.headers()[header::RANGE]
+            .to_str()
+            .unwrap()
+            .trim_start_matches("bytes=")
+            .to_owned();
+        let (first, last) = range.split_once('-').unwrap();
+        let bytes = self.versions.borrow()[version].1
+            [first.parse().unwrap()..=last.parse().unwrap()]
+            .to_vec();
+        if take(&self.store_cuts) {
+            let half = Bytes::from(bytes[..bytes.len() / 2].to_vec());
+            self.drawn.set(self.drawn.get() + half.len() as u64);
+            let cut = futures::stream::unfold(Some(half), |half| async {
+                match half {
+                    Some(half) => Some((Ok(half), None)),
+                    None => {
+                        // The first half must have left before the connection breaks, else it wasn't drawn.
+                        compio::time::sleep(Duration::from_millis(20)).await;
+                        Some((Err(std::io::ErrorKind::UnexpectedEof.into()), None))
+                    }
+                }
+            });
+            return response(StatusCode::PARTIAL_CONTENT, Body::stream(cut));
+        }
+        self.drawn.set(self.drawn.get() + bytes.len() as u64);
+        response(StatusCode::PARTIAL_CONTENT, bytes)
+    }
+
+    async fn object(&self, request: &Request<Bytes>) -> Response<Body> {
+        let name = request.uri().path().to_owned();
+        let write = request.method() == Method::PUT;
+        if write && take(&self.writes_refused) {
+            return response(StatusCode::SERVICE_UNAVAILABLE, "");
+        }
+        let held = self.objects.borrow().get(&name).cloned();
+        let revision = held.as_ref().map_or(0, |held| held.0);
+        let tagged = |status, revision: u64, body: Bytes| {
+            let mut answer = response(status, body);
+            answer
+                .headers_mut()
+                .insert(header::ETAG, format!("\"{revision}\"").parse().unwrap());
+            answer
+        };
+        if !write {
+            return held.map_or(response(StatusCode::NOT_FOUND, ""), |held| {
+                tagged(StatusCode::OK, held.0, held.1)
+            });
+        }
+        let matches = match request.headers().get(header::IF_MATCH) {
+            Some(tag) => *tag == format!("\"{revision}\"") && revision > 0,
+            None => revision == 0,
+        };
+        if !matches {
+            return tagged(StatusCode::PRECONDITION_FAILED, revision, Bytes::new());
+        }
+        self.objects
+            .borrow_mut()
+            .insert(name, (revision + 1, request.body().clone()));
+        if take(&self.writes_lost) {
+            return response(StatusCode::BAD_GATEWAY, "");
+        }
+        tagged(StatusCode::OK, revision + 1, Bytes::new())
+    }
+
+    /// Starts an agent of `domain`, not yet knowing the members.
+    pub fn start(&self, domain: &str, number: usize) -> Agent {
+        let (listener, address) = listen();
+        let (engine_listener, engine_address) = listen();
+        let engine = Rc::new(Engine::default());
+        let handler = {
+            let engine = Rc::clone(&engine);
+            move |_: SocketAddr, request: Request<Bytes>| {
+                let answer = engine.put(&request);
+                async move { answer }
+            }
+        };
+        let limits = Limits::default();
+        let engine_task = spawn(serve(
+            engine_listener,
+            limits,
+            handler,
+            std::future::pending(),
+        ));
+        let rates = Rates {
+            uplink: 200 << 20,
+            downlink: 200 << 20,
+            inter_region: 200 << 20,
+        };
+        let holdings = Rc::new(Holdings::new(&rates, 1 << 30, 2));
+        let peer = Peer {
+            name: format!("{domain}-{number}"),
+            domain: domain.into(),
+            region: domain.into(),
+            address,
+        };
+        let world = self.address.get().unwrap();
+        let settings = Settings {
+            me: peer.clone(),
+            incarnation: 1,
+            store: world,
+            engine: engine_address,
+            parallel: 8,
+        };
+        let platform = platform::Client::new(world, Duration::from_secs(1));
+        let complete: Rc<RefCell<Vec<Pin>>> = Rc::default();
+        let on_complete = {
+            let complete = Rc::clone(&complete);
+            move |pin: &Pin| complete.borrow_mut().push(pin.clone())
+        };
+        let (transfer, worker) =
+            Transfer::new(settings, Rc::clone(&holdings), platform, on_complete);
+        let server = chunk_server::serve(listener, Rc::clone(&holdings), std::future::pending());
+        Agent {
+            peer,
+            transfer,
+            holdings,
+            engine,
+            complete,
+            _tasks: [spawn(worker.run()), spawn(server), engine_task],
+        }
+    }
+
+    /// Starts 2 agents in each domain and orders `v1`.
+    pub fn fleet(&self, domains: &[&str], plan: Plan) -> Vec<Agent> {
+        let agents: Vec<Agent> = domains
+            .iter()
+            .flat_map(|domain| (0..2).map(|number| self.start(domain, number)))
+            .collect();
+        introduce(&agents, &[]);
+        order(&agents, &self.pin("v1"), plan);
+        agents
+    }
+
+    /// Asserts that each engine got all chunks of `version`.
+    pub fn check_staged(&self, agents: &[Agent], version: &str) {
+        let chunks = self.versions.borrow()[version].0.chunks.len() as u32;
+        let digest = self.pin(version).digest;
+        for agent in agents {
+            let staged = agent.engine.staged.borrow();
+            assert!(
+                (0..chunks).all(|chunk| staged.contains(&(digest, chunk))),
+                "{} lacks chunks",
+                agent.peer.name
+            );
+        }
+    }
+}
+
+/// Tells all agents of each other and of `others`.
+pub fn introduce(agents: &[Agent], others: &[Peer]) {
+    let peers = agents.iter().map(|agent| &agent.peer).chain(others);
+    let members = Members::new(peers.cloned());
+    for agent in agents {
+        agent.transfer.set_members(members.clone());
+    }
+}
+
+pub fn order(agents: &[Agent], pin: &Pin, plan: Plan) {
+    for agent in agents {
+        let pin = pin.clone();
+        agent.transfer.want(Some(Order { pin, plan }));
+    }
+}
+
+/// Waits until all agents have `pin` complete as their last one; at most 30 s.
+pub async fn wait_complete(agents: &[Agent], pin: &Pin) {
+    let deadline = Instant::now() + Duration::from_secs(30);
+    let done = |agent: &Agent| agent.complete.borrow().last() == Some(pin);
+    while !agents.iter().all(done) {
+        let state: Vec<_> = agents
+            .iter()
+            .map(|agent| (&agent.peer.name, agent.transfer.progress()))
+            .collect();
+        assert!(Instant::now() < deadline, "not complete: {state:?}");
+        compio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Waits until the agents hold `count` chunks in all.
+pub async fn wait_chunks(agents: &[Agent], count: u32) {
+    let held = |agent: &Agent| agent.transfer.progress().chunks - agent.transfer.progress().missing;
+    while agents.iter().map(held).sum::<u32>() < count {
+        compio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+impl Engine {
+    /// Takes parts of a version; a chunk that differs from the manifest fails the test.
+    fn put(&self, request: &Request<Bytes>) -> Response<Body> {
+        let path: Vec<&str> = request.uri().path().split('/').skip(1).collect();
+        match path[..] {
+            ["weights", digest, "manifest"] => {
+                let manifest: Manifest = serde_json::from_slice(request.body()).unwrap();
+                assert_eq!(manifest.digest().to_string(), digest);
+                self.manifests
+                    .borrow_mut()
+                    .insert(manifest.digest(), manifest);
+            }
+            ["weights", digest, "chunks", index] => {
+                let (digest, index) = (digest.parse().unwrap(), index.parse().unwrap());
+                assert!(
+                    self.manifests.borrow()[&digest].verify(index, request.body()),
+                    "a wrong chunk was staged"
+                );
+                self.staged.borrow_mut().insert((digest, index));
+            }
+            _ => panic!("unexpected path {path:?}"),
+        }
+        response(StatusCode::OK, "")
+    }
+}
--- a/crates/burst/src/choice.rs
+++ b/crates/burst/src/choice.rs
@@ -24,6 +24,10 @@
 /// Bounds of the time to wait that a peer may ask for.
 const WAIT_BOUNDS: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(5));
 
+/// First and longest pause of a stripe whose owner has nothing yet. Without the growth, agents that wait for a slow
+/// origin would poll each stripe some 20 times a second.
+const MISS_PAUSE: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
+
 /// Least time between requests to the peers of a stripe that can't be drawn.
 const SEARCH_PAUSE: Duration = Duration::from_millis(200);
 
@@ -99,6 +103,8 @@
     permit: Permit,
     probed: bool,
     turn: usize,
+    /// "Not yet" answers since the last chunk.
+    misses: u32,
 }
 
 enum Choice {
@@ -133,6 +139,7 @@
             permit: Permit::NEW,
             probed: false,
             turn: 0,
+            misses: 0,
         };
         let mut lanes: Vec<Lane> = (0..stripes.count()).map(lane).collect();
         for chunk in missing {
@@ -231,7 +238,9 @@
 
     pub(crate) fn received(&mut self, chunk: ChunkIndex, kind: Kind) {
         self.holders.remove(&chunk);
-        self.lane(chunk).pending.retain(|pending| *pending != chunk);
+        let lane = self.lane(chunk);
+        lane.pending.retain(|pending| *pending != chunk);
+        lane.misses = 0;
         if matches!(kind, Kind::Draw(_)) {
             self.store.reset();
         }
@@ -268,7 +277,13 @@
     pub(crate) fn not_yet(&mut self, chunk: ChunkIndex, kind: Kind, time: Duration, now: Instant) {
         let time = time.clamp(WAIT_BOUNDS.0, WAIT_BOUNDS.1);
         match kind {
-            Kind::Owner | Kind::Upstream => self.lane(chunk).wait = Some(now + time),
+            Kind::Owner | Kind::Upstream => {
+                let lane = self.lane(chunk);
+                let backoff = MISS_PAUSE.0 * 2u32.pow(lane.misses.min(10));
+                // Parallel requests that miss at the same time count once.
+                lane.misses += u32::from(lane.wait.is_none_or(|wait| wait <= now));
+                lane.wait = Some(now + time.max(backoff.min(MISS_PAUSE.1)));
+            }
             Kind::Holder => self.hop(chunk, now),
             Kind::Probe => self.lane(chunk).probed = true,
             Kind::Search => {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -40,4 +40,11 @@
     ACCEPT_FAILED = 110 Warn "accept-failed";
     CONNECTION_FAILED = 111 Debug "connection-failed";
     DRAIN_CUT = 112 Warn "drain-cut";
+    TRANSFER_STARTED = 350 Info "transfer-started";
+    TRANSFER_COMPLETE = 351 Info "transfer-complete";
+    MANIFEST_FAILED = 352 Warn "manifest-failed";
+    PERMIT_FAILED = 353 Warn "permit-failed";
+    STAGE_FAILED = 354 Warn "stage-failed";
+    CHUNK_CORRUPTED = 355 Warn "chunk-corrupted";
+    DRAW_FAILED = 356 Warn "draw-failed";
 }
