Keep redirects within a region and defer orders until members are known

Cause: a redirect could send an agent over the link between regions for a chunk that its own region holds, slow transfers to other regions could take all upload slots, and an agent that knew of no members would have taken itself for the owner of every stripe and spent its permits.

Change: Uploader::answer takes an Asker with its nearness; far askers get half of the slots and near ones only near holders. The transfer waits for the first set_members.

Conclusion: covered by answer_far and the loopback tests.

--- a/bins/agent/src/chunk_server.rs
+++ b/bins/agent/src/chunk_server.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use burst::{Response as Choice, Slot};
+use burst::{Asker, Response as Choice, Slot};
 use bytes::Bytes;
 use compio::net::TcpListener;
 use futures::stream;
@@ -73,7 +73,7 @@
     digest: Digest,
     index: ChunkIndex,
 ) -> Response<Body> {
-    let Some(asker) = asker(request) else {
+    let Some(asker) = asker(holdings, request) else {
         let text = format!(
             "the header {} is missing or not an address\n",
             wire::header::CHUNK_ADDRESS
@@ -104,9 +104,13 @@
     }
 }
 
-fn asker(request: &Request<Bytes>) -> Option<SocketAddr> {
+fn asker(holdings: &Holdings, request: &Request<Bytes>) -> Option<Asker> {
     let value = request.headers().get(wire::header::CHUNK_ADDRESS)?;
-    value.to_str().ok()?.parse().ok()
+    let address = value.to_str().ok()?.parse().ok()?;
+    Some(Asker {
+        address,
+        near: holdings.is_near(&address),
+    })
 }
 
 /// Returns a body that follows the uplink's bucket. The slot is released when the body ends or is dropped.
--- a/bins/agent/src/transfer.rs
+++ b/bins/agent/src/transfer.rs
@@ -71,7 +71,7 @@
 ///
 /// # fn example(settings: Settings, platform: platform::Client, order: agent::transfer::Order) {
 /// let rates = Rates { uplink: 100_000_000, downlink: 100_000_000, inter_region: 2_500_000 };
-/// let holdings = Rc::new(Holdings::new(&rates, 64 << 20, 4));
+/// let holdings = Rc::new(Holdings::new(&settings.me.region, &rates, 64 << 20, 4));
 /// let on_complete = |pin: &weights::Pin| println!("{pin} is staged");
 /// let (transfer, worker) = Transfer::new(settings, holdings, platform, on_complete);
 /// compio::runtime::spawn(worker.run()).detach();
@@ -141,7 +141,8 @@
 
     /// Sets the wanted weights; a running transfer of others stops, and the same order again changes nothing.
     ///
-    /// Members should be set first: an agent that knows of no others fetches from the origin.
+    /// Nothing is fetched before the members were set once: an agent that knows of no others would take itself for the
+    /// owner of all stripes and spend their permits.
     pub fn want(&self, order: Option<Order>) {
         self.send(Input::Want(order));
     }
--- a/bins/agent/src/transfer/fetch.rs
+++ b/bins/agent/src/transfer/fetch.rs
@@ -211,7 +211,7 @@
     /// Returns the buckets of what `peer` sends; the origin (`None`) uses the downlink only.
     fn buckets(&self, peer: Option<&SocketAddr>) -> Vec<&Bucket> {
         let mut buckets = vec![&self.holdings.downlink];
-        if peer.is_some_and(|peer| !self.holdings.is_in(&self.settings.me.region, peer)) {
+        if peer.is_some_and(|peer| !self.holdings.is_near(peer)) {
             buckets.push(&self.holdings.inter_region);
         }
         buckets
--- a/bins/agent/src/transfer/holdings.rs
+++ b/bins/agent/src/transfer/holdings.rs
@@ -46,13 +46,14 @@
     pub uploader: Uploader,
     store: RefCell<Store>,
     versions: RefCell<Vec<Version>>,
+    region: String,
     regions: RefCell<HashMap<SocketAddr, String>>,
     traffic: Cell<Traffic>,
 }
 
 impl Holdings {
-    /// Returns empty holdings that cache at most `cache` bytes besides the chunks kept for others.
-    pub fn new(rates: &Rates, cache: u64, slots: usize) -> Self {
+    /// Returns empty holdings of an agent in `region` that cache at most `cache` bytes besides the chunks kept for others.
+    pub fn new(region: &str, rates: &Rates, cache: u64, slots: usize) -> Self {
         let now = Instant::now();
         // A tenth of a second's bytes: short enough for live requests, long enough to use the whole rate.
         let bucket = |rate: u64| Bucket::new(rate as f64, rate as f64 / 10.0, now);
@@ -63,6 +64,7 @@
             uploader: Uploader::new(slots),
             store: RefCell::new(Store::new(cache)),
             versions: RefCell::default(),
+            region: region.into(),
             regions: RefCell::default(),
             traffic: Cell::default(),
         }
@@ -98,12 +100,9 @@
         store.kept_bytes() + store.cached_bytes()
     }
 
-    /// Tells whether `peer` is known to be in `region`; strangers count as being elsewhere.
-    pub fn is_in(&self, region: &str, peer: &SocketAddr) -> bool {
-        self.regions
-            .borrow()
-            .get(peer)
-            .is_some_and(|of_peer| of_peer == region)
+    /// Tells whether `peer` is known to be in this agent's region; strangers count as being elsewhere.
+    pub fn is_near(&self, peer: &SocketAddr) -> bool {
+        self.regions.borrow().get(peer) == Some(&self.region)
     }
 
     pub(crate) fn add_version(&self, version: &Version) {
--- a/bins/agent/src/transfer/run.rs
+++ b/bins/agent/src/transfer/run.rs
@@ -28,6 +28,10 @@
     handle: Transfer,
     receiver: UnboundedReceiver<Input>,
     members: Members,
+    /// Whether the members were set once.
+    introduced: bool,
+    /// Order that waits for the members.
+    deferred: Option<Order>,
     /// Number of the current transfer.
     transfer: u64,
     current: Option<Current>,
@@ -83,6 +87,8 @@
             handle: handle.clone(),
             receiver,
             members: Members::default(),
+            introduced: false,
+            deferred: None,
             transfer: 0,
             current: None,
         }
@@ -117,6 +123,7 @@
 
     fn handle(&mut self, input: Input) {
         match input {
+            Input::Want(order) if !self.introduced => self.deferred = order,
             Input::Want(order)
                 if self.current.as_ref().map(|current| &current.order) == order.as_ref() => {}
             Input::Want(order) => self.begin(order),
@@ -287,6 +294,10 @@
         self.update(|downloader, now| downloader.set_members(&members, now));
         self.members = members;
         self.keep_owned();
+        self.introduced = true;
+        if let Some(order) = self.deferred.take() {
+            self.begin(Some(order));
+        }
     }
 
     /// Passes an event to the downloader and performs its actions.
--- a/bins/agent/tests/transfer/support.rs
+++ b/bins/agent/tests/transfer/support.rs
@@ -218,7 +218,7 @@
             downlink: 200 << 20,
             inter_region: 200 << 20,
         };
-        let holdings = Rc::new(Holdings::new(&rates, 1 << 30, 2));
+        let holdings = Rc::new(Holdings::new(domain, &rates, 1 << 30, 2));
         let peer = Peer {
             name: format!("{domain}-{number}"),
             domain: domain.into(),
--- a/crates/burst/src/lib.rs
+++ b/crates/burst/src/lib.rs
@@ -24,5 +24,5 @@
 pub use draw::Grant;
 pub use members::{Members, Peer};
 pub use stripes::{MAX_STRIPES, StripeIndex, Stripes};
-pub use uploader::{MAX_HOLDERS, Response, Slot, Uploader};
+pub use uploader::{Asker, MAX_HOLDERS, Response, Slot, Uploader};
 pub use version::{Error, Version};
--- a/crates/burst/src/uploader.rs
+++ b/crates/burst/src/uploader.rs
@@ -25,14 +25,17 @@
 /// A chunk that is not held gets "not yet". While all slots are busy, askers are sent to agents that have received the
 /// chunk, those first that were named least often, so each chunk spreads over a tree that follows the load.
 ///
+/// Askers in other regions get at most half of the slots, because their transfers are slow, and an asker in the own
+/// region is never sent to another region, whose link is shared by all traffic.
+///
 /// ```
 /// use std::time::Instant;
-/// use burst::{Response, Uploader};
+/// use burst::{Asker, Response, Uploader};
 ///
 /// let now = Instant::now();
 /// let uploader = Uploader::new(1);
 /// let chunk = weights::Digest::of(b"chunk");
-/// let [a, b] = [1, 2].map(|port| ([127, 0, 0, 1], port).into());
+/// let [a, b] = [1, 2].map(|port| Asker { address: ([127, 0, 0, 1], port).into(), near: true });
 /// let Response::Send(slot) = uploader.answer(chunk, true, a, now) else { panic!() };
 /// assert!(matches!(uploader.answer(chunk, true, b, now), Response::Wait(_)));
 /// slot.sent(now);
@@ -45,18 +48,29 @@
 struct Inner {
     slots: usize,
     busy: usize,
-    /// Moving average of the time that sending a chunk took.
+    /// Slots in use for askers in other regions.
+    far: usize,
+    /// Moving average of the time that sending a chunk within the region took.
     pace: Option<Duration>,
     receivers: HashMap<Digest, Vec<Receiver>>,
 }
 
 #[derive(Debug)]
 struct Receiver {
-    address: SocketAddr,
+    asker: Asker,
     /// How often redirects named this receiver for this chunk.
     named: u32,
 }
 
+/// An agent that asks for a chunk.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Asker {
+    /// Address of its chunk port.
+    pub address: SocketAddr,
+    /// Whether it is in the uploader's region.
+    pub near: bool,
+}
+
 /// What an asker gets.
 #[derive(Debug)]
 pub enum Response {
@@ -73,7 +87,7 @@
 pub struct Slot {
     uploader: Uploader,
     chunk: Digest,
-    asker: SocketAddr,
+    asker: Asker,
     since: Instant,
 }
 
@@ -83,6 +97,7 @@
         Self(Rc::new(RefCell::new(Inner {
             slots,
             busy: 0,
+            far: 0,
             pace: None,
             receivers: HashMap::new(),
         })))
@@ -94,10 +109,11 @@
     }
 
     /// Answers a request of `asker` for `chunk`; `held` tells whether the chunk can be sent.
-    pub fn answer(&self, chunk: Digest, held: bool, asker: SocketAddr, now: Instant) -> Response {
+    pub fn answer(&self, chunk: Digest, held: bool, asker: Asker, now: Instant) -> Response {
         let mut inner = self.0.borrow_mut();
-        if held && inner.busy < inner.slots {
+        if held && inner.has_slot(asker) {
             inner.busy += 1;
+            inner.far += usize::from(!asker.near);
             return Response::Send(Slot {
                 uploader: self.clone(),
                 chunk,
@@ -116,7 +132,7 @@
     /// Forgets receivers that `live` rejects, so that redirects don't name them.
     pub fn retain(&self, live: impl Fn(&SocketAddr) -> bool) {
         for receivers in self.0.borrow_mut().receivers.values_mut() {
-            receivers.retain(|receiver| live(&receiver.address));
+            receivers.retain(|receiver| live(&receiver.asker.address));
         }
     }
 
@@ -133,15 +149,17 @@
     /// Releases the slot after the whole chunk was sent and remembers the asker as a holder.
     pub fn sent(self, now: Instant) {
         let mut inner = self.uploader.0.borrow_mut();
-        let took = now.saturating_duration_since(self.since);
-        inner.pace = Some(inner.pace.map_or(took, |pace| (pace * 7 + took) / 8));
+        if self.asker.near {
+            let took = now.saturating_duration_since(self.since);
+            inner.pace = Some(inner.pace.map_or(took, |pace| (pace * 7 + took) / 8));
+        }
         let receivers = inner.receivers.entry(self.chunk).or_default();
-        receivers.retain(|receiver| receiver.address != self.asker);
+        receivers.retain(|receiver| receiver.asker.address != self.asker.address);
         if receivers.len() == REMEMBERED {
             receivers.remove(0);
         }
         receivers.push(Receiver {
-            address: self.asker,
+            asker: self.asker,
             named: 0,
         });
     }
@@ -149,19 +167,26 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.uploader.0.borrow_mut().busy -= 1;
+        let mut inner = self.uploader.0.borrow_mut();
+        inner.busy -= 1;
+        inner.far -= usize::from(!self.asker.near);
     }
 }
 
 impl Inner {
-    fn name_holders(&mut self, chunk: Digest, asker: SocketAddr) -> Vec<SocketAddr> {
+    fn has_slot(&self, asker: Asker) -> bool {
+        self.busy < self.slots && (asker.near || self.far < (self.slots / 2).max(1))
+    }
+
+    fn name_holders(&mut self, chunk: Digest, asker: Asker) -> Vec<SocketAddr> {
         let Some(receivers) = self.receivers.get_mut(&chunk) else {
             return Vec::new();
         };
         let mut order: Vec<&mut Receiver> = receivers
             .iter_mut()
             .rev()
-            .filter(|receiver| receiver.address != asker)
+            .filter(|receiver| receiver.asker.address != asker.address)
+            .filter(|receiver| receiver.asker.near || !asker.near)
             .collect();
         order.sort_by_key(|receiver| receiver.named);
         order
@@ -169,7 +194,7 @@
             .take(MAX_HOLDERS)
             .map(|receiver| {
                 receiver.named += 1;
-                receiver.address
+                receiver.asker.address
             })
             .collect()
     }
--- a/crates/burst/tests/burst/sharing.rs
+++ b/crates/burst/tests/burst/sharing.rs
@@ -3,13 +3,20 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use burst::{Bucket, Response, Uploader};
+use burst::{Asker, Bucket, Response, Uploader};
 use weights::Digest;
 
-fn asker(number: u16) -> SocketAddr {
+fn address(number: u16) -> SocketAddr {
     ([127, 0, 0, 1], number + 1).into()
 }
 
+fn asker(number: u16) -> Asker {
+    Asker {
+        address: address(number),
+        near: number < 1000,
+    }
+}
+
 fn redirect(response: Response) -> Vec<SocketAddr> {
     match response {
         Response::Redirect(holders) => holders,
@@ -49,10 +56,35 @@
     named.sort();
     named.dedup();
     assert_eq!(named.len(), 8);
-    uploader.retain(|peer| *peer == asker(3) || *peer == asker(4));
+    uploader.retain(|peer| *peer == address(3) || *peer == address(4));
     assert_eq!(
         redirect(uploader.answer(chunk, true, asker(3), now)),
-        [asker(4)]
+        [address(4)]
+    );
+}
+
+// Guards against slow transfers to other regions that take all slots, and against sending a near asker there.
+#[test]
+fn answer_far() {
+    let (uploader, now, chunk) = (Uploader::new(2), Instant::now(), Digest::of(b"c"));
+    let Response::Send(slot) = uploader.answer(chunk, true, asker(1000), now) else {
+        panic!("no slot");
+    };
+    assert!(matches!(
+        uploader.answer(chunk, true, asker(1001), now),
+        Response::Wait(_)
+    ));
+    let _near = uploader.answer(chunk, true, asker(0), now);
+    slot.sent(now);
+    let _second = uploader.answer(chunk, true, asker(1), now);
+    assert_eq!(uploader.busy(), 2);
+    assert!(matches!(
+        uploader.answer(chunk, true, asker(2), now),
+        Response::Wait(_)
+    ));
+    assert_eq!(
+        redirect(uploader.answer(chunk, true, asker(1001), now)),
+        [address(1000)]
     );
 }
 
--- a/crates/burst/tests/burst/support.rs
+++ b/crates/burst/tests/burst/support.rs
@@ -5,7 +5,8 @@
 
 use burst::permit::{Decision, Draws};
 use burst::{
-    Action, Answer, Downloader, Grant, Members, Peer, Response, Setup, Source, Uploader, Version,
+    Action, Answer, Asker, Downloader, Grant, Members, Peer, Response, Setup, Source, Uploader,
+    Version,
 };
 use catalog::Plan;
 use weights::{Chunk, Manifest, Store};
@@ -212,7 +213,7 @@
     fn fetch(&mut self, number: usize, chunk: u32, from: Source, fault: Fault) -> Option<Answer> {
         let start = chunk as usize * 4;
         let bytes = self.data[start..start + 4].to_vec();
-        let asker = self.agents[number].as_ref()?.peer.address;
+        let asker = self.agents[number].as_ref()?.peer.clone();
         let slot = match from {
             _ if fault == Fault::Break => return Some(Answer::Failed),
             Source::Origin => {
@@ -230,6 +231,10 @@
                     .unwrap()
                     .digest();
                 let held = owner.store.contains(&digest);
+                let asker = Asker {
+                    address: asker.address,
+                    near: asker.region == owner.peer.region,
+                };
                 match owner.uploader.answer(digest, held, asker, self.now) {
                     Response::Send(slot) => Some(slot),
                     Response::Redirect(holders) => return Some(Answer::Holders(holders)),
