entry: serve callers and route their requests to agents

The decisions of the crate route needed HTTP around them.

Adds the gateway (one router, callers waiting for its actions), the caller port, attempts with correlation check, streamed answers whose cut ends the caller's connection, the operator port with metrics and status, and the graceful shutdown: 503 on /healthz first, a settable wait for the balancer, then refusals as not run with retry-after until the requests in progress are finished. docs/METRICS.md lists the metrics; events 200 to 205 are new.

In the crate node, the connection of an answer without a body went back to the pool before the caller could check whose answer it was. It now goes back when the answer is dropped, Answer::close closes it, and Answer::is_end tells that a body was read to its end: hyper doesn't ask a body of known length for its end, and whole answers were counted as gone.

The peer port is still missing, so the binary gets neither catalogue nor targets yet.

--- /dev/null
+++ b/bins/entry/tests/entry/common.rs
@@ -0,0 +1,263 @@
+//! An entry on loopback ports, its callers and its agents.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::net::{TcpListener, TcpStream};
+use entry::Settings;
+use entry::shared::Shared;
+use futures::channel::oneshot;
+use gossip::Phase;
+use node::http::{Answer, Body, Client, Request, Response};
+use wire::{Gate, Report};
+
+/// What an agent does with a request; `ID` in a text stands for the request's id.
+#[derive(Clone, Debug)]
+pub enum Step {
+    Send(&'static str),
+    Sleep(u64),
+    /// Waits until the test sets the flag.
+    Wait(Rc<Cell<bool>>),
+    Close,
+}
+
+pub const ANSWER: Step = Step::Send(
+    "HTTP/1.1 200 OK\r\ncarobport-request: ID\r\ncarobport-outcome: answered\r\ncontent-length: 5\r\n\r\nwhole",
+);
+pub const CLOSED: Step = Step::Send(
+    "HTTP/1.1 503 Service Unavailable\r\ncarobport-request: ID\r\ncarobport-outcome: not-run\r\n\
+     carobport-reason: closed\r\ncontent-length: 0\r\n\r\n",
+);
+pub const CROSSED: Step = Step::Send(
+    "HTTP/1.1 200 OK\r\ncarobport-request: 0\r\ncarobport-outcome: answered\r\ncontent-length: 0\r\n\r\n",
+);
+
+/// Heads of the requests that an agent received, each with the number of its connection.
+pub type Seen = Rc<RefCell<Vec<(usize, String)>>>;
+
+pub struct World {
+    pub callers: SocketAddr,
+    pub operators: SocketAddr,
+    pub shared: Shared,
+    pub client: Client,
+    pub stop: Cell<Option<oneshot::Sender<()>>>,
+    sequence: Cell<u64>,
+}
+
+fn settings() -> Settings {
+    node::settings::parse(
+        r#"{"name":"e0","domain":"levis","region":"quebec","caller_listen":"127.0.0.1:0",
+        "peer_listen":"127.0.0.1:0","operator_listen":"127.0.0.1:0","platform":"127.0.0.1:1",
+        "balancer_wait_ms":200,"drain_ms":3000,"stall_ms":300}"#,
+    )
+    .unwrap()
+}
+
+/// Runs `test` with an entry; the entry must end within 5 s of the stop request.
+pub fn with_entry<F: Future<Output = ()>>(test: impl FnOnce(Rc<World>) -> F) {
+    node::run("test", async {
+        let loopback: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let (callers, operators) = (
+            node::listen(loopback).unwrap(),
+            node::listen(loopback).unwrap(),
+        );
+        let (stop, stopped) = oneshot::channel::<()>();
+        let world = Rc::new(World {
+            callers: callers.local_addr().unwrap(),
+            operators: operators.local_addr().unwrap(),
+            shared: Shared::new(),
+            client: Client::new(),
+            stop: Cell::new(Some(stop)),
+            sequence: Cell::new(0),
+        });
+        world.fill_catalogue();
+        let stopped = async {
+            let _ = stopped.await;
+        };
+        let served = entry::serve_on(
+            callers,
+            operators,
+            settings(),
+            world.shared.clone(),
+            stopped,
+        );
+        let served = compio::runtime::spawn(served);
+        test(Rc::clone(&world)).await;
+        world.stop.take();
+        compio::time::timeout(Duration::from_secs(5), served)
+            .await
+            .unwrap()
+            .unwrap();
+    })
+    .unwrap();
+}
+
+impl World {
+    fn fill_catalogue(&self) {
+        let entries = [
+            r#"{"kind":"class","name":"urgent","owner":"o","class":"urgent","rank":0,
+            "objective":{"answered":0.9,"within_ms":1000,"within":0.9}}"#,
+            r#"{"kind":"workspace","name":"clerks","owner":"o","class":"urgent",
+            "services":["desk","bookings"]}"#,
+            r#"{"kind":"workspace","name":"limited","owner":"o","class":"urgent","services":["desk"],
+            "limits":{"concurrent":1}}"#,
+            r#"{"kind":"service","name":"desk","owner":"o","class":"urgent","backend":"plain",
+            "repeatable":true,"deadline_ms":1000}"#,
+            r#"{"kind":"service","name":"bookings","owner":"o","class":"urgent","backend":"plain",
+            "repeatable":false,"deadline_ms":1000}"#,
+        ];
+        for (revision, entry) in entries.iter().enumerate() {
+            self.shared
+                .put_catalog(revision as u64 + 1, serde_json::from_str(entry).unwrap());
+        }
+    }
+
+    /// Starts an agent that follows `script` by the number of the request, from 0, and reports as its target.
+    pub fn agent(
+        &self,
+        name: &str,
+        service: &str,
+        slots: u16,
+        script: impl Fn(usize) -> Vec<Step> + 'static,
+    ) -> Seen {
+        let listener = node::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let seen = Seen::default();
+        compio::runtime::spawn(serve_agent(listener, Rc::clone(&seen), Rc::new(script))).detach();
+        self.shared.put_target(
+            name,
+            gossip::Target {
+                domain: "levis".into(),
+                region: "quebec".into(),
+                service: service.into(),
+                call: address,
+                chunk: address,
+                phase: Phase::Live,
+            },
+        );
+        self.report(name, slots);
+        seen
+    }
+
+    pub fn report(&self, name: &str, slots: u16) {
+        self.sequence.set(self.sequence.get() + 1);
+        self.shared.put_report(
+            Instant::now(),
+            Report {
+                target: name.into(),
+                incarnation: 1,
+                sequence: self.sequence.get(),
+                gate: Gate::Open,
+                weights: None,
+                chunks: 0,
+                running: 0,
+                waiting: 0,
+                slots,
+                view: 0,
+                member: None,
+            },
+        );
+    }
+
+    pub async fn call(&self, path: &str, headers: &[(&str, &str)]) -> Response<Answer> {
+        // The entry takes reports and members in a task of its own.
+        compio::time::sleep(Duration::from_millis(5)).await;
+        let mut request = Request::post(path).header("carobport-workspace", "clerks");
+        for (name, value) in headers {
+            request.headers_mut().unwrap().insert(
+                node::http::header::HeaderName::try_from(*name).unwrap(),
+                value.parse().unwrap(),
+            );
+        }
+        let request = request.body(Body::from("{}")).unwrap();
+        self.client
+            .send(
+                self.callers,
+                request,
+                Instant::now() + Duration::from_secs(4),
+            )
+            .await
+            .unwrap()
+    }
+
+    pub async fn operator(&self, path: &str) -> (u16, String) {
+        let request = Request::get(path).body(Body::empty()).unwrap();
+        let deadline = Instant::now() + Duration::from_secs(2);
+        let answer = self
+            .client
+            .send(self.operators, request, deadline)
+            .await
+            .unwrap();
+        let status = answer.status().as_u16();
+        let bytes = answer.into_body().bytes(1 << 20).await.unwrap();
+        (status, String::from_utf8(bytes.to_vec()).unwrap())
+    }
+}
+
+/// Returns status, outcome, reason and whether there is a time to retry after.
+pub fn summary(answer: &Response<Answer>) -> (u16, String, String, bool) {
+    let text = |name: &str| {
+        answer
+            .headers()
+            .get(name)
+            .map_or(String::new(), |value| value.to_str().unwrap().into())
+    };
+    let retry = answer.headers().contains_key("retry-after");
+    (
+        answer.status().as_u16(),
+        text("carobport-outcome"),
+        text("carobport-reason"),
+        retry,
+    )
+}
+
+async fn serve_agent(listener: TcpListener, seen: Seen, script: Rc<dyn Fn(usize) -> Vec<Step>>) {
+    let mut connections = 0;
+    while let Ok((stream, _)) = listener.accept().await {
+        let connection = answer(stream, connections, Rc::clone(&seen), Rc::clone(&script));
+        compio::runtime::spawn(connection).detach();
+        connections += 1;
+    }
+}
+
+async fn answer(
+    mut stream: TcpStream,
+    connection: usize,
+    seen: Seen,
+    script: Rc<dyn Fn(usize) -> Vec<Step>>,
+) {
+    loop {
+        let mut text = String::new();
+        while !text.ends_with("\r\n\r\n{}") {
+            let compio::BufResult(read, bytes) = stream.read(Vec::with_capacity(4096)).await;
+            if !matches!(read, Ok(1..)) {
+                return;
+            }
+            text.push_str(&String::from_utf8(bytes).unwrap());
+        }
+        let id = text.split("carobport-request: ").nth(1).unwrap();
+        let id = id.split("\r\n").next().unwrap().to_owned();
+        let number = seen.borrow().len();
+        seen.borrow_mut().push((connection, text));
+        for step in script(number) {
+            match step {
+                Step::Send(text) => {
+                    let bytes = text.replace("ID", &id).into_bytes();
+                    if stream.write_all(bytes).await.0.is_err() {
+                        return;
+                    }
+                }
+                Step::Sleep(ms) => compio::time::sleep(Duration::from_millis(ms)).await,
+                Step::Wait(flag) => {
+                    while !flag.get() {
+                        compio::time::sleep(Duration::from_millis(5)).await;
+                    }
+                }
+                Step::Close => return,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bins/entry/tests/entry/main.rs
@@ -0,0 +1,5 @@
+//! The entry against agents that are scripted byte by byte.
+
+mod common;
+mod requests;
+mod shutdown;
--- /dev/null
+++ b/bins/entry/tests/entry/requests.rs
@@ -0,0 +1,233 @@
+//! Requests, their outcomes and their answers.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use yare::parameterized;
+
+use crate::common::{ANSWER, CLOSED, CROSSED, Step, summary, with_entry};
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\ncarobport-request: ID\r\ncarobport-outcome: answered\r\n";
+const KEY: &str = "01920000-0000-7000-8000-000000000001";
+
+fn slot_bit() -> u16 {
+    1 << claim::slot("clerks", KEY.parse().unwrap())
+}
+
+/// Guards against an answer that is held back until its end, and against internal headers that leak to callers.
+#[test]
+fn answer_streams_pieces() {
+    with_entry(|world| async move {
+        let go = Rc::new(Cell::new(false));
+        let wait = Rc::clone(&go);
+        let seen = world.agent("t0", "desk", 0, move |_| {
+            vec![
+                Step::Send(HEAD),
+                Step::Send("x-kept: yes\r\ntransfer-encoding: chunked\r\n\r\n3\r\none\r\n"),
+                Step::Wait(Rc::clone(&wait)),
+                Step::Send("3\r\ntwo\r\n0\r\n\r\n"),
+            ]
+        });
+        let answer = world
+            .call("/v1/desk/a/b?c=d", &[("carobport-rank", "9")])
+            .await;
+        assert_eq!(
+            summary(&answer),
+            (200, "answered".into(), String::new(), false)
+        );
+        assert_eq!(answer.headers()["x-kept"], "yes");
+        assert!(!answer.headers().contains_key("carobport-request"));
+        let mut body = answer.into_body();
+        assert_eq!(body.next().await.unwrap().unwrap(), "one");
+        go.set(true);
+        assert_eq!(body.next().await.unwrap().unwrap(), "two");
+        assert_eq!(body.next().await.unwrap(), None);
+        let head = &seen.borrow()[0].1;
+        assert!(
+            head.starts_with("POST /call/desk/a/b?c=d HTTP/1.1\r\n"),
+            "{head}"
+        );
+        assert!(head.contains("carobport-rank: 0\r\n"), "{head}");
+    });
+}
+
+/// Guards against a cut or stalled answer that the caller takes for a whole one.
+#[parameterized(
+    closed = { Step::Close },
+    stalled = { Step::Sleep(2000) },
+)]
+fn answer_cut_ends_connection(end: Step) {
+    with_entry(|world| async move {
+        world.agent("t0", "desk", 0, move |_| {
+            vec![
+                Step::Send(HEAD),
+                Step::Send("transfer-encoding: chunked\r\n\r\n3\r\none\r\n"),
+                end.clone(),
+            ]
+        });
+        let mut body = world.call("/v1/desk/x", &[]).await.into_body();
+        assert_eq!(body.next().await.unwrap().unwrap(), "one");
+        assert!(body.next().await.is_err());
+        let (_, metrics) = world.operator("/metrics").await;
+        assert!(
+            metrics.contains(r#"workspace="clerks",outcome="cut"} 1"#),
+            "{metrics}"
+        );
+    });
+}
+
+/// Guards against an answer of another request: it must not be passed on, and its connection must not be used again.
+#[test]
+fn answer_crossed_is_discarded() {
+    with_entry(|world| async move {
+        let seen = world.agent("t0", "bookings", slot_bit(), |number| {
+            vec![if number < 2 { CROSSED } else { ANSWER }]
+        });
+        let answer = world
+            .call("/v1/bookings/x", &[("idempotency-key", KEY)])
+            .await;
+        assert_eq!(
+            summary(&answer),
+            (502, "unknown".into(), "lost".into(), false)
+        );
+        let answer = world
+            .call("/v1/bookings/x", &[("idempotency-key", KEY)])
+            .await;
+        assert_eq!(answer.into_body().bytes(10).await.unwrap(), "whole");
+        let connections: Vec<usize> = seen.borrow().iter().map(|(number, _)| *number).collect();
+        assert_eq!(connections, [0, 1, 2]);
+    });
+}
+
+/// Guards against a late answer that reaches the next request: a connection that timed out must be closed.
+#[test]
+fn answer_late_is_never_delivered() {
+    with_entry(|world| async move {
+        let seen = world.agent("t0", "desk", 0, |number| match number {
+            0 => vec![Step::Sleep(300), ANSWER],
+            _ => vec![ANSWER],
+        });
+        let started = Instant::now();
+        let answer = world
+            .call("/v1/desk/x", &[("carobport-deadline-ms", "100")])
+            .await;
+        assert_eq!(
+            summary(&answer),
+            (504, "unknown".into(), "timed-out".into(), false)
+        );
+        assert!(started.elapsed() < Duration::from_millis(250));
+        let answer = world.call("/v1/desk/y", &[]).await;
+        assert_eq!(answer.into_body().bytes(10).await.unwrap(), "whole");
+        let connections: Vec<usize> = seen.borrow().iter().map(|(number, _)| *number).collect();
+        assert_eq!(connections, [0, 1]);
+    });
+}
+
+/// Guards against a refusal that reaches the caller although another target would answer.
+#[parameterized(
+    refused = { CLOSED },
+    lost = { Step::Close },
+)]
+fn repeatable_is_tried_elsewhere(first: Step) {
+    with_entry(|world| async move {
+        let failed = Rc::new(Cell::new(false));
+        for name in ["t0", "t1"] {
+            let (failed, first) = (Rc::clone(&failed), first.clone());
+            world.agent(name, "desk", 0, move |_| {
+                vec![if failed.replace(true) {
+                    ANSWER
+                } else {
+                    first.clone()
+                }]
+            });
+        }
+        let answer = world.call("/v1/desk/x", &[]).await;
+        assert_eq!(summary(&answer).1, "answered");
+    });
+}
+
+/// Guards against a second run of a keyed call: after a broken connection only the same owner is asked, with the key.
+#[test]
+fn keyed_lost_asks_owner_again() {
+    with_entry(|world| async move {
+        let other = world.agent("other", "bookings", 0, |_| vec![ANSWER]);
+        let owner = world.agent("owner", "bookings", slot_bit(), |number| {
+            vec![if number == 0 { Step::Close } else { ANSWER }]
+        });
+        let answer = world
+            .call("/v1/bookings/x", &[("idempotency-key", KEY)])
+            .await;
+        assert_eq!(summary(&answer).1, "answered");
+        assert_eq!(owner.borrow().len(), 2);
+        assert!(owner.borrow().iter().all(|(_, head)| head.contains(KEY)));
+        assert!(other.borrow().is_empty());
+    });
+}
+
+/// Guards against a keyed call that fails because the entry has no report of the owner's slots yet.
+#[test]
+fn keyed_follows_owner() {
+    with_entry(|world| async move {
+        const OWNER: &str = "HTTP/1.1 503 Service Unavailable\r\ncarobport-request: ID\r\n\
+            carobport-outcome: not-run\r\ncarobport-owner: owner\r\ncontent-length: 0\r\n\r\n";
+        world.agent("other", "bookings", slot_bit(), |_| vec![Step::Send(OWNER)]);
+        world.agent("owner", "bookings", 0, |_| vec![ANSWER]);
+        let answer = world
+            .call("/v1/bookings/x", &[("idempotency-key", KEY)])
+            .await;
+        assert_eq!(summary(&answer).1, "answered");
+    });
+}
+
+/// Guards against requests that reach a target although a check refuses them, and against refusals without an outcome.
+#[parameterized(
+    no_key = { "/v1/bookings/x", &[], 400, "malformed", false },
+    key_not_v7 = { "/v1/bookings/x", &[("idempotency-key", "7f5c1c3e-8f0a-4a57-9f0e-0d7f3f1b2c3d")], 400, "malformed", false },
+    no_service = { "/v1/other/x", &[], 404, "service", false },
+    no_path = { "/v2/desk", &[], 400, "malformed", false },
+    bad_deadline = { "/v1/desk/x", &[("carobport-deadline-ms", "soon")], 400, "malformed", false },
+    no_workspace = { "/v1/desk/x", &[("carobport-workspace", "strangers")], 403, "workspace", false },
+    not_allowed = { "/v1/bookings/x", &[("carobport-workspace", "limited")], 403, "workspace", false },
+    no_target = { "/v1/desk/x", &[], 503, "target", true },
+)]
+fn request_refused(path: &str, headers: &[(&str, &str)], status: u16, reason: &str, retry: bool) {
+    with_entry(|world| async move {
+        let seen = world.agent("t0", "bookings", 0xffff, |_| vec![ANSWER]);
+        let answer = world.call(path, headers).await;
+        assert_eq!(
+            summary(&answer),
+            (status, "not-run".into(), reason.into(), retry)
+        );
+        assert!(seen.borrow().is_empty());
+    });
+}
+
+/// Guards against a concurrency slot that a caller keeps after it closed its connection.
+#[test]
+fn caller_gone_releases_slots() {
+    with_entry(|world| async move {
+        world.agent("t0", "desk", 0, |number| match number {
+            0 => vec![Step::Sleep(900), ANSWER],
+            _ => vec![ANSWER],
+        });
+        let limited = [("carobport-workspace", "limited")];
+        let gone = compio::time::timeout(
+            Duration::from_millis(100),
+            world.call("/v1/desk/x", &limited),
+        );
+        assert!(gone.await.is_err());
+        compio::time::sleep(Duration::from_millis(50)).await;
+        let answer = world.call("/v1/desk/x", &limited).await;
+        assert_eq!(summary(&answer).1, "answered");
+        let (_, metrics) = world.operator("/metrics").await;
+        assert!(
+            metrics.contains(r#"workspace="limited",outcome="gone"} 1"#),
+            "{metrics}"
+        );
+        assert!(
+            metrics.contains(r#"carobport_first_byte_seconds_count{class="urgent"} 1"#),
+            "{metrics}"
+        );
+    });
+}
--- /dev/null
+++ b/bins/entry/tests/entry/shutdown.rs
@@ -0,0 +1,127 @@
+//! Graceful shutdown and settings.
+
+use std::cell::Cell;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::common::{ANSWER, Step, summary, with_entry};
+
+/// Guards against a planned stop that cuts a request off, that the balancer learns too late, or that closes the port
+/// on callers that could be told to retry.
+#[test]
+fn shutdown_finishes_requests_in_progress() {
+    with_entry(|world| async move {
+        let go = Rc::new(Cell::new(false));
+        let wait = Rc::clone(&go);
+        world.agent("t0", "desk", 0, move |number| match number {
+            0 => vec![Step::Wait(Rc::clone(&wait)), ANSWER],
+            _ => vec![ANSWER],
+        });
+        let first = Rc::clone(&world);
+        let first = compio::runtime::spawn(async move {
+            let answer = first.call("/v1/desk/x", &[]).await;
+            answer.into_body().bytes(10).await.unwrap()
+        });
+        compio::time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(world.operator("/healthz").await.0, 200);
+        world.stop.take();
+        compio::time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(world.operator("/healthz").await.0, 503);
+        let answer = world.call("/v1/desk/x", &[]).await;
+        assert_eq!(
+            summary(&answer).1,
+            "answered",
+            "the balancer still sends requests here"
+        );
+        compio::time::sleep(Duration::from_millis(250)).await;
+        let answer = world.call("/v1/desk/x", &[]).await;
+        assert_eq!(
+            summary(&answer),
+            (503, "not-run".into(), "draining".into(), true)
+        );
+        let (_, status) = world.operator("/status").await;
+        assert!(status.contains(r#""in_progress":1"#), "{status}");
+        go.set(true);
+        assert_eq!(first.await.unwrap(), "whole");
+    });
+}
+
+/// Guards against settings whose findings are reported one at a time.
+#[test]
+fn settings_all_findings() {
+    let text = r#"{"name":"","domain":"levis","caller_listen":"here","balancer_wait_ms":-1}"#;
+    let findings = node::settings::parse::<entry::Settings>(text)
+        .unwrap_err()
+        .to_string();
+    for pointer in [
+        "/name",
+        "/region",
+        "/caller_listen",
+        "/platform",
+        "/balancer_wait_ms",
+    ] {
+        assert!(findings.contains(pointer), "{findings}");
+    }
+}
+
+/// Guards against a process that ignores SIGTERM, ends before the balancer has noticed, or fails on an orderly stop.
+#[test]
+fn process_stops_on_sigterm() {
+    let ports: Vec<SocketAddr> = (0..3).map(|_| free_port()).collect();
+    let directory = std::env::temp_dir().join(format!("carobport-entry-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).unwrap();
+    let file = directory.join("settings.json");
+    let text = format!(
+        r#"{{"name":"e0","domain":"levis","region":"quebec","caller_listen":"{}","peer_listen":"{}",
+        "operator_listen":"{}","platform":"127.0.0.1:1","balancer_wait_ms":600}}"#,
+        ports[0], ports[1], ports[2]
+    );
+    std::fs::write(&file, text).unwrap();
+    let mut process = Command::new(env!("CARGO_BIN_EXE_carobport-entry"))
+        .arg("--settings")
+        .arg(&file)
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap();
+    let up = (0..200).any(|_| {
+        std::thread::sleep(Duration::from_millis(20));
+        healthz(ports[2]).is_some_and(|answer| answer.starts_with("HTTP/1.1 200"))
+    });
+    let term = Command::new("kill")
+        .args(["-TERM", &process.id().to_string()])
+        .status();
+    std::thread::sleep(Duration::from_millis(200));
+    let draining = healthz(ports[2]);
+    let ended = (0..200).find_map(|_| {
+        std::thread::sleep(Duration::from_millis(20));
+        process.try_wait().unwrap()
+    });
+    if ended.is_none() {
+        process.kill().unwrap();
+    }
+    std::fs::remove_dir_all(&directory).unwrap();
+    assert!(up, "the process did not start");
+    assert!(term.unwrap().success());
+    assert!(draining.is_some_and(|answer| answer.starts_with("HTTP/1.1 503")));
+    assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
+}
+
+fn free_port() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+fn healthz(address: SocketAddr) -> Option<String> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+    let request = "GET /healthz HTTP/1.1\r\nhost: e0\r\nconnection: close\r\n\r\n";
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    Some(answer)
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -40,4 +40,10 @@
     ACCEPT_FAILED = 110 Warn "accept-failed";
     CONNECTION_FAILED = 111 Debug "connection-failed";
     DRAIN_CUT = 112 Warn "drain-cut";
+    DRAINING = 200 Info "draining";
+    REFUSING = 201 Info "refusing";
+    CROSSED_ANSWER = 202 Error "crossed-answer";
+    OTHER_WEIGHTS = 203 Error "other-weights";
+    NO_OUTCOME = 204 Error "no-outcome";
+    ANSWER_CUT = 205 Warn "answer-cut";
 }
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -49,7 +49,8 @@
 
 /// Body of an answer.
 ///
-/// Dropping it before its end closes the connection.
+/// Dropping it before its end closes the connection. The connection of an answer without a body is used again once the
+/// answer is dropped, so that [`Answer::close`] can still close it.
 pub struct Answer {
     peer: SocketAddr,
     deadline: Instant,
@@ -132,16 +133,12 @@
         body: Incoming,
         lease: Option<(Connection, Pool)>,
     ) -> Self {
-        let mut answer = Self {
+        Self {
             peer,
             deadline,
             body,
             lease,
-        };
-        if answer.body.is_end_stream() {
-            answer.release();
         }
-        answer
     }
 
     /// Moves the deadline of the rest of the body.
@@ -187,6 +184,16 @@
         Ok(whole.freeze())
     }
 
+    /// Tells whether the body is known to have been read to its end.
+    pub fn is_end(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    /// Closes the connection, even when the answer has no body left to read.
+    pub fn close(mut self) {
+        self.lease = None;
+    }
+
     /// Turns the rest into a body that can be served; a cut stays a cut.
     pub fn into_body(self) -> Body {
         Body::stream(stream::unfold(Some(self), |answer| async {
@@ -211,6 +218,14 @@
     }
 }
 
+impl Drop for Answer {
+    fn drop(&mut self) {
+        if self.body.is_end_stream() {
+            self.release();
+        }
+    }
+}
+
 fn not_written(peer: SocketAddr, reason: &dyn Display) -> Error {
     Error::NotWritten {
         peer,
--- a/crates/route/src/outcome.rs
+++ b/crates/route/src/outcome.rs
@@ -19,15 +19,19 @@
 pub struct NotRun(Refusal);
 
 /// Why the outcome of a request is not known.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Unknown {
     /// The connection to the target broke.
+    #[error("lost")]
     Lost,
     /// The deadline passed.
+    #[error("timed-out")]
     TimedOut,
     /// The target's agent doesn't know.
+    #[error("reported")]
     Reported,
     /// The answer was cut off after its first byte.
+    #[error("cut")]
     Cut,
 }
 
@@ -77,6 +81,9 @@
     /// The target's agent refused, and no retry was left.
     #[error("refused")]
     Refused,
+    /// The target's agent refused, and so would every other.
+    #[error("rejected")]
+    Rejected,
     /// The entry is draining.
     #[error("draining")]
     Draining,
@@ -128,7 +135,7 @@
     /// Returns the HTTP status of the refusal.
     pub fn status(self) -> u16 {
         match self {
-            Self::Malformed => 400,
+            Self::Malformed | Self::Rejected => 400,
             Self::Workspace => 403,
             Self::Service => 404,
             Self::Size => 413,
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -62,6 +62,8 @@
     Overloaded,
     /// The agent said not run: its gate is closed or its weights differ.
     Closed,
+    /// The agent said not run for another reason that may pass.
+    Refused,
     /// The agent said not run: another agent owns the slot of the key.
     Elsewhere(String),
     /// No connection to the agent came about.
@@ -289,7 +291,11 @@
                     target.concurrency.overloaded(now, request.sent_at());
                 }
                 Failure::Closed | Failure::NotConnected => target.close(),
-                Failure::Rejected | Failure::Elsewhere(_) | Failure::Lost | Failure::Reported => {}
+                Failure::Rejected
+                | Failure::Refused
+                | Failure::Elsewhere(_)
+                | Failure::Lost
+                | Failure::Reported => {}
             }
         }
         if failure == Failure::TimedOut {
@@ -297,8 +303,10 @@
                 .held(now.saturating_duration_since(request.sent_at()));
         }
         let next = match failure {
-            Failure::Rejected => give_up(request.not_run(), Refusal::permanent(Reason::Refused)),
-            Failure::Overloaded | Failure::Closed => refused(lane, now, request.not_run()),
+            Failure::Rejected => give_up(request.not_run(), Refusal::permanent(Reason::Rejected)),
+            Failure::Overloaded | Failure::Closed | Failure::Refused => {
+                refused(lane, now, request.not_run())
+            }
             Failure::NotConnected => lane.retry(now, request.not_run(), true),
             Failure::Elsewhere(owner) => redirect(lane, now, request.not_run(), owner),
             Failure::Lost => lost(lane, now, request),
--- a/crates/route/tests/route/events.rs
+++ b/crates/route/tests/route/events.rs
@@ -42,6 +42,7 @@
         Just(Failure::Rejected),
         Just(Failure::Overloaded),
         Just(Failure::Closed),
+        Just(Failure::Refused),
         Just(Failure::NotConnected),
         Just(Failure::Lost),
         Just(Failure::TimedOut),
