--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -46,4 +46,7 @@
     OTHER_WEIGHTS = 203 Error "other-weights";
     NO_OUTCOME = 204 Error "no-outcome";
     ANSWER_CUT = 205 Warn "answer-cut";
+    STANDIN_SERVING = 600 Info "standin-serving";
+    STANDIN_SWITCHED = 601 Info "standin-switched";
+    STANDIN_RESTARTED = 602 Info "standin-restarted";
 }
