Add carobport-catalog

Cause: operators change the system only by entries and need to know whether a change was taken and is in force. Change: check (text or JSON, exit 2), put, get, history, status. The stored object holds the entry, its author, the time, a random name of the put and the 20 earlier versions, so that one conditional update writes all of it, a lost answer is recognised by the name and a lost race names the first operator. put checks the files together with the rest of the stored catalogue and writes classes before services before workspaces. In force is read from the object catalogue (kind/name to revision) of /status at the entries' operator ports. node::block_on runs without the log, whose lines on standard output would mix with the tool's. Conclusion: needs an entry whose /status has catalogue.

--- /dev/null
+++ b/bins/catalog/src/files.rs
@@ -0,0 +1,73 @@
+//! Files of entries.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::{fs, io};
+
+use catalog::{Check, Source, check};
+
+/// Names and texts of files.
+pub type Files = Vec<(String, String)>;
+
+/// A file or directory that can't be read.
+#[derive(Debug, thiserror::Error)]
+#[error("can't read {path}: {source}")]
+pub struct Error {
+    path: String,
+    source: io::Error,
+}
+
+/// Reads files, and the `*.json` files of directories in the order of their names.
+///
+/// # Errors
+///
+/// Returns the first path that can't be read.
+pub fn read(paths: &[PathBuf]) -> Result<Files, Error> {
+    let mut files = Vec::new();
+    for path in paths {
+        if path.is_dir() {
+            for path in list(path).map_err(|source| error(path, source))? {
+                files.push(file(&path)?);
+            }
+        } else {
+            files.push(file(path)?);
+        }
+    }
+    Ok(files)
+}
+
+/// Checks files as one set.
+pub fn check_all(files: &Files, targets: &BTreeMap<String, u32>) -> Check {
+    let sources: Vec<Source<'_>> = files
+        .iter()
+        .map(|(file, text)| Source { file, text })
+        .collect();
+    check(&sources, targets)
+}
+
+fn list(directory: &Path) -> io::Result<Vec<PathBuf>> {
+    let mut paths = Vec::new();
+    for entry in fs::read_dir(directory)? {
+        let path = entry?.path();
+        if path
+            .extension()
+            .is_some_and(|extension| extension == "json")
+        {
+            paths.push(path);
+        }
+    }
+    paths.sort();
+    Ok(paths)
+}
+
+fn file(path: &Path) -> Result<(String, String), Error> {
+    let text = fs::read_to_string(path).map_err(|source| error(path, source))?;
+    Ok((path.display().to_string(), text))
+}
+
+fn error(path: &Path, source: io::Error) -> Error {
+    Error {
+        path: path.display().to_string(),
+        source,
+    }
+}
--- /dev/null
+++ b/bins/catalog/src/main.rs
@@ -0,0 +1,204 @@
+//! The binary `carobport-catalog`.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use carobport_catalog::files::{self, Files};
+use carobport_catalog::force::{self, Progress, Revisions};
+use carobport_catalog::options::{Options, options};
+use carobport_catalog::put::{self, Written};
+use carobport_catalog::{KIND, show};
+use catalog::{Finding, Revision, Stored, difference};
+use platform::Client;
+
+const FAILED: u8 = 1;
+const FINDINGS: u8 = 2;
+const RACED: u8 = 3;
+const NOT_IN_FORCE: u8 = 4;
+
+/// Time for one call to the platform.
+const CALL: Duration = Duration::from_secs(5);
+
+/// Versions that the platform holds, by kind and name.
+type Catalogue = BTreeMap<String, (Revision, Stored)>;
+
+type Error = Box<dyn std::error::Error>;
+
+fn main() -> ExitCode {
+    let options = options().run();
+    match node::block_on(run(options)) {
+        Ok(Ok(code)) => ExitCode::from(code),
+        Ok(Err(error)) => fail(&*error),
+        Err(error) => fail(&error),
+    }
+}
+
+fn fail(error: &dyn std::error::Error) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::from(FAILED)
+}
+
+async fn run(options: Options) -> Result<u8, Error> {
+    match options {
+        Options::Check {
+            json,
+            targets,
+            paths,
+        } => {
+            let targets = targets
+                .into_iter()
+                .map(|count| (count.service, count.targets))
+                .collect();
+            let result = files::check_all(&files::read(&paths)?, &targets);
+            report(&result.findings, json)
+        }
+        Options::Put {
+            platform,
+            author,
+            entries,
+            timeout,
+            dry_run,
+            paths,
+        } => {
+            let timeout = Duration::from_secs(timeout);
+            let client = Client::new(platform, CALL.min(timeout));
+            let files = files::read(&paths)?;
+            put_all(&client, &files, &author, dry_run, timeout, &entries).await
+        }
+        Options::Get { platform, key } => {
+            let (revision, stored) = read(&Client::new(platform, CALL), &key).await?;
+            eprintln!(
+                "{key} at revision {revision} by {} at {}",
+                stored.author,
+                show::time(stored.time_ms)
+            );
+            println!("{}", show::entry(&stored.entry));
+            Ok(0)
+        }
+        Options::History { platform, key } => {
+            let (revision, stored) = read(&Client::new(platform, CALL), &key).await?;
+            print!("{}", show::history(revision, &stored));
+            Ok(0)
+        }
+        Options::Status { platform, entries } => {
+            let catalogue = list(&Client::new(platform, CALL)).await?;
+            let wanted: Revisions = catalogue
+                .into_iter()
+                .map(|(key, (revision, _))| (key, revision))
+                .collect();
+            for (key, revision) in &wanted {
+                println!("{key} at revision {revision}");
+            }
+            let progress = force::look(&node::http::Client::new(), &entries, &wanted).await;
+            Ok(conclude(&progress, "the whole catalogue is in force"))
+        }
+    }
+}
+
+fn report(findings: &[Finding], json: bool) -> Result<u8, Error> {
+    if json {
+        println!("{}", serde_json::to_string_pretty(findings)?);
+    } else {
+        findings.iter().for_each(|finding| println!("{finding}"));
+    }
+    Ok(if findings.is_empty() { 0 } else { FINDINGS })
+}
+
+async fn put_all(
+    client: &Client,
+    files: &Files,
+    author: &str,
+    dry_run: bool,
+    timeout: Duration,
+    entries: &[SocketAddr],
+) -> Result<u8, Error> {
+    let mut catalogue = list(client).await?;
+    let result = check_with(files, &catalogue);
+    if !result.findings.is_empty() {
+        return report(&result.findings, false);
+    }
+    let mut wanted = Revisions::new();
+    let mut checked = result.entries;
+    // Classes come before the services that name them, and those before workspaces.
+    checked.sort_by_key(|(_, entry)| entry.key());
+    for (file, entry) in checked {
+        let key = entry.key();
+        if !files.iter().any(|(name, _)| *name == file) {
+            continue;
+        }
+        let base = catalogue.remove(&key);
+        let changes = difference(base.as_ref().map(|(_, stored)| &stored.entry), &entry);
+        println!("{key}: {} change(s)", changes.len());
+        changes.iter().for_each(|change| println!("  {change}"));
+        if changes.is_empty() || dry_run {
+            wanted.extend(base.map(|(revision, _)| (key, revision)));
+            continue;
+        }
+        let deadline = Instant::now() + timeout;
+        match put::put(client, entry, base, author, deadline).await? {
+            Written::Accepted(revision) => {
+                println!("{key}: written as revision {revision}");
+                wanted.insert(key, revision);
+            }
+            Written::Raced { author, revision } => {
+                println!(
+                    "{key}: not written: {author} was first, with revision {revision}; see `history {key}`"
+                );
+                return Ok(RACED);
+            }
+        }
+    }
+    if dry_run || entries.is_empty() {
+        return Ok(0);
+    }
+    let deadline = Instant::now() + timeout;
+    let progress = force::wait(entries, &wanted, deadline, |progress| {
+        let all = progress.done.len() + progress.missing.len();
+        println!("in force at {} of {all} entries", progress.done.len());
+    });
+    Ok(conclude(&progress.await, "in force everywhere"))
+}
+
+/// Checks files together with the rest of the catalogue, so that what they break elsewhere is found too.
+fn check_with(files: &Files, catalogue: &Catalogue) -> catalog::Check {
+    let own = files::check_all(files, &BTreeMap::new());
+    let keys: Vec<String> = own.entries.iter().map(|(_, entry)| entry.key()).collect();
+    let mut all = files.clone();
+    for (key, (revision, stored)) in catalogue {
+        if !keys.contains(key) {
+            all.push((format!("{key}@{revision}"), show::entry(&stored.entry)));
+        }
+    }
+    files::check_all(&all, &BTreeMap::new())
+}
+
+fn conclude(progress: &Progress, done: &str) -> u8 {
+    for (entry, lack) in &progress.missing {
+        println!("not in force at {entry}: {lack}");
+    }
+    if progress.missing.is_empty() {
+        println!("{done}: {} entries asked", progress.done.len());
+        return 0;
+    }
+    NOT_IN_FORCE
+}
+
+async fn read(client: &Client, key: &str) -> Result<(Revision, Stored), Error> {
+    match client.get(KIND, key).await? {
+        Some(object) => Ok((object.revision, put::parse(&object)?)),
+        None => {
+            Err(format!("no entry {key}; a key is KIND/NAME, such as service/assistant").into())
+        }
+    }
+}
+
+async fn list(client: &Client) -> Result<Catalogue, Error> {
+    let listing = client.list(KIND).await?;
+    let parsed = listing.objects.iter().map(|object| {
+        let stored = put::parse(object)?;
+        Ok((object.name.clone(), (object.revision, stored)))
+    });
+    parsed.collect()
+}
--- /dev/null
+++ b/bins/catalog/tests/put.rs
@@ -0,0 +1,257 @@
+//! Puts against a platform that loses answers, and waiting until in force.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::process::Command;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use carobport_catalog::force;
+use carobport_catalog::put::{Error, Written, parse, put};
+use catalog::{Entry, Stored};
+use node::http::{Body, Limits, Request, Response, StatusCode, header, json, response, serve};
+use platform::Client;
+use yare::parameterized;
+
+/// What the platform does with a write.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// Takes it and answers.
+    None,
+    /// Takes it and the answer is lost.
+    LostAfter,
+    /// Loses the request.
+    LostBefore,
+    /// Refuses for now.
+    Unavailable,
+    /// Another operator writes first.
+    Rival,
+    /// Takes it, another operator writes afterwards, and the answer is lost.
+    RivalAfter,
+    /// Takes neither this write nor any later one.
+    Gone,
+}
+
+/// One object, its revision and the faults to come.
+#[derive(Default)]
+struct Platform {
+    object: RefCell<Option<(u64, Stored)>>,
+    faults: RefCell<Vec<Fault>>,
+    writes: Cell<u32>,
+}
+
+impl Platform {
+    fn write(&self, request: &Request<bytes::Bytes>) -> StatusCode {
+        let held = self.object.borrow().as_ref().map(|(revision, _)| *revision);
+        let wanted = request
+            .headers()
+            .get(header::IF_MATCH)
+            .map(|tag| tag.to_str().unwrap().to_owned());
+        if wanted != held.map(|revision| format!("\"{revision}\"")) {
+            return StatusCode::PRECONDITION_FAILED;
+        }
+        let stored = serde_json::from_slice(request.body()).unwrap();
+        *self.object.borrow_mut() = Some((held.unwrap_or(40) + 1, stored));
+        self.writes.set(self.writes.get() + 1);
+        StatusCode::OK
+    }
+
+    fn rival(&self) {
+        let mut object = self.object.borrow_mut();
+        let new = Stored::new(entry(99), "rival", 0, "other");
+        *object = Some(match object.take() {
+            Some((revision, older)) => (revision + 1, new.after(revision, older)),
+            None => (41, new),
+        });
+    }
+
+    fn put(&self, request: &Request<bytes::Bytes>) -> StatusCode {
+        let fault = self.faults.borrow_mut().pop().unwrap_or(Fault::None);
+        match fault {
+            Fault::None => self.write(request),
+            Fault::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+            Fault::LostBefore => StatusCode::INTERNAL_SERVER_ERROR,
+            Fault::LostAfter => {
+                self.write(request);
+                StatusCode::INTERNAL_SERVER_ERROR
+            }
+            Fault::Rival => {
+                self.rival();
+                self.write(request)
+            }
+            Fault::RivalAfter => {
+                self.write(request);
+                self.rival();
+                StatusCode::INTERNAL_SERVER_ERROR
+            }
+            Fault::Gone => {
+                self.faults.borrow_mut().push(Fault::Gone);
+                StatusCode::INTERNAL_SERVER_ERROR
+            }
+        }
+    }
+
+    fn answer(&self, request: &Request<bytes::Bytes>) -> Response<Body> {
+        let status = match request.method().as_str() {
+            "PUT" => self.put(request),
+            _ => StatusCode::OK,
+        };
+        let object = self.object.borrow();
+        let mut answer = match &*object {
+            Some((_, stored)) => json(status, stored),
+            None if request.method() == "GET" => response(StatusCode::NOT_FOUND, ""),
+            None => response(status, ""),
+        };
+        if let Some((revision, _)) = &*object {
+            answer
+                .headers_mut()
+                .insert(header::ETAG, format!("\"{revision}\"").parse().unwrap());
+        }
+        answer
+    }
+}
+
+fn entry(concurrent: u32) -> Entry {
+    serde_json::from_value(serde_json::json!({
+        "kind": "workspace", "name": "captains", "owner": "league", "class": "standard",
+        "limits": {"concurrent": concurrent}, "services": ["club-registry"]
+    }))
+    .unwrap()
+}
+
+/// Serves `answer` on a loopback port while `test` runs.
+fn with_server<F: Future<Output = ()>>(
+    answer: impl Fn(&Request<bytes::Bytes>) -> Response<Body> + 'static,
+    test: impl FnOnce(SocketAddr) -> F,
+) {
+    node::block_on(async {
+        let listener = node::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let answer = Rc::new(answer);
+        let handler = move |_: SocketAddr, request: Request<bytes::Bytes>| {
+            let answer = Rc::clone(&answer);
+            async move { answer(&request) }
+        };
+        let server = compio::runtime::spawn(async move {
+            serve(listener, Limits::default(), handler, std::future::pending()).await;
+        });
+        test(address).await;
+        server.cancel().await;
+    })
+    .unwrap();
+}
+
+/// Guards against a write that is repeated after it took effect, that is reported as lost though it is stored, or that
+/// overwrites another operator's change.
+#[parameterized(
+    accepted = { &[Fault::None], "Accepted(42)", 1 },
+    lost_after = { &[Fault::LostAfter], "Accepted(42)", 1 },
+    lost_before = { &[Fault::LostBefore, Fault::None], "Accepted(42)", 1 },
+    lost_twice = { &[Fault::LostBefore, Fault::LostAfter], "Accepted(42)", 1 },
+    unavailable = { &[Fault::Unavailable, Fault::Unavailable, Fault::None], "Accepted(42)", 1 },
+    raced = { &[Fault::Rival], "Raced { author: \"rival\", revision: 42 }", 0 },
+    raced_after_loss = { &[Fault::LostBefore, Fault::Rival], "Raced { author: \"rival\", revision: 42 }", 0 },
+    gone = { &[Fault::Gone], "unknown", 0 },
+)]
+fn put_under_fault(faults: &[Fault], expected: &str, writes: u32) {
+    let platform = Rc::new(Platform::default());
+    let older = Stored::new(entry(4), "first", 0, "earlier");
+    *platform.object.borrow_mut() = Some((41, older.clone()));
+    *platform.faults.borrow_mut() = faults.iter().rev().copied().collect();
+    let served = Rc::clone(&platform);
+    with_server(
+        move |request| served.answer(request),
+        |address| async move {
+            let client = Client::new(address, Duration::from_secs(1));
+            let deadline = Instant::now() + Duration::from_secs(1);
+            let result = put(&client, entry(6), Some((41, older)), "second", deadline).await;
+            let word = match &result {
+                Ok(written) => format!("{written:?}"),
+                Err(Error::Unknown { .. }) => "unknown".into(),
+                Err(error) => error.to_string(),
+            };
+            assert_eq!(word, expected);
+        },
+    );
+    assert_eq!(platform.writes.get(), writes);
+}
+
+/// Guards against taking a put for refused when another operator wrote after it and its answer was lost.
+#[test]
+fn put_overwritten_after_lost_answer() {
+    let platform = Rc::new(Platform::default());
+    platform.faults.borrow_mut().push(Fault::RivalAfter);
+    let served = Rc::clone(&platform);
+    with_server(
+        move |request| served.answer(request),
+        |address| async move {
+            let client = Client::new(address, Duration::from_secs(1));
+            let deadline = Instant::now() + Duration::from_secs(1);
+            let result = put(&client, entry(6), None, "second", deadline)
+                .await
+                .unwrap();
+            assert_eq!(result, Written::Accepted(41));
+            let object = client
+                .get("catalog", "workspace/captains")
+                .await
+                .unwrap()
+                .unwrap();
+            let history = parse(&object).unwrap().history;
+            assert_eq!(
+                (object.revision, history[0].author.as_str()),
+                (42, "second")
+            );
+        },
+    );
+}
+
+/// Guards against a progress that ends before the change is in force, and against one that doesn't name who lacks it.
+#[test]
+fn wait_names_missing_entries() {
+    let looks = Cell::new(0);
+    let status = move |_: &Request<bytes::Bytes>| {
+        looks.set(looks.get() + 1);
+        let revision = if looks.get() < 3 { 41 } else { 42 };
+        json(
+            StatusCode::OK,
+            &serde_json::json!({ "catalogue": { "workspace/captains": revision } }),
+        )
+    };
+    with_server(status, |address| async move {
+        let dead = SocketAddr::from(([127, 0, 0, 1], 1));
+        let wanted = BTreeMap::from([("workspace/captains".to_owned(), 42)]);
+        let deadline = Instant::now() + Duration::from_millis(900);
+        let mut first = None;
+        let entries = [address, dead];
+        let progress = force::wait(&entries, &wanted, deadline, |progress| {
+            first.get_or_insert(progress.clone());
+        });
+        let progress = progress.await;
+        assert_eq!(progress.done, [address]);
+        assert!(progress.missing.contains_key(&dead));
+        let first = first.unwrap();
+        assert_eq!(
+            first.missing[&address],
+            "workspace/captains is at 41, not 42"
+        );
+    });
+}
+
+/// Guards against scripts that take a faulty set for good.
+#[test]
+fn check_exit_code() {
+    let file = std::env::temp_dir().join(format!("carobport-check-{}.json", std::process::id()));
+    std::fs::write(&file, r#"{"kind":"class"}"#).unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_carobport-catalog"))
+        .args(["check", "--json"])
+        .arg(&file)
+        .output();
+    std::fs::remove_file(&file).unwrap();
+    let output = output.unwrap();
+    let findings: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(
+        (output.status.code(), findings[0]["line"].as_u64()),
+        (Some(2), Some(1))
+    );
+}
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -10,12 +10,14 @@
 mod finding;
 mod schema;
 mod source;
+mod stored;
 
 pub use check::{Check, check};
 pub use difference::{Change, difference};
 pub use entry::{Backend, Class, Entry, Limits, Model, Objective, Plan, Service, Workspace};
 pub use finding::Finding;
 pub use source::Source;
+pub use stored::{Past, Stored};
 
 /// Revision that the platform gave to a version of an entry; higher is newer.
 pub type Revision = u64;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,4 +13,4 @@
 pub mod signal;
 
 pub use event::Event;
-pub use runtime::{listen, run};
+pub use runtime::{block_on, listen, run};
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -24,6 +24,20 @@
 /// ```
 pub fn run<F: Future>(name: &str, future: F) -> io::Result<F::Output> {
     crate::log::start(name);
+    block_on(async {
+        crate::event!(event::STARTED, name = name, pid = std::process::id());
+        let output = future.await;
+        crate::event!(event::STOPPED, name = name);
+        output
+    })
+}
+
+/// Runs `future` on the event loop of [`run`] without starting the log, for programs whose output is read by others.
+///
+/// # Errors
+///
+/// Fails when the event loop can't be created.
+pub fn block_on<F: Future>(future: F) -> io::Result<F::Output> {
     let tokio = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .build()?;
@@ -31,10 +45,7 @@
     let mut proactor = ProactorBuilder::new();
     proactor.driver_type(DriverType::Poll);
     let runtime = RuntimeBuilder::new().with_proactor(proactor).build()?;
-    crate::event!(event::STARTED, name = name, pid = std::process::id());
-    let output = runtime.block_on(future);
-    crate::event!(event::STOPPED, name = name);
-    Ok(output)
+    Ok(runtime.block_on(future))
 }
 
 /// Opens a TCP port.
