Keep a process on one thread

Change: node::listen, node::connect (socket2) and node::shut_down make these calls directly; none of them blocks. HTTP streams and the RPC writer shut down through node::shut_down. The pool is limited to one thread that ends after 1 s, since compio panics without any when a call needs it after all.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -4,6 +4,7 @@
 mod client;
 mod pool;
 mod server;
+mod stream;
 
 pub use body::{Body, Sender};
 pub use client::{Answer, Client, Error};
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -6,8 +6,6 @@
 use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
-use compio::net::TcpStream;
-use cyper_core::HyperStream;
 use futures::stream;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
@@ -17,6 +15,7 @@
 
 use super::Body;
 use super::pool::{Connection, Pool};
+use super::stream::Stream;
 
 /// An HTTP/1.1 client with keep-alive connections per address; clones share them.
 ///
@@ -106,12 +105,10 @@
 
 async fn connect(peer: SocketAddr, deadline: Instant) -> Result<Connection, Error> {
     let attempt = async {
-        let stream = TcpStream::connect(peer)
+        let stream = crate::connect(peer)
             .await
             .map_err(|e| not_written(peer, &e))?;
-        // An error only means that Nagle's algorithm stays on.
-        let _ = stream.set_nodelay(true);
-        http1::handshake(HyperStream::new_plain(stream))
+        http1::handshake(Stream::new(stream))
             .await
             .map_err(|error| not_written(peer, &error))
     };
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use futures::future::{Either, FusedFuture, Shared, select};
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt, select_biased};
@@ -16,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, header};
 
+use super::stream::Stream;
 use super::{Body, response};
 use crate::event;
 
@@ -154,7 +155,7 @@
         .timer(CompioTimer)
         .header_read_timeout(limits.receive)
         .max_header_size(limits.header)
-        .serve_connection(HyperStream::new_plain(stream), service);
+        .serve_connection(Stream::new(stream), service);
     let mut connection = pin!(connection);
     let result = match select(connection.as_mut(), stopped).await {
         Either::Left((result, _)) => result,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,16 +1,18 @@
 //! Runtime, settings, logs and operator port of a process.
 //!
 //! A binary loads its settings with [`settings::load`], then passes its work to [`run`], which sets up the event loop
-//! and the log. Within the loop, [`listen`] opens ports, [`http`] serves and calls over HTTP/1.1, [`operator`] serves
+//! and the log. Within the loop, [`listen`] opens ports, [`connect`] reaches others, [`http`] serves and calls over HTTP/1.1, [`operator`] serves
 //! the operator port, and [`signal::shutdown`] resolves when the process is asked to stop.
 
 pub mod event;
 pub mod http;
 pub mod log;
 pub mod operator;
+mod port;
 mod runtime;
 pub mod settings;
 pub mod signal;
 
 pub use event::Event;
-pub use runtime::{listen, run};
+pub use port::{connect, listen, shut_down};
+pub use runtime::run;
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -1,14 +1,21 @@
 //! The event loop of a process.
 
 use std::io;
-use std::net::SocketAddr;
+use std::time::Duration;
 
 use compio::driver::{DriverType, ProactorBuilder};
-use compio::net::TcpListener;
 use compio::runtime::RuntimeBuilder;
 
 use crate::event;
 
+/// Most helper threads of compio for calls that may block.
+///
+/// The product makes none of these calls: sockets are created, bound and shut down in [`crate::listen`],
+/// [`crate::connect`] and [`crate::shut_down`]. Without any thread, compio panics when one is needed after all.
+const POOL_THREADS: usize = 1;
+/// Time after which an idle helper thread ends.
+const POOL_IDLE: Duration = Duration::from_secs(1);
+
 /// Runs `future` on a compio event loop of this thread and returns its output.
 ///
 /// The loop polls with epoll. A Tokio timer context is entered but not driven: tarpc's client needs one to exist, and
@@ -29,27 +36,13 @@
         .build()?;
     let _context = tokio.enter();
     let mut proactor = ProactorBuilder::new();
-    proactor.driver_type(DriverType::Poll);
+    proactor
+        .driver_type(DriverType::Poll)
+        .thread_pool_limit(POOL_THREADS)
+        .thread_pool_recv_timeout(POOL_IDLE);
     let runtime = RuntimeBuilder::new().with_proactor(proactor).build()?;
     crate::event!(event::STARTED, name = name, pid = std::process::id());
     let output = runtime.block_on(future);
     crate::event!(event::STOPPED, name = name);
     Ok(output)
 }
-
-/// Opens a TCP port.
-///
-/// # Errors
-///
-/// Fails with the address in the message when the port can't be bound.
-pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    // The standard library binds without blocking; compio would hand the call to a pool of threads.
-    std::net::TcpListener::bind(address)
-        .and_then(|listener| {
-            listener.set_nonblocking(true)?;
-            TcpListener::from_std(listener)
-        })
-        .map_err(|error| {
-            io::Error::new(error.kind(), format!("can't listen on {address}: {error}"))
-        })
-}
--- a/crates/node/tests/http.rs
+++ b/crates/node/tests/http.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant};
 
 use compio::io::{AsyncRead, AsyncWriteExt};
-use compio::net::TcpStream;
 use node::http::{Body, Client, Error, Limits, Request, Response, StatusCode, response, serve};
 use yare::parameterized;
 
@@ -74,7 +73,7 @@
 
 /// Sends raw bytes and returns what arrives until the connection ends.
 async fn raw(address: SocketAddr, bytes: Vec<u8>) -> String {
-    let mut stream = TcpStream::connect(address).await.unwrap();
+    let mut stream = node::connect(address).await.unwrap();
     stream.write_all(bytes).await.unwrap();
     let mut whole = Vec::new();
     while let Ok(compio::BufResult(Ok(1..), piece)) =
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -9,6 +9,7 @@
 mod codec;
 mod frame;
 mod server;
+mod writer;
 
 use std::io;
 
@@ -19,12 +20,10 @@
 pub use codec::Postcard;
 pub use frame::{Bounded, MAX_FRAME};
 pub use server::serve;
+pub use writer::Writer;
 
 /// A connection that sends `Out` and receives `In`.
-pub type Transport<Out, In> = Framed<ReadHalf, WriteHalf, Postcard, Bounded, Out, In>;
-
-type ReadHalf = <TcpStream as compio::io::util::Splittable>::ReadHalf;
-type WriteHalf = <TcpStream as compio::io::util::Splittable>::WriteHalf;
+pub type Transport<Out, In> = Framed<TcpStream, Writer, Postcard, Bounded, Out, In>;
 
 /// Returns a transport over `stream`.
 ///
@@ -34,5 +33,7 @@
 pub fn transport<Out, In>(stream: TcpStream) -> io::Result<Transport<Out, In>> {
     // Messages are small and answered at once; Nagle's algorithm would delay them by up to 40 ms.
     stream.set_nodelay(true)?;
-    Ok(Framed::new::<Out, In>(Postcard, Bounded).with_duplex(stream))
+    Ok(Framed::new::<Out, In>(Postcard, Bounded)
+        .with_reader(stream.clone())
+        .with_writer(Writer::new(stream)))
 }
--- a/crates/wire/src/transport/client.rs
+++ b/crates/wire/src/transport/client.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
 use gossip::Record;
 use tarpc::client::{Config, RpcError};
@@ -60,7 +59,7 @@
 ///
 /// Returns [`Error::Connect`] or [`Error::Timeout`].
 pub async fn connect(peer: SocketAddr, timeout: Duration) -> Result<Client, Error> {
-    let stream = compio::time::timeout(timeout, TcpStream::connect(peer))
+    let stream = compio::time::timeout(timeout, node::connect(peer))
         .await
         .map_err(|_| Error::Timeout { peer, timeout })?
         .map_err(|source| Error::Connect { peer, source })?;
--- /dev/null
+++ b/crates/wire/src/transport/writer.rs
@@ -0,0 +1,33 @@
+//! The sending direction of a connection.
+
+use std::io;
+
+use compio::BufResult;
+use compio::buf::IoBuf;
+use compio::io::AsyncWrite;
+use compio::net::TcpStream;
+
+/// A TCP stream whose shutdown needs no helper thread.
+#[derive(Debug)]
+pub struct Writer(TcpStream);
+
+impl Writer {
+    /// Returns the sending direction of `stream`.
+    pub fn new(stream: TcpStream) -> Self {
+        Self(stream)
+    }
+}
+
+impl AsyncWrite for Writer {
+    async fn write<T: IoBuf>(&mut self, buf: T) -> BufResult<usize, T> {
+        self.0.write(buf).await
+    }
+
+    async fn flush(&mut self) -> io::Result<()> {
+        self.0.flush().await
+    }
+
+    async fn shutdown(&mut self) -> io::Result<()> {
+        node::shut_down(&self.0)
+    }
+}
--- a/crates/wire/tests/transport.rs
+++ b/crates/wire/tests/transport.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use compio::io::{AsyncRead, AsyncWriteExt};
-use compio::net::{TcpListener, TcpStream};
 use gossip::{Key, Record, Value, Version};
 use tarpc::context::Context;
 use wire::transport::{Error, MAX_FRAME};
@@ -51,18 +50,14 @@
 }
 
 fn with_server<F: Future<Output = ()>>(test: impl FnOnce(SocketAddr) -> F) {
-    let tokio = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .build()
-        .unwrap();
-    let _context = tokio.enter();
-    compio::runtime::Runtime::new().unwrap().block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    node::run("test", async {
+        let listener = node::listen("127.0.0.1:0".parse().unwrap()).unwrap();
         let address = listener.local_addr().unwrap();
         let server = compio::runtime::spawn(async move { wire::serve(&listener, Handler).await });
         test(address).await;
         server.cancel().await;
-    });
+    })
+    .unwrap();
 }
 
 // Guards against answers that reach another call when they arrive in another order.
@@ -109,7 +104,7 @@
     let empty = vec![0; 4];
     for bytes in [oversized, huge, garbage, empty] {
         with_server(|address| async move {
-            let mut stream = TcpStream::connect(address).await.unwrap();
+            let mut stream = node::connect(address).await.unwrap();
             stream.write_all(bytes).await.unwrap();
             let read = stream.read(Vec::with_capacity(16));
             let compio::BufResult(read, _) = compio::time::timeout(TIMEOUT, read).await.unwrap();
