entry: be unready without a catalogue; bound what one caller can do to a target

A starting entry answered 403 and 404 for everything until its catalogue arrived, which tells callers not to come back. A caller with a very short deadline could cut a target's concurrency limit for all others. A target known only from its member record was tried again after each refusal. A service whose model changed twice in a row was refused until the targets, two versions behind, had switched. Refusals of the port itself named no outcome.

An empty catalogue now gives 503 with retry-after and an unready /healthz; timeouts shorter than the class's objective don't cut; a refusing target without reports is left alone for 2 s; three replaced pins are remembered instead of one; http::Limits has headers for the port's own refusals. On shutdown idle connections linger for 500 ms, and refusals of a draining entry close the connection.

--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use node::http::header::{self, HeaderValue};
 use node::http::{Body, Client, Request, Response};
 use prometheus_client::registry::Registry;
 use route::{
@@ -72,9 +73,14 @@
         })
     }
 
-    /// Returns whether the entry takes new work, as the balancer is told.
+    /// Returns whether the entry takes new work, as the balancer is told: not while draining or without a catalogue.
     pub fn is_healthy(&self) -> bool {
-        !self.draining.get()
+        !self.draining.get() && self.router.borrow().catalogue().revision() > 0
+    }
+
+    /// Returns whether the entry was asked to stop.
+    pub fn is_draining(&self) -> bool {
+        self.draining.get()
     }
 
     /// Returns the number of callers that are being served.
@@ -239,7 +245,14 @@
 
     fn refuse(&self, labels: &Labels, refusal: &Refusal, detail: Option<&str>) -> Response<Body> {
         self.metrics.ended(labels, answer::NOT_RUN);
-        answer::refused(refusal, detail)
+        let mut answer = answer::refused(refusal, detail);
+        if self.refusing.get() {
+            // The caller's next connection goes to another entry.
+            answer
+                .headers_mut()
+                .insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        answer
     }
 
     /// Returns the labels of a request; callers can't make up new label values.
--- a/bins/entry/src/serve.rs
+++ b/bins/entry/src/serve.rs
@@ -10,12 +10,21 @@
 use node::operator::{self, Operator};
 use prometheus_client::registry::Registry;
 
+use wire::header as name;
+
 use crate::Settings;
+use crate::answer::NOT_RUN;
 use crate::gateway::Gateway;
 use crate::shared::Shared;
 
 /// Time between two checks whether requests are still in progress.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
+/// Time for the last bytes of answers to reach slow callers once no request is in progress.
+const FLUSH: Duration = Duration::from_secs(5);
+/// Time for which idle connections then stay open: a request that crosses the close would have an unknown outcome.
+const LINGER: Duration = Duration::from_millis(500);
+/// The port itself refuses malformed, late and too large bodies before any of them runs.
+const REFUSAL_HEADERS: &[(&str, &str)] = &[(name::OUTCOME, NOT_RUN), (name::REASON, "body")];
 
 /// Serves callers and operators until `stop` resolves and the requests in progress are finished.
 ///
@@ -43,7 +52,9 @@
 ) {
     let mut registry = Registry::default();
     let limits = Limits {
-        drain: settings.drain,
+        drain: FLUSH,
+        linger: LINGER,
+        refusal_headers: REFUSAL_HEADERS,
         ..Limits::default()
     };
     let gateway = Gateway::new(settings, shared, &mut registry);
--- a/bins/entry/src/status.rs
+++ b/bins/entry/src/status.rs
@@ -16,7 +16,7 @@
     json!({
         "name": gateway.settings.name,
         "domain": gateway.settings.domain,
-        "draining": !gateway.is_healthy(),
+        "draining": gateway.is_draining(),
         "in_progress": gateway.in_progress(),
         "catalogue_revision": router.catalogue().revision(),
         "live_entries": gateway.shared.live_entries(),
--- a/bins/entry/tests/entry/requests.rs
+++ b/bins/entry/tests/entry/requests.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use node::http::{Body, Request};
 use yare::parameterized;
 
 use crate::common::{ANSWER, CLOSED, CROSSED, Step, summary, with_entry};
@@ -203,6 +204,26 @@
     });
 }
 
+/// Guards against a refusal of the port itself that doesn't tell the caller that nothing ran.
+#[test]
+fn request_body_too_large() {
+    with_entry(|world| async move {
+        let request = Request::post("/v1/desk/x")
+            .body(Body::from(vec![0; (4 << 20) + 1]))
+            .unwrap();
+        let deadline = Instant::now() + Duration::from_secs(4);
+        let answer = world
+            .client
+            .send(world.callers, request, deadline)
+            .await
+            .unwrap();
+        assert_eq!(
+            summary(&answer),
+            (413, "not-run".into(), "body".into(), false)
+        );
+    });
+}
+
 /// Guards against a concurrency slot that a caller keeps after it closed its connection.
 #[test]
 fn caller_gone_releases_slots() {
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -45,6 +45,8 @@
     pub linger: Duration,
     /// Most connections; further ones wait in the listener's backlog.
     pub connections: usize,
+    /// Headers of the port's own refusals (400, 408 and 413), which the handler never sees.
+    pub refusal_headers: &'static [(&'static str, &'static str)],
 }
 
 impl Default for Limits {
@@ -57,6 +59,7 @@
             drain: Duration::from_secs(60),
             linger: Duration::ZERO,
             connections: 4096,
+            refusal_headers: &[],
         }
     }
 }
@@ -141,7 +144,7 @@
         async move {
             let response = match receive(request, limits).await {
                 Ok(request) => handler(peer, request).await,
-                Err(refusal) => refusal,
+                Err(status) => refusal(status, limits.refusal_headers),
             };
             match response.extensions().get::<Cut>() {
                 Some(Cut) => Err(Cut),
@@ -174,11 +177,11 @@
     }
 }
 
-/// Returns the request with its whole body, or the response that refuses it.
+/// Returns the request with its whole body, or the status that refuses it.
 async fn receive(
     request: Request<Incoming>,
     limits: &Limits,
-) -> Result<Request<Bytes>, Response<Body>> {
+) -> Result<Request<Bytes>, StatusCode> {
     let (parts, body) = request.into_parts();
     let announced = parts
         .headers
@@ -188,13 +191,13 @@
     // A moderately large body is read and dropped before the refusal: closing the connection over unread bytes resets
     // it, and the caller would lose the answer.
     if announced > 2 * limits.body as u64 {
-        return Err(refusal(StatusCode::PAYLOAD_TOO_LARGE));
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
     match compio::time::timeout(limits.receive, collect(body, limits.body)).await {
         Ok(Ok(Some(bytes))) => Ok(Request::from_parts(parts, bytes)),
-        Ok(Ok(None)) => Err(refusal(StatusCode::PAYLOAD_TOO_LARGE)),
-        Ok(Err(_)) => Err(refusal(StatusCode::BAD_REQUEST)),
-        Err(_) => Err(refusal(StatusCode::REQUEST_TIMEOUT)),
+        Ok(Ok(None)) => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
+        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
     }
 }
 
@@ -216,8 +219,15 @@
     Ok((length <= limit).then(|| whole.freeze()))
 }
 
-fn refusal(status: StatusCode) -> Response<Body> {
-    last(response(status, ""))
+fn refusal(status: StatusCode, headers: &[(&'static str, &'static str)]) -> Response<Body> {
+    let mut refusal = last(response(status, ""));
+    for (name, value) in headers {
+        let name = header::HeaderName::from_static(name);
+        refusal
+            .headers_mut()
+            .insert(name, header::HeaderValue::from_static(value));
+    }
+    refusal
 }
 
 /// Marks the last response of a connection.
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -8,6 +8,11 @@
 
 use crate::outcome::{Reason, Refusal};
 
+/// Most replaced pins of a service that are remembered: targets may lag several quick changes behind.
+const MOST_REPLACED: usize = 3;
+/// Time after which a request may be sent again when a part of the catalogue is missing.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// What the catalogue says about a request at its admission.
 ///
 /// The request is evaluated against this record alone, whatever the catalogue becomes while it waits.
@@ -48,7 +53,7 @@
     classes: HashMap<Name, (Revision, Class)>,
     services: HashMap<Name, (Revision, Service)>,
     workspaces: HashMap<Name, (Revision, Workspace)>,
-    previous: HashMap<Name, Pin>,
+    replaced: HashMap<Name, Vec<Pin>>,
 }
 
 impl Catalogue {
@@ -79,7 +84,9 @@
                 if let Some(old) = old
                     && new.as_ref().is_some_and(|new| new.pin() != old.pin())
                 {
-                    self.previous.insert(name, old.pin());
+                    let replaced = self.replaced.entry(name).or_default();
+                    replaced.insert(0, old.pin());
+                    replaced.truncate(MOST_REPLACED);
                 }
                 stored
             }
@@ -99,8 +106,11 @@
     /// # Errors
     ///
     /// Returns a refusal when the workspace or the service is absent or retired, when the workspace may not call the
-    /// service, or when the catalogue lacks the class of either.
+    /// service, when the catalogue lacks the class of either, or when it is still empty.
     pub fn admit(&self, workspace: &str, service: &str) -> Result<Admission, Refusal> {
+        if self.revision == 0 {
+            return Err(Refusal::retry(Reason::Catalogue, RETRY_AFTER));
+        }
         let caller = live(&self.workspaces, workspace, |entry| entry.retired)
             .ok_or(Refusal::permanent(Reason::Workspace))?;
         let called = live(&self.services, service, |entry| entry.retired)
@@ -111,7 +121,13 @@
         let class = self.class(&caller.class, &called.class)?;
         let mut pins: Vec<Pin> = called.model.iter().map(catalog::Model::pin).collect();
         if !pins.is_empty() {
-            pins.extend(self.previous.get(service).cloned());
+            let replaced = self.replaced.get(service).into_iter().flatten();
+            pins.extend(
+                replaced
+                    .filter(|pin| **pin != pins[0])
+                    .cloned()
+                    .collect::<Vec<_>>(),
+            );
         }
         Ok(Admission {
             revision: self.revision,
@@ -138,7 +154,7 @@
             self.classes
                 .get(name)
                 .map(|(_, class)| class)
-                .ok_or(Refusal::retry(Reason::Workspace, Duration::from_secs(1)))
+                .ok_or(Refusal::retry(Reason::Catalogue, RETRY_AFTER))
         };
         let (one, other) = (find(one)?, find(other)?);
         Ok(if other.rank > one.rank { other } else { one })
--- a/crates/route/src/outcome.rs
+++ b/crates/route/src/outcome.rs
@@ -57,6 +57,9 @@
     /// The catalogue has no such service.
     #[error("service")]
     Service,
+    /// The entry doesn't hold the catalogue, or not the class of the workspace or service, yet.
+    #[error("catalogue")]
+    Catalogue,
     /// The head or the body is too large.
     #[error("size")]
     Size,
@@ -140,7 +143,8 @@
             Self::Service => 404,
             Self::Size => 413,
             Self::Rate | Self::Concurrency => 429,
-            Self::Queue
+            Self::Catalogue
+            | Self::Queue
             | Self::Wait
             | Self::Deadline
             | Self::Target
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -10,7 +10,7 @@
 
 /// Load relative to the mean above which the target that prefix affinity prefers is not used.
 const AFFINITY_LIMIT: f64 = 1.25;
-/// Share of the open targets that must serve the catalogue's pin before the pin that it replaced is no longer accepted.
+/// Share of the open targets that must serve the catalogue's pin before the pins that it replaced are no longer accepted.
 const SWITCHED: (usize, usize) = (3, 4);
 
 /// Targets by name.
@@ -93,7 +93,7 @@
         }
     }
 
-    /// Returns how many of `pins` are accepted: the second, replaced pin only until most open targets have switched.
+    /// Returns those of `pins` that are accepted: the replaced ones only until most open targets have switched.
     pub fn accepted<'a>(&self, now: Instant, pins: &'a [Pin]) -> &'a [Pin] {
         let Some((current, _)) = pins.split_first() else {
             return pins;
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -285,12 +285,17 @@
         let Some(lane) = self.lanes.get_mut(&request.admission().service) else {
             return;
         };
+        // A deadline shorter than the class promises says nothing about the target: a caller could cut its limit for
+        // all others.
+        let time = now.saturating_duration_since(request.sent_at());
+        let late = failure == Failure::TimedOut && time >= request.admission().within;
         if let Some(target) = lane.pool.get_mut(request.target()) {
             match failure {
+                Failure::TimedOut if !late => {}
                 Failure::Overloaded | Failure::TimedOut => {
                     target.concurrency.overloaded(now, request.sent_at());
                 }
-                Failure::Closed | Failure::NotConnected => target.close(),
+                Failure::Closed | Failure::NotConnected => target.close(now),
                 Failure::Rejected
                 | Failure::Refused
                 | Failure::Elsewhere(_)
@@ -298,9 +303,8 @@
                 | Failure::Reported => {}
             }
         }
-        if failure == Failure::TimedOut {
-            lane.drain
-                .held(now.saturating_duration_since(request.sent_at()));
+        if late {
+            lane.drain.held(time);
         }
         let next = match failure {
             Failure::Rejected => give_up(request.not_run(), Refusal::permanent(Reason::Rejected)),
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -16,6 +16,9 @@
 /// Time without a report after which a target is down.
 pub(crate) const DOWN_AFTER: Duration = Duration::from_secs(5);
 
+/// Time for which a target without reports gets no work after it refused all.
+const CLOSED_FOR: Duration = Duration::from_secs(2);
+
 /// Whether a target takes work.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum State {
@@ -41,6 +44,7 @@
     pub(crate) concurrency: Concurrency,
     pub(crate) own: Rc<Cell<u32>>,
     report: Option<Load>,
+    closed_until: Option<Instant>,
 }
 
 /// What matters of a report, and this entry's requests when it arrived.
@@ -64,6 +68,7 @@
             concurrency: Concurrency::new(per_target),
             own: Rc::default(),
             report: None,
+            closed_until: None,
         }
     }
 
@@ -75,6 +80,9 @@
         match (self.phase, silent) {
             (Phase::Leaving, _) => State::Leaving,
             (Phase::Down, _) => State::Down,
+            (Phase::Live, None) if self.closed_until.is_some_and(|until| now < until) => {
+                State::Closed
+            }
             (Phase::Live, None) => State::Unreported,
             (Phase::Live, Some(silent)) if silent >= DOWN_AFTER => State::Down,
             (Phase::Live, Some(silent)) if silent >= SUSPECT_AFTER => State::Suspect,
@@ -140,10 +148,11 @@
         true
     }
 
-    /// Treats the target's gate as closed until its next report.
-    pub(crate) fn close(&mut self) {
-        if let Some(report) = &mut self.report {
-            report.gate = Gate::Closed;
+    /// Treats the target's gate as closed until its next report, or for a while when it doesn't report here.
+    pub(crate) fn close(&mut self, now: Instant) {
+        match &mut self.report {
+            Some(report) => report.gate = Gate::Closed,
+            None => self.closed_until = Some(now + CLOSED_FOR),
         }
     }
 
