Say which targets report to an entry and which leave

Cause: an entry must notice a dead target that it never heard from, and learn of leaving VMs from the VM list. Change: gossip::reporters gives the targets that report to an entry in one pass; Store::leaving states what the VM list says; report_entries passes over entries that don't answer; Scope::new derives the services that share a model.

--- a/crates/gossip/src/choice.rs
+++ b/crates/gossip/src/choice.rs
@@ -1,5 +1,7 @@
 //! Which members talk to which.
 
+use std::collections::BTreeMap;
+
 use crate::hash;
 use crate::random::Random;
 use crate::record::{Node, Phase};
@@ -118,12 +120,14 @@
 /// Returns the entries that `target` reports to, first in rendezvous order first.
 ///
 /// They are live entries of the target's domain; a domain without any makes its targets report to entries elsewhere.
-/// Targets of the same service and domain are counted as long as they are not down.
+/// Targets of the same service and domain are counted as long as they are not down. Entries for which `skip` is true,
+/// such as those that don't answer the target, are passed over for the next in order.
 pub fn report_entries<'a>(
     store: &'a Store,
     target: &str,
     domain: &str,
     service: &str,
+    skip: impl Fn(&str) -> bool,
 ) -> Vec<(&'a str, &'a Node)> {
     let live: Vec<_> = store
         .entries()
@@ -139,11 +143,44 @@
         other.domain == domain && other.service == service && other.phase != Phase::Down
     });
     let count = report_count(list.len(), targets.count());
+    list.retain(|(name, _)| !skip(name));
     list.sort_by_cached_key(|(name, _)| std::cmp::Reverse(hash::weight(target, name)));
     list.truncate(count);
     list
 }
 
+/// Returns the live targets of `domain` that report to the entry `name` of that domain.
+///
+/// It gives the same as [`report_entries`] for each target, with one pass over the store.
+pub fn reporters<'a>(store: &'a Store, name: &str, domain: &str) -> Vec<&'a str> {
+    let live = store.entries();
+    let live = live.filter(|(_, node)| node.phase == Phase::Live && node.domain == domain);
+    let entries: Vec<&str> = live.map(|(name, _)| name).collect();
+    let targets = store.targets();
+    let targets: Vec<_> = targets
+        .filter(|(_, target)| target.domain == domain && target.phase != Phase::Down)
+        .collect();
+    let mut services: BTreeMap<&str, usize> = BTreeMap::new();
+    for (_, target) in &targets {
+        *services.entry(&target.service).or_default() += 1;
+    }
+    let reports = |target: &str, service: &str| {
+        let count = report_count(
+            entries.len(),
+            services.get(service).copied().unwrap_or_default(),
+        );
+        let mine = hash::weight(target, name);
+        let ahead = entries
+            .iter()
+            .filter(|entry| hash::weight(target, entry) > mine);
+        entries.contains(&name) && ahead.count() < count
+    };
+    let reporting = targets
+        .into_iter()
+        .filter(|(target, value)| reports(target, &value.service));
+    reporting.map(|(target, _)| target).collect()
+}
+
 fn rendezvous<'a>(subject: &str, names: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
     let mut order: Vec<_> = names.collect();
     order.sort_by_cached_key(|name| std::cmp::Reverse(hash::weight(subject, name)));
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -32,7 +32,7 @@
 mod store;
 mod view;
 
-pub use choice::{Peers, report_count, report_entries, watchers};
+pub use choice::{Peers, report_count, report_entries, reporters, watchers};
 pub use detect::{Detector, Sign};
 pub use exchange::{Delta, Digest};
 pub use member::Member;
--- a/crates/gossip/src/store.rs
+++ b/crates/gossip/src/store.rs
@@ -135,17 +135,31 @@
     /// The record loses to any later one of the member itself. Returns `None` for a member that is unknown or already
     /// down.
     pub fn down(&self, key: &Key) -> Option<Record> {
-        let held = self.records.get(key)?;
-        let mut record = held.record(key);
-        let phase = match &mut record.value {
+        self.observed(key, Phase::Down)
+    }
+
+    /// Returns the record of a live member with its state set to `Leaving`, as the platform's VM list states it.
+    ///
+    /// The member confirms it by a record of its own. Returns `None` for a member that isn't live.
+    pub fn leaving(&self, key: &Key) -> Option<Record> {
+        self.observed(key, Phase::Leaving)
+    }
+
+    fn observed(&self, key: &Key, phase: Phase) -> Option<Record> {
+        let mut record = self.get(key)?;
+        let held = match &mut record.value {
             Value::Catalog(_) => return None,
             Value::Entry(node) => &mut node.phase,
             Value::Target(target) => &mut target.phase,
         };
-        if *phase == Phase::Down {
+        if *held == phase || *held == Phase::Down {
             return None;
         }
-        *phase = Phase::Down;
+        *held = phase;
+        if record.version.down {
+            // A member that was said to leave and then falls silent: one version can't say both.
+            record.version.minor = record.version.minor.saturating_add(1);
+        }
         record.version.down = true;
         Some(record)
     }
--- a/crates/gossip/src/view.rs
+++ b/crates/gossip/src/view.rs
@@ -62,6 +62,30 @@
 }
 
 impl Scope {
+    /// Returns the scope of a target of `service` in `domain`; `models` are the weights of each service.
+    ///
+    /// ```
+    /// use gossip::Scope;
+    ///
+    /// let models = [("assistant", 7), ("summaries", 7), ("drafting", 8)];
+    /// let models = models.map(|(service, digest)| (service.to_owned(), digest)).into();
+    /// assert_eq!(Scope::new("levis", "summaries", &models).services, ["assistant", "summaries"]);
+    /// ```
+    pub fn new<D: PartialEq>(domain: &str, service: &str, models: &BTreeMap<String, D>) -> Self {
+        let own = models.get(service);
+        let sharing = models
+            .iter()
+            .filter(|(name, model)| *name == service || Some(*model) == own);
+        let mut services: Vec<String> = sharing.map(|(name, _)| name.clone()).collect();
+        if own.is_none() {
+            services.push(service.into());
+        }
+        Self {
+            domain: domain.into(),
+            services,
+        }
+    }
+
     /// Tells whether a record concerns the target.
     pub fn covers(&self, key: &Key, value: &Value) -> bool {
         match (key, value) {
--- a/crates/gossip/tests/choice.rs
+++ b/crates/gossip/tests/choice.rs
@@ -4,7 +4,7 @@
 
 use gossip::{
     Detector, Key, Member, Node, Peers, Phase, Random, Record, Scope, Sign, Store, Target, Value,
-    Version, Views, report_entries, watchers,
+    Version, Views, report_entries, reporters, watchers,
 };
 
 fn entry(name: &str, domain: &str, minor: u64, phase: Phase) -> Record {
@@ -76,7 +76,7 @@
 fn report_entries_after_death() {
     let mut store = fleet();
     let chosen = |store: &Store| -> Vec<String> {
-        let list = report_entries(store, "t1", "north", "drafting");
+        let list = report_entries(store, "t1", "north", "drafting", |_| false);
         list.into_iter().map(|(name, _)| name.to_owned()).collect()
     };
     let before = chosen(&store);
@@ -86,6 +86,33 @@
     assert_eq!(chosen(&store)[..7], before[1..]);
 }
 
+/// Guards against a target that no entry watches, or that entries watch to which it doesn't report.
+#[test]
+fn reporters_same_as_report_entries() {
+    let store = fleet();
+    for (name, node) in store.entries() {
+        let chosen = |target: &str| {
+            let entries = report_entries(&store, target, "north", "drafting", |_| false);
+            node.domain == "north" && entries.iter().any(|(entry, _)| *entry == name)
+        };
+        let expected: Vec<&str> = store
+            .targets()
+            .map(|(target, _)| target)
+            .filter(|t| chosen(t))
+            .collect();
+        assert_eq!(reporters(&store, name, &node.domain), expected);
+    }
+}
+
+/// Guards against a leaving member that can't be declared down any more.
+#[test]
+fn down_after_leaving() {
+    let (mut store, key) = (fleet(), Key::Target("t1".into()));
+    assert!(store.merge(store.leaving(&key).unwrap()));
+    assert!(store.merge(store.down(&key).unwrap()));
+    assert!(store.leaving(&key).is_none() && store.down(&key).is_none());
+}
+
 /// Guards against exchanges that never leave the domain, or never return to a domain that was declared down.
 #[test]
 fn exchange_leaves_the_domain() {
