Serve the peer port of an entry

Cause: entries must hold members, catalogue and load, and hand targets the records that concern them. Change: entry::peer with the tarpc server, pushes every 50 ms of changes, an exchange a second, probes of entries that didn't answer, detection, the watch by two entries per domain and the VM list. /status shows the revision of each catalogue entry. An entry's incarnation is its start time; it writes nothing to the platform. A VM that the list names as leaving is stated as Leaving; a VM that the list lacks is left to detection. A change is pushed abroad by every entry of a domain of up to 8, by one in eight of 67: before, members took up to 8 s to reach another domain. tarpc's lines are logged from Warn on; it wrote one for each call at the level Info.

--- a/bins/entry/src/lib.rs
+++ b/bins/entry/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A [`Gateway`] joins the decisions of the crate `route` with HTTP: it submits each caller's request, sends it to the
 //! target that the router names, and passes the answer on. [`Shared`](shared::Shared) holds what the peer port learns
-//! about targets and the catalogue. [`serve`] opens the ports and stops gracefully.
+//! about targets and the catalogue; [`peer`] is that port. [`serve`] opens the ports and stops gracefully.
 
 mod answer;
 mod attempt;
@@ -10,6 +10,7 @@
 mod gateway;
 mod metrics;
 mod passing;
+pub mod peer;
 mod serve;
 mod settings;
 pub mod shared;
--- a/bins/entry/src/serve.rs
+++ b/bins/entry/src/serve.rs
@@ -12,6 +12,7 @@
 
 use crate::Settings;
 use crate::gateway::Gateway;
+use crate::peer::Peering;
 use crate::shared::Shared;
 
 /// Time between two checks whether requests are still in progress.
@@ -29,6 +30,13 @@
 ) -> io::Result<()> {
     let callers = node::listen(settings.caller_listen)?;
     let operators = node::listen(settings.operator_listen)?;
+    let peers = node::listen(settings.peer_listen)?;
+    let peering = Peering::new(&settings, shared.clone(), peers.local_addr()?);
+    let _tasks = peering.start(peers);
+    let stop = async {
+        stop.await;
+        peering.leave();
+    };
     serve_on(callers, operators, settings, shared, stop).await;
     Ok(())
 }
--- a/bins/entry/src/status.rs
+++ b/bins/entry/src/status.rs
@@ -18,12 +18,22 @@
         "domain": gateway.settings.domain,
         "draining": !gateway.is_healthy(),
         "in_progress": gateway.in_progress(),
+        "catalogue": revisions(gateway),
         "catalogue_revision": router.catalogue().revision(),
         "live_entries": gateway.shared.live_entries(),
         "services": services,
     })
 }
 
+/// Returns the revisions in force, by kind and name; `carobport-catalog` waits for them.
+fn revisions(gateway: &Gateway) -> Value {
+    let catalogue = gateway.shared.catalogue();
+    catalogue
+        .into_iter()
+        .map(|(key, (revision, _))| (key, Value::from(revision)))
+        .collect()
+}
+
 fn service(router: &Router, name: &str) -> Value {
     let now = Instant::now();
     let targets: serde_json::Map<String, Value> = router
--- a/crates/gossip/src/choice.rs
+++ b/crates/gossip/src/choice.rs
@@ -10,9 +10,12 @@
 /// Number of peers that a changed record is pushed to.
 const FAN_OUT: usize = 3;
 
-/// One of this many exchanges and pushes reaches another domain.
+/// One of this many exchanges reaches another domain.
 const ABROAD: u64 = 8;
 
+/// Pushes of one change that leave a domain, about, whatever its size: enough to reach most of 8 other domains at once.
+const PUSHES_ABROAD: usize = 8;
+
 /// Number of entries of a domain that watch the platform.
 const WATCHERS: usize = 2;
 
@@ -29,7 +32,6 @@
     domain: String,
     random: Random,
     exchanges: u64,
-    pushes: u64,
 }
 
 impl Peers {
@@ -40,15 +42,20 @@
             domain: domain.into(),
             random,
             exchanges: 0,
-            pushes: 0,
         }
     }
 
-    /// Returns the entries to push changed records to: 3 of the own domain, and now and then one of another.
+    /// Returns the entries to push changed records to: 3 of the own domain, and at times one of another.
+    ///
+    /// Each entry of the domain pushes a change once. Each pushes it abroad too in a domain of up to 8 entries, one in
+    /// eight in a domain of 67; exchanges alone would take up to 8 s.
     pub fn push(&mut self, store: &Store) -> Vec<(String, Node)> {
-        self.pushes += 1;
         let mut chosen = self.pick(store, true, FAN_OUT);
-        if self.pushes.is_multiple_of(ABROAD) || chosen.is_empty() {
+        let home = self
+            .live(store)
+            .filter(|(_, node)| node.domain == self.domain);
+        let home = home.count() + 1;
+        if self.random.below(home) < PUSHES_ABROAD {
             chosen.extend(self.pick(store, false, 1));
         }
         chosen
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -46,6 +46,12 @@
     OTHER_WEIGHTS = 203 Error "other-weights";
     NO_OUTCOME = 204 Error "no-outcome";
     ANSWER_CUT = 205 Warn "answer-cut";
+    CATALOGUE_CHANGED = 220 Info "catalogue-changed";
+    ENTRY_MALFORMED = 221 Error "entry-malformed";
+    MEMBER_DOWN = 222 Warn "member-down";
+    REFUTED = 223 Warn "refuted";
+    PEER_FAILED = 224 Debug "peer-failed";
+    WATCH_FAILED = 225 Warn "watch-failed";
     STANDIN_SERVING = 600 Info "standin-serving";
     STANDIN_SWITCHED = 601 Info "standin-switched";
     STANDIN_RESTARTED = 602 Info "standin-restarted";
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -5,7 +5,7 @@
 use std::fmt::{self, Display, Write};
 
 use log4rs::append::console::{ConsoleAppender, Target};
-use log4rs::config::{Appender, Config, Root};
+use log4rs::config::{Appender, Config, Logger, Root};
 use log4rs::encode::pattern::PatternEncoder;
 
 use crate::Event;
@@ -38,6 +38,8 @@
         .build();
     let config = Config::builder()
         .appender(Appender::builder().build("stdout", Box::new(stdout)))
+        // tarpc writes a line for each call at the level of our own events.
+        .logger(Logger::builder().build("tarpc", level.min(log::LevelFilter::Warn)))
         .build(Root::builder().appender("stdout").build(level));
     if let Ok(config) = config {
         // Fails when a logger is already set, which then stays.
