--- a/crates/gossip/src/choice.rs
+++ b/crates/gossip/src/choice.rs
@@ -1,5 +1,7 @@
 //! Which members talk to which.
 
+use std::collections::BTreeMap;
+
 use crate::hash;
 use crate::random::Random;
 use crate::record::{Node, Phase};
@@ -8,9 +10,12 @@
 /// Number of peers that a changed record is pushed to.
 const FAN_OUT: usize = 3;
 
-/// One of this many exchanges and pushes reaches another domain.
+/// One of this many exchanges reaches another domain.
 const ABROAD: u64 = 8;
 
+/// Pushes of one change that leave a domain, about, whatever its size: enough to reach most of 8 other domains at once.
+const PUSHES_ABROAD: usize = 8;
+
 /// Number of entries of a domain that watch the platform.
 const WATCHERS: usize = 2;
 
@@ -27,7 +32,6 @@
     domain: String,
     random: Random,
     exchanges: u64,
-    pushes: u64,
 }
 
 impl Peers {
@@ -38,15 +42,20 @@
             domain: domain.into(),
             random,
             exchanges: 0,
-            pushes: 0,
         }
     }
 
-    /// Returns the entries to push changed records to: 3 of the own domain, and now and then one of another.
+    /// Returns the entries to push changed records to: 3 of the own domain, and at times one of another.
+    ///
+    /// Each entry of the domain pushes a change once. Each pushes it abroad too in a domain of up to 8 entries, one in
+    /// eight in a domain of 67; exchanges alone would take up to 8 s.
     pub fn push(&mut self, store: &Store) -> Vec<(String, Node)> {
-        self.pushes += 1;
         let mut chosen = self.pick(store, true, FAN_OUT);
-        if self.pushes.is_multiple_of(ABROAD) || chosen.is_empty() {
+        let home = self
+            .live(store)
+            .filter(|(_, node)| node.domain == self.domain);
+        let home = home.count() + 1;
+        if self.random.below(home) < PUSHES_ABROAD {
             chosen.extend(self.pick(store, false, 1));
         }
         chosen
@@ -118,12 +127,14 @@
 /// Returns the entries that `target` reports to, first in rendezvous order first.
 ///
 /// They are live entries of the target's domain; a domain without any makes its targets report to entries elsewhere.
-/// Targets of the same service and domain are counted as long as they are not down.
+/// Targets of the same service and domain are counted as long as they are not down. Entries for which `skip` is true,
+/// such as those that don't answer the target, are passed over for the next in order.
 pub fn report_entries<'a>(
     store: &'a Store,
     target: &str,
     domain: &str,
     service: &str,
+    skip: impl Fn(&str) -> bool,
 ) -> Vec<(&'a str, &'a Node)> {
     let live: Vec<_> = store
         .entries()
@@ -139,11 +150,44 @@
         other.domain == domain && other.service == service && other.phase != Phase::Down
     });
     let count = report_count(list.len(), targets.count());
+    list.retain(|(name, _)| !skip(name));
     list.sort_by_cached_key(|(name, _)| std::cmp::Reverse(hash::weight(target, name)));
     list.truncate(count);
     list
 }
 
+/// Returns the live targets of `domain` that report to the entry `name` of that domain.
+///
+/// It gives the same as [`report_entries`] for each target, with one pass over the store.
+pub fn reporters<'a>(store: &'a Store, name: &str, domain: &str) -> Vec<&'a str> {
+    let live = store.entries();
+    let live = live.filter(|(_, node)| node.phase == Phase::Live && node.domain == domain);
+    let entries: Vec<&str> = live.map(|(name, _)| name).collect();
+    let targets = store.targets();
+    let targets: Vec<_> = targets
+        .filter(|(_, target)| target.domain == domain && target.phase != Phase::Down)
+        .collect();
+    let mut services: BTreeMap<&str, usize> = BTreeMap::new();
+    for (_, target) in &targets {
+        *services.entry(&target.service).or_default() += 1;
+    }
+    let reports = |target: &str, service: &str| {
+        let count = report_count(
+            entries.len(),
+            services.get(service).copied().unwrap_or_default(),
+        );
+        let mine = hash::weight(target, name);
+        let ahead = entries
+            .iter()
+            .filter(|entry| hash::weight(target, entry) > mine);
+        entries.contains(&name) && ahead.count() < count
+    };
+    let reporting = targets
+        .into_iter()
+        .filter(|(target, value)| reports(target, &value.service));
+    reporting.map(|(target, _)| target).collect()
+}
+
 fn rendezvous<'a>(subject: &str, names: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
     let mut order: Vec<_> = names.collect();
     order.sort_by_cached_key(|name| std::cmp::Reverse(hash::weight(subject, name)));
