--- a/crates/wire/src/transport/client.rs
+++ b/crates/wire/src/transport/client.rs
@@ -6,12 +6,13 @@
 
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
-use gossip::Record;
 use tarpc::client::{Config, RpcError};
 use tarpc::context;
 
 use super::transport;
-use crate::message::{Delta, Digest, Reply, Report};
+use gossip::{Delta, Digest, Record};
+
+use crate::message::{Reply, Report};
 use crate::peer::PeerClient;
 
 /// A connection to an entry's peer port; closed when dropped.
--- a/crates/wire/tests/transport.rs
+++ b/crates/wire/tests/transport.rs
@@ -77,7 +77,7 @@
             client
                 .exchange(Digest {
                     root: 5,
-                    buckets: vec![]
+                    ..Digest::default()
                 })
                 .await
                 .unwrap()
