Forward calls to the backend and give orders to the engine

Cause: the agent had its shared state and no tasks.

Change: `call` forwards requests of entries by their pin, streams the answers, drops those from other weights and runs keyed calls once by the claim owner's decisions; `engine` polls the status and gives activate orders; `number` takes the fencing number; `turn` asks the predecessor in the switch order; `operator` and `process` serve the operator port and stop on SIGTERM. Engines refuse stale numbers and incomplete weights with the same status, so a refusal is told apart by the number in `/status`. An engine's 5xx without `engine-weights` counts as unknown, since the entry may then try another target.

--- /dev/null
+++ b/bins/agent/src/call/answer.rs
@@ -0,0 +1,157 @@
+//! Answers of the call port.
+
+use gate::Refusal;
+use node::http::header::{
+    CONNECTION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use node::http::{Body, Response, StatusCode, response};
+use wire::header::{ENGINE_WEIGHTS, OUTCOME, OWNER, REASON, REQUEST, WEIGHTS};
+
+/// Headers that hold for one connection only (RFC 9110, section 7.6.1), and those that the HTTP library sets anew.
+const HOP_BY_HOP: [HeaderName; 7] = [
+    CONNECTION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    CONTENT_LENGTH,
+    HOST,
+];
+
+/// Why a call did not run; nothing was written to the backend.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum NotRun {
+    /// A header or the path can't be read.
+    Malformed(&'static str),
+    /// The target serves another service.
+    Service,
+    /// The catalogue entry of the service isn't known yet.
+    NoCatalogue,
+    /// The gate refused.
+    Refused(Refusal),
+    /// The backend can't be reached.
+    Backend,
+    /// The call must run at most once and carries no key.
+    NoKey,
+    /// The key's interval isn't held here, for the reason named; the agent that holds it, if known.
+    Claim {
+        /// Word for the header `carobport-reason`.
+        reason: &'static str,
+        /// Name of the agent to ask instead.
+        owner: Option<String>,
+    },
+}
+
+/// Why the outcome of a call is not known.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Unknown {
+    /// The backend broke the connection.
+    Backend,
+    /// The caller's deadline passed.
+    Deadline,
+    /// The answer was made from other weights and was dropped.
+    Weights,
+    /// The call may have run before, and its answer is not stored.
+    Claim(&'static str),
+}
+
+impl NotRun {
+    /// Returns the word for the header `carobport-reason`.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::Malformed(_) => "malformed",
+            Self::Service => "service",
+            Self::NoCatalogue => "catalogue",
+            Self::Refused(Refusal::Closed) => "closed",
+            Self::Refused(Refusal::Version) => "version",
+            Self::Refused(Refusal::Draining) => "draining",
+            Self::Refused(Refusal::Leaving) => "leaving",
+            Self::Backend => "backend",
+            Self::NoKey => "key",
+            Self::Claim { reason, .. } => reason,
+        }
+    }
+
+    /// Returns the answer.
+    pub fn response(&self) -> Response<Body> {
+        let (status, text) = match self {
+            Self::Malformed(name) => (StatusCode::BAD_REQUEST, format!("`{name}` can't be read\n")),
+            Self::NoKey => (
+                StatusCode::BAD_REQUEST,
+                "an idempotency key is required\n".into(),
+            ),
+            _ => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        };
+        let mut response = outcome(status, "not-run", self.reason(), text);
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            response
+                .headers_mut()
+                .insert(RETRY_AFTER, HeaderValue::from_static("1"));
+        }
+        if let Self::Claim {
+            owner: Some(owner), ..
+        } = self
+            && let Ok(owner) = HeaderValue::from_str(owner)
+        {
+            response.headers_mut().insert(OWNER, owner);
+        }
+        response
+    }
+}
+
+impl Unknown {
+    /// Returns the word for the header `carobport-reason`.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::Backend => "backend",
+            Self::Deadline => "deadline",
+            Self::Weights => "weights",
+            Self::Claim(reason) => reason,
+        }
+    }
+
+    /// Returns the answer.
+    pub fn response(&self) -> Response<Body> {
+        let status = match self {
+            Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
+            Self::Backend | Self::Weights | Self::Claim(_) => StatusCode::BAD_GATEWAY,
+        };
+        outcome(status, "unknown", self.reason(), String::new())
+    }
+}
+
+/// Returns the backend's answer with the headers of the call port.
+pub fn head<B>(mut answer: Response<B>) -> Response<B> {
+    let headers = answer.headers_mut();
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+    // A backend must not speak for the agent.
+    for name in [OUTCOME, REASON, REQUEST, OWNER, WEIGHTS] {
+        headers.remove(name);
+    }
+    if let Some(weights) = headers.remove(ENGINE_WEIGHTS) {
+        headers.insert(WEIGHTS, weights);
+    }
+    headers.insert(OUTCOME, HeaderValue::from_static("answered"));
+    answer
+}
+
+/// Tells whether a header is meant for the other end rather than for the next connection.
+pub fn is_end_to_end(name: &HeaderName) -> bool {
+    !HOP_BY_HOP.contains(name) && name != "keep-alive" && name != "proxy-connection"
+}
+
+fn outcome(
+    status: StatusCode,
+    outcome: &'static str,
+    reason: &'static str,
+    text: String,
+) -> Response<Body> {
+    let mut response = response(status, text);
+    let headers = response.headers_mut();
+    headers.insert(OUTCOME, HeaderValue::from_static(outcome));
+    headers.insert(REASON, HeaderValue::from_static(reason));
+    response
+}
--- a/bins/agent/src/lib.rs
+++ b/bins/agent/src/lib.rs
@@ -3,10 +3,18 @@
 //! Each module runs one or more tasks of the event loop; they share one [`Shared`]. Decisions are made by the crates
 //! `gate`, `burst` and `claim`; the modules here do their I/O.
 
+pub mod call;
+pub mod engine;
+pub mod metrics;
 pub mod notify;
+pub mod number;
+pub mod operator;
+pub mod process;
 pub mod settings;
 pub mod shared;
+pub mod turn;
 
+pub use metrics::Metrics;
 pub use notify::Notify;
 pub use settings::Settings;
 pub use shared::Shared;
--- /dev/null
+++ b/bins/agent/src/operator.rs
@@ -0,0 +1,46 @@
+//! The operator port.
+
+use std::rc::Rc;
+
+use compio::net::TcpListener;
+use node::operator::{Operator, serve};
+use prometheus_client::registry::Registry;
+use serde_json::{Value, json};
+
+use crate::Shared;
+
+/// Serves the operator port until `shutdown` resolves.
+pub async fn run(shared: Rc<Shared>, listener: TcpListener, shutdown: impl Future<Output = ()>) {
+    let mut registry = Registry::default();
+    shared.metrics.register(&mut registry);
+    let operator = Operator {
+        registry,
+        status: || status(&shared),
+        healthy: || shared.gate() == wire::Gate::Open,
+    };
+    serve(listener, operator, shutdown).await;
+}
+
+fn status(shared: &Shared) -> Value {
+    let settings = &shared.settings;
+    let text = |pin: Option<weights::Pin>| pin.map(|pin| pin.to_string());
+    json!({
+        "name": settings.name,
+        "domain": settings.domain,
+        "region": settings.region,
+        "service": settings.service,
+        "fencing_number": shared.number.get(),
+        "incarnation": shared.incarnation(),
+        "gate": format!("{:?}", shared.gate()).to_lowercase(),
+        "pin": text(shared.pin()),
+        "wanted": text(shared.wanted()),
+        "engine_weights": shared.active(),
+        "leaving": shared.is_leaving(),
+        "in_progress": shared.in_progress(),
+        "running": shared.counters.running.get(),
+        "waiting": shared.counters.waiting.get(),
+        "chunks": shared.counters.chunks.get(),
+        "slots": shared.counters.slots.get(),
+        "records": shared.view.borrow().len(),
+    })
+}
--- /dev/null
+++ b/bins/agent/src/process.rs
@@ -0,0 +1,80 @@
+//! The life of the process: start, tasks and graceful shutdown.
+
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use gate::Event;
+use node::http::{Client, Limits, serve};
+use node::{event, listen, signal};
+
+use crate::{Settings, Shared, call, engine, number, operator, turn};
+
+/// Time allowed for a call of the platform.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Limit of a request's headers: the entry's 16 KB for the caller's, and as much again for its own.
+const HEADER_LIMIT: usize = 32 << 10;
+
+/// Runs the agent until it was asked to stop and its requests in progress are finished.
+///
+/// # Errors
+///
+/// Fails when a port can't be bound, with the address in the message.
+pub async fn run(settings: Settings) -> io::Result<()> {
+    // Held for the life of the process: while it is bound, no second agent can start and give orders.
+    let _order_lock = listen(settings.order_listen).inspect_err(|error| {
+        node::event!(event::ORDER_PORT_HELD, error = error);
+    })?;
+    let calls = listen(settings.call_listen)?;
+    let operators = listen(settings.operator_listen)?;
+    let platform = platform::Client::new(settings.platform, PLATFORM_TIMEOUT);
+    let http = Client::new();
+    let (shared, actions) = Shared::new(settings, milliseconds());
+
+    let tasks = [
+        compio::runtime::spawn(engine::run(shared.clone(), actions, http.clone())),
+        compio::runtime::spawn(number::take(shared.clone(), platform.clone())),
+        compio::runtime::spawn(turn::run(shared.clone(), http.clone())),
+        compio::runtime::spawn(leave(shared.clone())),
+        compio::runtime::spawn(operator::run(
+            shared.clone(),
+            operators,
+            finished(shared.clone()),
+        )),
+    ];
+    let port = call::Port::new(shared.clone(), http);
+    let limits = Limits {
+        header: HEADER_LIMIT,
+        ..Limits::default()
+    };
+    let handler = move |_, request| {
+        let port = port.clone();
+        async move { port.answer(request).await }
+    };
+    serve(calls, limits, handler, finished(shared.clone())).await;
+    drop(tasks);
+    Ok(())
+}
+
+/// Waits for the signal to stop, then refuses new calls and reports that the target leaves.
+async fn leave(shared: Rc<Shared>) {
+    signal::shutdown().await;
+    shared.handle(Event::Leave);
+}
+
+/// Resolves when the agent was asked to stop and no request is in progress.
+async fn finished(shared: Rc<Shared>) {
+    let mut seen = shared.changed.count();
+    while !shared.finished.get() {
+        seen = shared.changed.changed(seen).await;
+    }
+}
+
+/// Returns the time since 1970 in milliseconds.
+fn milliseconds() -> u64 {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH);
+    time.map_or(0, |time| {
+        u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- a/bins/agent/src/shared.rs
+++ b/bins/agent/src/shared.rs
@@ -1,32 +1,32 @@
 //! What the tasks of the agent share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Instant;
 
 use futures::channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use gate::{Action, Call, Controller, Event, Gate, Incarnation, Refusal};
-use gossip::{Key, Record, Value};
+use gossip::{Key, Store, Value};
 use weights::{Digest, Pin};
 
-use crate::{Notify, Settings};
-
-/// Records of the agent's view, by key.
-///
-/// They are merged by version in the module `report`, which calls [`Shared::view_changed`] afterwards.
-pub type View = BTreeMap<Key, Record>;
+use crate::{Metrics, Notify, Settings};
 
 /// State of the agent, shared by all tasks of its event loop.
 pub struct Shared {
     /// Settings of the process.
     pub settings: Settings,
-    /// Records received from the entries, and the agent's own.
-    pub view: RefCell<View>,
+    /// Records received from the entries, and the agent's own; call [`Shared::view_changed`] after changes.
+    pub view: RefCell<Store>,
+    /// Claims of keyed calls; the module `claims` keeps them in step with the platform.
+    pub claims: RefCell<claim::Owner>,
     /// What the next report says besides the state of the gate.
     pub counters: Counters,
+    /// Metrics of the operator port.
+    pub metrics: Metrics,
     /// Counts changes of the wanted or active weights, of the view and of the staging.
     pub changed: Notify,
+    /// Counts ended calls of those that must run at most once.
+    pub outcomes: Notify,
     /// Counts reports that must be sent at once.
     pub report: Notify,
     /// Fencing number, which is also the incarnation of the agent's records.
@@ -65,11 +65,15 @@
     pub fn new(settings: Settings, started_ms: u64) -> (Rc<Self>, UnboundedReceiver<Action>) {
         let (actions, receiver) = unbounded();
         let controller = Controller::new(settings.backend, Instant::now());
+        let claims = claim::Owner::new(&settings.name, random());
         let shared = Self {
             settings,
-            view: RefCell::default(),
+            view: RefCell::new(Store::new()),
+            claims: RefCell::new(claims),
             counters: Counters::default(),
+            metrics: Metrics::default(),
             changed: Notify::default(),
+            outcomes: Notify::default(),
             report: Notify::default(),
             number: Cell::new(None),
             started_ms,
@@ -95,6 +99,15 @@
         }
     }
 
+    /// Returns the state of the gate as its metric shows it.
+    pub fn gate_metric(&self) -> i64 {
+        match self.gate() {
+            wire::Gate::Closed => 0,
+            wire::Gate::Open => 1,
+            wire::Gate::Draining => 2,
+        }
+    }
+
     /// Returns the pin that the gate serves or drains.
     pub fn pin(&self) -> Option<Pin> {
         self.controller.borrow().gate().pin().cloned()
@@ -110,6 +123,13 @@
         self.controller.borrow().status()?.active
     }
 
+    /// Returns the wanted digest while only its turn keeps the target from switching to it.
+    pub fn awaits_turn(&self) -> Option<Digest> {
+        let controller = self.controller.borrow();
+        let wanted = controller.wanted().filter(|_| controller.awaits_turn())?;
+        Some(wanted.digest)
+    }
+
     /// Returns the number of requests in progress.
     pub fn in_progress(&self) -> u32 {
         self.controller.borrow().calls().count()
@@ -122,12 +142,11 @@
 
     /// Returns the catalogue entry of the agent's service, when the view holds a valid one.
     pub fn service(&self) -> Option<catalog::Service> {
-        let view = self.view.borrow();
-        let record = view.get(&Key::Catalog(format!("service/{}", self.settings.service)))?;
-        let Value::Catalog(text) = &record.value else {
+        let key = Key::Catalog(format!("service/{}", self.settings.service));
+        let Value::Catalog(text) = self.view.borrow().get(&key)?.value else {
             return None;
         };
-        match serde_json::from_str(text) {
+        match serde_json::from_str(&text) {
             Ok(catalog::Entry::Service(service)) => Some(service),
             _ => None,
         }
@@ -180,6 +199,7 @@
         let checked = controller.check(call, weights, Instant::now());
         drop(controller);
         if checked.is_err() {
+            self.shared.metrics.mismatches.inc();
             self.shared.report.notify();
         }
         checked
@@ -192,3 +212,9 @@
         self.shared.handle(Event::Tick);
     }
 }
+
+/// Returns a random number.
+fn random() -> u64 {
+    // The last 62 bits of a UUIDv7 are random (RFC 9562, section 5.7); the two above them say that it is a UUID.
+    uuid::Uuid::now_v7().as_u64_pair().1
+}
--- a/crates/gate/src/controller.rs
+++ b/crates/gate/src/controller.rs
@@ -143,6 +143,11 @@
         self.leaving
     }
 
+    /// Tells whether only its turn keeps the target from switching.
+    pub fn awaits_turn(&self) -> bool {
+        matches!(self.gate, Gate::Open(_)) && self.is_staged() && !self.turn && !self.leaving
+    }
+
     /// Admits a request with `pin`, or without one for plain backends.
     ///
     /// # Errors
@@ -438,6 +443,7 @@
 
     fn is_staged(&self) -> bool {
         match (&self.wanted, self.status()) {
+            (Some(pin), Some(status)) if status.active == Some(pin.digest) => false,
             (Some(pin), Some(status)) => self.staged == Some((pin.digest, status.incarnation)),
             _ => false,
         }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -40,4 +40,13 @@
     ACCEPT_FAILED = 110 Warn "accept-failed";
     CONNECTION_FAILED = 111 Debug "connection-failed";
     DRAIN_CUT = 112 Warn "drain-cut";
+    GATE_CHANGED = 300 Info "gate-changed";
+    STAGING = 301 Info "staging";
+    ORDERED = 302 Info "ordered";
+    SUPERSEDED = 303 Error "superseded";
+    NUMBERED = 304 Info "numbered";
+    UNNUMBERED = 305 Warn "unnumbered";
+    WRONG_WEIGHTS = 306 Error "wrong-weights";
+    ORDER_PORT_HELD = 307 Error "order-port-held";
+    BACKEND_FAILED = 308 Warn "backend-failed";
 }
