--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -49,4 +49,7 @@
     WRONG_WEIGHTS = 306 Error "wrong-weights";
     ORDER_PORT_HELD = 307 Error "order-port-held";
     BACKEND_FAILED = 308 Warn "backend-failed";
+    STANDIN_SERVING = 600 Info "standin-serving";
+    STANDIN_SWITCHED = 601 Info "standin-switched";
+    STANDIN_RESTARTED = 602 Info "standin-restarted";
 }
