--- a/bins/agent/src/lib.rs
+++ b/bins/agent/src/lib.rs
@@ -4,6 +4,7 @@
 //! `gate`, `burst` and `claim`; the modules here do their I/O.
 
 pub mod call;
+pub mod chunk_server;
 pub mod engine;
 pub mod metrics;
 pub mod notify;
@@ -12,6 +13,7 @@
 pub mod process;
 pub mod settings;
 pub mod shared;
+pub mod transfer;
 pub mod turn;
 
 pub use metrics::Metrics;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -49,6 +49,13 @@
     WRONG_WEIGHTS = 306 Error "wrong-weights";
     ORDER_PORT_HELD = 307 Error "order-port-held";
     BACKEND_FAILED = 308 Warn "backend-failed";
+    TRANSFER_STARTED = 350 Info "transfer-started";
+    TRANSFER_COMPLETE = 351 Info "transfer-complete";
+    MANIFEST_FAILED = 352 Warn "manifest-failed";
+    PERMIT_FAILED = 353 Warn "permit-failed";
+    STAGE_FAILED = 354 Warn "stage-failed";
+    CHUNK_CORRUPTED = 355 Warn "chunk-corrupted";
+    DRAW_FAILED = 356 Warn "draw-failed";
     STANDIN_SERVING = 600 Info "standin-serving";
     STANDIN_SWITCHED = 601 Info "standin-switched";
     STANDIN_RESTARTED = 602 Info "standin-restarted";
