Tell the transfer what the gate and the view ask for

Cause: the transfer had no source of orders and members.

Change: `staging` passes the catalogue's weights, the members with the same weights and repeated stagings to the transfer, and its completion to the gate. The weights are wanted even when the engine serves them already: other agents count on each member for its share of the chunks. The call port lingers 500 ms after the last call of a stopping agent.

--- a/bins/agent/src/engine.rs
+++ b/bins/agent/src/engine.rs
@@ -71,6 +71,7 @@
         Action::Stage(pin, incarnation) => {
             node::event!(event::STAGING, pin = pin, incarnation = incarnation);
             shared.staging.replace(Some((pin, incarnation)));
+            shared.staging_asked.notify();
             shared.changed.notify();
         }
         Action::Activate { order, pin, number } => {
--- a/bins/agent/src/lib.rs
+++ b/bins/agent/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod process;
 pub mod settings;
 pub mod shared;
+pub mod staging;
 pub mod transfer;
 pub mod turn;
 
--- a/bins/agent/src/process.rs
+++ b/bins/agent/src/process.rs
@@ -4,11 +4,12 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use gate::Event;
+use compio::runtime::spawn;
+use gate::{Backend, Event};
 use node::http::{Client, Limits, serve};
 use node::{event, listen, signal};
 
-use crate::{Settings, Shared, call, engine, number, operator, turn};
+use crate::{Settings, Shared, call, chunk_server, engine, number, operator, staging, turn};
 
 /// Time allowed for a call of the platform.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
@@ -16,6 +17,9 @@
 /// Limit of a request's headers: the entry's 16 KB for the caller's, and as much again for its own.
 const HEADER_LIMIT: usize = 32 << 10;
 
+/// Time for which the call port still refuses calls after the last one ended: entries learn of the stop within it.
+const LINGER: Duration = Duration::from_millis(500);
+
 /// Runs the agent until it was asked to stop and its requests in progress are finished.
 ///
 /// # Errors
@@ -27,25 +31,42 @@
         node::event!(event::ORDER_PORT_HELD, error = error);
     })?;
     let calls = listen(settings.call_listen)?;
+    let chunks = listen(settings.chunk_listen)?;
     let operators = listen(settings.operator_listen)?;
     let platform = platform::Client::new(settings.platform, PLATFORM_TIMEOUT);
     let http = Client::new();
     let (shared, actions) = Shared::new(settings, milliseconds());
 
-    let tasks = [
-        compio::runtime::spawn(engine::run(shared.clone(), actions, http.clone())),
-        compio::runtime::spawn(number::take(shared.clone(), platform.clone())),
-        compio::runtime::spawn(turn::run(shared.clone(), http.clone())),
-        compio::runtime::spawn(leave(shared.clone())),
-        compio::runtime::spawn(operator::run(
+    let mut tasks = vec![
+        spawn(engine::run(shared.clone(), actions, http.clone())),
+        spawn(number::take(shared.clone(), platform.clone())),
+        spawn(turn::run(shared.clone(), http.clone())),
+        spawn(leave(shared.clone())),
+        spawn(operator::run(
             shared.clone(),
             operators,
             finished(shared.clone()),
         )),
     ];
+    if let (Backend::Engine, Some(store)) = (shared.settings.backend, shared.settings.store) {
+        let holdings = staging::holdings(&shared.settings);
+        let (transfer, worker) = staging::transfer(&shared, holdings.clone(), platform, store);
+        tasks.push(spawn(worker.run()));
+        tasks.push(spawn(staging::run(
+            shared.clone(),
+            transfer,
+            holdings.clone(),
+        )));
+        tasks.push(spawn(chunk_server::serve(
+            chunks,
+            holdings,
+            std::future::pending(),
+        )));
+    }
     let port = call::Port::new(shared.clone(), http);
     let limits = Limits {
         header: HEADER_LIMIT,
+        linger: LINGER,
         ..Limits::default()
     };
     let handler = move |_, request| {
--- a/bins/agent/src/shared.rs
+++ b/bins/agent/src/shared.rs
@@ -35,6 +35,8 @@
     pub started_ms: u64,
     /// Weights to bring into the engine, and the engine's incarnation.
     pub staging: RefCell<Option<(Pin, Incarnation)>>,
+    /// Counts the times that the gate asked for staging, also of the same weights again.
+    pub staging_asked: Notify,
     /// Set once the agent was asked to stop and no request is in progress.
     pub finished: Cell<bool>,
     controller: RefCell<Controller>,
@@ -78,6 +80,7 @@
             number: Cell::new(None),
             started_ms,
             staging: RefCell::default(),
+            staging_asked: Notify::default(),
             finished: Cell::new(false),
             controller: RefCell::new(controller),
             actions,
