Report to entries and test the agent as a process

Cause: the agent learned nothing of the catalogue, and nothing showed that its parts work together.

Change: `report` sends reports and merges the records of the replies. Tests start the agent with stand-ins as processes and play the entry: version switch, engine restart, wrong weights, a cut answer, SIGTERM during a stream, kill and restart, a stale number, a second agent, a platform that is down, a plain service.

--- a/bins/agent/src/lib.rs
+++ b/bins/agent/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod number;
 pub mod operator;
 pub mod process;
+pub mod report;
 pub mod settings;
 pub mod shared;
 pub mod staging;
--- a/bins/agent/src/process.rs
+++ b/bins/agent/src/process.rs
@@ -9,7 +9,9 @@
 use node::http::{Client, Limits, serve};
 use node::{event, listen, signal};
 
-use crate::{Settings, Shared, call, chunk_server, engine, number, operator, staging, turn};
+use crate::{
+    Settings, Shared, call, chunk_server, engine, number, operator, report, staging, turn,
+};
 
 /// Time allowed for a call of the platform.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
@@ -42,6 +44,7 @@
         spawn(number::take(shared.clone(), platform.clone())),
         spawn(turn::run(shared.clone(), http.clone())),
         spawn(leave(shared.clone())),
+        spawn(report::run(shared.clone())),
         spawn(operator::run(
             shared.clone(),
             operators,
--- /dev/null
+++ b/bins/agent/tests/process/main.rs
@@ -0,0 +1,202 @@
+//! Agents as processes, with stand-ins of the engine, the plain service, the platform and the store.
+
+mod support;
+
+use gossip::{Phase, Value as Content};
+use serde_json::json;
+use support::{Process, free, until, with_world};
+
+fn refused(reason: &str) -> Result<bytes::Bytes, (String, String)> {
+    Err(("not-run".into(), reason.into()))
+}
+
+/// Guards against a switch that cuts requests, goes on serving the old pin or never opens for the new one.
+#[test]
+fn switch_version() {
+    with_world("engine", json!({}), |world| async move {
+        let (_agent, v1) = world.serving("v1").await;
+        let v2 = world.pin("v2").await;
+        assert_eq!(world.ask(Some(&v2)).await, refused("version"));
+        world.publish(2, true, Some(&v2));
+        world.wait_open(&v2).await;
+        assert_eq!(world.ask(Some(&v1)).await, refused("version"));
+        assert_eq!(world.count("activations").await, 2);
+        assert_eq!(world.count("activations_while_running").await, 0);
+    });
+}
+
+/// Guards against a gate that stays open over a restart of the engine, or closed after the weights are back.
+#[test]
+fn engine_restarts() {
+    with_world("engine", json!({}), |world| async move {
+        let (_agent, v1) = world.serving("v1").await;
+        world
+            .backend("POST /control/restart", None, json!({"down_ms": 300}))
+            .await;
+        until("the closed gate", async || {
+            world.ask(Some(&v1)).await == refused("closed")
+        })
+        .await;
+        assert!(world.reported(|report| report.gate == wire::Gate::Closed && report.sequence > 2));
+        world.wait_open(&v1).await;
+        assert_eq!(world.count("activations").await, 2);
+    });
+}
+
+/// Guards against an answer from other weights that reaches the caller.
+#[test]
+fn engine_wrong_weights() {
+    with_world("engine", json!({}), |world| async move {
+        let (_agent, v1) = world.serving("v1").await;
+        world
+            .backend("PUT /control", None, json!({"wrong_weights": true}))
+            .await;
+        let mut dropped = 0;
+        until("the closed gate", async || {
+            let refusal = world.ask(Some(&v1)).await.unwrap_err();
+            dropped += u32::from(refusal == ("unknown".into(), "weights".into()));
+            Err(refusal) == refused("closed")
+        })
+        .await;
+        assert!(dropped <= 1, "the gate stayed open after a wrong answer");
+        world
+            .backend("PUT /control", None, json!({"wrong_weights": false}))
+            .await;
+        world.wait_open(&v1).await;
+    });
+}
+
+/// Guards against a cut answer that looks complete to the caller.
+#[test]
+fn engine_cuts_answer() {
+    with_world("engine", json!({}), |world| async move {
+        let (_agent, v1) = world.serving("v1").await;
+        world
+            .backend("PUT /control", None, json!({"cut_answers": 1}))
+            .await;
+        let stream = json!({"messages": [], "max_tokens": 4, "stream": true});
+        let answer = world.call(Some(&v1), stream).await.unwrap();
+        assert!(answer.into_body().bytes(1 << 20).await.is_err());
+        assert!(world.ask(Some(&v1)).await.is_ok());
+    });
+}
+
+/// Guards against a planned stop that cuts a streamed answer, takes new work, reports late or ends with an error.
+#[test]
+fn terminate_during_stream() {
+    with_world("engine", json!({"token_ms": 100}), |world| async move {
+        let (mut agent, v1) = world.serving("v1").await;
+        let stream = json!({"messages": [], "max_tokens": 20, "stream": true});
+        let answer = world.call(Some(&v1), stream).await.unwrap();
+        agent.terminate();
+        until("the refusal", async || {
+            world.ask(Some(&v1)).await == refused("leaving")
+        })
+        .await;
+        let leaving = |report: &wire::Report| {
+            let value = report.member.as_ref().map(|member| &member.value);
+            matches!(value, Some(Content::Target(target)) if target.phase == Phase::Leaving)
+        };
+        until("the report", async || world.reported(leaving)).await;
+        let body = answer.into_body().bytes(1 << 20).await.unwrap();
+        assert!(body.ends_with(b"data: [DONE]\n\n"));
+        assert!(agent.exit().await.success());
+    });
+}
+
+/// Guards against a restarted agent with its old number, and against an engine that obeys the old number.
+#[test]
+fn kill_takes_new_number() {
+    with_world(
+        "engine",
+        json!({"check_fencing": true}),
+        |world| async move {
+            let (agent, v1) = world.serving("v1").await;
+            let old = world.status().await["fencing_number"].as_u64().unwrap();
+            drop(agent);
+            let _agent = Process::agent(&world.settings);
+            world.wait_open(&v1).await;
+            let v2 = world.pin("v2").await;
+            world.publish(2, true, Some(&v2));
+            world.wait_open(&v2).await;
+            let new = world.status().await["fencing_number"].as_u64().unwrap();
+            assert!(new > old, "{new} after {old}");
+            let order = json!({"digest": v1.digest});
+            let answer = world
+                .backend("POST /orders/activate", Some(old), order)
+                .await;
+            assert_eq!(answer.unwrap().0, 409);
+            assert!(world.ask(Some(&v2)).await.is_ok());
+        },
+    );
+}
+
+/// Guards against an agent that goes on giving orders after the engine took one with a higher number.
+#[test]
+fn order_refused_as_stale() {
+    with_world(
+        "engine",
+        json!({"check_fencing": true}),
+        |world| async move {
+            let (_agent, v1) = world.serving("v1").await;
+            let order = json!({"digest": v1.digest});
+            let answer = world
+                .backend("POST /orders/activate", Some(1 << 40), order)
+                .await;
+            assert_eq!(answer.unwrap().0, 200);
+            let v2 = world.pin("v2").await;
+            world.publish(2, true, Some(&v2));
+            until("the refusal", async || {
+                world.ask(Some(&v1)).await == refused("closed")
+            })
+            .await;
+            assert_eq!(world.count("old_orders").await, 1);
+            compio::time::sleep(std::time::Duration::from_secs(3)).await;
+            assert_eq!(world.count("old_orders").await, 1);
+        },
+    );
+}
+
+/// Guards against two agents that give orders on one VM.
+#[test]
+fn second_agent_refused() {
+    with_world("engine", json!({}), |world| async move {
+        let (_agent, v1) = world.serving("v1").await;
+        let mut settings = world.settings.clone();
+        for port in ["call_listen", "chunk_listen", "operator_listen"] {
+            settings[port] = free().to_string().into();
+        }
+        let mut second = Process::agent(&settings);
+        assert_eq!(second.exit().await.code(), Some(1));
+        assert!(world.ask(Some(&v1)).await.is_ok());
+    });
+}
+
+/// Guards against a target that is lost to its domain while the platform is down, and against orders without a number.
+#[test]
+fn start_without_platform() {
+    with_world("engine", json!({}), |world| async move {
+        let (agent, v1) = world.serving("v1").await;
+        drop(agent);
+        let mut settings = world.settings.clone();
+        settings["platform"] = free().to_string().into();
+        let _agent = Process::agent(&settings);
+        world.wait_open(&v1).await;
+        assert!(world.status().await["fencing_number"].is_null());
+        let v2 = world.pin("v2").await;
+        world.publish(2, true, Some(&v2));
+        compio::time::sleep(std::time::Duration::from_secs(3)).await;
+        assert_eq!(world.count("activations").await, 1);
+        assert!(world.ask(Some(&v1)).await.is_ok());
+    });
+}
+
+/// Guards against a plain service that waits for weights.
+#[test]
+fn plain_forwarded() {
+    with_world("plain", json!({}), |world| async move {
+        world.publish(1, true, None);
+        let _agent = Process::agent(&world.settings);
+        until("an answer", async || world.ask(None).await.is_ok()).await;
+    });
+}
