--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -52,6 +52,15 @@
     REFUTED = 223 Warn "refuted";
     PEER_FAILED = 224 Debug "peer-failed";
     WATCH_FAILED = 225 Warn "watch-failed";
+    GATE_CHANGED = 300 Info "gate-changed";
+    STAGING = 301 Info "staging";
+    ORDERED = 302 Info "ordered";
+    SUPERSEDED = 303 Error "superseded";
+    NUMBERED = 304 Info "numbered";
+    UNNUMBERED = 305 Warn "unnumbered";
+    WRONG_WEIGHTS = 306 Error "wrong-weights";
+    ORDER_PORT_HELD = 307 Error "order-port-held";
+    BACKEND_FAILED = 308 Warn "backend-failed";
     TRANSFER_STARTED = 350 Info "transfer-started";
     TRANSFER_COMPLETE = 351 Info "transfer-complete";
     MANIFEST_FAILED = 352 Warn "manifest-failed";
