--- /dev/null
+++ b/bins/agent/src/claims.rs
@@ -0,0 +1,159 @@
+//! Claims of the slots of a service whose calls must not be repeated.
+//!
+//! The decisions are those of [`claim::Owner`]; this module reads and writes the claim table for it.
+
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use claim::{Table, Write};
+use gossip::{Phase, Store};
+use node::event;
+use platform::{Client, Condition, Put};
+
+use crate::Shared;
+
+/// Kind of the platform's objects that hold claim tables.
+const KIND: &str = "claims";
+
+/// Longest wait between two looks at whether the agent is to stop or the service changed.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Shortest wait between two steps.
+const STEP: Duration = Duration::from_millis(20);
+
+/// Wait after a failed call or a refused write.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Longest time that a stopping agent tries to give up its slots; after it, others wait for the interval to lapse.
+const RELEASE: Duration = Duration::from_secs(3);
+
+/// Takes, renews and releases claims while the service has calls that must not be repeated; never returns.
+pub async fn run(shared: Rc<Shared>, platform: Client) {
+    loop {
+        if is_needed(&shared) {
+            let stepped = step(&shared, &platform).await;
+            publish(&shared);
+            rest(&shared, stepped).await;
+        } else {
+            compio::time::sleep(LOOK).await;
+        }
+    }
+}
+
+/// Waits until the next step is due; a stop ends the wait.
+async fn rest(shared: &Shared, stepped: bool) {
+    let start = now();
+    let due = match stepped {
+        true => shared.claims.borrow().due(start),
+        false => start + PAUSE,
+    };
+    let mut left = due.saturating_sub(start).max(STEP);
+    let leaving = shared.is_leaving();
+    while !left.is_zero() && shared.is_leaving() == leaving {
+        let slice = left.min(LOOK);
+        compio::time::sleep(slice).await;
+        left -= slice;
+    }
+}
+
+/// Waits until a stopping agent has given up its slots, or 3 s.
+pub async fn released(shared: &Shared) {
+    let released = async {
+        while shared.claims.borrow().slots() != 0 {
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let _ = compio::time::timeout(RELEASE, released).await;
+}
+
+/// Tells whether there are claims to keep: of a service with such calls, or still held from when it had them.
+fn is_needed(shared: &Shared) -> bool {
+    let held = shared.claims.borrow().slots() != 0;
+    let keyed = shared
+        .service()
+        .is_some_and(|service| !service.repeatable && !service.retired);
+    held || (keyed && !shared.is_leaving())
+}
+
+/// Reads the table and writes what the owner plans; returns false after a failure.
+async fn step(shared: &Shared, platform: &Client) -> bool {
+    let service = &shared.settings.service;
+    let table = match platform.get(KIND, service).await {
+        Ok(Some(object)) => match serde_json::from_str::<Table>(object.value.get()) {
+            Ok(table) => (object.revision, table),
+            Err(error) => {
+                node::event!(
+                    event::CLAIMS_MALFORMED,
+                    revision = object.revision,
+                    error = error
+                );
+                return false;
+            }
+        },
+        Ok(None) => (0, Table::default()),
+        Err(error) => return failed(&error),
+    };
+    let (live, gone) = members(&shared.view.borrow(), service);
+    let write = {
+        let mut claims = shared.claims.borrow_mut();
+        if shared.is_leaving() {
+            claims.stop();
+        }
+        claims.observe(table.0, &table.1);
+        claims.plan(now(), &live, &gone)
+    };
+    match write {
+        Some(write) => store(shared, platform, &write).await,
+        None => true,
+    }
+}
+
+async fn store(shared: &Shared, platform: &Client, write: &Write) -> bool {
+    let condition = match write.base {
+        0 => Condition::Absent,
+        revision => Condition::Revision(revision),
+    };
+    let name = &shared.settings.service;
+    match platform.put(KIND, name, &write.table, condition).await {
+        Ok(Put::Accepted(revision)) => {
+            shared.claims.borrow_mut().observe(revision, &write.table);
+            true
+        }
+        // Another agent wrote first; the next reading shows what.
+        Ok(Put::Conflict(_)) => false,
+        // The next reading shows whether the write took effect.
+        Err(error) => failed(&error),
+    }
+}
+
+/// Returns the service's agents that take work and those that are down.
+fn members(view: &Store, service: &str) -> (Vec<String>, Vec<String>) {
+    let of_phase = |phase: Phase| -> Vec<String> {
+        let targets = view.targets();
+        let found =
+            targets.filter(|(_, target)| target.service == service && target.phase == phase);
+        found.map(|(name, _)| name.to_owned()).collect()
+    };
+    (of_phase(Phase::Live), of_phase(Phase::Down))
+}
+
+/// Puts the slots into the next report, at once if they changed.
+fn publish(shared: &Shared) {
+    let slots = shared.claims.borrow().slots();
+    if shared.counters.slots.replace(slots) != slots {
+        node::event!(event::CLAIMS_CHANGED, slots = format_args!("{slots:04x}"));
+        shared.report.notify();
+    }
+}
+
+fn failed(error: &platform::Error) -> bool {
+    node::event!(event::CLAIMS_FAILED, error = error);
+    false
+}
+
+/// Returns the time since 1970.
+fn now() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
