--- a/bins/agent/src/process.rs
+++ b/bins/agent/src/process.rs
@@ -10,7 +10,7 @@
 use node::{event, listen, signal};
 
 use crate::{
-    Settings, Shared, call, chunk_server, engine, number, operator, report, staging, turn,
+    Settings, Shared, call, chunk_server, claims, engine, number, operator, report, staging, turn,
 };
 
 /// Time allowed for a call of the platform.
@@ -45,6 +45,7 @@
         spawn(turn::run(shared.clone(), http.clone())),
         spawn(leave(shared.clone())),
         spawn(report::run(shared.clone())),
+        spawn(claims::run(shared.clone(), platform.clone())),
         spawn(operator::run(
             shared.clone(),
             operators,
@@ -77,6 +78,7 @@
         async move { port.answer(request).await }
     };
     serve(calls, limits, handler, finished(shared.clone())).await;
+    claims::released(&shared).await;
     drop(tasks);
     Ok(())
 }
--- a/bins/agent/src/report.rs
+++ b/bins/agent/src/report.rs
@@ -1,12 +1,14 @@
 //! Reports to entries, and the records that they answer with.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::future::join_all;
-use gossip::{Key, Member, Phase, Record, Scope, Target, Value, report_entries};
+use gate::Event;
+use gossip::{Key, Member, Phase, Record, Scope, Store, Target, Value, report_entries};
+use weights::Digest;
 use wire::{Client, Reply, Report, connect};
 
 use crate::Shared;
@@ -17,35 +19,151 @@
 /// Time allowed for a connection or call.
 const TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time for which an entry that didn't answer is passed over for the next in order.
+const AVOID: Duration = Duration::from_secs(5);
+
+/// What is known of the entries that get the reports.
+struct Reporter {
+    shared: Rc<Shared>,
+    member: Member,
+    sequence: u64,
+    clients: HashMap<SocketAddr, Client>,
+    /// Entries that hold the newest own record.
+    known: HashSet<SocketAddr>,
+    failed: HashMap<SocketAddr, Instant>,
+}
+
 /// Sends reports; never returns.
 pub async fn run(shared: Rc<Shared>) {
-    let mut clients: HashMap<SocketAddr, Client> = HashMap::new();
-    let mut member = Member::new(key(&shared), shared.incarnation(), value(&shared));
-    let mut sequence = 0;
-    let mut known = false;
+    let mut reporter = Reporter::new(Rc::clone(&shared));
     loop {
         let seen = shared.report.count();
-        if member.incarnation() < shared.incarnation() && shared.number.get().is_some() {
-            member = Member::new(key(&shared), shared.incarnation(), value(&shared));
-            known = false;
+        reporter.report().await;
+        let _ = compio::time::timeout(INTERVAL, shared.report.changed(seen)).await;
+    }
+}
+
+impl Reporter {
+    fn new(shared: Rc<Shared>) -> Self {
+        Self {
+            member: Member::new(key(&shared), shared.incarnation(), value(&shared)),
+            shared,
+            sequence: 0,
+            clients: HashMap::new(),
+            known: HashSet::new(),
+            failed: HashMap::new(),
         }
-        known &= !member.update(value(&shared));
-        shared.view.borrow_mut().merge(member.record().clone());
-        sequence += 1;
-        let report = report(&shared, &member, sequence, known);
-        let addresses = addresses(&shared);
-        let calls = addresses.iter().map(|address| {
-            let client = clients.remove(address);
-            send(*address, client, report.clone())
-        });
-        for (address, result) in addresses.iter().zip(join_all(calls).await) {
-            if let Some((client, reply)) = result {
-                clients.insert(*address, client);
-                known |= reply.known;
-                known &= !take(&shared, &mut member, reply.records);
+    }
+
+    /// Sends one report to each chosen entry and takes the replies.
+    async fn report(&mut self) {
+        self.update_member();
+        self.sequence += 1;
+        let now = Instant::now();
+        self.failed
+            .retain(|_, since| now.saturating_duration_since(*since) < AVOID);
+        let addresses = self.addresses();
+        let report = self.message();
+        let calls: Vec<_> = addresses
+            .iter()
+            .map(|address| {
+                let mut report = report.clone();
+                if self.known.contains(address) {
+                    report.member = None;
+                }
+                send(*address, self.clients.remove(address), report)
+            })
+            .collect();
+        let replies = join_all(calls).await;
+        // Connections to entries that are no longer chosen are closed.
+        self.clients.clear();
+        for (address, reply) in addresses.into_iter().zip(replies) {
+            match reply {
+                Some((client, reply)) => {
+                    self.clients.insert(address, client);
+                    self.take(address, reply);
+                }
+                None => {
+                    self.known.remove(&address);
+                    self.failed.insert(address, now);
+                }
             }
         }
-        let _ = compio::time::timeout(INTERVAL, shared.report.changed(seen)).await;
+    }
+
+    /// Brings the own record up to date with the fencing number and the state of the process.
+    fn update_member(&mut self) {
+        let shared = &self.shared;
+        let numbered = shared.number.get().is_some();
+        if numbered && self.member.incarnation() < shared.incarnation() {
+            self.member = Member::new(key(shared), shared.incarnation(), value(shared));
+            self.known.clear();
+        }
+        if self.member.update(value(shared)) {
+            self.known.clear();
+        }
+        let record = self.member.record().clone();
+        shared.view.borrow_mut().merge(record);
+    }
+
+    /// Takes the records of a reply; the own one may have to rise above what others say.
+    fn take(&mut self, address: SocketAddr, reply: Reply) {
+        if reply.known {
+            self.known.insert(address);
+        }
+        let mut changed = false;
+        for record in reply.records {
+            if is_told_to_leave(&self.member, &record) && !self.shared.is_leaving() {
+                self.shared.handle(Event::Leave);
+            }
+            if self.member.refute(&record) {
+                self.known.clear();
+                self.shared.report.notify();
+            }
+            changed |= self.shared.view.borrow_mut().merge(record);
+        }
+        if changed {
+            self.shared.view_changed();
+        }
+    }
+
+    /// Returns the peer ports to report to: those of the chosen entries, or the seeds while none is known to answer.
+    fn addresses(&self) -> Vec<SocketAddr> {
+        let settings = &self.shared.settings;
+        let view = self.shared.view.borrow();
+        let skip = |name: &str| {
+            let record = view.get(&Key::Entry(name.into()));
+            record.is_some_and(|record| match record.value {
+                Value::Entry(node) => self.failed.contains_key(&node.peer),
+                _ => true,
+            })
+        };
+        let (name, domain, service) = (&settings.name, &settings.domain, &settings.service);
+        let entries = report_entries(&view, name, domain, service, skip);
+        match entries.is_empty() {
+            true => settings.seeds.clone(),
+            false => entries.iter().map(|(_, node)| node.peer).collect(),
+        }
+    }
+
+    fn message(&self) -> Report {
+        let shared = &self.shared;
+        let view = shared.view.borrow();
+        let settings = &shared.settings;
+        let scope = Scope::new(&settings.domain, &settings.service, &models(&view));
+        Report {
+            target: settings.name.clone(),
+            incarnation: self.member.incarnation(),
+            sequence: self.sequence,
+            gate: shared.gate(),
+            weights: shared.pin().map(|pin| pin.digest.short()),
+            chunks: shared.counters.chunks.get(),
+            running: shared.counters.running.get(),
+            waiting: shared.counters.waiting.get(),
+            slots: shared.counters.slots.get(),
+            view: scope.hash(&view),
+            member: Some(self.member.record().clone()),
+        }
     }
 }
 
@@ -62,54 +180,28 @@
     Some((client, reply))
 }
 
-/// Merges records; returns whether the own record had to rise above one of them.
-fn take(shared: &Shared, member: &mut Member, records: Vec<Record>) -> bool {
-    let mut refuted = false;
-    let mut changed = false;
-    for record in records {
-        refuted |= member.refute(&record);
-        changed |= shared.view.borrow_mut().merge(record);
-    }
-    if changed {
-        shared.view_changed();
-    }
-    refuted
+/// Tells whether the VM list names this very process's VM as leaving.
+///
+/// An observer's statement carries the observer's flag; without it the record is that of an earlier process.
+fn is_told_to_leave(member: &Member, record: &Record) -> bool {
+    let of_this_process =
+        record.key == member.record().key && record.version.major == member.incarnation();
+    let leaving = matches!(&record.value, Value::Target(target) if target.phase == Phase::Leaving);
+    of_this_process && leaving && record.version.down
 }
 
-fn addresses(shared: &Shared) -> Vec<SocketAddr> {
-    let settings = &shared.settings;
-    let view = shared.view.borrow();
-    let entries = report_entries(
-        &view,
-        &settings.name,
-        &settings.domain,
-        &settings.service,
-        |_| false,
-    );
-    match entries.is_empty() {
-        true => settings.seeds.clone(),
-        false => entries.iter().map(|(_, node)| node.peer).collect(),
-    }
-}
-
-fn report(shared: &Shared, member: &Member, sequence: u64, known: bool) -> Report {
-    let scope = Scope {
-        domain: shared.settings.domain.clone(),
-        services: vec![shared.settings.service.clone()],
-    };
-    Report {
-        target: shared.settings.name.clone(),
-        incarnation: member.incarnation(),
-        sequence,
-        gate: shared.gate(),
-        weights: shared.pin().map(|pin| pin.digest.short()),
-        chunks: shared.counters.chunks.get(),
-        running: shared.counters.running.get(),
-        waiting: shared.counters.waiting.get(),
-        slots: shared.counters.slots.get(),
-        view: scope.hash(&shared.view.borrow()),
-        member: (!known).then(|| member.record().clone()),
-    }
+/// Returns the weights of each service in the view, as entries work them out too.
+fn models(view: &Store) -> BTreeMap<String, Digest> {
+    let services = view.iter().filter_map(|(_, _, value)| match value {
+        Value::Catalog(text) => match serde_json::from_str(text) {
+            Ok(catalog::Entry::Service(service)) if !service.retired => Some(service),
+            _ => None,
+        },
+        _ => None,
+    });
+    services
+        .filter_map(|service| Some((service.name, service.model?.digest)))
+        .collect()
 }
 
 fn key(shared: &Shared) -> Key {
