Show a burst end to end with real processes

Cause: the whole path had not run as separate processes yet. Change: `carobport-load demo` and `burst`: two entries, six engines and two plain services in two failure domains, a version put by carobport-catalog while requests flow; the agent has a bpaf command line like the entry.

--- a/bins/agent/src/main.rs
+++ b/bins/agent/src/main.rs
@@ -1,22 +1,29 @@
-//! The binary `carobport-agent`.
+//! `carobport-agent`: brings weights to a target and passes calls on to it.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use agent::Settings;
+use bpaf::Bpaf;
+
+/// Brings weights to a target and passes calls on to it
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// Settings file, in JSON
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+}
 
 fn main() -> ExitCode {
-    let mut arguments = std::env::args_os().skip(1);
-    let (Some(path), None) = (arguments.next(), arguments.next()) else {
-        eprintln!("usage: carobport-agent SETTINGS");
-        return ExitCode::from(node::settings::EXIT_CODE);
-    };
-    let settings: Settings = match node::settings::load(path) {
+    let options = options().run();
+    let settings: Settings = match node::settings::load(&options.settings) {
         Ok(settings) => settings,
         Err(findings) => return findings.exit(),
     };
-    match node::run("carobport-agent", agent::process::run(settings)) {
-        Ok(Ok(())) => ExitCode::SUCCESS,
-        Ok(Err(error)) | Err(error) => {
+    match node::run("carobport-agent", agent::process::run(settings)).flatten() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
             eprintln!("carobport-agent: {error}");
             ExitCode::FAILURE
         }
--- a/bins/agent/tests/process/support.rs
+++ b/bins/agent/tests/process/support.rs
@@ -70,7 +70,7 @@
     pub fn agent(settings: &Value) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_carobport-agent"));
         let name = settings["call_listen"].as_str().unwrap().replace(':', "-");
-        command.arg(file(&name, settings));
+        command.arg("--settings").arg(file(&name, settings));
         let (mut process, _) = Self::start(&mut command, " 100 ");
         process.address = settings["call_listen"].as_str().unwrap().parse().unwrap();
         process
--- a/bins/load/src/deployment.rs
+++ b/bins/load/src/deployment.rs
@@ -458,7 +458,13 @@
         operator: SocketAddr,
     ) -> Result<Member, Error> {
         let file = self.write(name, settings)?;
-        self.launch(binary, vec![file], name, self.domain(group), operator)
+        self.launch(
+            binary,
+            vec!["--settings".into(), file],
+            name,
+            self.domain(group),
+            operator,
+        )
     }
 
     fn launch(
@@ -510,6 +516,15 @@
     }
 }
 
+/// Returns a conversion of an I/O error that says what was tried.
+pub(crate) fn io_error(what: &str) -> impl Fn(io::Error) -> Error {
+    let what = what.to_owned();
+    move |source| Error::Io {
+        what: what.clone(),
+        source,
+    }
+}
+
 fn start(binary: &Path, args: &[&str], name: &str, folder: &Path) -> Result<Process, Error> {
     Process::start(binary, args, name, folder).map_err(|source| Error::Io {
         what: format!("starting {name}"),
--- a/bins/load/src/lib.rs
+++ b/bins/load/src/lib.rs
@@ -1,12 +1,15 @@
 //! Load and experiments with real processes on loopback.
 //!
 //! A [`Deployment`] starts a whole system from a [`Plan`]. A [`Process`] is a child that is killed when its guard is dropped. A [`Network`] gives each VM of an experiment a
-//! loopback address. A [`Load`] sends live requests at a steady rate and returns a [`Tally`] of their outcomes.
+//! loopback address. [`burst::run`] measures how a new version spreads. A [`Load`] sends live requests at a steady rate and returns a [`Tally`] of their outcomes.
 
 mod address;
+pub mod burst;
+mod catalogue;
 mod deployment;
 mod plan;
 mod process;
+mod replicas;
 mod sample;
 mod traffic;
 
@@ -16,5 +19,6 @@
 pub use deployment::{Deployment, Error, MODEL, MODEL_SERVICE, Member, PLAIN_SERVICE, WORKSPACE};
 pub use plan::Plan;
 pub use process::{Process, Usage};
+pub use replicas::Replicas;
 pub use sample::Percentiles;
 pub use traffic::{Load, Tally};
--- a/bins/load/src/main.rs
+++ b/bins/load/src/main.rs
@@ -1,1 +1,86 @@
-fn main() {}
+//! The binary `carobport-load`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use load::burst::{self, Report};
+use load::{Error, Plan};
+
+/// Time within which a burst of the command line must end.
+const LIMIT: Duration = Duration::from_secs(300);
+
+/// Runs experiments with real processes on loopback.
+///
+/// All processes of an experiment are started by this program and end with it.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Options {
+    /// Show a burst: two entries, six engines and two plain services in two failure domains
+    #[bpaf(command)]
+    Demo {},
+    /// Measure a burst and print its figures as JSON
+    #[bpaf(command)]
+    Burst {
+        /// JSON file with domains, targets, weights and links; what it leaves out keeps its default
+        #[bpaf(positional("PLAN"), optional)]
+        plan: Option<PathBuf>,
+    },
+}
+
+fn main() -> ExitCode {
+    let outcome = match options().run() {
+        Options::Demo {} => measure(Plan::default()).map(|report| show(&report)),
+        Options::Burst { plan } => read(plan.as_deref()).and_then(measure).map(|report| {
+            println!(
+                "{}",
+                serde_json::to_string_pretty(&report).expect("figures have a JSON form")
+            );
+        }),
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("carobport-load: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn measure(plan: Plan) -> Result<Report, String> {
+    let outcome = node::block_on(burst::run(plan, LIMIT));
+    let outcome: Result<Report, Error> = outcome.map_err(|error| error.to_string())?;
+    outcome.map_err(|error| error.to_string())
+}
+
+fn read(path: Option<&std::path::Path>) -> Result<Plan, String> {
+    let Some(path) = path else {
+        return Ok(Plan::default());
+    };
+    let named = |error: &dyn std::fmt::Display| format!("{}: {error}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|error| named(&error))?;
+    serde_json::from_str(&text).map_err(|error| named(&error))
+}
+
+fn show(report: &Report) {
+    println!(
+        "targets that serve the new version: {} of {}",
+        report.replicas, report.replicas
+    );
+    println!(
+        "time until half, 90% and all serve it: {:.1} s, {:.1} s, {:.1} s",
+        report.half_s, report.ninety_s, report.all_s
+    );
+    println!("copies drawn from the origin: {:.2}", report.origin_copies);
+    for (name, tally) in [("model", &report.model), ("at most once", &report.keyed)] {
+        println!(
+            "live requests ({name}): {} sent, {:?}",
+            tally.sent, tally.outcomes
+        );
+        if !tally.reasons.is_empty() {
+            println!("  reasons: {:?}", tally.reasons);
+        }
+    }
+    println!("answers by weights: {:?}", report.model.weights);
+}
