--- a/bins/agent/src/report.rs
+++ b/bins/agent/src/report.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::future::join_all;
 use gossip::{Key, Member, Phase, Record, Scope, Target, Value, report_entries};
@@ -17,9 +17,13 @@
 /// Time allowed for a connection or call.
 const TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time for which an entry that did not answer is passed over for the next in order.
+const SKIP_TIME: Duration = Duration::from_secs(5);
+
 /// Sends reports; never returns.
 pub async fn run(shared: Rc<Shared>) {
     let mut clients: HashMap<SocketAddr, Client> = HashMap::new();
+    let mut failed: HashMap<SocketAddr, Instant> = HashMap::new();
     let mut member = Member::new(key(&shared), shared.incarnation(), value(&shared));
     let mut sequence = 0;
     let mut known = false;
@@ -33,7 +37,8 @@
         shared.view.borrow_mut().merge(member.record().clone());
         sequence += 1;
         let report = report(&shared, &member, sequence, known);
-        let addresses = addresses(&shared);
+        failed.retain(|_, since| since.elapsed() < SKIP_TIME);
+        let addresses = addresses(&shared, &failed);
         let calls = addresses.iter().map(|address| {
             let client = clients.remove(address);
             send(*address, client, report.clone())
@@ -43,6 +48,8 @@
                 clients.insert(*address, client);
                 known |= reply.known;
                 known &= !take(&shared, &mut member, reply.records);
+            } else {
+                failed.insert(*address, Instant::now());
             }
         }
         let _ = compio::time::timeout(INTERVAL, shared.report.changed(seen)).await;
@@ -76,10 +83,24 @@
     refuted
 }
 
-fn addresses(shared: &Shared) -> Vec<SocketAddr> {
+/// Returns the entries to report to, or the seeds while no entry is known that answers.
+fn addresses(shared: &Shared, failed: &HashMap<SocketAddr, Instant>) -> Vec<SocketAddr> {
     let settings = &shared.settings;
     let view = shared.view.borrow();
-    let entries = report_entries(&view, &settings.name, &settings.domain, &settings.service);
+    let skip = |name: &str| match view.get(&Key::Entry(name.into())) {
+        Some(Record {
+            value: Value::Entry(node),
+            ..
+        }) => failed.contains_key(&node.peer),
+        _ => false,
+    };
+    let entries = report_entries(
+        &view,
+        &settings.name,
+        &settings.domain,
+        &settings.service,
+        skip,
+    );
     match entries.is_empty() {
         true => settings.seeds.clone(),
         false => entries.iter().map(|(_, node)| node.peer).collect(),
--- a/bins/agent/src/staging.rs
+++ b/bins/agent/src/staging.rs
@@ -30,7 +30,12 @@
         downlink: settings.downlink,
         inter_region: settings.inter_region,
     };
-    Rc::new(Holdings::new(&rates, settings.chunk_cache, UPLOAD_SLOTS))
+    Rc::new(Holdings::new(
+        &settings.region,
+        &rates,
+        settings.chunk_cache,
+        UPLOAD_SLOTS,
+    ))
 }
 
 /// Returns the transfer of an agent whose engine takes weights from `store`.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -40,6 +40,12 @@
     ACCEPT_FAILED = 110 Warn "accept-failed";
     CONNECTION_FAILED = 111 Debug "connection-failed";
     DRAIN_CUT = 112 Warn "drain-cut";
+    DRAINING = 200 Info "draining";
+    REFUSING = 201 Info "refusing";
+    CROSSED_ANSWER = 202 Error "crossed-answer";
+    OTHER_WEIGHTS = 203 Error "other-weights";
+    NO_OUTCOME = 204 Error "no-outcome";
+    ANSWER_CUT = 205 Warn "answer-cut";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
@@ -49,6 +55,7 @@
     WRONG_WEIGHTS = 306 Error "wrong-weights";
     ORDER_PORT_HELD = 307 Error "order-port-held";
     BACKEND_FAILED = 308 Warn "backend-failed";
+    CLAIMS_FAILED = 309 Warn "claims-failed";
     TRANSFER_STARTED = 350 Info "transfer-started";
     TRANSFER_COMPLETE = 351 Info "transfer-complete";
     MANIFEST_FAILED = 352 Warn "manifest-failed";
