Run keyed calls under claims and release them on a stop

Cause: calls of services that must not be repeated were refused for want of an owner.

Change: `claims` reads, plans and writes the claim table of the service and hands the slots back after SIGTERM, for at most 3 s; the process ends once its calls are finished and its slots released. The process tests take ports below the range of outgoing connections: one of two runs had failed because a free port was taken in between.

--- a/bins/agent/src/lib.rs
+++ b/bins/agent/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod call;
 pub mod chunk_server;
+pub mod claims;
 pub mod engine;
 pub mod metrics;
 pub mod notify;
--- a/bins/agent/src/process.rs
+++ b/bins/agent/src/process.rs
@@ -10,7 +10,7 @@
 use node::{event, listen, signal};
 
 use crate::{
-    Settings, Shared, call, chunk_server, engine, number, operator, report, staging, turn,
+    Settings, Shared, call, chunk_server, claims, engine, number, operator, report, staging, turn,
 };
 
 /// Time allowed for a call of the platform.
@@ -45,6 +45,7 @@
         spawn(turn::run(shared.clone(), http.clone())),
         spawn(leave(shared.clone())),
         spawn(report::run(shared.clone())),
+        spawn(claims::run(shared.clone(), platform.clone())),
         spawn(operator::run(
             shared.clone(),
             operators,
@@ -85,12 +86,13 @@
 async fn leave(shared: Rc<Shared>) {
     signal::shutdown().await;
     shared.handle(Event::Leave);
+    shared.changed.notify();
 }
 
-/// Resolves when the agent was asked to stop and no request is in progress.
+/// Resolves when the agent was asked to stop, no request is in progress and no claim is held.
 async fn finished(shared: Rc<Shared>) {
     let mut seen = shared.changed.count();
-    while !shared.finished.get() {
+    while !shared.finished.get() || !shared.released.get() {
         seen = shared.changed.changed(seen).await;
     }
 }
--- a/bins/agent/src/shared.rs
+++ b/bins/agent/src/shared.rs
@@ -39,6 +39,8 @@
     pub staging_asked: Notify,
     /// Set once the agent was asked to stop and no request is in progress.
     pub finished: Cell<bool>,
+    /// Set once the agent was asked to stop and holds no claims, or could not release them in time.
+    pub released: Cell<bool>,
     controller: RefCell<Controller>,
     actions: UnboundedSender<Action>,
 }
@@ -82,6 +84,7 @@
             staging: RefCell::default(),
             staging_asked: Notify::default(),
             finished: Cell::new(false),
+            released: Cell::new(false),
             controller: RefCell::new(controller),
             actions,
         };
--- a/bins/agent/tests/process/main.rs
+++ b/bins/agent/tests/process/main.rs
@@ -5,6 +5,7 @@
 use gossip::{Phase, Value as Content};
 use serde_json::json;
 use support::{Process, free, until, with_world};
+use uuid::Uuid;
 
 fn refused(reason: &str) -> Result<bytes::Bytes, (String, String)> {
     Err(("not-run".into(), reason.into()))
@@ -200,3 +201,54 @@
         until("an answer", async || world.ask(None).await.is_ok()).await;
     });
 }
+
+/// Guards against a keyed call that runs twice, or whose second caller gets another outcome.
+#[test]
+fn keyed_call_runs_once() {
+    with_world("plain", json!({"service_ms": 300}), |world| async move {
+        world.publish(1, false, None);
+        let _agent = Process::agent(&world.settings);
+        until("a claim", async || {
+            world.book(Uuid::now_v7()).await.0 == "answered"
+        })
+        .await;
+        let runs = world.count("runs").await;
+        let key = Uuid::now_v7();
+        let (first, second) = futures::join!(world.book(key), world.book(key));
+        assert_eq!(first, second);
+        assert_eq!(world.book(key).await, first);
+        assert_eq!(first.0, "answered");
+        assert_eq!(world.count("runs").await, runs + 1);
+        world
+            .backend("PUT /control", None, json!({"cut_answers": 1}))
+            .await;
+        let key = Uuid::now_v7();
+        assert_eq!(world.book(key).await.0, "unknown");
+        assert_eq!(world.book(key).await.0, "unknown");
+        assert_eq!(world.count("runs").await, runs + 2);
+    });
+}
+
+/// Guards against a planned stop that keeps its claims or cuts a keyed call.
+#[test]
+fn terminate_releases_claims() {
+    with_world("plain", json!({"service_ms": 1_500}), |world| async move {
+        world.publish(1, false, None);
+        let mut agent = Process::agent(&world.settings);
+        until("a claim", async || world.status().await["slots"] == 0xffff).await;
+        let book = world.book(Uuid::now_v7());
+        let stop = async {
+            compio::time::sleep(std::time::Duration::from_millis(300)).await;
+            agent.terminate();
+        };
+        let (booked, ()) = futures::join!(book, stop);
+        assert_eq!(booked.0, "answered");
+        assert!(agent.exit().await.success());
+        let claims = world.claims().await;
+        let slots = claims["slots"].as_array().unwrap();
+        assert!(
+            slots.iter().all(|slot| slot["holder"].is_null()),
+            "{claims}"
+        );
+    });
+}
--- a/bins/agent/tests/process/support.rs
+++ b/bins/agent/tests/process/support.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -41,7 +42,7 @@
     entry: Entry,
     pub settings: Value,
     client: Client,
-    _platform: Process,
+    platform: Process,
     _entry: JoinHandle<()>,
 }
 
@@ -160,7 +161,7 @@
         let store = Process::standin("store", json!({"models": [model("v1"), model("v2")]}));
         let backend = Process::standin(role, backend);
         let entry = Entry::default();
-        let listener = node::listen(free()).unwrap();
+        let listener = node::listen(([127, 0, 0, 1], 0).into()).unwrap();
         let settings = json!({
             "name": "vm-1", "domain": "levis", "region": "levis", "service": "desk", "backend": role,
             "backend_address": backend.address, "call_listen": free(), "chunk_listen": free(),
@@ -171,7 +172,7 @@
         Self {
             store,
             backend,
-            _platform: platform,
+            platform,
             entry,
             settings,
             client: Client::new(),
@@ -270,6 +271,35 @@
             .await
     }
 
+    /// Makes a call with a key and returns its outcome and body.
+    pub async fn book(&self, key: uuid::Uuid) -> (String, Bytes) {
+        let request = Request::post("/call/desk/book")
+            .header(wire::header::REQUEST, "00000000000000000000000000000007")
+            .header(wire::header::WORKSPACE, "clerks")
+            .header(wire::header::IDEMPOTENCY_KEY, key.to_string());
+        let address = self.settings["call_listen"]
+            .as_str()
+            .unwrap()
+            .parse()
+            .unwrap();
+        let request = request.body("green 4".into()).unwrap();
+        let deadline = Instant::now() + SOON;
+        let answer = self.client.send(address, request, deadline).await.unwrap();
+        let outcome = answer.headers()[wire::header::OUTCOME]
+            .to_str()
+            .unwrap()
+            .to_owned();
+        (outcome, answer.into_body().bytes(1 << 20).await.unwrap())
+    }
+
+    /// Returns the claim table of the service.
+    pub async fn claims(&self) -> Value {
+        let body = self
+            .get(self.platform.address, "/objects/claims/desk")
+            .await;
+        serde_json::from_slice(&body).unwrap()
+    }
+
     /// Returns `/status` of the agent.
     pub async fn status(&self) -> Value {
         let address = self.settings["operator_listen"]
@@ -336,11 +366,19 @@
 }
 
 /// Returns an address on loopback whose port was free just now.
+///
+/// The ports are below the range from which the system takes ports of connections, and each is given once.
 pub fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id() * 61;
+    loop {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = 10_000 + (start.wrapping_add(number) % 20_000) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn file(name: &str, settings: &Value) -> PathBuf {
