Test that two targets of a domain take turns

Cause: no test showed that the switch order works between processes.

Change: a test with two agents and streams in progress asserts that one gate of the domain is open at any time of a switch.

--- a/bins/agent/tests/process/main.rs
+++ b/bins/agent/tests/process/main.rs
@@ -252,3 +252,51 @@
         );
     });
 }
+
+/// Guards against two targets of a small domain that drain at once and leave it without an open gate.
+#[test]
+fn switch_takes_turns() {
+    with_world("engine", json!({"token_ms": 100}), |world| async move {
+        let (first, v1) = world.serving("v1").await;
+        let engine = Process::standin("engine", json!({"token_ms": 100}));
+        let mut settings = world.settings.clone();
+        settings["name"] = "vm-2".into();
+        settings["backend_address"] = engine.address.to_string().into();
+        for port in [
+            "call_listen",
+            "chunk_listen",
+            "operator_listen",
+            "order_listen",
+        ] {
+            settings[port] = free().to_string().into();
+        }
+        let second = Process::agent(&settings);
+        let agents = [first.address, second.address];
+        let v2 = world.pin("v2").await;
+        let mut streams = Vec::new();
+        for address in agents {
+            let serves = Some(v1.digest.to_string());
+            until("both agents", async || {
+                world.open_at(address).await == serves
+            })
+            .await;
+            let stream = json!({"messages": [], "max_tokens": 25, "stream": true});
+            streams.push(world.call_at(address, Some(&v1), stream).await.unwrap());
+        }
+        world.publish(2, true, Some(&v2));
+        let finish = async {
+            for stream in streams {
+                assert!(stream.into_body().bytes(1 << 20).await.is_ok());
+            }
+        };
+        let switch = until("both switches", async || {
+            let open = [
+                world.open_at(agents[0]).await,
+                world.open_at(agents[1]).await,
+            ];
+            assert!(open.iter().any(Option::is_some), "no gate is open");
+            open.iter().all(|open| *open == Some(v2.digest.to_string()))
+        });
+        futures::join!(finish, switch);
+    });
+}
--- a/bins/agent/tests/process/support.rs
+++ b/bins/agent/tests/process/support.rs
@@ -24,7 +24,7 @@
 /// A process of a test; killed when dropped.
 pub struct Process {
     child: Child,
-    address: SocketAddr,
+    pub address: SocketAddr,
     _stdout: BufReader<ChildStdout>,
 }
 
@@ -126,6 +126,11 @@
 
 impl Peer for Entry {
     async fn report(self, _: Context, report: Report) -> Reply {
+        if let Some(member) = &report.member {
+            let mut records = self.records.borrow_mut();
+            records.retain(|record| record.key != member.key || record.version > member.version);
+            records.push(member.clone());
+        }
         self.reports.borrow_mut().push(report);
         Reply {
             known: true,
@@ -200,7 +205,9 @@
             },
             value: Content::Catalog(service.to_string()),
         };
-        *self.entry.records.borrow_mut() = vec![record];
+        let mut records = self.entry.records.borrow_mut();
+        records.retain(|held| held.key != record.key);
+        records.push(record);
     }
 
     /// Returns the pin of a version in the store.
@@ -255,22 +262,38 @@
 
     /// Sends a completion request to the agent.
     pub async fn call(&self, pin: Option<&Pin>, body: Value) -> Result<Response<Answer>, Error> {
-        let mut request = Request::post("/call/desk/v1/chat/completions")
-            .header(wire::header::REQUEST, "00000000000000000000000000000007");
-        if let Some(pin) = pin {
-            request = request.header(wire::header::PIN, pin.to_string());
-        }
         let address = self.settings["call_listen"]
             .as_str()
             .unwrap()
             .parse()
             .unwrap();
+        self.call_at(address, pin, body).await
+    }
+
+    /// Sends a completion request to the agent at `address`.
+    pub async fn call_at(
+        &self,
+        address: SocketAddr,
+        pin: Option<&Pin>,
+        body: Value,
+    ) -> Result<Response<Answer>, Error> {
+        let mut request = Request::post("/call/desk/v1/chat/completions")
+            .header(wire::header::REQUEST, "00000000000000000000000000000007");
+        if let Some(pin) = pin {
+            request = request.header(wire::header::PIN, pin.to_string());
+        }
         let request = request.body(body.to_string().into()).unwrap();
         self.client
             .send(address, request, Instant::now() + SOON)
             .await
     }
 
+    /// Returns the digest that the agent at `address` serves, if its gate is open.
+    pub async fn open_at(&self, address: SocketAddr) -> Option<String> {
+        let weights: Value = serde_json::from_slice(&self.get(address, "/weights").await).unwrap();
+        weights["open"].as_str().map(str::to_owned)
+    }
+
     /// Makes a call with a key and returns its outcome and body.
     pub async fn book(&self, key: uuid::Uuid) -> (String, Bytes) {
         let request = Request::post("/call/desk/book")
