--- a/bins/agent/tests/process/main.rs
+++ b/bins/agent/tests/process/main.rs
@@ -5,6 +5,7 @@
 use gossip::{Phase, Value as Content};
 use serde_json::json;
 use support::{Process, free, until, with_world};
+use uuid::Uuid;
 
 fn refused(reason: &str) -> Result<bytes::Bytes, (String, String)> {
     Err(("not-run".into(), reason.into()))
@@ -200,3 +201,102 @@
         until("an answer", async || world.ask(None).await.is_ok()).await;
     });
 }
+
+/// Guards against a keyed call that runs twice, or whose second caller gets another outcome.
+#[test]
+fn keyed_call_runs_once() {
+    with_world("plain", json!({"service_ms": 300}), |world| async move {
+        world.publish(1, false, None);
+        let _agent = Process::agent(&world.settings);
+        until("a claim", async || {
+            world.book(Uuid::now_v7()).await.0 == "answered"
+        })
+        .await;
+        let runs = world.count("runs").await;
+        let key = Uuid::now_v7();
+        let (first, second) = futures::join!(world.book(key), world.book(key));
+        assert_eq!(first, second);
+        assert_eq!(world.book(key).await, first);
+        assert_eq!(first.0, "answered");
+        assert_eq!(world.count("runs").await, runs + 1);
+        world
+            .backend("PUT /control", None, json!({"cut_answers": 1}))
+            .await;
+        let key = Uuid::now_v7();
+        assert_eq!(world.book(key).await.0, "unknown");
+        assert_eq!(world.book(key).await.0, "unknown");
+        assert_eq!(world.count("runs").await, runs + 2);
+    });
+}
+
+/// Guards against a planned stop that keeps its claims or cuts a keyed call.
+#[test]
+fn terminate_releases_claims() {
+    with_world("plain", json!({"service_ms": 1_500}), |world| async move {
+        world.publish(1, false, None);
+        let mut agent = Process::agent(&world.settings);
+        until("a claim", async || world.status().await["slots"] == 0xffff).await;
+        let book = world.book(Uuid::now_v7());
+        let stop = async {
+            compio::time::sleep(std::time::Duration::from_millis(300)).await;
+            agent.terminate();
+        };
+        let (booked, ()) = futures::join!(book, stop);
+        assert_eq!(booked.0, "answered");
+        assert!(agent.exit().await.success());
+        let claims = world.claims().await;
+        let slots = claims["slots"].as_array().unwrap();
+        assert!(
+            slots.iter().all(|slot| slot["holder"].is_null()),
+            "{claims}"
+        );
+    });
+}
+
+/// Guards against two targets of a small domain that drain at once and leave it without an open gate.
+#[test]
+fn switch_takes_turns() {
+    with_world("engine", json!({"token_ms": 100}), |world| async move {
+        let (first, v1) = world.serving("v1").await;
+        let engine = Process::standin("engine", json!({"token_ms": 100}));
+        let mut settings = world.settings.clone();
+        settings["name"] = "vm-2".into();
+        settings["backend_address"] = engine.address.to_string().into();
+        for port in [
+            "call_listen",
+            "chunk_listen",
+            "operator_listen",
+            "order_listen",
+        ] {
+            settings[port] = free().to_string().into();
+        }
+        let second = Process::agent(&settings);
+        let agents = [first.address, second.address];
+        let v2 = world.pin("v2").await;
+        let mut streams = Vec::new();
+        for address in agents {
+            let serves = Some(v1.digest.to_string());
+            until("both agents", async || {
+                world.open_at(address).await == serves
+            })
+            .await;
+            let stream = json!({"messages": [], "max_tokens": 25, "stream": true});
+            streams.push(world.call_at(address, Some(&v1), stream).await.unwrap());
+        }
+        world.publish(2, true, Some(&v2));
+        let finish = async {
+            for stream in streams {
+                assert!(stream.into_body().bytes(1 << 20).await.is_ok());
+            }
+        };
+        let switch = until("both switches", async || {
+            let open = [
+                world.open_at(agents[0]).await,
+                world.open_at(agents[1]).await,
+            ];
+            assert!(open.iter().any(Option::is_some), "no gate is open");
+            open.iter().all(|open| *open == Some(v2.digest.to_string()))
+        });
+        futures::join!(finish, switch);
+    });
+}
--- a/bins/agent/tests/process/support.rs
+++ b/bins/agent/tests/process/support.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -23,7 +24,7 @@
 /// A process of a test; killed when dropped.
 pub struct Process {
     child: Child,
-    address: SocketAddr,
+    pub address: SocketAddr,
     _stdout: BufReader<ChildStdout>,
 }
 
@@ -41,7 +42,7 @@
     entry: Entry,
     pub settings: Value,
     client: Client,
-    _platform: Process,
+    platform: Process,
     _entry: JoinHandle<()>,
 }
 
@@ -125,6 +126,11 @@
 
 impl Peer for Entry {
     async fn report(self, _: Context, report: Report) -> Reply {
+        if let Some(member) = &report.member {
+            let mut records = self.records.borrow_mut();
+            records.retain(|record| record.key != member.key || record.version > member.version);
+            records.push(member.clone());
+        }
         self.reports.borrow_mut().push(report);
         Reply {
             known: true,
@@ -160,7 +166,7 @@
         let store = Process::standin("store", json!({"models": [model("v1"), model("v2")]}));
         let backend = Process::standin(role, backend);
         let entry = Entry::default();
-        let listener = node::listen(free()).unwrap();
+        let listener = node::listen(([127, 0, 0, 1], 0).into()).unwrap();
         let settings = json!({
             "name": "vm-1", "domain": "levis", "region": "levis", "service": "desk", "backend": role,
             "backend_address": backend.address, "call_listen": free(), "chunk_listen": free(),
@@ -171,7 +177,7 @@
         Self {
             store,
             backend,
-            _platform: platform,
+            platform,
             entry,
             settings,
             client: Client::new(),
@@ -199,7 +205,9 @@
             },
             value: Content::Catalog(service.to_string()),
         };
-        *self.entry.records.borrow_mut() = vec![record];
+        let mut records = self.entry.records.borrow_mut();
+        records.retain(|held| held.key != record.key);
+        records.push(record);
     }
 
     /// Returns the pin of a version in the store.
@@ -254,20 +262,65 @@
 
     /// Sends a completion request to the agent.
     pub async fn call(&self, pin: Option<&Pin>, body: Value) -> Result<Response<Answer>, Error> {
+        let address = self.settings["call_listen"]
+            .as_str()
+            .unwrap()
+            .parse()
+            .unwrap();
+        self.call_at(address, pin, body).await
+    }
+
+    /// Sends a completion request to the agent at `address`.
+    pub async fn call_at(
+        &self,
+        address: SocketAddr,
+        pin: Option<&Pin>,
+        body: Value,
+    ) -> Result<Response<Answer>, Error> {
         let mut request = Request::post("/call/desk/v1/chat/completions")
             .header(wire::header::REQUEST, "00000000000000000000000000000007");
         if let Some(pin) = pin {
             request = request.header(wire::header::PIN, pin.to_string());
         }
+        let request = request.body(body.to_string().into()).unwrap();
+        self.client
+            .send(address, request, Instant::now() + SOON)
+            .await
+    }
+
+    /// Returns the digest that the agent at `address` serves, if its gate is open.
+    pub async fn open_at(&self, address: SocketAddr) -> Option<String> {
+        let weights: Value = serde_json::from_slice(&self.get(address, "/weights").await).unwrap();
+        weights["open"].as_str().map(str::to_owned)
+    }
+
+    /// Makes a call with a key and returns its outcome and body.
+    pub async fn book(&self, key: uuid::Uuid) -> (String, Bytes) {
+        let request = Request::post("/call/desk/book")
+            .header(wire::header::REQUEST, "00000000000000000000000000000007")
+            .header(wire::header::WORKSPACE, "clerks")
+            .header(wire::header::IDEMPOTENCY_KEY, key.to_string());
         let address = self.settings["call_listen"]
             .as_str()
             .unwrap()
             .parse()
             .unwrap();
-        let request = request.body(body.to_string().into()).unwrap();
-        self.client
-            .send(address, request, Instant::now() + SOON)
-            .await
+        let request = request.body("green 4".into()).unwrap();
+        let deadline = Instant::now() + SOON;
+        let answer = self.client.send(address, request, deadline).await.unwrap();
+        let outcome = answer.headers()[wire::header::OUTCOME]
+            .to_str()
+            .unwrap()
+            .to_owned();
+        (outcome, answer.into_body().bytes(1 << 20).await.unwrap())
+    }
+
+    /// Returns the claim table of the service.
+    pub async fn claims(&self) -> Value {
+        let body = self
+            .get(self.platform.address, "/objects/claims/desk")
+            .await;
+        serde_json::from_slice(&body).unwrap()
     }
 
     /// Returns `/status` of the agent.
@@ -336,11 +389,19 @@
 }
 
 /// Returns an address on loopback whose port was free just now.
+///
+/// The ports are below the range from which the system takes ports of connections, and each is given once.
 pub fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id() * 61;
+    loop {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = 10_000 + (start.wrapping_add(number) % 20_000) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn file(name: &str, settings: &Value) -> PathBuf {
