--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod report;
 pub mod transport;
 
-pub use message::{Delta, Digest, Gate, Reply, Report};
+pub use gossip::{Delta, Digest};
+pub use message::{Gate, Reply, Report};
 pub use peer::{Peer, PeerClient, PeerRequest, PeerResponse};
 pub use transport::{Client, connect, serve};
