entry: accept answers that agents pass on without weights; test weights and limits

The agent passes a model's 4xx on without naming weights, because an error of the request is made from none; the entry discarded such answers and reported them as unknown. It also retried, as refusals of one request, what an agent refuses for every request until its next report.

A client error may now lack the weights header, the agent's reasons backend, catalogue and service close the target until its next report, and an agent's 504 is passed on as 504. New tests cover the weights check, deadlines too short to blame the target, and targets that report elsewhere.

--- a/bins/entry/src/attempt.rs
+++ b/bins/entry/src/attempt.rs
@@ -18,8 +18,16 @@
 
 /// Time between two checks whether the target of an attempt is down.
 const DOWN_CHECK: Duration = Duration::from_millis(250);
-/// Reasons for which an agent refuses every request until its next report.
-const CLOSED: [&str; 4] = ["closed", "version", "draining", "leaving"];
+/// Reasons for which an agent is likely to refuse every request until its next report.
+const CLOSED: [&str; 7] = [
+    "closed",
+    "version",
+    "draining",
+    "leaving",
+    "backend",
+    "catalogue",
+    "service",
+];
 
 impl Gateway {
     /// Sends a request to its target and returns the head of the answer.
@@ -89,7 +97,7 @@
 fn classify(sent: &InFlight, head: Response<Answer>) -> Result<Response<Answer>, Failure> {
     let headers = head.headers();
     match text(headers, name::OUTCOME) {
-        Some(ANSWERED) => match other_weights(sent, headers) {
+        Some(ANSWERED) => match other_weights(sent, &head) {
             None => Ok(head),
             Some((wanted, received)) => {
                 node::event!(
@@ -102,6 +110,7 @@
             }
         },
         Some(NOT_RUN) => Err(not_run(head.status(), headers)),
+        Some(UNKNOWN) if head.status() == StatusCode::GATEWAY_TIMEOUT => Err(Failure::TimedOut),
         Some(UNKNOWN) => Err(Failure::Reported),
         _ => {
             node::event!(
@@ -115,10 +124,15 @@
 }
 
 /// Returns the wanted and the named weights of an answer when they differ.
-fn other_weights(sent: &InFlight, headers: &HeaderMap) -> Option<(String, String)> {
+///
+/// An error of the request itself was made from no weights and names none.
+fn other_weights(sent: &InFlight, head: &Response<Answer>) -> Option<(String, String)> {
     let wanted = sent.pin()?.digest.to_string();
-    let received = text(headers, name::WEIGHTS).unwrap_or("none");
-    (received != wanted).then(|| (wanted, received.to_owned()))
+    match text(head.headers(), name::WEIGHTS) {
+        Some(received) => (received != wanted).then(|| (wanted, received.to_owned())),
+        None if head.status().is_client_error() => None,
+        None => Some((wanted, "none".into())),
+    }
 }
 
 fn not_run(status: StatusCode, headers: &HeaderMap) -> Failure {
--- a/bins/entry/tests/entry/common.rs
+++ b/bins/entry/tests/entry/common.rs
@@ -17,23 +17,39 @@
 /// What an agent does with a request; `ID` in a text stands for the request's id.
 #[derive(Clone, Debug)]
 pub enum Step {
-    Send(&'static str),
+    Send(String),
     Sleep(u64),
     /// Waits until the test sets the flag.
     Wait(Rc<Cell<bool>>),
     Close,
 }
 
-pub const ANSWER: Step = Step::Send(
-    "HTTP/1.1 200 OK\r\ncarobport-request: ID\r\ncarobport-outcome: answered\r\ncontent-length: 5\r\n\r\nwhole",
-);
-pub const CLOSED: Step = Step::Send(
-    "HTTP/1.1 503 Service Unavailable\r\ncarobport-request: ID\r\ncarobport-outcome: not-run\r\n\
-     carobport-reason: closed\r\ncontent-length: 0\r\n\r\n",
-);
-pub const CROSSED: Step = Step::Send(
-    "HTTP/1.1 200 OK\r\ncarobport-request: 0\r\ncarobport-outcome: answered\r\ncontent-length: 0\r\n\r\n",
-);
+/// Returns a whole answer.
+pub fn answer() -> Step {
+    scripted("200 OK", "carobport-request: ID", "answered", "whole")
+}
+
+/// Returns a refusal of an agent whose gate is closed.
+pub fn closed() -> Step {
+    scripted(
+        "503 Service Unavailable",
+        "carobport-request: ID\r\ncarobport-reason: closed",
+        "not-run",
+        "",
+    )
+}
+
+/// Returns an answer of another request.
+pub fn crossed() -> Step {
+    scripted("200 OK", "carobport-request: 0", "answered", "")
+}
+
+fn scripted(status: &str, headers: &str, outcome: &str, body: &str) -> Step {
+    let length = body.len();
+    Step::Send(format!(
+        "HTTP/1.1 {status}\r\n{headers}\r\ncarobport-outcome: {outcome}\r\ncontent-length: {length}\r\n\r\n{body}"
+    ))
+}
 
 /// Heads of the requests that an agent received, each with the number of its connection.
 pub type Seen = Rc<RefCell<Vec<(usize, String)>>>;
@@ -143,6 +159,10 @@
     }
 
     pub fn report(&self, name: &str, slots: u16) {
+        self.report_weights(name, slots, None);
+    }
+
+    pub fn report_weights(&self, name: &str, slots: u16, weights: Option<u64>) {
         self.sequence.set(self.sequence.get() + 1);
         self.shared.put_report(
             Instant::now(),
@@ -151,7 +171,7 @@
                 incarnation: 1,
                 sequence: self.sequence.get(),
                 gate: Gate::Open,
-                weights: None,
+                weights,
                 chunks: 0,
                 running: 0,
                 waiting: 0,
@@ -217,13 +237,13 @@
 async fn serve_agent(listener: TcpListener, seen: Seen, script: Rc<dyn Fn(usize) -> Vec<Step>>) {
     let mut connections = 0;
     while let Ok((stream, _)) = listener.accept().await {
-        let connection = answer(stream, connections, Rc::clone(&seen), Rc::clone(&script));
+        let connection = converse(stream, connections, Rc::clone(&seen), Rc::clone(&script));
         compio::runtime::spawn(connection).detach();
         connections += 1;
     }
 }
 
-async fn answer(
+async fn converse(
     mut stream: TcpStream,
     connection: usize,
     seen: Seen,
--- a/bins/entry/tests/entry/requests.rs
+++ b/bins/entry/tests/entry/requests.rs
@@ -7,7 +7,7 @@
 use node::http::{Body, Request};
 use yare::parameterized;
 
-use crate::common::{ANSWER, CLOSED, CROSSED, Step, summary, with_entry};
+use crate::common::{Step, answer, closed, crossed, summary, with_entry};
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\ncarobport-request: ID\r\ncarobport-outcome: answered\r\n";
 const KEY: &str = "01920000-0000-7000-8000-000000000001";
@@ -24,10 +24,10 @@
         let wait = Rc::clone(&go);
         let seen = world.agent("t0", "desk", 0, move |_| {
             vec![
-                Step::Send(HEAD),
-                Step::Send("x-kept: yes\r\ntransfer-encoding: chunked\r\n\r\n3\r\none\r\n"),
+                Step::Send(HEAD.into()),
+                Step::Send("x-kept: yes\r\ntransfer-encoding: chunked\r\n\r\n3\r\none\r\n".into()),
                 Step::Wait(Rc::clone(&wait)),
-                Step::Send("3\r\ntwo\r\n0\r\n\r\n"),
+                Step::Send("3\r\ntwo\r\n0\r\n\r\n".into()),
             ]
         });
         let answer = world
@@ -62,8 +62,8 @@
     with_entry(|world| async move {
         world.agent("t0", "desk", 0, move |_| {
             vec![
-                Step::Send(HEAD),
-                Step::Send("transfer-encoding: chunked\r\n\r\n3\r\none\r\n"),
+                Step::Send(HEAD.into()),
+                Step::Send("transfer-encoding: chunked\r\n\r\n3\r\none\r\n".into()),
                 end.clone(),
             ]
         });
@@ -83,7 +83,7 @@
 fn answer_crossed_is_discarded() {
     with_entry(|world| async move {
         let seen = world.agent("t0", "bookings", slot_bit(), |number| {
-            vec![if number < 2 { CROSSED } else { ANSWER }]
+            vec![if number < 2 { crossed() } else { answer() }]
         });
         let answer = world
             .call("/v1/bookings/x", &[("idempotency-key", KEY)])
@@ -106,8 +106,8 @@
 fn answer_late_is_never_delivered() {
     with_entry(|world| async move {
         let seen = world.agent("t0", "desk", 0, |number| match number {
-            0 => vec![Step::Sleep(300), ANSWER],
-            _ => vec![ANSWER],
+            0 => vec![Step::Sleep(300), answer()],
+            _ => vec![answer()],
         });
         let started = Instant::now();
         let answer = world
@@ -127,7 +127,7 @@
 
 /// Guards against a refusal that reaches the caller although another target would answer.
 #[parameterized(
-    refused = { CLOSED },
+    refused = { closed() },
     lost = { Step::Close },
 )]
 fn repeatable_is_tried_elsewhere(first: Step) {
@@ -137,7 +137,7 @@
             let (failed, first) = (Rc::clone(&failed), first.clone());
             world.agent(name, "desk", 0, move |_| {
                 vec![if failed.replace(true) {
-                    ANSWER
+                    answer()
                 } else {
                     first.clone()
                 }]
@@ -152,9 +152,9 @@
 #[test]
 fn keyed_lost_asks_owner_again() {
     with_entry(|world| async move {
-        let other = world.agent("other", "bookings", 0, |_| vec![ANSWER]);
+        let other = world.agent("other", "bookings", 0, |_| vec![answer()]);
         let owner = world.agent("owner", "bookings", slot_bit(), |number| {
-            vec![if number == 0 { Step::Close } else { ANSWER }]
+            vec![if number == 0 { Step::Close } else { answer() }]
         });
         let answer = world
             .call("/v1/bookings/x", &[("idempotency-key", KEY)])
@@ -172,8 +172,10 @@
     with_entry(|world| async move {
         const OWNER: &str = "HTTP/1.1 503 Service Unavailable\r\ncarobport-request: ID\r\n\
             carobport-outcome: not-run\r\ncarobport-owner: owner\r\ncontent-length: 0\r\n\r\n";
-        world.agent("other", "bookings", slot_bit(), |_| vec![Step::Send(OWNER)]);
-        world.agent("owner", "bookings", 0, |_| vec![ANSWER]);
+        world.agent("other", "bookings", slot_bit(), |_| {
+            vec![Step::Send(OWNER.into())]
+        });
+        world.agent("owner", "bookings", 0, |_| vec![answer()]);
         let answer = world
             .call("/v1/bookings/x", &[("idempotency-key", KEY)])
             .await;
@@ -194,7 +196,7 @@
 )]
 fn request_refused(path: &str, headers: &[(&str, &str)], status: u16, reason: &str, retry: bool) {
     with_entry(|world| async move {
-        let seen = world.agent("t0", "bookings", 0xffff, |_| vec![ANSWER]);
+        let seen = world.agent("t0", "bookings", 0xffff, |_| vec![answer()]);
         let answer = world.call(path, headers).await;
         assert_eq!(
             summary(&answer),
@@ -229,8 +231,8 @@
 fn caller_gone_releases_slots() {
     with_entry(|world| async move {
         world.agent("t0", "desk", 0, |number| match number {
-            0 => vec![Step::Sleep(900), ANSWER],
-            _ => vec![ANSWER],
+            0 => vec![Step::Sleep(900), answer()],
+            _ => vec![answer()],
         });
         let limited = [("carobport-workspace", "limited")];
         let gone = compio::time::timeout(
@@ -252,3 +254,45 @@
         );
     });
 }
+
+/// Guards against an answer from other weights than the request was pinned to; an error of the request names none.
+#[parameterized(
+    right = { "200 OK", "wanted", 200, "answered" },
+    other = { "200 OK", "other", 502, "unknown" },
+    none = { "200 OK", "", 502, "unknown" },
+    request_error = { "400 Bad Request", "", 400, "answered" },
+)]
+fn answer_weights_checked(line: &'static str, weights: &str, status: u16, outcome: &str) {
+    let named = match weights {
+        "" => String::new(),
+        text => format!(
+            "carobport-weights: {}\r\n",
+            weights::Digest::of(text.as_bytes())
+        ),
+    };
+    let answer = format!(
+        "HTTP/1.1 {line}\r\ncarobport-request: ID\r\ncarobport-outcome: answered\r\n{named}content-length: 0\r\n\r\n"
+    );
+    with_entry(|world| async move {
+        let digest = weights::Digest::of(b"wanted");
+        let service = format!(
+            r#"{{"kind":"service","name":"desk","owner":"o","class":"urgent","backend":"model","repeatable":true,
+            "deadline_ms":1000,"model":{{"name":"m","version":"v1","digest":"{digest}","plan":"direct"}}}}"#
+        );
+        world
+            .shared
+            .put_catalog(99, serde_json::from_str(&service).unwrap());
+        let seen = world.agent("t0", "desk", 0, move |_| vec![Step::Send(answer.clone())]);
+        world.report_weights("t0", 0, Some(digest.short()));
+        let answer = world.call("/v1/desk/x", &[]).await;
+        assert_eq!(
+            (answer.status().as_u16(), &*summary(&answer).1),
+            (status, outcome)
+        );
+        assert!(
+            seen.borrow()[0]
+                .1
+                .contains(&format!("carobport-pin: m@v1#{digest}\r\n"))
+        );
+    });
+}
--- a/bins/entry/tests/entry/shutdown.rs
+++ b/bins/entry/tests/entry/shutdown.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::common::{ANSWER, Step, summary, with_entry};
+use crate::common::{Step, answer, summary, with_entry};
 
 /// Guards against a planned stop that cuts a request off, that the balancer learns too late, or that closes the port
 /// on callers that could be told to retry.
@@ -17,8 +17,8 @@
         let go = Rc::new(Cell::new(false));
         let wait = Rc::clone(&go);
         world.agent("t0", "desk", 0, move |number| match number {
-            0 => vec![Step::Wait(Rc::clone(&wait)), ANSWER],
-            _ => vec![ANSWER],
+            0 => vec![Step::Wait(Rc::clone(&wait)), answer()],
+            _ => vec![answer()],
         });
         let first = Rc::clone(&world);
         let first = compio::runtime::spawn(async move {
--- a/crates/route/tests/route/common.rs
+++ b/crates/route/tests/route/common.rs
@@ -91,13 +91,24 @@
     }
 
     pub fn report(&mut self, name: &str, gate: Gate, running: u32, slots: u16) {
+        self.report_weights(name, gate, running, slots, None);
+    }
+
+    pub fn report_weights(
+        &mut self,
+        name: &str,
+        gate: Gate,
+        running: u32,
+        slots: u16,
+        weights: Option<u64>,
+    ) {
         self.sequence += 1;
         let report = Report {
             target: name.into(),
             incarnation: 1,
             sequence: self.sequence,
             gate,
-            weights: None,
+            weights,
             chunks: 0,
             running,
             waiting: 0,
--- a/crates/route/tests/route/targets.rs
+++ b/crates/route/tests/route/targets.rs
@@ -161,22 +161,8 @@
             _ if index < switched => new,
             _ => old,
         };
-        world.router.report(
-            world.now,
-            &wire::Report {
-                target: name,
-                incarnation: 1,
-                sequence: 1,
-                gate: if index == 4 { Gate::Closed } else { Gate::Open },
-                weights: Some(weights.short()),
-                chunks: 0,
-                running: 0,
-                waiting: 0,
-                slots: 0,
-                view: 0,
-                member: None,
-            },
-        );
+        let gate = if index == 4 { Gate::Closed } else { Gate::Open };
+        world.report_weights(&name, gate, 0, 0, Some(weights.short()));
     }
     for _ in 0..20 {
         world.submit("urgent-a").unwrap();
@@ -291,3 +277,40 @@
         prop_assert!(f64::from(retries) <= most, "{} retries, at most {}", retries, most);
     }
 }
+
+/// Guards against a caller that lowers a target's limit for all others with deadlines that no target can meet.
+#[parameterized(
+    short_deadline = { 10, 10 },
+    late = { 3000, 7 },
+)]
+fn target_limit_after_timeout(waited: u64, limit: u32) {
+    let mut world = World::new(r#"{"per_target":10}"#);
+    world.targets(1);
+    world.submit("urgent-a").unwrap();
+    let request = world.poll_one();
+    world.now += ms(waited);
+    world.fail(request, Failure::TimedOut);
+    world.report("t0", Gate::Open, 0, 0);
+    let mut sent = Vec::new();
+    while let Ok(_) = world.submit("urgent-a")
+        && let (mut placed, _) = world.poll()
+        && !placed.is_empty()
+    {
+        sent.append(&mut placed);
+    }
+    assert_eq!(sent.len() as u32, limit);
+}
+
+/// Guards against an entry that keeps sending to a refusing target that reports to other entries only.
+#[test]
+fn target_unreported_is_left_alone_after_refusal() {
+    let mut world = World::new("{}");
+    world.member("far", "desk", "beauce", Phase::Live);
+    let id = world.submit("urgent-a").unwrap();
+    let request = world.poll_one();
+    world.fail(request, Failure::Closed);
+    assert!(matches!(&world.poll().1[..], [(done, Outcome::NotRun(_))] if *done == id));
+    assert_eq!(world.submit("urgent-a").unwrap_err().reason, Reason::Target);
+    world.now += ms(2000);
+    assert!(world.submit("urgent-a").is_ok());
+}
