--- /dev/null
+++ b/bins/agent/src/lib.rs
@@ -0,0 +1,25 @@
+//! The process on a target VM, in front of an engine or a plain service.
+//!
+//! Each module runs one or more tasks of the event loop; they share one [`Shared`]. Decisions are made by the crates
+//! `gate`, `burst` and `claim`; the modules here do their I/O.
+
+pub mod call;
+pub mod chunk_server;
+pub mod claims;
+pub mod engine;
+pub mod metrics;
+pub mod notify;
+pub mod number;
+pub mod operator;
+pub mod process;
+pub mod report;
+pub mod settings;
+pub mod shared;
+pub mod staging;
+pub mod transfer;
+pub mod turn;
+
+pub use metrics::Metrics;
+pub use notify::Notify;
+pub use settings::Settings;
+pub use shared::Shared;
