--- a/bins/agent/src/claims.rs
+++ b/bins/agent/src/claims.rs
@@ -40,7 +40,7 @@
     }
 }
 
-/// Waits until the next step is due; a stop ends the wait.
+/// Waits until the next step is due; a stop or a change among the service's agents ends the wait.
 async fn rest(shared: &Shared, stepped: bool) {
     let start = now();
     let due = match stepped {
@@ -49,10 +49,19 @@
     };
     let mut left = due.saturating_sub(start).max(STEP);
     let leaving = shared.is_leaving();
+    let service = &shared.settings.service;
+    let agents = members(&shared.view.borrow(), service);
+    let mut seen = shared.changed.count();
     while !left.is_zero() && shared.is_leaving() == leaving {
         let slice = left.min(LOOK);
         compio::time::sleep(slice).await;
         left -= slice;
+        if seen != shared.changed.count() {
+            seen = shared.changed.count();
+            if members(&shared.view.borrow(), service) != agents {
+                return;
+            }
+        }
     }
 }
 
