route: keep targets that report to other entries usable

Cause: half of the keyed calls of the demonstration were refused as not run. A starting agent reports to the entries in its settings, also of other domains, then turns to those of its own domain; the entries it left took the silence for death, so that no entry reached owners in other domains. A request in progress on such a target was given up as well. Ruled out: the claim tables (each slot had its owner) and the owner's address in the agent's answer (it was right). Change: silence makes a target suspect; only the peer port of an entry that the target reports to, after 5 s, marks it down. After 8 s of silence a live target counts as one that reports elsewhere.

--- a/bins/entry/src/status.rs
+++ b/bins/entry/src/status.rs
@@ -44,7 +44,7 @@
             let state = format!("{:?}", target.state(now)).to_lowercase();
             (
                 name.clone(),
-                json!({"state": state, "requests": target.requests()}),
+                json!({"state": state, "requests": target.requests(now)}),
             )
         })
         .collect();
--- a/crates/route/src/lane.rs
+++ b/crates/route/src/lane.rs
@@ -174,7 +174,7 @@
         let target = self.pool.get(&name).expect("the pool chose the target");
         let pins = self.pool.accepted(now, &waiting.core().admission.pins);
         let dispatch = Dispatch {
-            pin: target.pin(pins).cloned(),
+            pin: target.pin(now, pins).cloned(),
             at: now,
             _slots: [Permit::new(&target.own), Permit::new(&self.in_progress)],
             target: name,
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -105,7 +105,7 @@
         let (mut all, mut switched) = (0, 0);
         for target in open {
             all += 1;
-            switched += usize::from(target.pin(std::slice::from_ref(current)).is_some());
+            switched += usize::from(target.pin(now, std::slice::from_ref(current)).is_some());
         }
         let replaced = switched * SWITCHED.1 >= all * SWITCHED.0 && switched > 0;
         if replaced { &pins[..1] } else { pins }
@@ -120,7 +120,8 @@
     pub fn has_room(&self, now: Instant) -> bool {
         let sharers = self.sharers();
         self.targets.values().any(|target| {
-            matches!(target.state(now), State::Open | State::Unreported) && target.has_room(sharers)
+            matches!(target.state(now), State::Open | State::Unreported)
+                && target.has_room(now, sharers)
         })
     }
 
@@ -130,15 +131,15 @@
     /// loaded of two random targets.
     pub fn choose(&self, now: Instant, query: &Query<'_>, random: &mut impl Rng) -> Option<&str> {
         let open = self.open(now, query);
-        let mean = open.iter().map(|(_, target)| target.load()).sum::<f64>() / open.len() as f64;
+        let mean = open.iter().map(|(_, target)| target.load(now)).sum::<f64>() / open.len() as f64;
         let sharers = self.sharers();
         let free: Vec<_> = open
             .into_iter()
-            .filter(|(_, target)| target.has_room(sharers))
+            .filter(|(_, target)| target.has_room(now, sharers))
             .collect();
         if let Some(prefix) = query.affinity
             && let Some((name, target)) = free.iter().max_by_key(|(name, _)| affinity(prefix, name))
-            && target.load() <= AFFINITY_LIMIT * mean
+            && target.load(now) <= AFFINITY_LIMIT * mean
         {
             return Some(name);
         }
@@ -149,7 +150,7 @@
                 let first = random.random_range(..free.len());
                 let second = (first + random.random_range(1..free.len())) % free.len();
                 let (one, other) = (free[first], free[second]);
-                Some(if other.1.load() < one.1.load() {
+                Some(if other.1.load(now) < one.1.load(now) {
                     other.0
                 } else {
                     one.0
@@ -170,7 +171,7 @@
             .map(|(name, target)| (name.as_str(), target, target.state(now)))
             .filter(|(name, target, state)| {
                 matches!(state, State::Open | State::Unreported)
-                    && (query.pins.is_empty() || target.pin(pins).is_some())
+                    && (query.pins.is_empty() || target.pin(now, pins).is_some())
                     && match query.only {
                         Some(only) => only == *name,
                         None => !tried.contains(name),
@@ -184,7 +185,7 @@
             chosen.map(|(name, target, _)| (*name, *target)).collect()
         };
         if let Some(slot) = query.slot {
-            let owners = select(&|target, _| target.owns(slot));
+            let owners = select(&|target, _| target.owns(now, slot));
             if !owners.is_empty() && query.only.is_none() {
                 return owners;
             }
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -13,9 +13,12 @@
 
 /// Time without a report after which a target gets no new work.
 pub(crate) const SUSPECT_AFTER: Duration = Duration::from_secs(2);
-/// Time without a report after which a target is down.
-pub(crate) const DOWN_AFTER: Duration = Duration::from_secs(5);
 
+/// Time without a report after which a target that is not marked as down is taken to report to other entries.
+///
+/// The entries that a target reports to mark it as down well within this time if it is. A target changes them when
+/// entries come and go; a starting agent reports to the entries in its settings.
+const ELSEWHERE_AFTER: Duration = Duration::from_secs(8);
 /// Time for which a target without reports gets no work after it refused all.
 const CLOSED_FOR: Duration = Duration::from_secs(2);
 
@@ -30,7 +33,10 @@
     Closed,
     /// Has not reported for 2 s.
     Suspect,
-    /// Has not reported for 5 s, or others found it down.
+    /// Marked as down by the peer port of an entry that it reports to, after 5 s of silence.
+    ///
+    /// Silence alone doesn't bring a target down here: it may have turned to other entries, and its requests in
+    /// progress must then go on.
     Down,
     /// Finishes what is in progress.
     Leaving,
@@ -75,7 +81,7 @@
     /// Returns whether the target takes work at `now`.
     pub fn state(&self, now: Instant) -> State {
         let silent = self
-            .report
+            .current(now)
             .map(|report| now.saturating_duration_since(report.at));
         match (self.phase, silent) {
             (Phase::Leaving, _) => State::Leaving,
@@ -84,45 +90,44 @@
                 State::Closed
             }
             (Phase::Live, None) => State::Unreported,
-            (Phase::Live, Some(silent)) if silent >= DOWN_AFTER => State::Down,
             (Phase::Live, Some(silent)) if silent >= SUSPECT_AFTER => State::Suspect,
-            (Phase::Live, Some(_)) if self.is_open() => State::Open,
+            (Phase::Live, Some(_)) if self.is_open(now) => State::Open,
             (Phase::Live, Some(_)) => State::Closed,
         }
     }
 
     /// Returns the number of requests on the target: those reported, and this entry's change since the report.
-    pub fn requests(&self) -> u32 {
+    pub fn requests(&self, now: Instant) -> u32 {
         let own = self.own.get();
-        match self.report {
+        match self.current(now) {
             Some(report) => (report.requests + own).saturating_sub(report.own).max(own),
             None => own,
         }
     }
 
     /// Returns the requests on the target as a share of its limit.
-    pub fn load(&self) -> f64 {
-        f64::from(self.requests()) / f64::from(self.concurrency.limit().max(1))
+    pub fn load(&self, now: Instant) -> f64 {
+        f64::from(self.requests(now)) / f64::from(self.concurrency.limit().max(1))
     }
 
     /// Tells whether another request fits, when `sharers` entries send to the target.
     ///
     /// An entry may always use its share of the limit. Otherwise an entry without requests in progress would wait for
     /// the next report while the others hand each free place to themselves.
-    pub fn has_room(&self, sharers: u32) -> bool {
+    pub fn has_room(&self, now: Instant, sharers: u32) -> bool {
         let limit = self.concurrency.limit();
-        self.requests() < limit || self.own.get() < (limit / sharers.max(1)).max(1)
+        self.requests(now) < limit || self.own.get() < (limit / sharers.max(1)).max(1)
     }
 
     /// Returns whether the last report names the target as owner of claim slot `slot`.
-    pub fn owns(&self, slot: u8) -> bool {
-        self.report
+    pub fn owns(&self, now: Instant, slot: u8) -> bool {
+        self.current(now)
             .is_some_and(|report| report.slots & (1u16 << (slot & 15)) != 0)
     }
 
     /// Returns the first of `pins` that the target serves by its last report; any, for a target without a report.
-    pub fn pin<'a>(&self, pins: &'a [Pin]) -> Option<&'a Pin> {
-        match self.report {
+    pub fn pin<'a>(&self, now: Instant, pins: &'a [Pin]) -> Option<&'a Pin> {
+        match self.current(now) {
             None => pins.first(),
             Some(report) => pins
                 .iter()
@@ -150,14 +155,21 @@
 
     /// Treats the target's gate as closed until its next report, or for a while when it doesn't report here.
     pub(crate) fn close(&mut self, now: Instant) {
-        match &mut self.report {
-            Some(report) => report.gate = Gate::Closed,
-            None => self.closed_until = Some(now + CLOSED_FOR),
+        if let Some(report) = &mut self.report {
+            report.gate = Gate::Closed;
         }
+        self.closed_until = Some(now + CLOSED_FOR);
+    }
+
+    /// Returns the last report unless the target has since turned to other entries.
+    fn current(&self, now: Instant) -> Option<Load> {
+        self.report
+            .filter(|report| now.saturating_duration_since(report.at) < ELSEWHERE_AFTER)
     }
 
-    fn is_open(&self) -> bool {
-        self.report.is_some_and(|report| report.gate == Gate::Open)
+    fn is_open(&self, now: Instant) -> bool {
+        self.current(now)
+            .is_some_and(|report| report.gate == Gate::Open)
     }
 }
 
