Measure the time to hold and to serve apart, and the slopes of control

Cause: the time until replicas serve a version includes the turns of the switch; the target is about the time to hold. Change: the burst report gives both times; `carobport-load slopes` plays targets, entries and operators to one entry. Slopes were not run yet. Conclusion: both are measured again when the machine is quiet.

--- a/bins/load/src/burst.rs
+++ b/bins/load/src/burst.rs
@@ -22,19 +22,17 @@
     pub plan: Plan,
     /// Targets that had to serve the version.
     pub replicas: usize,
-    /// Time from the start of the put until half of the targets served the version, in seconds.
-    pub half_s: f64,
-    /// Until 90% did, in seconds.
-    pub ninety_s: f64,
-    /// Until all did, in seconds.
-    pub all_s: f64,
+    /// Time from the start of the put until half, 90% and all of the targets held the version, in seconds.
+    pub hold_s: [f64; 3],
+    /// The same until they served it.
+    pub serve_s: [f64; 3],
     /// Copies of the model drawn from the origin.
     pub origin_copies: f64,
     /// Bytes drawn from the origin.
     pub origin_bytes: u64,
     /// Lower bound of the time until all hold the weights, in seconds.
     pub bound_s: f64,
-    /// `all_s` over `bound_s`.
+    /// The last of `hold_s` over `bound_s`.
     pub ratio: f64,
     /// Requests to the model's service before, during and after the burst.
     pub model: Tally,
@@ -70,7 +68,8 @@
 ) -> Result<(), Error> {
     deployment.put_catalogue(version).await?;
     let digest = deployment.digest(version).await?;
-    Replicas::watch(deployment.engine_agents(), &digest)
+    let chunks = deployment.plan.chunks();
+    Replicas::watch(deployment.engine_agents(), &digest, chunks)
         .wait(limit)
         .await?;
     let plains = &deployment.agents[deployment.engines.len()..];
@@ -100,21 +99,23 @@
     compio::time::sleep(MARGIN).await;
 
     let digest = deployment.digest(version).await?;
-    let replicas = Replicas::watch(deployment.engine_agents(), &digest);
+    let replicas = Replicas::watch(deployment.engine_agents(), &digest, plan.chunks());
     deployment.put_version(version).await?;
     let count = plan.replicas();
-    let all_s = replicas.wait(limit).await?.as_secs_f64();
+    replicas.wait(limit).await?;
+    let shares = [count.div_ceil(2), (count * 9).div_ceil(10), count];
+    let hold_s = shares.map(|count| replicas.held_time_of(count).as_secs_f64());
+    let serve_s = shares.map(|count| replicas.time_of(count).as_secs_f64());
     let drawn = deployment.count(&deployment.store, "bytes_drawn").await? - drawn_before;
     let bound_s = bound(&plan).as_secs_f64();
     Ok(Report {
         replicas: count,
-        half_s: replicas.time_of(count.div_ceil(2)).as_secs_f64(),
-        ninety_s: replicas.time_of((count * 9).div_ceil(10)).as_secs_f64(),
-        all_s,
+        hold_s,
+        serve_s,
         origin_copies: drawn as f64 / plan.model_bytes as f64,
         origin_bytes: drawn,
         bound_s,
-        ratio: all_s / bound_s,
+        ratio: hold_s[2] / bound_s,
         model: tally(model.await)?,
         keyed: tally(keyed.await)?,
         idle_p99_ms,
@@ -173,8 +174,7 @@
         _ => domains.min(3.0),
     };
     let origin = drawing * size / plan.origin_bytes_per_s as f64;
-    let chunks = (size / f64::from(plan.chunk_bytes)).ceil();
-    let pipeline = 1.0 + (plan.replicas() as f64).log2() / chunks;
+    let pipeline = 1.0 + (plan.replicas() as f64).log2() / plan.chunks() as f64;
     let broadcast = size / plan.link_bytes_per_s as f64 * pipeline;
     // Every domain receives one copy over its agents' share of the region's link, unless it draws all from the origin.
     let per_domain = f64::from(plan.engines) * plan.region_bytes_per_s as f64;
--- a/bins/load/src/lib.rs
+++ b/bins/load/src/lib.rs
@@ -1,7 +1,8 @@
 //! Load and experiments with real processes on loopback.
 //!
 //! A [`Deployment`] starts a whole system from a [`Plan`]. A [`Process`] is a child that is killed when its guard is dropped. A [`Network`] gives each VM of an experiment a
-//! loopback address. [`burst::run`] measures how a new version spreads. A [`Load`] sends live requests at a steady rate and returns a [`Tally`] of their outcomes.
+//! loopback address. [`burst::run`] measures how a new version spreads, [`slopes::run`] what control
+//! costs an entry. A [`Load`] sends live requests at a steady rate and returns a [`Tally`] of their outcomes.
 
 mod address;
 pub mod burst;
@@ -11,6 +12,7 @@
 mod process;
 mod replicas;
 mod sample;
+pub mod slopes;
 mod traffic;
 
 pub use address::{
--- a/bins/load/src/main.rs
+++ b/bins/load/src/main.rs
@@ -27,17 +27,21 @@
         #[bpaf(positional("PLAN"), optional)]
         plan: Option<PathBuf>,
     },
+    /// Measure what control costs an entry and print slopes as JSON; nothing else may use loopback meanwhile
+    #[bpaf(command)]
+    Slopes {},
 }
 
 fn main() -> ExitCode {
     let outcome = match options().run() {
         Options::Demo {} => measure(Plan::default()).map(|report| show(&report)),
-        Options::Burst { plan } => read(plan.as_deref()).and_then(measure).map(|report| {
-            println!(
-                "{}",
-                serde_json::to_string_pretty(&report).expect("figures have a JSON form")
-            );
-        }),
+        Options::Burst { plan } => read(plan.as_deref())
+            .and_then(measure)
+            .map(|report| print(&report)),
+        Options::Slopes {} => node::block_on(load::slopes::run())
+            .map_err(|error| error.to_string())
+            .and_then(|outcome| outcome.map_err(|error| error.to_string()))
+            .map(|series| print(&series)),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -63,15 +67,19 @@
     serde_json::from_str(&text).map_err(|error| named(&error))
 }
 
+fn print(figures: &impl serde::Serialize) {
+    let text = serde_json::to_string_pretty(figures).expect("figures have a JSON form");
+    println!("{text}");
+}
+
 fn show(report: &Report) {
     println!(
         "targets that serve the new version: {} of {}",
         report.replicas, report.replicas
     );
-    println!(
-        "time until half, 90% and all serve it: {:.1} s, {:.1} s, {:.1} s",
-        report.half_s, report.ninety_s, report.all_s
-    );
+    for (what, [half, ninety, all]) in [("hold", report.hold_s), ("serve", report.serve_s)] {
+        println!("time until half, 90% and all {what} it: {half:.1} s, {ninety:.1} s, {all:.1} s");
+    }
     println!("copies drawn from the origin: {:.2}", report.origin_copies);
     for (name, tally) in [("model", &report.model), ("at most once", &report.keyed)] {
         println!(
--- a/bins/load/src/plan.rs
+++ b/bins/load/src/plan.rs
@@ -43,6 +43,11 @@
     pub fn replicas(&self) -> usize {
         self.domains.len() * usize::from(self.engines)
     }
+
+    /// Returns the number of chunks of each version.
+    pub fn chunks(&self) -> u64 {
+        self.model_bytes.div_ceil(u64::from(self.chunk_bytes))
+    }
 }
 
 impl Default for Plan {
--- a/bins/load/src/replicas.rs
+++ b/bins/load/src/replicas.rs
@@ -1,6 +1,7 @@
 //! How many targets serve a version, over time.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -14,35 +15,48 @@
 const STATUS_DEADLINE: Duration = Duration::from_secs(2);
 const MAX_STATUS: usize = 1 << 20;
 
-/// Watches agents until they serve a version.
+/// Watches agents until they hold and then serve a version.
 pub struct Replicas {
     start: Instant,
+    held: Rc<RefCell<Vec<Duration>>>,
     times: Rc<RefCell<Vec<Duration>>>,
     expected: usize,
     _watchers: Vec<JoinHandle<()>>,
 }
 
 impl Replicas {
-    /// Starts to watch `agents` for the manifest digest `digest`.
-    pub fn watch<'a>(agents: impl IntoIterator<Item = &'a Member>, digest: &str) -> Self {
+    /// Starts to watch `agents` for the manifest digest `digest` of a version of `chunks` chunks.
+    pub fn watch<'a>(
+        agents: impl IntoIterator<Item = &'a Member>,
+        digest: &str,
+        chunks: u64,
+    ) -> Self {
         let start = Instant::now();
+        let held = Rc::new(RefCell::new(Vec::new()));
         let times = Rc::new(RefCell::new(Vec::new()));
         let client = Client::new();
         let watchers: Vec<_> = agents
             .into_iter()
             .map(|agent| {
-                let (client, times) = (client.clone(), Rc::clone(&times));
+                let client = client.clone();
+                let (held, times) = (Rc::clone(&held), Rc::clone(&times));
                 let (operator, digest) = (agent.operator, format!("#{digest}"));
                 spawn(async move {
-                    while !serves(&client, operator, &digest).await {
-                        compio::time::sleep(POLL).await;
-                    }
+                    let holds = |status: &Value| {
+                        names(status, "wanted", &digest) && status["chunks"] == chunks
+                    };
+                    let serves =
+                        |status: &Value| status["gate"] == "open" && names(status, "pin", &digest);
+                    until(&client, operator, |status| holds(status) || serves(status)).await;
+                    held.borrow_mut().push(start.elapsed());
+                    until(&client, operator, serves).await;
                     times.borrow_mut().push(start.elapsed());
                 })
             })
             .collect();
         Self {
             start,
+            held,
             times,
             expected: watchers.len(),
             _watchers: watchers,
@@ -81,6 +95,15 @@
         Ok(self.time_of(count))
     }
 
+    /// Returns the time at which the `count`-th agent held all chunks, from the start.
+    ///
+    /// # Panics
+    ///
+    /// Panics when fewer agents hold them.
+    pub fn held_time_of(&self, count: usize) -> Duration {
+        self.held.borrow()[count.max(1) - 1]
+    }
+
     /// Returns the time at which the `count`-th agent served the version, from the start.
     ///
     /// # Panics
@@ -91,14 +114,26 @@
     }
 }
 
-async fn serves(client: &Client, operator: std::net::SocketAddr, digest: &str) -> bool {
-    status(client, operator).await.is_some_and(|status| {
-        let pin = status["pin"].as_str().unwrap_or_default();
-        status["gate"] == "open" && pin.ends_with(digest)
-    })
+/// Asks for `/status` until it meets `condition`.
+async fn until(client: &Client, operator: SocketAddr, condition: impl Fn(&Value) -> bool) {
+    loop {
+        if status(client, operator)
+            .await
+            .is_some_and(|status| condition(&status))
+        {
+            return;
+        }
+        compio::time::sleep(POLL).await;
+    }
+}
+
+fn names(status: &Value, field: &str, digest: &str) -> bool {
+    status[field]
+        .as_str()
+        .is_some_and(|pin| pin.ends_with(digest))
 }
 
-async fn status(client: &Client, operator: std::net::SocketAddr) -> Option<Value> {
+async fn status(client: &Client, operator: SocketAddr) -> Option<Value> {
     let request = Request::get("/status").body(Body::empty()).ok()?;
     let deadline = Instant::now() + STATUS_DEADLINE;
     let response = client.send(operator, request, deadline).await.ok()?;
