Ignore members that didn't change

Cause: the agent sets the members after each change of its view, and each time the owners of 256 stripes were computed anew and the probes repeated.

Change: the transfer ignores members equal to those it has.

Conclusion: no change in behaviour otherwise; the tests of burst, weights and agent pass.

--- a/bins/agent/src/transfer/run.rs
+++ b/bins/agent/src/transfer/run.rs
@@ -131,6 +131,7 @@
                 let order = self.current.as_ref().map(|current| current.order.clone());
                 self.begin(order);
             }
+            Input::Members(members) if self.introduced && members == self.members => {}
             Input::Members(members) => self.set_members(members),
             Input::Manifest { transfer, version } if transfer == self.transfer => {
                 self.transfer_chunks(version)
