entry: leave room for its own headers in the head that an agent accepts

A caller's head just below 16 KB exceeded the agent's limit once the entry had added its headers; the agent's 431 names no request id, so a request that never ran ended as unknown. Callers' heads are now limited to 15 KB.

A new test guards the share that an entry keeps on a target which other entries fill.

--- a/bins/entry/src/serve.rs
+++ b/bins/entry/src/serve.rs
@@ -20,6 +20,9 @@
 
 /// Time between two checks whether requests are still in progress.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
+/// Bytes of the head that an agent's port accepts which are kept for the entry's own headers: an agent that refused
+/// the head as too large would answer without the request's id, and the outcome would be unknown.
+const OWN_HEADERS: usize = 1024;
 /// Time for the last bytes of answers to reach slow callers once no request is in progress.
 const FLUSH: Duration = Duration::from_secs(5);
 /// Time for which idle connections then stay open: a request that crosses the close would have an unknown outcome.
@@ -60,6 +63,7 @@
 ) {
     let mut registry = Registry::default();
     let limits = Limits {
+        header: Limits::default().header - OWN_HEADERS,
         drain: FLUSH,
         linger: LINGER,
         refusal_headers: REFUSAL_HEADERS,
--- a/bins/entry/tests/entry/requests.rs
+++ b/bins/entry/tests/entry/requests.rs
@@ -206,6 +206,31 @@
     });
 }
 
+/// Guards against a request that fits the caller port but, with the entry's headers added, not the agent's.
+#[test]
+fn request_head_too_large() {
+    with_entry(|world| async move {
+        let seen = world.agent("t0", "desk", 0, |_| vec![answer()]);
+        let large = "x".repeat(15 << 10);
+        assert_eq!(
+            world
+                .call("/v1/desk/x", &[("x-large", &large)])
+                .await
+                .status(),
+            431
+        );
+        let fitting = &large[..14 << 10];
+        assert_eq!(
+            world
+                .call("/v1/desk/x", &[("x-large", fitting)])
+                .await
+                .status(),
+            200
+        );
+        assert!(seen.borrow().iter().all(|(_, head)| head.len() < 16 << 10));
+    });
+}
+
 /// Guards against a refusal of the port itself that doesn't tell the caller that nothing ran.
 #[test]
 fn request_body_too_large() {
--- a/crates/route/tests/route/targets.rs
+++ b/crates/route/tests/route/targets.rs
@@ -77,6 +77,19 @@
     assert_eq!(on_t0, 4, "the two loads must end equal at 8");
 }
 
+/// Guards against an entry that waits for reports while other entries keep a target full: its share is its own.
+#[test]
+fn target_full_by_others_leaves_share() {
+    let mut world = World::new(r#"{"per_target":8}"#);
+    world.targets(1);
+    world.router.set_entries(4);
+    world.report("t0", Gate::Open, 8, 0);
+    for _ in 0..5 {
+        world.submit("urgent-a").unwrap();
+    }
+    assert_eq!(world.poll().0.len(), 2, "a quarter of the limit of 8");
+}
+
 /// Guards against a prefix that keeps its target although others are idle.
 #[test]
 fn target_affinity_yields_under_load() {
