--- a/bins/entry/tests/entry/requests.rs
+++ b/bins/entry/tests/entry/requests.rs
@@ -280,6 +280,43 @@
     });
 }
 
+/// Guards against a place in the queue, and the workspace's permit, that a caller keeps after it closed its connection.
+#[test]
+fn caller_gone_leaves_queue() {
+    with_entry(|world| async move {
+        let service = r#"{"kind":"service","name":"desk","owner":"o","class":"urgent","backend":"plain",
+            "repeatable":true,"deadline_ms":1000,"limits":{"per_target":1}}"#;
+        world
+            .shared
+            .put_catalog(99, serde_json::from_str(service).unwrap());
+        world.agent("t0", "desk", 0, |_| vec![Step::Sleep(400), answer()]);
+        let limited = [("carobport-workspace", "limited")];
+        let first = Rc::clone(&world);
+        let first =
+            compio::runtime::spawn(async move { summary(&first.call("/v1/desk/x", &[]).await).1 });
+        compio::time::sleep(Duration::from_millis(50)).await;
+        let soon = Duration::from_millis(100);
+        assert!(
+            compio::time::timeout(soon, world.call("/v1/desk/x", &limited))
+                .await
+                .is_err()
+        );
+        compio::time::sleep(Duration::from_millis(50)).await;
+        assert!(
+            world
+                .operator("/status")
+                .await
+                .1
+                .contains(r#""waiting":{"urgent":0}"#)
+        );
+        assert_eq!(
+            summary(&world.call("/v1/desk/x", &limited).await).1,
+            "answered"
+        );
+        assert_eq!(first.await.unwrap(), "answered");
+    });
+}
+
 /// Guards against an answer from other weights than the request was pinned to; an error of the request names none.
 #[parameterized(
     right = { "200 OK", "wanted", 200, "answered" },
