Name the reason of refusals in the entry's metrics; unify command lines

Cause: carobport_requests_total gave all refusals one outcome, so a workspace's own limit and overload could not be told apart, and the reason rate was used for the limits of the workspace, the class and the service alike.

Change: label reason on carobport_requests_total, reasons shared-rate and shared-concurrency for the limits of a class or service (429 as before), gauge carobport_start_time_seconds. node::arguments::parse reads the command line of all binaries that have one and exits with 2 when it is wrong.

Conclusion: the metrics suffice to decide which requests spend an error budget.

--- a/bins/agent/src/main.rs
+++ b/bins/agent/src/main.rs
@@ -1,16 +1,29 @@
 //! The binary `carobport-agent`.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use agent::Settings;
+use bpaf::Bpaf;
+
+/// Transfers weights to its VM and stands in front of the VM's engine or plain service
+///
+///
+/// Exit codes: 0 stopped as asked; 1 failed; 2 findings in the settings or a wrong command line.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// Settings file, in JSON
+    #[bpaf(positional("SETTINGS"))]
+    settings: PathBuf,
+}
 
 fn main() -> ExitCode {
-    let mut arguments = std::env::args_os().skip(1);
-    let (Some(path), None) = (arguments.next(), arguments.next()) else {
-        eprintln!("usage: carobport-agent SETTINGS");
-        return ExitCode::from(node::settings::EXIT_CODE);
+    let options = match node::arguments::parse(&options()) {
+        Ok(options) => options,
+        Err(code) => return code,
     };
-    let settings: Settings = match node::settings::load(path) {
+    let settings: Settings = match node::settings::load(&options.settings) {
         Ok(settings) => settings,
         Err(findings) => return findings.exit(),
     };
--- a/bins/catalog/src/main.rs
+++ b/bins/catalog/src/main.rs
@@ -27,7 +27,10 @@
 type Error = Box<dyn std::error::Error>;
 
 fn main() -> ExitCode {
-    let options = options().run();
+    let options = match node::arguments::parse(&options()) {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
     match node::block_on(run(options)) {
         Ok(Ok(code)) => ExitCode::from(code),
         Ok(Err(error)) => fail(&*error),
--- a/bins/catalog/src/options.rs
+++ b/bins/catalog/src/options.rs
@@ -7,6 +7,7 @@
 
 /// Checks, writes and shows catalogue entries.
 ///
+///
 /// Exit codes: 0 done; 1 the command failed or its outcome is unknown; 2 findings or a wrong command line; 3 another
 /// operator was first; 4 written, but not yet in force everywhere.
 #[derive(Clone, Debug, Bpaf)]
--- a/bins/entry/src/answer.rs
+++ b/bins/entry/src/answer.rs
@@ -66,6 +66,15 @@
     }
 }
 
+/// Returns the reason that the caller is told, as metrics name it; empty when the request has an answer.
+pub fn reason(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Answered | Outcome::Unknown(Unknown::Cut) => String::new(),
+        Outcome::NotRun(not_run) => not_run.refusal().reason.to_string(),
+        Outcome::Unknown(why) => why.to_string(),
+    }
+}
+
 fn unknown(why: Unknown) -> Response<Body> {
     plain(why.status(), UNKNOWN, &why.to_string(), format!("{why}\n"))
 }
--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -12,7 +12,8 @@
 use node::http::{Body, Client, Request, Response};
 use prometheus_client::registry::Registry;
 use route::{
-    Action, Answering, Done, Failure, InFlight, Reason, Refusal, RequestId, Router, Submission,
+    Action, Answering, Done, Failure, InFlight, Outcome, Reason, Refusal, RequestId, Router,
+    Submission,
 };
 
 use crate::call::Call;
@@ -244,7 +245,8 @@
     }
 
     fn refuse(&self, labels: &Labels, refusal: &Refusal, detail: Option<&str>) -> Response<Body> {
-        self.metrics.ended(labels, answer::NOT_RUN);
+        self.metrics
+            .ended(labels, answer::NOT_RUN, &refusal.reason.to_string());
         let mut answer = answer::refused(refusal, detail);
         if self.refusing.get() {
             // The caller's next connection goes to another entry.
@@ -295,7 +297,7 @@
             let sent = match action {
                 Action::Send(sent) => sent,
                 Action::Finish(done) => {
-                    self.end(answer::label(done.outcome()));
+                    self.end(done.outcome());
                     return answer::ended(done.outcome());
                 }
             };
@@ -324,9 +326,12 @@
         self.gateway.pump();
     }
 
-    fn end(&mut self, outcome: &'static str) {
+    fn end(&mut self, outcome: &Outcome) {
         self.ended = true;
-        self.gateway.metrics.ended(&self.labels, outcome);
+        let reason = answer::reason(outcome);
+        self.gateway
+            .metrics
+            .ended(&self.labels, answer::label(outcome), &reason);
     }
 }
 
@@ -334,7 +339,7 @@
     fn drop(&mut self) {
         self.gateway.steps.borrow_mut().remove(&self.id);
         if !self.ended {
-            self.gateway.metrics.ended(&self.labels, "gone");
+            self.gateway.metrics.ended(&self.labels, "gone", "");
             self.gateway.router.borrow_mut().cancel(self.id);
         }
         self.gateway.pump();
--- a/bins/entry/src/main.rs
+++ b/bins/entry/src/main.rs
@@ -8,6 +8,9 @@
 use entry::shared::Shared;
 
 /// Takes callers' requests and routes them to targets
+///
+///
+/// Exit codes: 0 stopped as asked; 1 failed; 2 findings in the settings or a wrong command line.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 struct Options {
@@ -17,7 +20,10 @@
 }
 
 fn main() -> ExitCode {
-    let options = options().run();
+    let options = match node::arguments::parse(&options()) {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
     let settings: Settings = match node::settings::load(&options.settings) {
         Ok(settings) => settings,
         Err(findings) => return findings.exit(),
--- a/bins/entry/src/metrics.rs
+++ b/bins/entry/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the entry; `docs/METRICS.md` describes them.
 
-use std::time::Duration;
+use std::sync::atomic::AtomicU64;
+use std::time::{Duration, SystemTime};
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -39,6 +40,7 @@
 struct Ended {
     service: String,
     class: String,
+    reason: String,
     workspace: String,
     outcome: &'static str,
 }
@@ -86,11 +88,21 @@
             "Requests that were sent to targets and are not finished",
             metrics.in_progress.clone(),
         );
+        // Counters begin at 0 with the process: a reader finds a restart by this time even when they have grown since.
+        let start: Gauge<f64, AtomicU64> = Gauge::default();
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        start.set(now.map_or(0.0, |now| now.as_secs_f64()));
+        registry.register_with_unit(
+            "start_time",
+            "Start of the process, since 1970",
+            Unit::Seconds,
+            start,
+        );
         metrics
     }
 
-    /// Counts a request that ended.
-    pub fn ended(&self, labels: &Labels, outcome: &'static str) {
+    /// Counts a request that ended; `reason` is empty when the outcome needs none.
+    pub fn ended(&self, labels: &Labels, outcome: &'static str, reason: &str) {
         let Labels {
             service,
             class,
@@ -100,6 +112,7 @@
             .get_or_create(&Ended {
                 service,
                 class,
+                reason: reason.into(),
                 workspace,
                 outcome,
             })
--- a/bins/entry/src/passing.rs
+++ b/bins/entry/src/passing.rs
@@ -87,7 +87,7 @@
 
     fn end(&mut self, whole: bool, outcome: &'static str) {
         if let Some(request) = self.request.take() {
-            self.gateway.metrics.ended(&self.labels, outcome);
+            self.gateway.metrics.ended(&self.labels, outcome, "");
             self.gateway.finished(request, whole);
         }
     }
--- a/bins/entry/tests/entry/requests.rs
+++ b/bins/entry/tests/entry/requests.rs
@@ -204,6 +204,21 @@
     });
 }
 
+/// Guards against metrics that don't tell a caller's own limit from overload, and against restarts that can't be seen.
+#[test]
+fn refusal_reason_is_counted() {
+    with_entry(|world| async move {
+        world.call("/v1/desk/x", &[]).await;
+        let (_, metrics) = world.operator("/metrics").await;
+        let line = r#"{service="desk",class="urgent",reason="target",workspace="clerks",outcome="not-run"} 1"#;
+        assert!(metrics.contains(line), "{metrics}");
+        assert!(
+            metrics.contains("\ncarobport_start_time_seconds "),
+            "{metrics}"
+        );
+    });
+}
+
 /// Guards against a refusal of the port itself that doesn't tell the caller that nothing ran.
 #[test]
 fn request_body_too_large() {
--- a/bins/standin/src/main.rs
+++ b/bins/standin/src/main.rs
@@ -53,7 +53,11 @@
 }
 
 fn main() -> ExitCode {
-    match command().run() {
+    let command = match node::arguments::parse(&command()) {
+        Ok(command) => command,
+        Err(code) => return code,
+    };
+    match command {
         Command::Platform { settings } => start(settings, platform::run),
         Command::Store { settings } => start(settings, store::run),
         Command::Engine { settings } => start(settings, engine::run),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! and the log. Within the loop, [`listen`] opens ports, [`connect`] reaches others, [`http`] serves and calls over HTTP/1.1, [`operator`] serves
 //! the operator port, and [`signal::shutdown`] resolves when the process is asked to stop.
 
+pub mod arguments;
 pub mod event;
 pub mod http;
 pub mod log;
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -95,6 +95,7 @@
 impl Limiter {
     /// Takes a token and a permit of every scope, or nothing when one of them is at its limit.
     ///
+    /// The first scope is the caller's own; the reason of a refusal tells its limits from those that callers share.
     /// The concurrency limit of the last scope is not checked: the service's queue holds back what exceeds it.
     pub(crate) fn admit(
         &mut self,
@@ -104,6 +105,10 @@
     ) -> Result<Vec<Permit>, Refusal> {
         let share_of = |rate: f64| rate / f64::from(entries.max(1));
         for (index, (scope, limits)) in scopes.iter().enumerate() {
+            let (rate_reason, concurrency_reason) = match index {
+                0 => (Reason::Rate, Reason::Concurrency),
+                _ => (Reason::SharedRate, Reason::SharedConcurrency),
+            };
             let rate = limits.rate_per_s.map(share_of);
             let usage = self.usage.entry(scope.clone()).or_insert_with(|| Usage {
                 bucket: TokenBucket::new(now, rate.unwrap_or(0.0)),
@@ -112,7 +117,7 @@
             if let Some(rate) = rate {
                 let wait = usage.bucket.wait(now, rate);
                 if !wait.is_zero() {
-                    return Err(Refusal::retry(Reason::Rate, wait));
+                    return Err(Refusal::retry(rate_reason, wait));
                 }
             }
             let queued = index + 1 == scopes.len();
@@ -120,7 +125,7 @@
                 && !queued
                 && usage.in_progress.get() >= share(limit, entries)
             {
-                return Err(Refusal::retry(Reason::Concurrency, CONCURRENCY_WAIT));
+                return Err(Refusal::retry(concurrency_reason, CONCURRENCY_WAIT));
             }
         }
         Ok(scopes
--- a/crates/route/src/outcome.rs
+++ b/crates/route/src/outcome.rs
@@ -63,12 +63,18 @@
     /// The head or the body is too large.
     #[error("size")]
     Size,
-    /// The rate limit of the workspace, class or service is reached.
+    /// The rate limit of the workspace is reached.
     #[error("rate")]
     Rate,
-    /// The concurrency limit of the workspace or class is reached.
+    /// The concurrency limit of the workspace is reached.
     #[error("concurrency")]
     Concurrency,
+    /// The rate limit of the class or service, which all workspaces share, is reached.
+    #[error("shared-rate")]
+    SharedRate,
+    /// The concurrency limit of the class, which all workspaces share, is reached.
+    #[error("shared-concurrency")]
+    SharedConcurrency,
     /// The queue is full.
     #[error("queue")]
     Queue,
@@ -142,7 +148,7 @@
             Self::Workspace => 403,
             Self::Service => 404,
             Self::Size => 413,
-            Self::Rate | Self::Concurrency => 429,
+            Self::Rate | Self::Concurrency | Self::SharedRate | Self::SharedConcurrency => 429,
             Self::Catalogue
             | Self::Queue
             | Self::Wait
--- a/crates/route/tests/route/queue.rs
+++ b/crates/route/tests/route/queue.rs
@@ -1,6 +1,7 @@
 //! Order, fairness and bounds of the queue.
+use yare::parameterized;
 
-use crate::common::{World, config, ms, workspace};
+use crate::common::{World, class, config, ms, workspace};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use route::{Outcome, Reason};
@@ -210,3 +211,21 @@
     }
     assert!(bulk >= 2, "{bulk} of 200 dispatches");
 }
+
+/// Guards against a limit that callers share and that is reported as the caller's own, or the other way round.
+#[parameterized(
+    workspace_rate = { r#"{"rate_per_s":1}"#, "{}", "{}", Reason::Rate },
+    workspace_concurrency = { r#"{"concurrent":1}"#, "{}", "{}", Reason::Concurrency },
+    class_rate = { "{}", r#"{"rate_per_s":1}"#, "{}", Reason::SharedRate },
+    class_concurrency = { "{}", r#"{"concurrent":1}"#, "{}", Reason::SharedConcurrency },
+    service_rate = { "{}", "{}", r#"{"rate_per_s":1}"#, Reason::SharedRate },
+)]
+fn limit_reason_names_scope(own: &str, class_limits: &str, service_limits: &str, reason: Reason) {
+    let mut world = World::new(service_limits);
+    world.targets(1);
+    world.apply(&workspace("caller", "urgent", own));
+    let limits = format!(r#""limits":{class_limits},"rank""#);
+    world.apply(&class("urgent", 0, 8).replace(r#""rank""#, &limits));
+    world.submit("caller").unwrap();
+    assert_eq!(world.submit("caller").unwrap_err().reason, reason);
+}
