Report service-level burn from the entries' metrics

Cause: the objectives of classes were declared but nothing told operators whether they are met.

Change: carobport-burn report samples the entries, keeps samples as JSON lines, and shows budget, share used and burn rates in pairs of windows, as text, JSON and SVG. Restarts are found by the start time or a fallen counter.

--- /dev/null
+++ b/bins/burn/tests/command/support.rs
@@ -0,0 +1,175 @@
+//! A stand-in of the platform's catalogue and an entry's metrics, and the processes of a test.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use compio::runtime::JoinHandle;
+use node::http::{Limits, Request, StatusCode, json, response};
+use serde_json::{Value, json};
+
+/// Time in which anything that a test waits for must happen.
+const SOON: Duration = Duration::from_secs(20);
+
+/// Serves `/objects/catalog` as the platform does, and each text in turn at `/metrics`.
+pub struct Standin {
+    pub address: SocketAddr,
+    _serving: JoinHandle<()>,
+}
+
+/// A real entry; killed when dropped.
+pub struct Entry {
+    pub callers: SocketAddr,
+    pub operators: SocketAddr,
+    child: Child,
+}
+
+impl Standin {
+    pub fn start(texts: Vec<String>) -> Self {
+        let listener = node::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let texts = Rc::new(RefCell::new(texts.into_iter()));
+        let handler = move |_, request: Request<Bytes>| {
+            let texts = Rc::clone(&texts);
+            async move {
+                match request.uri().path() {
+                    "/metrics" => response(StatusCode::OK, texts.borrow_mut().next().unwrap()),
+                    "/objects/catalog" => json(StatusCode::OK, &catalogue()),
+                    "/vms" => json(StatusCode::OK, &json!([])),
+                    // A watch of the platform waits; nothing changes here.
+                    _ => std::future::pending().await,
+                }
+            }
+        };
+        let stop = std::future::pending();
+        let serving = node::http::serve(listener, Limits::default(), handler, stop);
+        Self {
+            address,
+            _serving: compio::runtime::spawn(serving),
+        }
+    }
+}
+
+/// Catalogue entries by name; all belong to the class `urgent`, one class is retired.
+const CATALOGUE: [(&str, &str); 5] = [
+    (
+        "class/urgent",
+        r#""rank":0,"objective":{"answered":0.99,"within_ms":1000,"within":0.9}"#,
+    ),
+    (
+        "class/old",
+        r#""rank":1,"retired":true,"objective":{"answered":1,"within_ms":1,"within":1}"#,
+    ),
+    (
+        "service/desk",
+        r#""backend":"plain","repeatable":true,"deadline_ms":1000"#,
+    ),
+    ("workspace/clerks", r#""services":["desk"]"#),
+    (
+        "workspace/limited",
+        r#""services":["desk"],"limits":{"rate_per_s":1}"#,
+    ),
+];
+
+fn catalogue() -> Value {
+    let objects = CATALOGUE.iter().enumerate().map(|(index, (key, rest))| {
+        let (kind, name) = key.split_once('/').unwrap();
+        let head = format!(r#""kind":"{kind}","name":"{name}","owner":"o","class":"urgent""#);
+        let entry: Value = serde_json::from_str(&format!("{{{head},{rest}}}")).unwrap();
+        let value = json!({"entry": entry, "author": "ada", "time_ms": 1, "write": "w"});
+        json!({"name": key, "revision": index + 1, "value": value})
+    });
+    json!({"revision": 9, "objects": objects.collect::<Vec<_>>()})
+}
+
+impl Entry {
+    pub fn start(platform: SocketAddr) -> Self {
+        let binary =
+            Path::new(env!("CARGO_BIN_EXE_carobport-burn")).with_file_name("carobport-entry");
+        assert!(
+            binary.exists(),
+            "build the entry first: cargo build --workspace --bins"
+        );
+        let (callers, operators) = (free_port(), free_port());
+        let settings = json!({"name": "e0", "domain": "levis", "region": "quebec", "caller_listen": callers,
+            "peer_listen": free_port(), "operator_listen": operators, "platform": platform});
+        let file = path("json");
+        std::fs::write(&file, settings.to_string()).unwrap();
+        let mut command = Command::new(binary);
+        command.args(["--settings", &file]).stdout(Stdio::null());
+        Self {
+            callers,
+            operators,
+            child: command.spawn().unwrap(),
+        }
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns metrics of an entry that has answered and refused this many requests of class `urgent` since `started`.
+pub fn metrics((started, answered, refused): (f64, u64, u64)) -> String {
+    let requests = "carobport_requests_total{service=\"desk\",class=\"urgent\"";
+    let buckets = "carobport_first_byte_seconds_bucket{class=\"urgent\"";
+    format!(
+        "carobport_start_time_seconds {started}\n\
+        {requests},reason=\"\",workspace=\"clerks\",outcome=\"answered\"}} {answered}\n\
+        {requests},reason=\"queue\",workspace=\"clerks\",outcome=\"not-run\"}} {refused}\n\
+        {buckets},le=\"1.0\"}} {answered}\n{buckets},le=\"+Inf\"}} {answered}\n# EOF\n"
+    )
+}
+
+/// Returns an address where nothing listens now.
+pub fn free_port() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Returns the path of a file of this test.
+pub fn path(kind: &str) -> String {
+    let test = std::thread::current().name().unwrap().replace("::", "-");
+    let pid = std::process::id();
+    format!("{}/{test}-{pid}.{kind}", env!("CARGO_TARGET_TMPDIR"))
+}
+
+/// Runs the command and returns its exit code and report.
+pub async fn burn(platform: &str, entry: &str, rest: &str) -> (i32, Value) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_carobport-burn"));
+    command.args([
+        "report",
+        "--format=json",
+        "--platform",
+        platform,
+        "--entry",
+        entry,
+    ]);
+    command.args(rest.split(' '));
+    let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
+    until("the report", async || child.try_wait().unwrap().is_some()).await;
+    let output = child.wait_with_output().unwrap();
+    let report = serde_json::from_slice(&output.stdout).unwrap_or_default();
+    (output.status.code().unwrap(), report)
+}
+
+/// Waits until `holds`.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let end = soon();
+    while !holds().await {
+        assert!(Instant::now() < end, "{what} did not come");
+        compio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Returns the time by which anything that a test waits for must have happened.
+pub fn soon() -> Instant {
+    Instant::now() + SOON
+}
--- /dev/null
+++ b/bins/burn/tests/input.rs
@@ -0,0 +1,97 @@
+//! Metrics, sample files and arguments.
+
+use std::path::PathBuf;
+
+use burn::metrics::{Error, parse};
+use burn::outcome::{Verdict, verdict};
+use burn::sample::{Observation, Sample};
+use burn::{Pair, file};
+use yare::parameterized;
+
+fn path(test: &str) -> PathBuf {
+    let name = format!("{test}-{}.jsonl", std::process::id());
+    PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name)
+}
+
+fn sample(time_ms: u64) -> Sample {
+    Sample {
+        time_ms,
+        entry: "127.0.0.1:1".into(),
+        observation: Observation::Error("closed".into()),
+    }
+}
+
+/// Guards against labels that hide a count: quotes, commas and braces in values, and any order of labels.
+#[test]
+fn metrics_parse() {
+    let text = "carobport_requests_total{outcome=\"not-run\",service=\"a\\\"},{\\\\\",reason=\"queue\",class=\"u\"} 2\n\
+        carobport_requests_total{service=\"b\",class=\"u\",reason=\"queue\",outcome=\"not-run\"} 3\n\
+        carobport_start_time_seconds 12.5\n# EOF\n";
+    let reading = parse(text).unwrap();
+    assert_eq!(reading.requests["u"]["not-run/queue"], 5);
+    assert_eq!(reading.started, Some(12.5));
+}
+
+/// Guards against metrics that are read in part and taken for a restart.
+#[test]
+fn metrics_malformed() {
+    assert_eq!(
+        parse("carobport_requests_total{class=\"u\"} 1\n"),
+        Err(Error::Cut)
+    );
+    let text = "carobport_requests_total{class=\"u\",outcome=\"answered\"} many\n# EOF\n";
+    assert!(matches!(parse(text), Err(Error::Line { line: 1, .. })));
+}
+
+/// Guards against overload that doesn't spend the budget, and against callers' own limits that do.
+#[parameterized(
+    answered = { "answered", Verdict::Good },
+    gone = { "gone", Verdict::Excluded },
+    own_rate = { "not-run/rate", Verdict::Excluded },
+    shared_rate = { "not-run/shared-rate", Verdict::Bad },
+    overload = { "not-run/wait", Verdict::Bad },
+    cut = { "cut", Verdict::Bad },
+    timed_out = { "unknown/timed-out", Verdict::Bad },
+    new_reason = { "not-run/something-new", Verdict::Bad },
+    old_entry = { "not-run", Verdict::Bad },
+)]
+fn cause_verdict(cause: &str, expected: Verdict) {
+    assert_eq!(verdict(cause), expected);
+}
+
+/// Guards against samples that are lost because the process was killed while it wrote a line.
+#[test]
+fn file_partial_line() {
+    let path = path("partial");
+    file::append(&path, &[sample(1), sample(2)]).unwrap();
+    let text = std::fs::read_to_string(&path).unwrap();
+    std::fs::write(&path, &text[..text.len() - 5]).unwrap();
+    assert_eq!(file::read(&path, 0).unwrap(), [sample(1)]);
+    file::append(&path, &[sample(3)]).unwrap();
+    assert_eq!(file::read(&path, 0).unwrap(), [sample(1), sample(3)]);
+    assert_eq!(file::read(&path, 2).unwrap(), [sample(3)]);
+}
+
+/// Guards against a damaged file that is read as if its other lines were all: each bad line is named.
+#[test]
+fn file_malformed() {
+    let path = path("malformed");
+    std::fs::write(&path, "{}\n\n").unwrap();
+    let error = file::read(&path, 0).unwrap_err().to_string();
+    assert!(
+        error.contains("line 1") && error.contains("line 2"),
+        "{error}"
+    );
+}
+
+/// Guards against pairs that can never raise an alert, or always do.
+#[parameterized(
+    good = { "5m/1h@14.4", true },
+    swapped = { "1h/5m@14.4", false },
+    zero = { "0m/5m@2", false },
+    no_rate = { "5m/1h", false },
+    not_a_number = { "5m/1h@nan", false },
+)]
+fn pair_parse(text: &str, good: bool) {
+    assert_eq!(text.parse::<Pair>().is_ok(), good);
+}
