--- a/bins/agent/src/staging.rs
+++ b/bins/agent/src/staging.rs
@@ -21,7 +21,7 @@
 const UPLOAD_SLOTS: usize = 4;
 
 /// Chunks requested at once.
-const PARALLEL: usize = 8;
+const PARALLEL: usize = 16;
 
 /// Returns the holdings of an agent, sized by its settings.
 pub fn holdings(settings: &settings::Settings) -> Rc<Holdings> {
