--- a/bins/agent/src/claims.rs
+++ b/bins/agent/src/claims.rs
@@ -3,7 +3,7 @@
 //! The decisions are those of [`claim::Owner`]; this module reads and writes the claim table for it.
 
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use claim::{Table, Write};
 use gossip::{Phase, Store};
@@ -29,13 +29,21 @@
 
 /// Takes, renews and releases claims while the service has calls that must not be repeated; never returns.
 pub async fn run(shared: Rc<Shared>, platform: Client) {
+    let mut stopping_since = None;
     loop {
-        if is_needed(&shared) {
-            let stepped = step(&shared, &platform).await;
-            publish(&shared);
-            rest(&shared, stepped).await;
-        } else {
-            compio::time::sleep(LOOK).await;
+        let needed = is_needed(&shared);
+        let stepped = needed && step(&shared, &platform).await;
+        publish(&shared);
+        if shared.is_leaving() {
+            let since = *stopping_since.get_or_insert_with(Instant::now);
+            if shared.claims.borrow().slots() == 0 || since.elapsed() >= RELEASE {
+                shared.released.set(true);
+                shared.changed.notify();
+            }
+        }
+        match needed {
+            true => rest(&shared, stepped).await,
+            false => compio::time::sleep(LOOK).await,
         }
     }
 }
@@ -65,16 +73,6 @@
     }
 }
 
-/// Waits until a stopping agent has given up its slots, or 3 s.
-pub async fn released(shared: &Shared) {
-    let released = async {
-        while shared.claims.borrow().slots() != 0 {
-            compio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    let _ = compio::time::timeout(RELEASE, released).await;
-}
-
 /// Tells whether there are claims to keep: of a service with such calls, or still held from when it had them.
 fn is_needed(shared: &Shared) -> bool {
     let held = shared.claims.borrow().slots() != 0;
