--- a/bins/agent/tests/process/main.rs
+++ b/bins/agent/tests/process/main.rs
@@ -167,7 +167,7 @@
         for port in ["call_listen", "chunk_listen", "operator_listen"] {
             settings[port] = free().to_string().into();
         }
-        let mut second = Process::agent(&settings);
+        let mut second = Process::agent_until(&settings, " 100 ");
         assert_eq!(second.exit().await.code(), Some(1));
         assert!(world.ask(Some(&v1)).await.is_ok());
     });
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -64,6 +64,7 @@
     CLAIMS_FAILED = 309 Warn "claims-failed";
     CLAIMS_CHANGED = 310 Info "claims-changed";
     CLAIMS_MALFORMED = 311 Error "claims-malformed";
+    AGENT_SERVING = 312 Info "agent-serving";
     TRANSFER_STARTED = 350 Info "transfer-started";
     TRANSFER_COMPLETE = 351 Info "transfer-complete";
     MANIFEST_FAILED = 352 Warn "manifest-failed";
