--- a/bins/agent/src/process.rs
+++ b/bins/agent/src/process.rs
@@ -35,6 +35,12 @@
     let calls = listen(settings.call_listen)?;
     let chunks = listen(settings.chunk_listen)?;
     let operators = listen(settings.operator_listen)?;
+    node::event!(
+        event::AGENT_SERVING,
+        call = settings.call_listen,
+        chunk = settings.chunk_listen,
+        operator = settings.operator_listen,
+    );
     let platform = platform::Client::new(settings.platform, PLATFORM_TIMEOUT);
     let http = Client::new();
     let (shared, actions) = Shared::new(settings, milliseconds());
--- a/bins/agent/tests/process/support.rs
+++ b/bins/agent/tests/process/support.rs
@@ -67,12 +67,17 @@
         process
     }
 
-    /// Starts an agent and waits until its event loop runs.
+    /// Starts an agent and waits until its ports are open.
     pub fn agent(settings: &Value) -> Self {
+        Self::agent_until(settings, " 309 ")
+    }
+
+    /// Starts an agent and waits until it logs the event number `ready`.
+    pub fn agent_until(settings: &Value, ready: &str) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_carobport-agent"));
         let name = settings["call_listen"].as_str().unwrap().replace(':', "-");
         command.arg("--settings").arg(file(&name, settings));
-        let (mut process, _) = Self::start(&mut command, " 100 ");
+        let (mut process, _) = Self::start(&mut command, ready);
         process.address = settings["call_listen"].as_str().unwrap().parse().unwrap();
         process
     }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -61,6 +61,7 @@
     WRONG_WEIGHTS = 306 Error "wrong-weights";
     ORDER_PORT_HELD = 307 Error "order-port-held";
     BACKEND_FAILED = 308 Warn "backend-failed";
+    AGENT_SERVING = 309 Info "agent-serving";
     CLAIMS_CHANGED = 320 Info "claims-changed";
     CLAIMS_FAILED = 321 Warn "claims-failed";
     CLAIMS_MALFORMED = 322 Error "claims-malformed";
