--- a/bins/agent/src/process.rs
+++ b/bins/agent/src/process.rs
@@ -78,6 +78,7 @@
         async move { port.answer(request).await }
     };
     serve(calls, limits, handler, finished(shared.clone())).await;
+    claims::released(&shared).await;
     drop(tasks);
     Ok(())
 }
@@ -86,13 +87,12 @@
 async fn leave(shared: Rc<Shared>) {
     signal::shutdown().await;
     shared.handle(Event::Leave);
-    shared.changed.notify();
 }
 
-/// Resolves when the agent was asked to stop, no request is in progress and no claim is held.
+/// Resolves when the agent was asked to stop and no request is in progress.
 async fn finished(shared: Rc<Shared>) {
     let mut seen = shared.changed.count();
-    while !shared.finished.get() || !shared.released.get() {
+    while !shared.finished.get() {
         seen = shared.changed.changed(seen).await;
     }
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -61,9 +61,9 @@
     WRONG_WEIGHTS = 306 Error "wrong-weights";
     ORDER_PORT_HELD = 307 Error "order-port-held";
     BACKEND_FAILED = 308 Warn "backend-failed";
-    CLAIMS_FAILED = 309 Warn "claims-failed";
-    CLAIMS_CHANGED = 310 Info "claims-changed";
-    CLAIMS_MALFORMED = 311 Error "claims-malformed";
+    CLAIMS_CHANGED = 320 Info "claims-changed";
+    CLAIMS_FAILED = 321 Warn "claims-failed";
+    CLAIMS_MALFORMED = 322 Error "claims-malformed";
     TRANSFER_STARTED = 350 Info "transfer-started";
     TRANSFER_COMPLETE = 351 Info "transfer-complete";
     MANIFEST_FAILED = 352 Warn "manifest-failed";
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use futures::future::{Either, FusedFuture, Shared, select};
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt, select_biased};
@@ -16,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, header};
 
+use super::stream::Stream;
 use super::{Body, response};
 use crate::event;
 
@@ -45,6 +46,8 @@
     pub linger: Duration,
     /// Most connections; further ones wait in the listener's backlog.
     pub connections: usize,
+    /// Headers of the port's own refusals (400, 408 and 413), which the handler never sees.
+    pub refusal_headers: &'static [(&'static str, &'static str)],
 }
 
 impl Default for Limits {
@@ -57,6 +60,7 @@
             drain: Duration::from_secs(60),
             linger: Duration::ZERO,
             connections: 4096,
+            refusal_headers: &[],
         }
     }
 }
@@ -141,7 +145,7 @@
         async move {
             let response = match receive(request, limits).await {
                 Ok(request) => handler(peer, request).await,
-                Err(refusal) => refusal,
+                Err(status) => refusal(status, limits.refusal_headers),
             };
             match response.extensions().get::<Cut>() {
                 Some(Cut) => Err(Cut),
@@ -154,7 +158,7 @@
         .timer(CompioTimer)
         .header_read_timeout(limits.receive)
         .max_header_size(limits.header)
-        .serve_connection(HyperStream::new_plain(stream), service);
+        .serve_connection(Stream::new(stream), service);
     let mut connection = pin!(connection);
     let result = match select(connection.as_mut(), stopped).await {
         Either::Left((result, _)) => result,
@@ -174,11 +178,11 @@
     }
 }
 
-/// Returns the request with its whole body, or the response that refuses it.
+/// Returns the request with its whole body, or the status that refuses it.
 async fn receive(
     request: Request<Incoming>,
     limits: &Limits,
-) -> Result<Request<Bytes>, Response<Body>> {
+) -> Result<Request<Bytes>, StatusCode> {
     let (parts, body) = request.into_parts();
     let announced = parts
         .headers
@@ -188,13 +192,13 @@
     // A moderately large body is read and dropped before the refusal: closing the connection over unread bytes resets
     // it, and the caller would lose the answer.
     if announced > 2 * limits.body as u64 {
-        return Err(refusal(StatusCode::PAYLOAD_TOO_LARGE));
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
     match compio::time::timeout(limits.receive, collect(body, limits.body)).await {
         Ok(Ok(Some(bytes))) => Ok(Request::from_parts(parts, bytes)),
-        Ok(Ok(None)) => Err(refusal(StatusCode::PAYLOAD_TOO_LARGE)),
-        Ok(Err(_)) => Err(refusal(StatusCode::BAD_REQUEST)),
-        Err(_) => Err(refusal(StatusCode::REQUEST_TIMEOUT)),
+        Ok(Ok(None)) => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
+        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
     }
 }
 
@@ -216,8 +220,15 @@
     Ok((length <= limit).then(|| whole.freeze()))
 }
 
-fn refusal(status: StatusCode) -> Response<Body> {
-    last(response(status, ""))
+fn refusal(status: StatusCode, headers: &[(&'static str, &'static str)]) -> Response<Body> {
+    let mut refusal = last(response(status, ""));
+    for (name, value) in headers {
+        let name = header::HeaderName::from_static(name);
+        refusal
+            .headers_mut()
+            .insert(name, header::HeaderValue::from_static(value));
+    }
+    refusal
 }
 
 /// Marks the last response of a connection.
