--- a/bins/agent/src/main.rs
+++ b/bins/agent/src/main.rs
@@ -7,6 +7,8 @@
 use bpaf::Bpaf;
 
 /// Brings weights to a target and passes calls on to it
+///
+/// Exit codes: 0 stopped; 1 a port could not be opened; 2 findings in the settings or a wrong command line.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 struct Options {
@@ -16,7 +18,10 @@
 }
 
 fn main() -> ExitCode {
-    let options = options().run();
+    let options = match node::arguments::parse(&options()) {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
     let settings: Settings = match node::settings::load(&options.settings) {
         Ok(settings) => settings,
         Err(findings) => return findings.exit(),
--- a/bins/load/src/main.rs
+++ b/bins/load/src/main.rs
@@ -33,7 +33,11 @@
 }
 
 fn main() -> ExitCode {
-    let outcome = match options().run() {
+    let options = match node::arguments::parse(&options()) {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
+    let outcome = match options {
         Options::Demo {} => measure(Plan::default()).map(|report| show(&report)),
         Options::Burst { plan } => read(plan.as_deref())
             .and_then(measure)
