--- /dev/null
+++ b/bins/catalog/tests/samples.rs
@@ -0,0 +1,22 @@
+//! The sample catalogues.
+
+use std::path::Path;
+use std::process::Command;
+
+use yare::parameterized;
+
+/// Guards against sample catalogues with findings.
+#[parameterized(
+    regie = { "regie" },
+    thornvale = { "thornvale" },
+)]
+fn check_of_samples(deployment: &str) {
+    let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../samples");
+    let output = Command::new(env!("CARGO_BIN_EXE_carobport-catalog"))
+        .arg("check")
+        .arg(samples.join(deployment).join("catalog"))
+        .output()
+        .unwrap();
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{text}");
+}
