Prove the invariants under failure with real processes

Cause: the seven invariants of the design page were shown by decisions and single processes, not by a whole system in which a process dies, pauses or stops, and no page said which fault is proved at which step. Change: 21 cases in bins/load/tests/faults: each kind of process killed during a burst, a claim owner paused past its interval, a platform that refuses, cuts, hangs or is slow, a store that is down or slow, lost answers and racing operators with an entry that restarts, stale reads, planned stops of entry and agents, corrupted chunks with a version change in flight, an engine that restarts or has wrong weights. The library `load` keeps a record of each request with its answer, samples revisions, and gives each deployment its own folder. Cause supposed, not shown: slots that change hands after the start, which refuse their keys for about a second. `not-run` with a retry time is an allowed outcome, so keyed calls are now repeated with their key until answered after a kill, and must not be cut, lost or unknown during planned stops; model requests must still all be answered.

--- a/bins/agent/src/operator.rs
+++ b/bins/agent/src/operator.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use compio::net::TcpListener;
+use gossip::{Key, Version};
 use node::operator::{Operator, serve};
 use prometheus_client::registry::Registry;
 use serde_json::{Value, json};
@@ -41,6 +42,17 @@
         "waiting": shared.counters.waiting.get(),
         "chunks": shared.counters.chunks.get(),
         "slots": shared.counters.slots.get(),
+        "catalogue": revisions(shared),
         "records": shared.view.borrow().len(),
     })
 }
+
+/// Returns the revisions of the catalogue entries that the agent holds, by kind and name.
+fn revisions(shared: &Shared) -> Value {
+    let view = shared.view.borrow();
+    let revision = |(key, version, _): (&Key, Version, _)| match key {
+        Key::Catalog(name) => Some((name.clone(), Value::from(version.major))),
+        _ => None,
+    };
+    view.iter().filter_map(revision).collect()
+}
--- a/bins/load/src/catalogue.rs
+++ b/bins/load/src/catalogue.rs
@@ -74,7 +74,12 @@
         Ok(manifest.digest().to_string())
     }
 
-    async fn model_service(&self, version: &str) -> Result<Value, Error> {
+    /// Returns the model's service entry with the model at `version`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store doesn't know the version.
+    pub async fn model_service(&self, version: &str) -> Result<Value, Error> {
         Ok(json!({
             "kind": "service", "name": MODEL_SERVICE, "owner": "league-office", "class": "urgent",
             "backend": "model", "repeatable": true, "deadline_ms": 10_000,
@@ -92,10 +97,20 @@
     ///
     /// Fails when a file can't be written or the tool fails or takes too long.
     pub async fn put(&self, entries: &[Value]) -> Result<(), Error> {
-        let folder = self.folder().join("catalogue");
+        self.put_as("load", entries).await
+    }
+
+    /// Puts entries like [`Deployment::put`] under the name of an operator.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Deployment::put`], also when another operator was first.
+    pub async fn put_as(&self, author: &str, entries: &[Value]) -> Result<(), Error> {
+        let folder = self.folder().join(format!("catalogue-{author}"));
+        let log = self.folder().join(format!("put-{author}.log"));
         fs::create_dir_all(&folder).map_err(io_error("creating the catalogue's folder"))?;
         let mut command = Command::new(self.binary("carobport-catalog"));
-        command.args(["put", "--author", "load", "--timeout", PUT_LIMIT_S]);
+        command.args(["put", "--author", author, "--timeout", PUT_LIMIT_S]);
         command
             .arg("--platform")
             .arg(self.platform_address().to_string());
@@ -108,9 +123,11 @@
             fs::write(&path, format!("{entry:#}\n")).map_err(io_error("writing an entry"))?;
             command.arg(path);
         }
-        let output = fs::File::create(self.folder().join("put.log"));
-        let output = output.map_err(io_error("creating put.log"))?;
-        let errors = output.try_clone().map_err(io_error("opening put.log"))?;
+        let output = fs::File::create(&log);
+        let output = output.map_err(io_error("creating the log of a put"))?;
+        let errors = output
+            .try_clone()
+            .map_err(io_error("opening the log of a put"))?;
         command.stdin(Stdio::null()).stdout(output).stderr(errors);
         let mut child = command
             .spawn()
@@ -128,7 +145,7 @@
         if status.success() {
             return Ok(());
         }
-        let log = fs::read_to_string(self.folder().join("put.log")).unwrap_or_default();
+        let log = fs::read_to_string(&log).unwrap_or_default();
         Err(Error::Answer {
             what: "carobport-catalog put".into(),
             reason: format!("{status}: {}", log.trim()),
--- a/bins/load/src/deployment.rs
+++ b/bins/load/src/deployment.rs
@@ -4,12 +4,14 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use node::http::{Body, Client, Method, Request};
 use serde_json::{Value, json};
 
 use crate::address::{BACKEND_PORT, CALL_PORT, Network, OPERATOR_PORT, ORDER_PORT, PEER_PORT};
+use crate::standins::journal;
 use crate::{Plan, Process};
 
 /// Group of the stand-ins' addresses; the domains' groups follow.
@@ -22,6 +24,10 @@
 const CONTROL_DEADLINE: Duration = Duration::from_secs(2);
 const MAX_STATUS: usize = 1 << 20;
 
+/// Deployments that this process has started: each has a folder of its own, so that one that is kept after a failure
+/// adds nothing to the journals of the next.
+static STARTED: AtomicU32 = AtomicU32::new(0);
+
 /// Service with a model engine.
 pub const MODEL_SERVICE: &str = "assistant";
 /// Service whose calls must run at most once.
@@ -107,7 +113,9 @@
     /// Fails when a process can't be started or doesn't get ready.
     pub async fn start(plan: Plan) -> Result<Self, Error> {
         let id = std::process::id();
-        Self::start_in(plan, Network::new(id), &format!("carobport-load-{id}")).await
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let name = format!("carobport-load-{id}-{number}");
+        Self::start_in(plan, Network::new(id), &name).await
     }
 
     async fn start_in(plan: Plan, network: Network, name: &str) -> Result<Self, Error> {
@@ -186,34 +194,27 @@
         Ok(())
     }
 
-    /// Returns a JSON document of a process, such as `/status` or `/control`.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the process gives no whole answer or no JSON.
-    pub async fn get(&self, address: SocketAddr, path: &str) -> Result<Value, Error> {
-        self.call(address, Method::GET, path, None).await
-    }
-
-    /// Changes the switches of a stand-in.
+    /// Starts the store again like [`Deployment::restart`]; its contents follow from its settings.
     ///
     /// # Errors
     ///
-    /// Fails when the stand-in doesn't take the switches.
-    pub async fn switch(&self, standin: &Member, switches: &Value) -> Result<Value, Error> {
-        let text = switches.to_string();
-        self.call(standin.operator, Method::PUT, "/control", Some(text))
-            .await
+    /// Fails when the process can't be started.
+    pub fn restart_store(&mut self) -> Result<(), Error> {
+        self.store.process.kill();
+        let args: Vec<&str> = self.store.args.iter().map(String::as_str).collect();
+        let name = self.store.process.name().to_owned();
+        let binary = self.binaries.join(STANDIN);
+        self.store.process = start(&binary, &args, &name, &self.folder.0)?;
+        Ok(())
     }
 
-    /// Returns a count of a stand-in; 0 when it has counted nothing of that name.
+    /// Returns a JSON document of a process, such as `/status` or `/control`.
     ///
     /// # Errors
     ///
-    /// Fails when the stand-in gives no answer.
-    pub async fn count(&self, standin: &Member, name: &str) -> Result<u64, Error> {
-        let shown = self.get(standin.operator, "/control").await?;
-        Ok(shown["counts"][name].as_u64().unwrap_or(0))
+    /// Fails when the process gives no whole answer or no JSON.
+    pub async fn get(&self, address: SocketAddr, path: &str) -> Result<Value, Error> {
+        self.call(address, Method::GET, path, None).await
     }
 
     /// Waits until `condition` holds.
@@ -260,7 +261,7 @@
         Ok(())
     }
 
-    async fn call(
+    pub(crate) async fn call(
         &self,
         address: SocketAddr,
         method: Method,
@@ -345,21 +346,26 @@
 
     fn engine(&self, group: u8, index: u8) -> Result<Member, Error> {
         let address = self.target(group, index, BACKEND_PORT);
+        let name = format!("engine-{}-{index}", self.domain(group));
         let settings = json!({
             "listen": address,
+            "journal": self.journal(&name),
             "check_fencing": self.plan.engines_check_fencing,
             "slots": self.plan.engine_slots,
             "first_token_ms": self.plan.first_token_ms,
             "token_ms": self.plan.token_ms,
         });
-        let name = format!("engine-{}-{index}", self.domain(group));
         self.standin("engine", &name, self.domain(group), &settings, address)
     }
 
     fn plain(&self, group: u8, index: u8) -> Result<Member, Error> {
         let address = self.target(group, index, BACKEND_PORT);
-        let settings = json!({ "listen": address, "service_ms": self.plan.service_ms });
         let name = format!("plain-{}-{index}", self.domain(group));
+        let settings = json!({
+            "listen": address,
+            "journal": self.journal(&name),
+            "service_ms": self.plan.service_ms,
+        });
         self.standin("plain", &name, self.domain(group), &settings, address)
     }
 
@@ -418,6 +424,10 @@
         )
     }
 
+    fn journal(&self, name: &str) -> PathBuf {
+        journal(self.folder, name)
+    }
+
     fn seeds(&self) -> Vec<SocketAddr> {
         let groups = 1..=self.plan.domains.len() as u8;
         groups
--- a/bins/load/src/lib.rs
+++ b/bins/load/src/lib.rs
@@ -11,8 +11,10 @@
 mod plan;
 mod process;
 mod replicas;
+mod revisions;
 mod sample;
 pub mod slopes;
+mod standins;
 mod traffic;
 
 pub use address::{
@@ -22,5 +24,6 @@
 pub use plan::Plan;
 pub use process::{Process, Usage};
 pub use replicas::Replicas;
+pub use revisions::Revisions;
 pub use sample::Percentiles;
-pub use traffic::{Load, Tally};
+pub use traffic::{Load, Record, Tally};
--- a/bins/load/src/replicas.rs
+++ b/bins/load/src/replicas.rs
@@ -133,7 +133,7 @@
         .is_some_and(|pin| pin.ends_with(digest))
 }
 
-async fn status(client: &Client, operator: SocketAddr) -> Option<Value> {
+pub(crate) async fn status(client: &Client, operator: SocketAddr) -> Option<Value> {
     let request = Request::get("/status").body(Body::empty()).ok()?;
     let deadline = Instant::now() + STATUS_DEADLINE;
     let response = client.send(operator, request, deadline).await.ok()?;
--- a/bins/load/src/traffic.rs
+++ b/bins/load/src/traffic.rs
@@ -9,11 +9,21 @@
 use node::http::{Body, Client, Method, Request};
 use serde::Serialize;
 
+use serde_json::Value;
+
 use crate::Percentiles;
 
+/// Tokens that a request asks for.
+const TOKENS: usize = 16;
+
 /// Largest answer that is read, in bytes.
 const MAX_ANSWER: usize = 1 << 20;
 
+/// Attempts after which a refused call is given up.
+const REPEATS: u32 = 6;
+/// Time between two attempts: what a refused keyed call is told to wait.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// A steady stream of requests.
 #[derive(Clone, Debug)]
 pub struct Load {
@@ -50,21 +60,54 @@
     pub first_byte: Percentiles,
     /// Time to the end of the answer, for answered requests.
     pub whole: Percentiles,
+    /// Every request, in the order of the ends.
+    #[serde(skip)]
+    pub records: Vec<Record>,
     #[serde(skip)]
     first_bytes: Vec<Duration>,
     #[serde(skip)]
     wholes: Vec<Duration>,
 }
 
-/// One request's result.
-#[derive(Debug, Default)]
-struct Shot {
-    outcome: String,
-    reason: Option<String>,
-    weights: Option<String>,
+/// One request and its result.
+#[derive(Clone, Debug)]
+pub struct Record {
+    /// Text of the request's message, different for each request.
+    pub prompt: String,
+    /// Idempotency key of a keyed call.
+    pub key: Option<String>,
+    /// Entry that was asked.
+    pub entry: SocketAddr,
+    /// Time of sending.
+    pub sent: Instant,
+    /// Outcome, as in [`Tally::outcomes`].
+    pub outcome: String,
+    /// Reason of a request that was not answered.
+    pub reason: Option<String>,
+    /// Digest of the weights that made the answer.
+    pub weights: Option<String>,
+    /// Body of the answer; empty when it was cut.
+    pub body: Vec<u8>,
     lacks_retry_after: bool,
     first_byte: Duration,
-    whole: Duration,
+    /// Time until the end of the answer.
+    pub whole: Duration,
+}
+
+impl Record {
+    /// Tells whether the body is the whole answer to this very request.
+    ///
+    /// A stand-in engine repeats the prompt once a token; a plain service echoes the request's body.
+    pub fn is_own_whole(&self) -> bool {
+        let Ok(answer) = serde_json::from_slice::<Value>(&self.body) else {
+            return false;
+        };
+        if self.key.is_some() {
+            return answer["echo"] == body(&self.prompt);
+        }
+        let content = &answer["choices"][0]["message"]["content"];
+        content.as_str() == Some(&format!("{} ", self.prompt).repeat(TOKENS))
+    }
 }
 
 impl Load {
@@ -80,8 +123,8 @@
             compio::time::sleep_until(due).await;
             let (load, client, tally) = (self.clone(), client.clone(), Rc::clone(&tally));
             tasks.push(compio::runtime::spawn(async move {
-                let shot = load.shoot(&client, index).await;
-                tally.borrow_mut().add(shot);
+                let record = load.shoot(&client, index).await;
+                tally.borrow_mut().add(record);
             }));
         }
         for task in tasks {
@@ -95,77 +138,122 @@
         tally
     }
 
-    async fn shoot(&self, client: &Client, index: u64) -> Shot {
+    async fn shoot(&self, client: &Client, index: u64) -> Record {
         let entry = self.entries[index as usize % self.entries.len()];
-        let start = Instant::now();
-        let answer = client
-            .send(entry, self.request(index), start + self.deadline)
-            .await;
-        let response = match answer {
+        let prompt = format!("request {}", uuid::Uuid::now_v7());
+        let key = self.keyed.then(|| uuid::Uuid::now_v7().to_string());
+        self.send(client, entry, &prompt, key).await
+    }
+
+    /// Sends one request to `entry` and returns what became of it; a caller that repeats a call gives its key again.
+    pub async fn send(
+        &self,
+        client: &Client,
+        entry: SocketAddr,
+        prompt: &str,
+        key: Option<String>,
+    ) -> Record {
+        let sent = Instant::now();
+        let mut record = Record {
+            prompt: prompt.into(),
+            key,
+            entry,
+            sent,
+            outcome: "failed".into(),
+            reason: None,
+            weights: None,
+            body: Vec::new(),
+            lacks_retry_after: false,
+            first_byte: Duration::ZERO,
+            whole: Duration::ZERO,
+        };
+        let request = self.request(prompt, record.key.as_deref());
+        let response = match client.send(entry, request, sent + self.deadline).await {
             Ok(response) => response,
             Err(error) => {
-                return Shot {
-                    outcome: "failed".into(),
-                    reason: Some(error.to_string()),
-                    ..Shot::default()
-                };
+                record.reason = Some(error.to_string());
+                return record;
             }
         };
         let header = |name: &str| {
             let value = response.headers().get(name)?;
             value.to_str().ok().map(str::to_owned)
         };
-        let mut shot = Shot {
-            outcome: header(wire::header::OUTCOME).unwrap_or_else(|| "missing".into()),
-            reason: header(wire::header::REASON),
-            weights: header(wire::header::WEIGHTS),
-            first_byte: start.elapsed(),
-            ..Shot::default()
-        };
+        record.outcome = header(wire::header::OUTCOME).unwrap_or_else(|| "missing".into());
+        record.reason = header(wire::header::REASON);
+        record.weights = header(wire::header::WEIGHTS);
+        record.first_byte = sent.elapsed();
         let may_repeat = matches!(response.status().as_u16(), 429 | 503);
-        shot.lacks_retry_after = may_repeat && header("retry-after").is_none();
-        if response.into_body().bytes(MAX_ANSWER).await.is_err() {
-            shot.outcome = "cut".into();
+        record.lacks_retry_after = may_repeat && header("retry-after").is_none();
+        match response.into_body().bytes(MAX_ANSWER).await {
+            Ok(body) => record.body = body.to_vec(),
+            Err(_) => record.outcome = "cut".into(),
         }
-        shot.whole = start.elapsed();
-        shot
+        record.whole = sent.elapsed();
+        record
     }
 
-    fn request(&self, index: u64) -> Request<Body> {
-        let body = format!(r#"{{"messages":[{{"role":"user","content":"request {index}"}}]}}"#);
+    fn request(&self, prompt: &str, key: Option<&str>) -> Request<Body> {
         let mut request = Request::builder()
             .method(Method::POST)
             .uri(&self.path)
             .header("content-type", "application/json")
             .header(wire::header::WORKSPACE, &self.workspace)
             .header(wire::header::DEADLINE_MS, self.deadline.as_millis() as u64);
-        if self.keyed {
-            let key = uuid::Uuid::now_v7().to_string();
+        if let Some(key) = key {
             request = request.header(wire::header::IDEMPOTENCY_KEY, key);
         }
         request
-            .body(Body::from(body))
+            .body(Body::from(body(prompt)))
             .expect("path and headers come from the experiment's own names")
     }
 }
 
+fn body(prompt: &str) -> String {
+    format!(r#"{{"messages":[{{"role":"user","content":"{prompt}"}}],"max_tokens":{TOKENS}}}"#)
+}
+
 impl Tally {
+    /// Repeats each keyed call that was refused as not run, with its key, until it ends otherwise.
+    ///
+    /// Returns the tally with the last outcome of each call. A call is given up after [`REPEATS`] attempts.
+    pub async fn repeated(mut self, load: &Load) -> Self {
+        let client = Client::new();
+        let mut last = Self {
+            sent: self.sent,
+            ..Self::default()
+        };
+        for mut record in std::mem::take(&mut self.records) {
+            for _ in 0..REPEATS {
+                if record.outcome != "not-run" {
+                    break;
+                }
+                compio::time::sleep(RETRY_AFTER).await;
+                let key = record.key.clone();
+                record = load.send(&client, record.entry, &record.prompt, key).await;
+            }
+            last.add(record);
+        }
+        last
+    }
+
     /// Returns the number of requests with `outcome`.
     pub fn outcome(&self, outcome: &str) -> u64 {
         self.outcomes.get(outcome).copied().unwrap_or(0)
     }
 
-    fn add(&mut self, shot: Shot) {
-        *self.outcomes.entry(shot.outcome.clone()).or_default() += 1;
-        self.without_retry_after += u64::from(shot.lacks_retry_after);
-        if shot.outcome == "answered" {
-            self.first_bytes.push(shot.first_byte);
-            self.wholes.push(shot.whole);
-            if let Some(weights) = shot.weights {
-                *self.weights.entry(weights).or_default() += 1;
+    fn add(&mut self, record: Record) {
+        *self.outcomes.entry(record.outcome.clone()).or_default() += 1;
+        self.without_retry_after += u64::from(record.lacks_retry_after);
+        if record.outcome == "answered" {
+            self.first_bytes.push(record.first_byte);
+            self.wholes.push(record.whole);
+            if let Some(weights) = &record.weights {
+                *self.weights.entry(weights.clone()).or_default() += 1;
             }
-        } else if let Some(reason) = shot.reason {
-            *self.reasons.entry(reason).or_default() += 1;
+        } else if let Some(reason) = &record.reason {
+            *self.reasons.entry(reason.clone()).or_default() += 1;
         }
+        self.records.push(record);
     }
 }
--- /dev/null
+++ b/bins/load/tests/faults/main.rs
@@ -0,0 +1,8 @@
+//! The invariants of the design page under failure, shown with real processes.
+
+mod changes;
+mod kill;
+mod pause;
+mod stop;
+mod support;
+mod weights;
--- /dev/null
+++ b/bins/load/tests/faults/pause.rs
@@ -0,0 +1,109 @@
+//! A claim owner that is paused past its interval.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use compio::runtime::spawn;
+use load::{CALL_PORT, Load, PLAIN_SERVICE, Plan, Record, WORKSPACE};
+use node::http::{Body, Client, Request};
+use wire::header;
+
+use super::support::*;
+
+/// Past the interval of 10 s, and past `Down` after 5 s, so that others hold the slots.
+const PAUSE: Duration = Duration::from_secs(13);
+/// Time between two calls, and between two attempts of one call.
+const NEXT_CALL_MS: u64 = 200;
+const NEXT_ATTEMPT_MS: u64 = 900;
+
+/// Repeats a call with its key to the entries in turn until `end`, also after it was answered.
+async fn repeat(load: Load, client: Client, key: String, end: Instant) -> Vec<Record> {
+    let prompt = format!("reservation {key}");
+    let mut attempts = Vec::new();
+    for entry in load.entries.iter().copied().cycle() {
+        attempts.push(load.send(&client, entry, &prompt, Some(key.clone())).await);
+        if Instant::now() > end {
+            break;
+        }
+        sleep_ms(NEXT_ATTEMPT_MS).await;
+    }
+    attempts
+}
+
+/// Sends a keyed call to an agent like an entry that has not heard of the new owner.
+async fn call_agent(client: Client, agent: SocketAddr, key: String) {
+    let request = Request::post(format!("/call/{PLAIN_SERVICE}/reservations"))
+        .header(header::REQUEST, uuid::Uuid::now_v7().simple().to_string())
+        .header(header::WORKSPACE, WORKSPACE)
+        .header(header::RANK, "0")
+        .header(header::DEADLINE_MS, "8000")
+        .header(header::IDEMPOTENCY_KEY, key)
+        .body(Body::from("again"))
+        .unwrap();
+    let deadline = Instant::now() + Duration::from_secs(8);
+    // Whatever the agent answers, only the runs at the services count.
+    let _ = client.send(agent, request, deadline).await;
+}
+
+// Guards against a key that runs at the owner of the next interval and again at the owner that was paused.
+#[test]
+fn pause_claim_owner_past_interval() {
+    let plan = Plan {
+        engines: 1,
+        service_ms: 50,
+        model_bytes: 1 << 20,
+        ..small()
+    };
+    with_system(plan, async |deployment| {
+        let mut load = keyed(deployment, 0);
+        load.deadline = Duration::from_secs(2);
+        let client = Client::new();
+        let start = Instant::now();
+        let end = start + PAUSE + Duration::from_secs(4);
+        let owner = &deployment.agents[deployment.engines.len()];
+        let mut callers = Vec::new();
+        let mut keys = Vec::new();
+        let mut paused = false;
+        while start.elapsed() < PAUSE + Duration::from_secs(1) {
+            let key = uuid::Uuid::now_v7().to_string();
+            let caller = repeat(load.clone(), client.clone(), key.clone(), end);
+            callers.push(spawn(caller));
+            keys.push(key);
+            sleep_ms(NEXT_CALL_MS).await;
+            if !paused && start.elapsed() > Duration::from_secs(1) {
+                owner.process.pause();
+                paused = true;
+            }
+        }
+        // These calls wait in the paused agent's sockets and are the first thing that it reads.
+        let agent = SocketAddr::new(owner.operator.ip(), CALL_PORT);
+        let late = keys
+            .iter()
+            .map(|key| spawn(call_agent(client.clone(), agent, key.clone())));
+        let late: Vec<_> = late.collect();
+        sleep_ms(500).await;
+        owner.process.resume();
+        for call in late {
+            call.await.unwrap();
+        }
+        let mut outcomes = BTreeMap::new();
+        for caller in callers {
+            let attempts = caller.await.unwrap();
+            for attempt in &attempts {
+                *outcomes.entry(attempt.outcome.clone()).or_insert(0) += 1;
+            }
+            let bodies: Vec<_> = attempts
+                .iter()
+                .filter(|attempt| attempt.outcome == "answered")
+                .collect();
+            assert!(
+                bodies.iter().all(|attempt| attempt.body == bodies[0].body),
+                "{bodies:?}"
+            );
+        }
+        assert!(outcomes["answered"] > keys.len(), "{outcomes:?}");
+        assert!(outcomes.len() > 1, "the pause had no effect: {outcomes:?}");
+        check_once(deployment);
+    });
+}
--- /dev/null
+++ b/bins/load/tests/faults/support.rs
@@ -0,0 +1,179 @@
+//! A small system, its traffic, and the checks that hold after every failure.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use compio::runtime::{JoinHandle, spawn};
+use load::{
+    Deployment, Load, MODEL_SERVICE, Member, PLAIN_SERVICE, Plan, Replicas, Tally, WORKSPACE,
+};
+
+/// Time within which a version must reach all targets of the small system.
+pub const LIMIT: Duration = Duration::from_secs(30);
+pub const MODEL_RATE: f64 = 30.0;
+pub const KEYED_RATE: f64 = 20.0;
+
+/// Tests share the machine and the addresses: one runs after another.
+static MACHINE: Mutex<()> = Mutex::new(());
+
+/// Returns a system of two domains in which a burst takes about three seconds and calls last long enough that some are
+/// in progress on each target at any time.
+pub fn small() -> Plan {
+    Plan {
+        engines: 2,
+        plains: 2,
+        model_bytes: 4 << 20,
+        chunk_bytes: 128 << 10,
+        link_bytes_per_s: 2 << 20,
+        region_bytes_per_s: 2 << 20,
+        first_token_ms: 150,
+        service_ms: 300,
+        ..Plan::default()
+    }
+}
+
+/// Runs `test` on a system that serves version `v1`.
+pub fn with_system(plan: Plan, test: impl AsyncFnOnce(&mut Deployment)) {
+    let _machine = MACHINE.lock().unwrap_or_else(PoisonError::into_inner);
+    node::run("test", async {
+        let mut deployment = Deployment::start(plan).await.unwrap();
+        load::burst::serve_version(&deployment, "v1", LIMIT)
+            .await
+            .unwrap();
+        test(&mut deployment).await;
+    })
+    .unwrap();
+}
+
+pub async fn sleep_ms(millis: u64) {
+    compio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+pub fn model(deployment: &Deployment, millis: u64) -> Load {
+    Load {
+        entries: deployment.callers(),
+        path: format!("/v1/{MODEL_SERVICE}/v1/chat/completions"),
+        workspace: WORKSPACE.into(),
+        rate_per_s: MODEL_RATE,
+        duration: Duration::from_millis(millis),
+        deadline: Duration::from_secs(8),
+        keyed: false,
+    }
+}
+
+pub fn keyed(deployment: &Deployment, millis: u64) -> Load {
+    Load {
+        path: format!("/v1/{PLAIN_SERVICE}/reservations"),
+        rate_per_s: KEYED_RATE,
+        deadline: Duration::from_secs(4),
+        keyed: true,
+        ..model(deployment, millis)
+    }
+}
+
+pub fn start(load: Load) -> JoinHandle<Tally> {
+    spawn(async move { load.run().await })
+}
+
+/// Sends both kinds of requests and expects that each is answered in the end.
+///
+/// A slot that changes hands refuses its keys for about a second, so a keyed call is repeated with its key while it is
+/// refused as not run, as callers do. No model request may be refused.
+pub async fn expect_all_answered(model: Load, keyed: Load) -> [Tally; 2] {
+    let (model, keyed) = (
+        start(model),
+        start(keyed.clone()).await.unwrap().repeated(&keyed).await,
+    );
+    let tallies = [model.await.unwrap(), keyed];
+    for tally in &tallies {
+        expect_answered(tally);
+    }
+    tallies
+}
+
+/// Expects an answer to each request of `tally`.
+pub fn expect_answered(tally: &Tally) {
+    let failed: Vec<_> = tally
+        .records
+        .iter()
+        .filter(|record| record.outcome != "answered")
+        .collect();
+    assert!(failed.is_empty(), "{failed:?}");
+    assert_eq!(tally.records.len() as u64, tally.sent);
+}
+
+/// Expects that each request has ended with an answer or a refusal, none with an unknown outcome.
+pub fn expect_none_cut(tally: &Tally) {
+    let ended = tally.outcome("answered") + tally.outcome("not-run");
+    assert_eq!(
+        ended, tally.sent,
+        "{:?} {:?}",
+        tally.outcomes, tally.reasons
+    );
+}
+
+pub async fn wait_served<'a>(
+    deployment: &Deployment,
+    agents: impl IntoIterator<Item = &'a Member>,
+    version: &str,
+) {
+    let digest = deployment.digest(version).await.unwrap();
+    let chunks = deployment.plan.chunks();
+    Replicas::watch(agents, &digest, chunks)
+        .wait(LIMIT)
+        .await
+        .unwrap();
+}
+
+/// Checks invariants 1 to 4 over `tallies`, none of whose calls was sent twice by its caller.
+///
+/// `versions` are the versions that answers may come from, as digests.
+pub fn check(deployment: &Deployment, versions: &[&str], tallies: &[Tally]) {
+    let bookings = deployment.runs(&deployment.plains).unwrap();
+    let completions = deployment.runs(&deployment.engines).unwrap();
+    check_once(deployment);
+    for tally in tallies {
+        assert_eq!(
+            tally.records.len() as u64,
+            tally.sent,
+            "a request has no outcome"
+        );
+        assert_eq!(tally.without_retry_after, 0, "{:?}", tally.reasons);
+        assert_eq!(tally.outcome("missing"), 0, "{:?}", tally.outcomes);
+        for record in &tally.records {
+            let ran = match &record.key {
+                Some(key) => bookings.get(key).copied().unwrap_or(0),
+                None => completions.get(&record.prompt).copied().unwrap_or(0),
+            };
+            match record.outcome.as_str() {
+                "answered" => {
+                    assert!(
+                        record.is_own_whole(),
+                        "another's or part of an answer: {record:?}"
+                    );
+                    assert!(ran > 0, "answered without a run: {record:?}");
+                    let weights = record.weights.as_deref();
+                    let known = weights.is_some_and(|weights| versions.contains(&weights));
+                    assert!(record.key.is_some() || known, "unknown weights: {record:?}");
+                }
+                "not-run" => assert_eq!(ran, 0, "refused as not run, but ran: {record:?}"),
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Checks that no key ran more than once at any plain service.
+pub fn check_once(deployment: &Deployment) {
+    let bookings = deployment.runs(&deployment.plains).unwrap();
+    let twice: Vec<_> = bookings.iter().filter(|(_, runs)| **runs > 1).collect();
+    assert!(twice.is_empty(), "keys that ran more than once: {twice:?}");
+}
+
+/// Checks that no engine changed its weights within an answer.
+pub async fn check_not_mixed(deployment: &Deployment) {
+    for engine in &deployment.engines {
+        let mixed = deployment.count(engine, "mixed_tokens").await.unwrap();
+        assert_eq!(mixed, 0, "{}", engine.process.name());
+    }
+}
--- a/bins/standin/src/engine.rs
+++ b/bins/standin/src/engine.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -18,6 +19,7 @@
 
 use self::staging::Staging;
 use crate::control::Control;
+use crate::journal::Journal;
 use crate::server::{self, Standin};
 use crate::slots::Slots;
 
@@ -29,6 +31,7 @@
     first_token_ms: u64,
     token_ms: u64,
     weights: Option<Digest>,
+    journal: Option<PathBuf>,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -55,6 +58,7 @@
     active: Cell<Option<Digest>>,
     staging: RefCell<Staging>,
     slots: Rc<Slots>,
+    journal: Journal,
 }
 
 /// What `GET /status` returns.
@@ -81,6 +85,7 @@
         let token_ms = fields.number("token_ms", 0..=600_000, Some(5));
         let allowed = "a digest of 64 hexadecimal digits, or null";
         let weights = fields.optional("weights", allowed, None);
+        let journal = fields.optional("journal", "the path of a file, or null", None);
         Some(Self {
             listen: listen?,
             check_fencing: check_fencing?,
@@ -88,6 +93,7 @@
             first_token_ms: first_token_ms?,
             token_ms: token_ms?,
             weights: weights?,
+            journal: journal?,
         })
     }
 }
@@ -109,6 +115,7 @@
         active: Cell::new(settings.weights),
         staging: RefCell::default(),
         slots: Slots::new(settings.slots),
+        journal: Journal::open(settings.journal.as_deref())?,
     };
     server::run(settings.listen, engine).await
 }
--- a/bins/standin/src/engine/answer.rs
+++ b/bins/standin/src/engine/answer.rs
@@ -55,13 +55,13 @@
             return response(StatusCode::SERVICE_UNAVAILABLE, "no weights are active");
         };
         self.control.count("completions", 1);
+        let prompt = completion.messages.last();
+        let prompt = prompt.map_or_else(String::new, |message| message.content.clone());
+        self.journal.append(&prompt);
         let cut = self.control.change(cut_answer);
         let run = Run {
             weights,
-            prompt: completion
-                .messages
-                .last()
-                .map_or_else(String::new, |m| m.content.clone()),
+            prompt,
             tokens: if cut {
                 completion.max_tokens / 2
             } else {
--- a/bins/standin/src/main.rs
+++ b/bins/standin/src/main.rs
@@ -6,6 +6,7 @@
 
 mod control;
 mod engine;
+mod journal;
 mod plain;
 mod platform;
 mod server;
--- a/bins/standin/src/plain.rs
+++ b/bins/standin/src/plain.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use wire::header;
 
 use crate::control::Control;
+use crate::journal::Journal;
 use crate::server::{self, Standin};
 use crate::slots::Slots;
 
@@ -22,6 +24,7 @@
     listen: SocketAddr,
     slots: u32,
     service_ms: u64,
+    journal: Option<PathBuf>,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -40,6 +43,7 @@
     slots: Rc<Slots>,
     /// Runs by key; kept over restarts, since they stand for what was booked.
     runs: RefCell<BTreeMap<String, u64>>,
+    journal: Journal,
 }
 
 impl Settings for PlainSettings {
@@ -47,10 +51,12 @@
         let listen = fields.required("listen", "an IP address and port");
         let slots = fields.number("slots", 1..=10_000, Some(8));
         let service_ms = fields.number("service_ms", 0..=600_000, Some(5));
+        let journal = fields.optional("journal", "the path of a file, or null", None);
         Some(Self {
             listen: listen?,
             slots: slots?,
             service_ms: service_ms?,
+            journal: journal?,
         })
     }
 }
@@ -66,6 +72,7 @@
         control: Control::new("plain", switches),
         slots: Slots::new(settings.slots),
         runs: RefCell::default(),
+        journal: Journal::open(settings.journal.as_deref())?,
     };
     server::run(settings.listen, plain).await
 }
@@ -111,6 +118,7 @@
         let key = key.map_or_else(String::new, |key| {
             String::from_utf8_lossy(key.as_bytes()).into_owned()
         });
+        self.journal.append(&key);
         let mut runs = self.runs.borrow_mut();
         let count = runs.entry(key).or_default();
         *count += 1;
