load: measure reports with the view that a target holds; see a transfer start before it counts as held

Cause: the played targets always reported an empty view, so that the entry sent all records with each reply (1.98 MB/s at 200 targets); and replicas of a version with as many chunks as the one before counted as held at once (1.0 s for 64 MiB). Change: a played target reports the hash of the last reply; a replica counts as held after its count was below the total. One series of slopes is run at a time.

--- a/bins/load/src/main.rs
+++ b/bins/load/src/main.rs
@@ -29,7 +29,11 @@
     },
     /// Measure what control costs an entry and print slopes as JSON; nothing else may use loopback meanwhile
     #[bpaf(command)]
-    Slopes {},
+    Slopes {
+        /// What to vary: reports, members or changes
+        #[bpaf(positional("VARIABLE"))]
+        variable: load::slopes::Variable,
+    },
 }
 
 fn main() -> ExitCode {
@@ -42,7 +46,7 @@
         Options::Burst { plan } => read(plan.as_deref())
             .and_then(measure)
             .map(|report| print(&report)),
-        Options::Slopes {} => node::block_on(load::slopes::run())
+        Options::Slopes { variable } => node::block_on(load::slopes::run(variable))
             .map_err(|error| error.to_string())
             .and_then(|outcome| outcome.map_err(|error| error.to_string()))
             .map(|series| print(&series)),
--- a/bins/load/src/replicas.rs
+++ b/bins/load/src/replicas.rs
@@ -42,11 +42,16 @@
                 let (held, times) = (Rc::clone(&held), Rc::clone(&times));
                 let (operator, digest) = (agent.operator, format!("#{digest}"));
                 spawn(async move {
-                    let holds = |status: &Value| {
-                        names(status, "wanted", &digest) && status["chunks"] == chunks
-                    };
+                    let wants = |status: &Value| names(status, "wanted", &digest);
                     let serves =
                         |status: &Value| status["gate"] == "open" && names(status, "pin", &digest);
+                    // Until the transfer starts, the count is that of the version before.
+                    let fetches = |status: &Value| wants(status) && status["chunks"] != chunks;
+                    let holds = |status: &Value| wants(status) && status["chunks"] == chunks;
+                    until(&client, operator, |status| {
+                        fetches(status) || serves(status)
+                    })
+                    .await;
                     until(&client, operator, |status| holds(status) || serves(status)).await;
                     held.borrow_mut().push(start.elapsed());
                     until(&client, operator, serves).await;
--- a/bins/load/src/slopes.rs
+++ b/bins/load/src/slopes.rs
@@ -55,32 +55,59 @@
     pub traffic: f64,
 }
 
-/// Measures all series.
+/// What is varied in a series.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Variable {
+    /// Targets that report once a second.
+    Reports,
+    /// Members known by gossip.
+    Members,
+    /// Catalogue changes in 10 s.
+    Changes,
+}
+
+impl std::str::FromStr for Variable {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "reports" => Ok(Self::Reports),
+            "members" => Ok(Self::Members),
+            "changes" => Ok(Self::Changes),
+            _ => Err(format!("`{text}` is not `reports`, `members` or `changes`")),
+        }
+    }
+}
+
+/// Measures the series of `variable`.
 ///
 /// # Errors
 ///
 /// Fails when an entry doesn't start or doesn't answer.
-pub async fn run() -> Result<Vec<Series>, Error> {
-    Ok(vec![
-        series(
-            "targets that report once a second",
-            &[10, 50, 200],
-            async |entry, size| report(entry, size).await,
-        )
-        .await?,
-        series(
-            "members known by gossip",
-            &[1_000, 3_000, 7_100],
-            async |entry, size| known(entry, size).await,
-        )
-        .await?,
-        series(
-            "catalogue changes in 10 s",
-            &[10, 50, 200],
-            async |entry, size| change(entry, size).await,
-        )
-        .await?,
-    ])
+pub async fn run(variable: Variable) -> Result<Series, Error> {
+    match variable {
+        Variable::Reports => {
+            let name = "targets that report once a second";
+            series(name, &[10, 50, 200], async |entry, size| {
+                report(entry, size).await
+            })
+            .await
+        }
+        Variable::Members => {
+            let name = "members known by gossip";
+            series(name, &[1_000, 3_000, 7_100], async |entry, size| {
+                known(entry, size).await
+            })
+            .await
+        }
+        Variable::Changes => {
+            let name = "catalogue changes in 10 s";
+            series(name, &[10, 50, 200], async |entry, size| {
+                change(entry, size).await
+            })
+            .await
+        }
+    }
 }
 
 async fn series(
@@ -184,25 +211,31 @@
 /// Sends a report of each of `size` targets once a second.
 async fn report(running: &Running, size: usize) -> Result<(), Error> {
     let mut clients = Vec::with_capacity(size);
-    for index in 0..size {
-        let client = running.connect().await?;
-        send(&client, index, 1).await?;
-        clients.push(client);
+    let mut views = vec![0; size];
+    for _ in 0..size {
+        clients.push(running.connect().await?);
+    }
+    // Two rounds: the targets join, then take the records of those that joined after them.
+    for sequence in 1..=2 {
+        for (index, client) in clients.iter().enumerate() {
+            views[index] = send(client, index, sequence, views[index]).await?;
+        }
     }
     running.restart_window()?;
     let start = Instant::now();
-    for sequence in 2..=1 + WINDOW.as_secs() {
+    for sequence in 3..=2 + WINDOW.as_secs() {
         for (index, client) in clients.iter().enumerate() {
-            let second = Duration::from_secs(sequence - 2);
+            let second = Duration::from_secs(sequence - 3);
             let offset = Duration::from_secs(1) / size as u32 * index as u32;
             compio::time::sleep_until(start + second + offset).await;
-            send(client, index, sequence).await?;
+            views[index] = send(client, index, sequence, views[index]).await?;
         }
     }
     Ok(())
 }
 
-async fn send(client: &Client, index: usize, sequence: u64) -> Result<(), Error> {
+/// Sends a report of a target that holds the records with the hash `view`, and returns the hash that it holds then.
+async fn send(client: &Client, index: usize, sequence: u64, view: u64) -> Result<u64, Error> {
     let record = target(index, DOMAIN);
     let report = Report {
         target: name(index),
@@ -214,11 +247,11 @@
         running: 3,
         waiting: 1,
         slots: 0,
-        view: 0,
+        view,
         member: (sequence == 1).then_some(record),
     };
     let sent = client.report(report).await;
-    sent.map(drop)
+    sent.map(|reply| reply.view)
         .map_err(|error| answer("sending a report", &error))
 }
 
