Thin out old readings of a sample file while it is read

Cause: the whole file was read into memory, and a round of samples read the whole file again to look for a partial line.

Change: the file is read line by line. Of readings older than the slow windows, one an hour and those on both sides of a restart are kept; the last byte alone tells whether a line is partial.

--- a/bins/burn/src/file.rs
+++ b/bins/burn/src/file.rs
@@ -1,10 +1,11 @@
 //! Sample files: one JSON object a line.
 
-use std::fs::OpenOptions;
-use std::io::{self, Write};
+use std::fs::{File, OpenOptions};
+use std::io::{self, BufRead, BufReader, Read, Seek, SeekFrom, Write};
 use std::path::Path;
 
 use crate::Sample;
+use crate::thin::Thinner;
 
 /// A sample file that can't be used.
 #[derive(Debug, thiserror::Error)]
@@ -29,32 +30,39 @@
 
 /// Returns the samples of a file from `after_ms` on, in milliseconds since 1970; a missing file has none.
 ///
-/// A last line without its end was cut off while it was written and is passed over.
+/// Readings before `recent_ms` are thinned out (see [`Thinner`]). A last line without its end was cut off while it was
+/// written and is passed over.
 ///
 /// # Errors
 ///
 /// Fails when the file can't be read, or with all lines that are not samples.
-pub fn read(path: &Path, after_ms: u64) -> Result<Vec<Sample>, Error> {
-    let text = match std::fs::read_to_string(path) {
-        Ok(text) => text,
+pub fn read(path: &Path, after_ms: u64, recent_ms: u64) -> Result<Vec<Sample>, Error> {
+    let mut file = match File::open(path) {
+        Ok(file) => BufReader::new(file),
         Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(Vec::new()),
         Err(error) => return Err(failed(path, error)),
     };
-    let whole = text.rfind('\n').map_or(0, |end| end + 1);
-    let mut samples: Vec<Sample> = Vec::new();
+    let mut thinner = Thinner::new(recent_ms);
     let mut findings = Vec::new();
-    for (index, line) in text[..whole].lines().enumerate() {
-        match serde_json::from_str(line) {
-            Ok(sample) => samples.push(sample),
-            Err(error) => findings.push(format!("line {}: {error}", index + 1)),
+    let mut line = Vec::new();
+    for number in 1.. {
+        line.clear();
+        file.read_until(b'\n', &mut line)
+            .map_err(|error| failed(path, error))?;
+        if line.last() != Some(&b'\n') {
+            break;
+        }
+        match serde_json::from_slice::<Sample>(&line) {
+            Ok(sample) if sample.time_ms >= after_ms => thinner.push(sample),
+            Ok(_) => {}
+            Err(error) => findings.push(format!("line {number}: {error}")),
         }
     }
     if !findings.is_empty() {
         let path = path.display().to_string();
         return Err(Error::Lines { path, findings });
     }
-    samples.retain(|sample| sample.time_ms >= after_ms);
-    Ok(samples)
+    Ok(thinner.finish())
 }
 
 /// Appends samples to a file, which is created if it is missing; a last line that was cut off is removed first.
@@ -78,18 +86,23 @@
 }
 
 fn cut_partial_line(path: &Path) -> io::Result<()> {
-    let bytes = match std::fs::read(path) {
-        Ok(bytes) => bytes,
+    let mut file = match OpenOptions::new().read(true).write(true).open(path) {
+        Ok(file) => file,
         Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(()),
         Err(error) => return Err(error),
     };
-    let whole = bytes.iter().rposition(|byte| *byte == b'\n');
-    let whole = whole.map_or(0, |end| end + 1);
-    if whole == bytes.len() {
+    let length = file.metadata()?.len();
+    let mut last = [b'\n'];
+    if length > 0 {
+        file.seek(SeekFrom::End(-1))?;
+        file.read_exact(&mut last)?;
+    }
+    if last == [b'\n'] {
         return Ok(());
     }
-    let file = OpenOptions::new().write(true).open(path)?;
-    file.set_len(whole as u64)
+    let bytes = std::fs::read(path)?;
+    let whole = bytes.iter().rposition(|byte| *byte == b'\n');
+    file.set_len(whole.map_or(0, |end| end as u64 + 1))
 }
 
 fn failed(path: &Path, error: io::Error) -> Error {
--- a/bins/burn/src/increment.rs
+++ b/bins/burn/src/increment.rs
@@ -152,7 +152,7 @@
 }
 
 /// Tells whether the entry restarted: its start differs, or a counter fell or is gone.
-fn restarted(old: &Reading, new: &Reading) -> bool {
+pub fn restarted(old: &Reading, new: &Reading) -> bool {
     let other_start = old.started.is_some() && new.started.is_some() && old.started != new.started;
     let mut causes = old.requests.iter().flat_map(|(class, causes)| {
         let new = new.requests.get(class);
--- a/bins/burn/src/lib.rs
+++ b/bins/burn/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod report;
 pub mod sample;
 pub mod text;
+pub mod thin;
 pub mod window;
 
 pub use report::Report;
--- a/bins/burn/src/main.rs
+++ b/bins/burn/src/main.rs
@@ -1,6 +1,7 @@
 //! The binary `carobport-burn`.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use burn::options::{Arguments, Format, Options, options};
 use burn::report::{Question, Report};
@@ -53,12 +54,14 @@
 
 /// Returns the samples of the file and new ones, which are appended to the file round by round.
 async fn samples(arguments: &Arguments) -> Result<Vec<burn::Sample>, Error> {
-    let pairs = arguments.pairs.iter().map(|pair| pair.slow);
-    let longest = pairs.max().unwrap_or_default().max(arguments.period);
-    let after_ms = fetch::now_ms().saturating_sub(u64::try_from(longest.as_millis())?);
+    let slow = arguments.pairs.iter().map(|pair| pair.slow).max();
+    let slow = slow.unwrap_or_default();
+    let before = |time: Duration| -> Result<u64, Error> {
+        Ok(fetch::now_ms().saturating_sub(u64::try_from(time.as_millis())?))
+    };
     let path = arguments.samples.as_deref();
     let mut samples = match path {
-        Some(path) => file::read(path, after_ms)?,
+        Some(path) => file::read(path, before(slow.max(arguments.period))?, before(slow)?)?,
         None => Vec::new(),
     };
     if !arguments.entries.is_empty() {
--- a/bins/burn/tests/input.rs
+++ b/bins/burn/tests/input.rs
@@ -66,10 +66,10 @@
     file::append(&path, &[sample(1), sample(2)]).unwrap();
     let text = std::fs::read_to_string(&path).unwrap();
     std::fs::write(&path, &text[..text.len() - 5]).unwrap();
-    assert_eq!(file::read(&path, 0).unwrap(), [sample(1)]);
+    assert_eq!(file::read(&path, 0, 0).unwrap(), [sample(1)]);
     file::append(&path, &[sample(3)]).unwrap();
-    assert_eq!(file::read(&path, 0).unwrap(), [sample(1), sample(3)]);
-    assert_eq!(file::read(&path, 2).unwrap(), [sample(3)]);
+    assert_eq!(file::read(&path, 0, 0).unwrap(), [sample(1), sample(3)]);
+    assert_eq!(file::read(&path, 2, 0).unwrap(), [sample(3)]);
 }
 
 /// Guards against a damaged file that is read as if its other lines were all: each bad line is named.
@@ -77,7 +77,7 @@
 fn file_malformed() {
     let path = path("malformed");
     std::fs::write(&path, "{}\n\n").unwrap();
-    let error = file::read(&path, 0).unwrap_err().to_string();
+    let error = file::read(&path, 0, 0).unwrap_err().to_string();
     assert!(
         error.contains("line 1") && error.contains("line 2"),
         "{error}"
--- a/bins/burn/tests/report.rs
+++ b/bins/burn/tests/report.rs
@@ -4,6 +4,7 @@
 
 use burn::report::{Question, Report};
 use burn::sample::{Bucket, Observation, Reading, Sample};
+use burn::thin::Thinner;
 use burn::{Pair, picture, text};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -122,6 +123,26 @@
         }
     }
 
+    /// Guards against counts that are lost with the old readings that a long sample file is thinned out by.
+    #[test]
+    fn thinning_keeps_counts(steps in steps(), recent in 0..40_u64) {
+        let mut all = samples("a", &steps, true);
+        // Ten minutes apart, so that several readings lie between two that are kept.
+        for sample in &mut all {
+            sample.time_ms = NOW - 10 * (NOW - sample.time_ms);
+        }
+        let recent_ms = NOW - 10 * recent * MINUTE;
+        let mut thinner = Thinner::new(recent_ms);
+        all.iter().cloned().for_each(|sample| thinner.push(sample));
+        let thin = thinner.finish();
+        let [whole, thinned] = [&all, &thin].map(|samples| Report::new(&question(&[]), samples, NOW));
+        prop_assert_eq!(&whole.objectives[0].period, &thinned.objectives[0].period);
+        prop_assert_eq!(whole.causes, thinned.causes);
+        prop_assert_eq!(whole.restarts, thinned.restarts);
+        let is_recent = |sample: &&Sample| sample.time_ms >= recent_ms;
+        prop_assert_eq!(all.iter().filter(is_recent).count(), thin.iter().filter(is_recent).count());
+    }
+
     /// Guards against shares above 100% of a window's requests, and against windows that hold more than longer ones.
     #[test]
     fn shares_stay_within_bounds(samples in chaos()) {
