--- a/bins/load/src/lib.rs
+++ b/bins/load/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A [`Deployment`] starts a whole system from a [`Plan`]. A [`Process`] is a child that is killed when its guard is dropped. A [`Network`] gives each VM of an experiment a
 //! loopback address. [`burst::run`] measures how a new version spreads, [`slopes::run`] what control
-//! costs an entry. A [`Load`] sends live requests at a steady rate and returns a [`Tally`] of their outcomes.
+//! costs an entry, [`requests::run`] what live requests cost. A [`Load`] sends live requests at a steady rate and returns a [`Tally`] of their outcomes.
 
 mod address;
 pub mod burst;
@@ -11,6 +11,7 @@
 mod plan;
 mod process;
 mod replicas;
+pub mod requests;
 mod revisions;
 mod sample;
 pub mod slopes;
--- a/bins/load/src/main.rs
+++ b/bins/load/src/main.rs
@@ -34,6 +34,13 @@
         #[bpaf(positional("VARIABLE"))]
         variable: load::slopes::Variable,
     },
+    /// Measure what live requests cost an entry and an agent and print slopes as JSON
+    #[bpaf(command)]
+    Requests {
+        /// What to vary: requests or streams
+        #[bpaf(positional("VARIABLE"))]
+        variable: load::requests::Variable,
+    },
 }
 
 fn main() -> ExitCode {
@@ -50,6 +57,10 @@
             .map_err(|error| error.to_string())
             .and_then(|outcome| outcome.map_err(|error| error.to_string()))
             .map(|series| print(&series)),
+        Options::Requests { variable } => node::block_on(load::requests::run(variable))
+            .map_err(|error| error.to_string())
+            .and_then(|outcome| outcome.map_err(|error| error.to_string()))
+            .map(|series| print(&series)),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
--- a/bins/load/src/slopes.rs
+++ b/bins/load/src/slopes.rs
@@ -124,7 +124,13 @@
             points.push(running.point(size, &before)?);
         }
     }
-    let slope = |value: &dyn Fn(&Point) -> f64| slope(&points, value);
+    let slope = |value: &dyn Fn(&Point) -> f64| {
+        let pairs: Vec<_> = points
+            .iter()
+            .map(|point| (point.size as f64, value(point)))
+            .collect();
+        slope(&pairs)
+    };
     Ok(Series {
         variable,
         core_slope: slope(&|point| point.core),
@@ -358,12 +364,19 @@
     bytes.ok_or_else(|| std::io::Error::other("/proc/net/dev names no loopback device"))
 }
 
-/// Returns the least-squares slope of `value` over the sizes.
-fn slope(points: &[Point], value: &dyn Fn(&Point) -> f64) -> f64 {
-    let count = points.len() as f64;
-    let mean = |term: &dyn Fn(&Point) -> f64| points.iter().map(term).sum::<f64>() / count;
-    let mean_size = mean(&|point| point.size as f64);
-    let mean_value = mean(value);
-    let covariance = mean(&|point| (point.size as f64 - mean_size) * (value(point) - mean_value));
-    covariance / mean(&|point| (point.size as f64 - mean_size).powi(2))
+/// Returns the least-squares slope through points of size and value.
+pub(crate) fn slope(pairs: &[(f64, f64)]) -> f64 {
+    let count = pairs.len() as f64;
+    let (sizes, values) = pairs
+        .iter()
+        .fold((0.0, 0.0), |(sizes, values), (size, value)| {
+            (sizes + size, values + value)
+        });
+    let (mean_size, mean_value) = (sizes / count, values / count);
+    let (mut covariance, mut variance) = (0.0, 0.0);
+    for (size, value) in pairs {
+        covariance += (size - mean_size) * (value - mean_value);
+        variance += (size - mean_size).powi(2);
+    }
+    covariance / variance
 }
