burn: a logarithmic picture, dates instead of milliseconds, errors without repetition

Cause: the picture of a real run was looked at for the first time. An outage burns at 1000, so that the alert rates and all other classes lay on the zero line; the line of an entry that was not reached ran out of the picture; the light grid hid the curves. The report named its time in milliseconds since 1970, and an unreachable entry's error said the same three times.

--- a/bins/burn/src/fetch.rs
+++ b/bins/burn/src/fetch.rs
@@ -121,6 +121,8 @@
 /// Returns an error's text with those of its sources: a client's own says only that a call failed.
 fn chain(error: &dyn std::error::Error) -> String {
     let sources = std::iter::successors(Some(error), |error| error.source());
-    let texts: Vec<String> = sources.map(ToString::to_string).collect();
+    let mut texts: Vec<String> = sources.map(ToString::to_string).collect();
+    // Wrappers whose text already ends with that of their source would repeat it.
+    texts.dedup_by(|source, wrapper| wrapper.ends_with(&**source));
     texts.join(": ")
 }
--- a/bins/burn/src/picture.rs
+++ b/bins/burn/src/picture.rs
@@ -16,6 +16,8 @@
 const LINE: u32 = 18;
 /// Points of each curve.
 const POINTS: u64 = 120;
+/// Lowest burn rate of the axis, which is logarithmic: an outage burns a thousand times faster than an alert's rate.
+const LOWEST: f64 = 0.1;
 /// Window of the curves when the report has no pair.
 const WINDOW: Duration = Duration::from_secs(300);
 
@@ -64,7 +66,7 @@
     area.fill(&WHITE)?;
     let (head, body) = area.split_vertically(lines);
     for (index, entry) in report.unreached.iter().enumerate() {
-        let line = text::unreached(entry, report.time_ms);
+        let line = text::unreached_short(entry, report.time_ms);
         let place = (8, i32::try_from(index as u32 * LINE)? + 4);
         head.draw(&Text::new(
             line,
@@ -79,7 +81,7 @@
     let minutes = |time: u64| -((report.time_ms - time) as f64) / 60_000.0;
     let burns = history.iter().flatten().flatten();
     let rates = question.pairs.iter().map(|pair| &pair.rate);
-    let top = burns.chain(rates).fold(1.0_f64, |top, burn| top.max(*burn)) * 1.1;
+    let top = burns.chain(rates).fold(1.0_f64, |top, burn| top.max(*burn)) * 2.0;
     let first = times
         .first()
         .map_or(-1.0, |first| minutes(*first))
@@ -90,20 +92,24 @@
         .margin(12)
         .x_label_area_size(36)
         .y_label_area_size(48)
-        .build_cartesian_2d(first..0.0, 0.0..top)?;
+        .build_cartesian_2d(first..0.0, (LOWEST..top).log_scale())?;
     chart
         .configure_mesh()
+        .light_line_style(TRANSPARENT)
         .x_desc("minutes before the report")
-        .y_desc("burn rate")
+        .y_desc(format!("burn rate; {LOWEST} stands for less"))
         .draw()?;
     for pair in &question.pairs {
         let line = [(first, pair.rate), (0.0, pair.rate)];
-        chart.draw_series(LineSeries::new(line, RED.mix(0.5)))?;
+        chart
+            .draw_series(DashedLineSeries::new(line, 6, 4, RED.stroke_width(1)))?
+            .label(format!("alert above {}", pair.rate))
+            .legend(|(x, y)| PathElement::new([(x, y), (x + 16, y)], RED.mix(0.5)));
     }
     for (index, (burn, values)) in report.objectives.iter().zip(&history).enumerate() {
         let color = Palette99::pick(index).to_rgba();
         let points = times.iter().zip(values);
-        let points = points.filter_map(|(time, burn)| Some((minutes(*time), (*burn)?)));
+        let points = points.filter_map(|(time, burn)| Some((minutes(*time), (*burn)?.max(LOWEST))));
         chart
             .draw_series(LineSeries::new(points, color.stroke_width(2)))?
             .label(text::name(burn))
--- a/bins/burn/src/text.rs
+++ b/bins/burn/src/text.rs
@@ -16,12 +16,21 @@
 
 /// Returns the line that names an entry which was not reached; all formats use its content.
 pub fn unreached(unreached: &Unreached, now_ms: u64) -> String {
+    let mut line = unreached_short(unreached, now_ms);
+    if let Some(error) = &unreached.error {
+        let _ = write!(line, "; {error}");
+    }
+    line
+}
+
+/// Returns the same line without the error, whose length has no limit.
+pub fn unreached_short(unreached: &Unreached, now_ms: u64) -> String {
     let Unreached {
         entry,
         failed,
         samples,
-        error,
         last_read_ms,
+        ..
     } = unreached;
     let mut line = format!("NOT REACHED {entry}: {failed} of {samples} samples failed");
     match last_read_ms {
@@ -30,9 +39,6 @@
         }
         None => line.push_str("; never read"),
     }
-    if let Some(error) = error {
-        let _ = write!(line, "; {error}");
-    }
     line
 }
 
@@ -48,8 +54,8 @@
     let entries = report.entries.len();
     writeln!(
         text,
-        "service-level burn of {entries} entries at {} ms since 1970",
-        report.time_ms
+        "service-level burn of {entries} entries at {}",
+        node::time::show(report.time_ms)
     )?;
     for entry in &report.unreached {
         writeln!(text, "{}", unreached(entry, report.time_ms))?;
--- a/bins/catalog/src/main.rs
+++ b/bins/catalog/src/main.rs
@@ -75,7 +75,7 @@
             eprintln!(
                 "{key} at revision {revision} by {} at {}",
                 stored.author,
-                show::time(stored.time_ms)
+                node::time::show(stored.time_ms)
             );
             println!("{}", show::entry(&stored.entry));
             Ok(0)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A binary loads its settings with [`settings::load`], then passes its work to [`run`], which sets up the event loop
 //! and the log. Within the loop, [`listen`] opens ports, [`connect`] reaches others, [`http`] serves and calls over HTTP/1.1, [`operator`] serves
-//! the operator port, and [`signal::shutdown`] resolves when the process is asked to stop.
+//! the operator port, and [`signal::shutdown`] resolves when the process is asked to stop. [`time::show`] writes times.
 
 pub mod arguments;
 pub mod event;
@@ -13,6 +13,7 @@
 mod runtime;
 pub mod settings;
 pub mod signal;
+pub mod time;
 
 pub use event::Event;
 pub use port::{connect, listen, shut_down};
