agent: give orders with a provisional number while the platform gives none

Cause: a replacement VM that started during an outage of the platform served nothing until the outage ended, although its peers held the weights: without a fencing number the agent gave no order. Change: after a failed attempt the agent uses one above the highest number that its engine took. The order port excludes a second agent of the VM, so no one else gives orders meanwhile. A number of the platform that is not above the engine's highest is taken again, with a wait between two writes. The gate's own test start_without_number is unchanged. Conclusion: with the peers' chunks a VM that starts in an outage serves; draws still need the platform.

--- a/bins/agent/src/engine.rs
+++ b/bins/agent/src/engine.rs
@@ -113,6 +113,11 @@
     Some(poll_status(shared, http).await?.weights)
 }
 
+/// Asks the engine for the highest fencing number that it took; `None` when it gives no status.
+pub(crate) async fn highest_number(shared: &Shared, http: &Client) -> Option<u64> {
+    Some(poll_status(shared, http).await?.fencing_number)
+}
+
 async fn poll_status(shared: &Shared, http: &Client) -> Option<EngineStatus> {
     let request = Request::get("/status").body(Body::empty()).ok()?;
     let deadline = Instant::now() + POLL_TIMEOUT;
--- a/bins/agent/src/number.rs
+++ b/bins/agent/src/number.rs
@@ -1,15 +1,19 @@
 //! The fencing number, taken from the platform at start.
+//!
+//! While the platform gives none, orders carry a provisional number: one above the highest that the engine took. It is
+//! above that of every earlier agent, and no other agent can give orders meanwhile, since this one holds the order port.
+//! A number of the platform must be above the engine's highest too; else the object is written again.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use gate::Event;
+use gate::{Backend, Event};
 use node::event;
 use platform::{Client, Condition, Error, Put};
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
-use crate::Shared;
+use crate::{Shared, engine};
 
 /// Kind of the objects whose revisions are fencing numbers.
 const KIND: &str = "agents";
@@ -26,25 +30,32 @@
     token: String,
 }
 
-/// Writes `agents/{vm}` until the platform gives a number, and passes it to the gate.
-pub async fn take(shared: Rc<Shared>, platform: Client) {
+/// Writes `agents/{vm}` until the platform gives a number that the engine has not seen, and passes it to the gate.
+pub async fn take(shared: Rc<Shared>, platform: Client, http: node::http::Client) {
     let taken = Taken {
         domain: shared.settings.domain.clone(),
         service: shared.settings.service.clone(),
         token: Uuid::now_v7().to_string(),
     };
     let mut wait = WAITS.0;
+    let mut provisional = None;
     loop {
         match attempt(&shared.settings.name, &taken, &platform).await {
             Ok(number) => {
                 node::event!(event::NUMBERED, number = number);
                 shared.number.set(Some(number));
-                shared.handle(Event::Number(number));
                 shared.changed.notify();
-                return;
+                if number > highest(&shared, &http).await {
+                    shared.handle(Event::Number(number));
+                    return;
+                }
+                // An agent with a provisional number was here; the next write has a higher revision.
             }
             Err(error) => {
-                node::event!(event::UNNUMBERED, error = error, wait_ms = wait.as_millis())
+                node::event!(event::UNNUMBERED, error = error, wait_ms = wait.as_millis());
+                if provisional.is_none() {
+                    provisional = take_provisional(&shared, &http).await;
+                }
             }
         }
         compio::time::sleep(wait).await;
@@ -52,6 +63,31 @@
     }
 }
 
+/// Waits for the engine's status and returns the highest number that it took; 0 for a plain service.
+async fn highest(shared: &Shared, http: &node::http::Client) -> u64 {
+    if shared.settings.backend == Backend::Plain {
+        return 0;
+    }
+    loop {
+        if let Some(number) = engine::highest_number(shared, http).await {
+            return number;
+        }
+        compio::time::sleep(WAITS.0).await;
+    }
+}
+
+/// Takes a number above the highest that the engine took; `None` while the engine gives no status.
+async fn take_provisional(shared: &Shared, http: &node::http::Client) -> Option<u64> {
+    if shared.settings.backend == Backend::Plain {
+        return None;
+    }
+    let number = engine::highest_number(shared, http).await?.checked_add(1)?;
+    node::event!(event::PROVISIONAL_NUMBER, number = number);
+    shared.handle(Event::Number(number));
+    shared.changed.notify();
+    Some(number)
+}
+
 /// Writes the object once; a lost answer is resolved by reading the object back.
 async fn attempt(name: &str, taken: &Taken, platform: &Client) -> Result<u64, Error> {
     match platform.put(KIND, name, taken, Condition::Any).await {
--- a/bins/agent/src/process.rs
+++ b/bins/agent/src/process.rs
@@ -47,7 +47,7 @@
 
     let mut tasks = vec![
         spawn(engine::run(shared.clone(), actions, http.clone())),
-        spawn(number::take(shared.clone(), platform.clone())),
+        spawn(number::take(shared.clone(), platform.clone(), http.clone())),
         spawn(turn::run(shared.clone(), http.clone())),
         spawn(leave(shared.clone())),
         spawn(report::run(shared.clone())),
--- a/bins/agent/tests/process/support.rs
+++ b/bins/agent/tests/process/support.rs
@@ -237,6 +237,13 @@
         until("an answer", async || self.ask(Some(pin)).await.is_ok()).await;
     }
 
+    /// Returns the highest fencing number that the engine took.
+    pub async fn engine_number(&self) -> u64 {
+        let status = self.get(self.backend.address, "/status").await;
+        let status: Value = serde_json::from_slice(&status).unwrap();
+        status["fencing_number"].as_u64().unwrap()
+    }
+
     /// Makes a call to an engine and returns its whole answer.
     pub async fn ask(&self, pin: Option<&Pin>) -> Result<Bytes, Refusal> {
         let answer = self
--- a/crates/gate/src/controller.rs
+++ b/crates/gate/src/controller.rs
@@ -31,7 +31,7 @@
 /// The right to give orders.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Orders {
-    /// The platform has not given a number yet.
+    /// There is no number yet, neither the platform's nor a provisional one.
     Unnumbered,
     /// Orders carry this number.
     Numbered(u64),
@@ -233,8 +233,14 @@
         self.turn = false;
     }
 
+    /// Takes a number that is higher than the one held; the platform's may follow a provisional one.
     fn take_number(&mut self, number: u64) {
-        if self.orders == Orders::Unnumbered {
+        let higher = match self.orders {
+            Orders::Unnumbered => true,
+            Orders::Numbered(held) => number > held,
+            Orders::Superseded => false,
+        };
+        if higher {
             self.orders = Orders::Numbered(number);
         }
     }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -62,6 +62,7 @@
     ORDER_PORT_HELD = 307 Error "order-port-held";
     BACKEND_FAILED = 308 Warn "backend-failed";
     AGENT_SERVING = 309 Info "agent-serving";
+    PROVISIONAL_NUMBER = 310 Warn "provisional-number";
     CLAIMS_CHANGED = 320 Info "claims-changed";
     CLAIMS_FAILED = 321 Warn "claims-failed";
     CLAIMS_MALFORMED = 322 Error "claims-malformed";
