catalog: list the replaced pins of a model in its entry

Cause: an entry that started during a switch of weights knew only the new pin. Until the first target served it, the entry refused all requests (503, reason `target`), although all targets served the old version. Likewise, an agent that started then kept its engine out of service until the new weights were staged.

Change: `model.replaced` lists up to three replaced pins, newest first. A put fills it from the stored entry under the condition of its update, and from that entry's history when an earlier tool wrote it without the field. `check` refuses the field in a file; differences and `get` leave it out. Entries and gates read it; entries keep what they saw before for entries without it. A target that has not reported gets the catalogue's pin and refuses it, so /healthz of a new entry answers 503 until a target has reported, 3 s at most.

Conclusion: a new entry serves from the old weights during a switch. A target of another domain that does not report here can still refuse the new pin.

--- a/bins/agent/src/shared.rs
+++ b/bins/agent/src/shared.rs
@@ -160,7 +160,12 @@
         // A view without the service's entry says nothing about the weights.
         if let Some(service) = self.service() {
             let model = service.model.filter(|_| !service.retired);
-            self.handle(Event::Wanted(model.map(|model| model.pin())));
+            let wanted = model.as_ref().map(catalog::Model::pin);
+            // The replaced pins come first, so that the gate never sees the new pin without them.
+            self.handle(Event::Replaced(
+                model.map_or(Vec::new(), |model| model.replaced),
+            ));
+            self.handle(Event::Wanted(wanted));
         }
         self.changed.notify();
     }
--- a/bins/catalog/src/main.rs
+++ b/bins/catalog/src/main.rs
@@ -77,6 +77,9 @@
                 stored.author,
                 show::time(stored.time_ms)
             );
+            for pin in stored.entry.pins().skip(1) {
+                eprintln!("replaced {pin}");
+            }
             println!("{}", show::entry(&stored.entry));
             Ok(0)
         }
--- a/bins/catalog/src/show.rs
+++ b/bins/catalog/src/show.rs
@@ -4,9 +4,9 @@
 
 use catalog::{Entry, Revision, Stored, difference};
 
-/// Returns an entry as indented JSON.
+/// Returns an entry as indented JSON, as a file of `put` has it.
 pub fn entry(entry: &Entry) -> String {
-    serde_json::to_string_pretty(entry).unwrap_or_else(|error| error.to_string())
+    serde_json::to_string_pretty(&entry.as_written()).unwrap_or_else(|error| error.to_string())
 }
 
 /// Returns the versions of an entry, the latest first, each with its author, time and changes.
--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -28,6 +28,9 @@
 const DRAINING_WAIT: Duration = Duration::from_secs(1);
 /// Longest time between two polls: targets become suspect without any event.
 const TICK: Duration = Duration::from_millis(50);
+/// Longest time after the start for which the entry waits for reports before it takes callers; targets report to a new
+/// entry within about 2 s of its start.
+const REPORT_WAIT: Duration = Duration::from_secs(3);
 
 /// Router, callers that wait for it, and connections to agents.
 pub struct Gateway {
@@ -38,6 +41,9 @@
     router: RefCell<Router>,
     steps: RefCell<HashMap<RequestId, UnboundedSender<Action>>>,
     in_progress: Rc<Cell<usize>>,
+    started: Instant,
+    /// True once the entry has been healthy: targets that fall silent later must not take it out of the balancer.
+    ready: Cell<bool>,
     draining: Cell<bool>,
     refusing: Cell<bool>,
 }
@@ -69,14 +75,23 @@
             router: RefCell::new(router),
             steps: RefCell::default(),
             in_progress: Rc::default(),
+            started: Instant::now(),
+            ready: Cell::new(false),
             draining: Cell::new(false),
             refusing: Cell::new(false),
         })
     }
 
-    /// Returns whether the entry takes new work, as the balancer is told: not while draining or without a catalogue.
+    /// Returns whether the entry takes new work, as the balancer is told: not while draining, without a catalogue, or
+    /// for a short time after the start while no target has reported which of a service's weights it serves.
     pub fn is_healthy(&self) -> bool {
-        !self.draining.get() && self.router.borrow().catalogue().revision() > 0
+        let (router, now) = (self.router.borrow(), Instant::now());
+        if router.catalogue().revision() > 0
+            && (router.knows_weights(now) || now >= self.started + REPORT_WAIT)
+        {
+            self.ready.set(true);
+        }
+        self.ready.get() && !self.draining.get()
     }
 
     /// Returns whether the entry was asked to stop.
--- a/bins/load/tests/faults/support.rs
+++ b/bins/load/tests/faults/support.rs
@@ -1,7 +1,7 @@
 //! A small system, its traffic, and the checks that hold after every failure.
 
 use std::sync::{Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compio::runtime::{JoinHandle, spawn};
 use load::{
@@ -112,6 +112,24 @@
     );
 }
 
+/// Waits until the balancer would send callers to an entry.
+pub async fn wait_healthy(deployment: &Deployment, entry: usize) {
+    let client = node::http::Client::new();
+    let healthy = async || {
+        let request = node::http::Request::builder().uri("/healthz");
+        let request = request.body(node::http::Body::empty()).unwrap();
+        let deadline = Instant::now() + Duration::from_secs(1);
+        let answer = client
+            .send(deployment.entries[entry].operator, request, deadline)
+            .await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    };
+    deployment
+        .wait("a healthy entry", LIMIT, healthy)
+        .await
+        .unwrap();
+}
+
 pub async fn wait_served<'a>(
     deployment: &Deployment,
     agents: impl IntoIterator<Item = &'a Member>,
--- a/bins/load/tests/faults/weights.rs
+++ b/bins/load/tests/faults/weights.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use load::Deployment;
+use load::{Deployment, Load};
 use serde_json::json;
 use yare::parameterized;
 
@@ -63,6 +63,43 @@
     });
 }
 
+// Guards against an entry that starts while no target serves the new version yet and refuses all requests, although all
+// targets serve the old one.
+#[test]
+fn entry_starts_during_burst() {
+    with_system(small(), async |deployment| {
+        let v1 = deployment.digest("v1").await.unwrap();
+        let v2 = deployment.digest("v2").await.unwrap();
+        deployment.put_version("v2").await.unwrap();
+        sleep_ms(500).await;
+        // The burst stays in progress until the store is back.
+        switch_store(deployment, json!({ "down": true })).await;
+        let mut entry = deployment.entries.remove(0);
+        deployment.restart(&mut entry).unwrap();
+        deployment.entries.insert(0, entry);
+        wait_healthy(deployment, 0).await;
+        let load = Load {
+            entries: vec![deployment.callers()[0]],
+            ..model(deployment, 2000)
+        };
+        let tally = start(load).await.unwrap();
+        let pinned: Vec<_> = tally
+            .records
+            .iter()
+            .filter_map(|record| record.weights.as_deref())
+            .collect();
+        assert!(
+            pinned.iter().all(|weights| *weights == v1),
+            "the burst ended too early: {pinned:?}"
+        );
+        switch_store(deployment, json!({ "down": false })).await;
+        wait_served(deployment, deployment.engine_agents(), "v2").await;
+        expect_answered(&tally);
+        check(deployment, &[&v1, &v2], &[tally]);
+        check_not_mixed(deployment).await;
+    });
+}
+
 // Guards against answers from weights that no one ordered, and against a gate that stays closed afterwards.
 #[parameterized(restart = { false }, wrong_weights = { true })]
 fn engine_fails_under_load(wrong_weights: bool) {
--- a/crates/catalog/src/difference.rs
+++ b/crates/catalog/src/difference.rs
@@ -20,7 +20,8 @@
 
 /// Returns the fields in which `new` differs from `old`, in the order of their names.
 ///
-/// Without an old version, every field is new.
+/// Without an old version, every field is new. Replaced pins don't count: they follow from the earlier versions, and a
+/// file doesn't have them.
 ///
 /// ```
 /// let entry = |concurrent: u32| -> catalog::Entry {
@@ -34,7 +35,7 @@
 /// assert_eq!(changes[0].to_string(), "/limits/concurrent: 4 -> 6");
 /// ```
 pub fn difference(old: Option<&Entry>, new: &Entry) -> Vec<Change> {
-    let json = |entry: &Entry| serde_json::to_value(entry).ok();
+    let json = |entry: &Entry| serde_json::to_value(entry.as_written()).ok();
     let mut changes = Vec::new();
     walk(
         String::new(),
--- a/crates/catalog/src/entry.rs
+++ b/crates/catalog/src/entry.rs
@@ -5,6 +5,9 @@
 
 use crate::Name;
 
+/// Most replaced pins that an entry lists: targets may lag several quick changes behind.
+const MOST_REPLACED: usize = 3;
+
 /// An entry of the catalogue.
 ///
 /// ```
@@ -110,6 +113,11 @@
     pub digest: Digest,
     /// What a transfer saves first.
     pub plan: Plan,
+    /// Pins that this one replaced, newest first: targets that still serve one of them take requests during a switch.
+    ///
+    /// Operators don't write the field: a put fills it from the version that it replaces.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub replaced: Vec<Pin>,
 }
 
 /// What a transfer of weights saves first.
@@ -181,6 +189,32 @@
         }
     }
 
+    /// Returns the entry as an operator writes it, without what a put fills in.
+    #[must_use]
+    pub fn as_written(&self) -> Self {
+        let mut entry = self.clone();
+        if let Some(model) = entry.model_mut() {
+            model.replaced.clear();
+        }
+        entry
+    }
+
+    /// Returns the pins that the entry named, the current one first; none unless it is a model's service.
+    pub fn pins(&self) -> impl Iterator<Item = Pin> {
+        let service = match self {
+            Self::Service(service) => Some(service),
+            Self::Class(_) | Self::Workspace(_) => None,
+        };
+        service.into_iter().flat_map(Service::pins)
+    }
+
+    pub(crate) fn model_mut(&mut self) -> Option<&mut Model> {
+        match self {
+            Self::Service(service) => service.model.as_mut(),
+            Self::Class(_) | Self::Workspace(_) => None,
+        }
+    }
+
     /// Tells whether the entry is withdrawn.
     pub fn is_retired(&self) -> bool {
         match self {
@@ -191,11 +225,48 @@
     }
 }
 
+impl Service {
+    /// Returns the pins that the service named, the current one first.
+    pub fn pins(&self) -> impl Iterator<Item = Pin> {
+        self.model.iter().flat_map(Model::pins)
+    }
+}
+
 impl Model {
     /// Returns the pin of requests to this model.
     pub fn pin(&self) -> Pin {
         Pin::new(&self.name, &self.version, self.digest)
     }
+
+    /// Returns the current pin and those that it replaced, newest first.
+    pub fn pins(&self) -> impl Iterator<Item = Pin> {
+        std::iter::once(self.pin()).chain(self.replaced.iter().cloned())
+    }
+
+    /// Sets the replaced pins to the newest of `pins`, without the current pin and without duplicates.
+    ///
+    /// ```
+    /// use weights::{Digest, Pin};
+    ///
+    /// let text = r#"{"name":"fixtures-lm","version":"v7","plan":"origin_bytes",
+    ///     "digest":"abababababababababababababababababababababababababababababababab"}"#;
+    /// let mut model: catalog::Model = serde_json::from_str(text).unwrap();
+    /// let older = Pin::new("fixtures-lm", "v6", Digest::of(b"v6"));
+    /// model.replace([older.clone(), model.pin(), older.clone()]);
+    /// assert_eq!(model.replaced, [older]);
+    /// ```
+    pub fn replace(&mut self, pins: impl IntoIterator<Item = Pin>) {
+        let current = self.pin();
+        self.replaced.clear();
+        for pin in pins {
+            if self.replaced.len() == MOST_REPLACED {
+                break;
+            }
+            if pin != current && !self.replaced.contains(&pin) {
+                self.replaced.push(pin);
+            }
+        }
+    }
 }
 
 fn one() -> u32 {
--- a/crates/catalog/src/schema.rs
+++ b/crates/catalog/src/schema.rs
@@ -9,6 +9,7 @@
 const WORKSPACE: [&str; 1] = ["services"];
 
 const NAME: &str = "1 to 64 lower-case letters, digits and hyphens, first a letter";
+const REPLACED: &str = "no field `replaced` in a file: `put` fills it from the stored entry";
 const SHARE: &str = "a number from 0 to 1";
 
 /// Longest deadline; the system holds a request's state for as long.
@@ -283,7 +284,10 @@
         for (index, (name, tree)) in members.iter().enumerate() {
             // RFC 6901 escapes of a JSON pointer.
             let pointer = format!("{at}/{}", name.replace('~', "~0").replace('/', "~1"));
-            if !names.contains(&name.as_str()) {
+            if (at, name.as_str()) == ("/model", "replaced") {
+                self.findings
+                    .push(self.source.finding(tree, &pointer, REPLACED));
+            } else if !names.contains(&name.as_str()) {
                 let allowed = format!("the fields {}", names.join(", "));
                 self.findings
                     .push(self.source.finding(tree, &pointer, &allowed));
--- a/crates/catalog/src/stored.rs
+++ b/crates/catalog/src/stored.rs
@@ -43,7 +43,11 @@
 
 impl Stored {
     /// Returns the first version of an entry.
-    pub fn new(entry: Entry, author: &str, time_ms: u64, write: &str) -> Self {
+    pub fn new(mut entry: Entry, author: &str, time_ms: u64, write: &str) -> Self {
+        // Replaced pins follow from earlier versions alone.
+        if let Some(model) = entry.model_mut() {
+            model.replaced.clear();
+        }
         Self {
             entry,
             author: author.into(),
@@ -53,9 +57,16 @@
         }
     }
 
-    /// Returns this version with `older`, which it replaces, and the history of that.
+    /// Returns this version with `older`, which it replaces, the history of that and the replaced pins.
+    ///
+    /// The pins come from `older` and its replaced pins first. The history adds those that `older` lacks when a version
+    /// of the tool without replaced pins wrote it.
     #[must_use]
     pub fn after(mut self, revision: Revision, older: Self) -> Self {
+        if let Some(model) = self.entry.model_mut() {
+            let past = older.history.iter().flat_map(|past| past.entry.pins());
+            model.replace(older.entry.pins().chain(past));
+        }
         self.history = vec![Past {
             revision,
             entry: older.entry,
--- a/crates/catalog/tests/check.rs
+++ b/crates/catalog/tests/check.rs
@@ -68,6 +68,8 @@
     two_entries = { r#""name":"assistant""#, r#""name":"greens-desk""#,
         "model:1:26: /name: read \"greens-desk\", allowed: one entry for service/greens-desk, which greens has" },
     digest = { "abababab\"", "ABababab\"", "model:3:11: /model/digest: read \"abab" },
+    replaced = { r#""plan":"origin_bytes""#, r#""plan":"origin_bytes","replaced":[]"#,
+        "model:3:111: /model/replaced: read [], allowed: no field `replaced` in a file: `put` fills it from" },
     no_model = { r#""backend":"plain""#, r#""backend":"model""#, "greens:1:1: /model: read nothing, allowed: an object" },
     model_at_plain = { r#""backend":"model""#, r#""backend":"plain""#, "model:2:66: /model: read {\"name\"" },
     not_json = { r#""rank":0"#, r#""rank":"#, "urgent:1:83: read text that is not JSON" },
--- a/crates/gate/src/controller.rs
+++ b/crates/gate/src/controller.rs
@@ -67,7 +67,7 @@
     gate: Gate,
     calls: Calls,
     wanted: Option<Pin>,
-    /// Pins that the catalogue named before, newest first.
+    /// Pins that the catalogue named before, newest first: those seen here and those that its entry lists.
     earlier: Vec<Pin>,
     orders: Orders,
     seen: Option<Seen>,
@@ -197,6 +197,7 @@
         match event {
             Event::Tick => {}
             Event::Wanted(wanted) => self.want(wanted),
+            Event::Replaced(pins) => self.remember(pins),
             Event::Number(number) => self.take_number(number),
             Event::Staged(digest, incarnation) => self.take_staged(digest, incarnation),
             Event::Turn(turn) => self.turn = turn,
@@ -225,14 +226,20 @@
             return;
         }
         if let Some(pin) = mem::replace(&mut self.wanted, wanted) {
-            self.earlier.retain(|earlier| *earlier != pin);
-            self.earlier.insert(0, pin);
-            self.earlier.truncate(EARLIER_PINS);
+            self.remember(vec![pin]);
         }
         // The turn was computed for the earlier weights.
         self.turn = false;
     }
 
+    /// Puts `pins` before the earlier pins known so far.
+    fn remember(&mut self, mut pins: Vec<Pin>) {
+        self.earlier.retain(|earlier| !pins.contains(earlier));
+        pins.append(&mut self.earlier);
+        pins.truncate(EARLIER_PINS);
+        self.earlier = pins;
+    }
+
     fn take_number(&mut self, number: u64) {
         if self.orders == Orders::Unnumbered {
             self.orders = Orders::Numbered(number);
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -42,6 +42,8 @@
     Tick,
     /// The catalogue names the weights to serve; `None` once the service is retired.
     Wanted(Option<Pin>),
+    /// The catalogue's entry lists the pins that the wanted one replaced, newest first.
+    Replaced(Vec<Pin>),
     /// The platform gave the fencing number of this agent.
     Number(u64),
     /// All chunks of the weights are in the engine of this incarnation.
--- a/crates/gate/tests/gate.rs
+++ b/crates/gate/tests/gate.rs
@@ -187,6 +187,7 @@
             3 => self.run_order(value > 2),
             4 => drop(self.admit(value % 3)),
             5 => self.answer_call(),
+            6 if value % 4 == 3 => self.send(Event::Replaced(vec![pin(value % 3)])),
             6 => self.send(Event::Wanted(Some(pin(value % 3)))),
             7 => self.send(Event::Turn(value > 2)),
             8 if value < 3 => {
@@ -383,3 +384,28 @@
     world.send(Event::Wanted(Some(pin(0))));
     assert_eq!(world.admit(0), Ok(()));
 }
+
+/// Guards against an agent that starts during a switch and keeps its engine out of service until the new weights are
+/// staged, although requests may still be answered from the replaced ones; without a number it must stay closed.
+#[test]
+fn start_during_switch() {
+    for numbered in [true, false] {
+        let mut world = World::new();
+        if numbered {
+            world.send(Event::Number(5));
+        }
+        world.send(Event::Replaced(vec![pin(2), pin(0)]));
+        world.send(Event::Wanted(Some(pin(1))));
+        world.answer_poll(true);
+        assert_eq!(world.admit(0).is_ok(), numbered);
+        assert_eq!(
+            world.admit(2),
+            Err(if numbered {
+                Refusal::Version
+            } else {
+                Refusal::Closed
+            })
+        );
+        assert!(world.orders.is_empty());
+    }
+}
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -8,8 +8,6 @@
 
 use crate::outcome::{Reason, Refusal};
 
-/// Most replaced pins of a service that are remembered: targets may lag several quick changes behind.
-const MOST_REPLACED: usize = 3;
 /// Time after which a request may be sent again when a part of the catalogue is missing.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -53,7 +51,6 @@
     classes: HashMap<Name, (Revision, Class)>,
     services: HashMap<Name, (Revision, Service)>,
     workspaces: HashMap<Name, (Revision, Workspace)>,
-    replaced: HashMap<Name, Vec<Pin>>,
 }
 
 impl Catalogue {
@@ -76,19 +73,19 @@
     pub fn apply(&mut self, entry: Entry, revision: Revision) -> bool {
         let stored = match entry {
             Entry::Class(class) => replace(&mut self.classes, class.name.clone(), class, revision),
-            Entry::Service(service) => {
+            Entry::Service(mut service) => {
                 let name = service.name.clone();
-                let old = self.service(&name).and_then(|held| held.model.clone());
-                let stored = replace(&mut self.services, name.clone(), service, revision);
-                let new = self.service(&name).and_then(|held| held.model.clone());
-                if let Some(old) = old
-                    && new.as_ref().is_some_and(|new| new.pin() != old.pin())
-                {
-                    let replaced = self.replaced.entry(name).or_default();
-                    replaced.insert(0, old.pin());
-                    replaced.truncate(MOST_REPLACED);
+                // Entries written by a tool without replaced pins lack those that were held here before.
+                let held: Vec<Pin> = self
+                    .service(&name)
+                    .into_iter()
+                    .flat_map(Service::pins)
+                    .collect();
+                if let Some(model) = &mut service.model {
+                    let listed = std::mem::take(&mut model.replaced);
+                    model.replace(listed.into_iter().chain(held));
                 }
-                stored
+                replace(&mut self.services, name, service, revision)
             }
             Entry::Workspace(workspace) => replace(
                 &mut self.workspaces,
@@ -119,16 +116,6 @@
             return Err(Refusal::permanent(Reason::Workspace));
         }
         let class = self.class(&caller.class, &called.class)?;
-        let mut pins: Vec<Pin> = called.model.iter().map(catalog::Model::pin).collect();
-        if !pins.is_empty() {
-            let replaced = self.replaced.get(service).into_iter().flatten();
-            pins.extend(
-                replaced
-                    .filter(|pin| **pin != pins[0])
-                    .cloned()
-                    .collect::<Vec<_>>(),
-            );
-        }
         Ok(Admission {
             revision: self.revision,
             workspace: caller.name.clone(),
@@ -139,7 +126,7 @@
             repeatable: called.repeatable,
             deadline: Duration::from_millis(called.deadline_ms),
             within: Duration::from_millis(class.objective.within_ms),
-            pins,
+            pins: called.pins().collect(),
             workspace_limits: caller.limits,
             class_limits: class.limits,
             service_limits: called.limits,
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -14,6 +14,7 @@
 use crate::outcome::{Reason, Refusal, Unknown};
 use crate::pool::Pool;
 use crate::request::{Answering, Core, Done, InFlight, Request, RequestId, Waiting};
+use crate::target::State;
 
 /// Admits, queues and places requests.
 #[derive(Debug)]
@@ -120,6 +121,21 @@
         self.lanes.keys()
     }
 
+    /// Tells whether each service with replaced weights has an open target that reported which of them it serves.
+    ///
+    /// Requests to a target without a report carry the catalogue's pin, which the target refuses until it has switched.
+    pub fn knows_weights(&self, now: Instant) -> bool {
+        self.lanes.iter().all(|(name, lane)| {
+            let service = self
+                .catalogue
+                .service(name)
+                .filter(|service| !service.retired);
+            let replaced = service.is_some_and(|service| service.pins().nth(1).is_some());
+            let mut targets = lane.pool.iter();
+            !replaced || targets.any(|(_, target)| target.state(now) == State::Open)
+        })
+    }
+
     /// Returns the time at which [`Router::poll`] must be called if no event calls for it before.
     pub fn next_poll(&self) -> Option<Instant> {
         self.lanes.values().filter_map(Lane::next_expiry).min()
--- a/crates/route/tests/route/targets.rs
+++ b/crates/route/tests/route/targets.rs
@@ -184,12 +184,42 @@
     let mut world = World::new("{}");
     let (old, new) = (weights::Digest::of(b"old"), weights::Digest::of(b"new"));
     for digest in [old, new] {
-        world.apply(&format!(
-            r#"{{"kind":"service","name":"desk","owner":"ops","class":"urgent","backend":"model",
-            "repeatable":true,"deadline_ms":5000,"limits":{{"per_target":5}},
-            "model":{{"name":"m","version":"v","digest":"{digest}","plan":"direct"}}}}"#
-        ));
+        world.apply(&model(digest, "[]"));
     }
+    expect_sent(world, switched, expected);
+}
+
+/// Guards against an entry that starts during a switch and refuses requests that the old weights could answer.
+#[parameterized(
+    none_switched = { 0, &["old"] },
+    half_switched = { 2, &["old", "new"] },
+    most_switched = { 3, &["new"] },
+)]
+fn target_pin_started_during_switch(switched: usize, expected: &[&str]) {
+    let mut world = World::new("{}");
+    let (old, new) = (weights::Digest::of(b"old"), weights::Digest::of(b"new"));
+    let replaced = format!(r#"[{{"model":"m","version":"v","digest":"{old}"}}]"#);
+    world.apply(&model(new, &replaced));
+    assert!(!world.router.knows_weights(world.now));
+    world.member("t0", "desk", "levis", Phase::Live);
+    assert!(
+        !world.router.knows_weights(world.now),
+        "a target without a report"
+    );
+    expect_sent(world, switched, expected);
+}
+
+fn model(digest: weights::Digest, replaced: &str) -> String {
+    format!(
+        r#"{{"kind":"service","name":"desk","owner":"ops","class":"urgent","backend":"model",
+        "repeatable":true,"deadline_ms":5000,"limits":{{"per_target":5}},
+        "model":{{"name":"m","version":"v","digest":"{digest}","plan":"direct","replaced":{replaced}}}}}"#
+    )
+}
+
+/// Expects requests under `expected` pins when the first `switched` of four open targets serve the new weights.
+fn expect_sent(mut world: World, switched: usize, expected: &[&str]) {
+    let (old, new) = (weights::Digest::of(b"old"), weights::Digest::of(b"new"));
     for index in 0..5 {
         let name = format!("t{index}");
         world.member(&name, "desk", "levis", Phase::Live);
@@ -201,6 +231,7 @@
         let gate = if index == 4 { Gate::Closed } else { Gate::Open };
         world.report_weights(&name, gate, 0, 0, Some(weights.short()));
     }
+    assert!(world.router.knows_weights(world.now));
     for _ in 0..20 {
         world.submit("urgent-a").unwrap();
     }
