route: start a target's limit at the catalogue's value; load: reserve an experiment's addresses

Cause: in the first run of `carobport-load requests streams` with 100 streams, 17 ran at a time and the others waited 8 to 10 s for their first token, with an idle target and a limit of 1,024. The target's member record came before the service's catalogue entry, so its limit started at 16 and kept to that; it rises by one for each full window of answers, which takes minutes with long streams. A second run mixed in another experiment on the same machine: addresses follow from the process id modulo 200, and a process that could not bind its ports was replaced by the other one's. Change: until the first cut a limit follows the catalogue's value, and without one rises with each answer in time. An experiment holds a listener on its address block and takes the next block when that is taken.

--- a/bins/load/src/address.rs
+++ b/bins/load/src/address.rs
@@ -1,6 +1,7 @@
 //! Loopback addresses that stand for the VMs of an experiment.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 
 /// Port for callers of an entry VM, for calls of a target VM, and of the stand-ins.
 pub const CALL_PORT: u16 = 7001;
@@ -15,26 +16,49 @@
 /// Control port of the engine or plain service beside an agent.
 pub const BACKEND_CONTROL_PORT: u16 = 7006;
 
+/// Numbers of experiments, from 16 on.
+const EXPERIMENTS: u32 = 200;
+/// Port whose binding reserves the addresses of an experiment.
+const RESERVATION_PORT: u16 = 7000;
+
 /// Addresses of one experiment: each VM has a loopback address of its own, all use the same ports.
 ///
-/// The ports lie below the range that the system gives to outgoing connections.
-#[derive(Clone, Copy, Debug)]
+/// The ports lie below the range that the system gives to outgoing connections. The addresses are free again when the
+/// network is dropped.
+#[derive(Debug)]
 pub struct Network {
     experiment: u8,
+    _reservation: TcpListener,
 }
 
 impl Network {
-    /// Returns the network of the experiment that this process runs.
+    /// Reserves addresses that no other experiment on this machine uses, the first from `process_id` on.
+    ///
+    /// Two experiments with the same addresses would each take the other's processes for their own.
+    ///
+    /// # Errors
     ///
-    /// Two experiments at the same time get different addresses unless their process ids are equal modulo 200.
-    pub fn new(process_id: u32) -> Self {
-        Self {
-            experiment: 16 + (process_id % 200) as u8,
+    /// Returns the last error when all numbers are taken.
+    pub fn reserve(process_id: u32) -> io::Result<Self> {
+        let mut last = io::Error::from(io::ErrorKind::AddrInUse);
+        for offset in 0..EXPERIMENTS {
+            let number = (process_id % EXPERIMENTS + offset) % EXPERIMENTS;
+            let experiment = 16 + number as u8;
+            match TcpListener::bind((Ipv4Addr::new(127, experiment, 0, 254), RESERVATION_PORT)) {
+                Ok(reservation) => {
+                    return Ok(Self {
+                        experiment,
+                        _reservation: reservation,
+                    });
+                }
+                Err(error) => last = error,
+            }
         }
+        Err(last)
     }
 
     /// Returns the address of `port` on VM `index` of group `group`.
-    pub fn address(self, group: u8, index: u8, port: u16) -> SocketAddr {
+    pub fn address(&self, group: u8, index: u8, port: u16) -> SocketAddr {
         let ip = Ipv4Addr::new(127, self.experiment, group, index);
         SocketAddr::new(IpAddr::V4(ip), port)
     }
--- a/bins/load/src/deployment.rs
+++ b/bins/load/src/deployment.rs
@@ -115,7 +115,11 @@
         let id = std::process::id();
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let name = format!("carobport-load-{id}-{number}");
-        Self::start_in(plan, Network::new(id), &name).await
+        let network = Network::reserve(id).map_err(|source| Error::Io {
+            what: "reserving loopback addresses".into(),
+            source,
+        })?;
+        Self::start_in(plan, network, &name).await
     }
 
     async fn start_in(plan: Plan, network: Network, name: &str) -> Result<Self, Error> {
@@ -123,7 +127,7 @@
         let binaries = binaries()?;
         let launcher = Launcher {
             plan: &plan,
-            network,
+            network: &network,
             folder: &folder.0,
             binaries: &binaries,
         };
@@ -309,7 +313,7 @@
 /// Writes settings files and starts processes.
 struct Launcher<'a> {
     plan: &'a Plan,
-    network: Network,
+    network: &'a Network,
     folder: &'a Path,
     binaries: &'a Path,
 }
--- a/bins/load/src/requests.rs
+++ b/bins/load/src/requests.rs
@@ -16,9 +16,11 @@
 use crate::{BACKEND_PORT, Load, Percentiles, Plan, Usage, burst};
 
 /// Time over which a cost is measured.
-const WINDOW: Duration = Duration::from_secs(8);
+const WINDOW: Duration = Duration::from_secs(5);
 /// Time over which the streams of a point begin; the window starts after it.
 const RAMP: Duration = Duration::from_secs(2);
+/// Time by which each stream outlasts the window; all end before the service's deadline of 10 s.
+const REST: Duration = Duration::from_millis(500);
 /// Time between two tokens of the engine: the target's 95th percentile, so that any delay added shows.
 const TOKEN: Duration = Duration::from_millis(45);
 /// Streams that go to the engine itself, for comparison.
@@ -233,7 +235,7 @@
 /// Reads a streamed answer that lasts from `begin` over the whole window.
 async fn follow(address: SocketAddr, path: String, begin: Instant) -> Stream {
     compio::time::sleep_until(begin).await;
-    let tokens = (RAMP + WINDOW + RAMP).as_millis() / TOKEN.as_millis();
+    let tokens = (RAMP + WINDOW + REST).as_millis() / TOKEN.as_millis();
     let message = json!({"role": "user", "content": "word"});
     let body = json!({"messages": [message], "stream": true, "max_tokens": tokens as u64});
     let request = Request::builder()
--- a/crates/route/src/concurrency.rs
+++ b/crates/route/src/concurrency.rs
@@ -10,6 +10,9 @@
 const INITIAL: u32 = 16;
 
 /// A limit between 1 and a ceiling: additive increase, multiplicative decrease.
+///
+/// Until the first cut nothing speaks against the ceiling: the limit starts there, or where the catalogue gives none, at
+/// [`INITIAL`] and rises with each answer.
 #[derive(Clone, Copy, Debug)]
 pub struct Concurrency {
     limit: f64,
@@ -22,8 +25,8 @@
     /// Returns the limit of a target whose service allows `per_target` requests.
     pub fn new(per_target: Option<u32>) -> Self {
         Self {
-            limit: f64::from(per_target.unwrap_or(INITIAL).max(1)),
-            ceiling: f64::from(per_target.unwrap_or(UNLIMITED).max(1)),
+            limit: initial(per_target),
+            ceiling: ceiling(per_target),
             in_time: 0,
             cut: None,
         }
@@ -35,18 +38,23 @@
     }
 
     /// Sets the ceiling that the catalogue gives.
+    ///
+    /// A target is often known before the catalogue entry of its service.
     pub fn set_ceiling(&mut self, per_target: Option<u32>) {
-        let ceiling = f64::from(per_target.unwrap_or(UNLIMITED).max(1));
+        let ceiling = ceiling(per_target);
         if ceiling != self.ceiling {
             self.ceiling = ceiling;
-            self.limit = self.limit.min(ceiling);
+            self.limit = match self.cut {
+                None => initial(per_target),
+                Some(_) => self.limit.min(ceiling),
+            };
         }
     }
 
-    /// Counts an answer that started in time; a full window of them raises the limit by one.
+    /// Counts an answer that started in time; a full window of them raises the limit by one, before the first cut each.
     pub fn in_time(&mut self) {
         self.in_time += 1;
-        if self.in_time >= self.limit() {
+        if self.cut.is_none() || self.in_time >= self.limit() {
             self.in_time = 0;
             self.limit = (self.limit + 1.0).min(self.ceiling);
         }
@@ -64,3 +72,11 @@
         self.limit = (self.limit * DECREASE).max(1.0);
     }
 }
+
+fn initial(per_target: Option<u32>) -> f64 {
+    f64::from(per_target.unwrap_or(INITIAL).max(1))
+}
+
+fn ceiling(per_target: Option<u32>) -> f64 {
+    f64::from(per_target.unwrap_or(UNLIMITED).max(1))
+}
--- a/crates/route/tests/route/targets.rs
+++ b/crates/route/tests/route/targets.rs
@@ -173,6 +173,38 @@
     assert_eq!(limit.limit(), 10);
 }
 
+/// Guards against a limit that stays at its first value because the target was known before its service's entry.
+#[test]
+fn concurrency_follows_catalogue() {
+    let now = std::time::Instant::now();
+    let mut limit = Concurrency::new(None);
+    limit.set_ceiling(Some(300));
+    assert_eq!(limit.limit(), 300);
+    limit.set_ceiling(Some(100));
+    assert_eq!(limit.limit(), 100);
+    limit.overloaded(now + ms(10), now);
+    limit.set_ceiling(Some(300));
+    assert_eq!(
+        limit.limit(),
+        70,
+        "what was learnt from an overload is kept"
+    );
+}
+
+/// Guards against requests that wait for seconds before an idle target because the limit rises by one a window.
+#[test]
+fn concurrency_rises_fast_until_overloaded() {
+    let now = std::time::Instant::now();
+    let mut limit = Concurrency::new(None);
+    let first = limit.limit();
+    (0..first).for_each(|_| limit.in_time());
+    assert_eq!(limit.limit(), 2 * first);
+    limit.overloaded(now + ms(10), now);
+    let cut = limit.limit();
+    (0..cut).for_each(|_| limit.in_time());
+    assert_eq!(limit.limit(), cut + 1);
+}
+
 /// Guards against a model request that is sent to other weights, and against a service that stops while its targets
 /// switch: the replaced pin is accepted until three quarters have switched.
 #[parameterized(
