Drop the records of members that have been down for 10 minutes

Cause: records of replaced VMs were never dropped.

Change: an entry drops the record of a member that it has known as Down for 10 minutes, together with the target in the shared state and in routing. A store takes no record that says Down of a member it doesn't know. Records of members that are down count for no hash, neither of stores nor of views: entries that drop them at different times have equal hashes and send nothing again. They travel by push, and in an exchange only as the answer to an older record of the same member (Store::corrections, returned by a push as well).

Entries whose records were dropped are remembered by address, at most 256; every 64th exchange goes to one that is down, remembered, or named as a seed, so that two sides find each other after a partition that outlasts the records. Agents keep the records of members that are down for 20 minutes, longer than keyed calls are remembered. A full copy of the view names the span of keys that it covers, so that an agent that was cut off drops members that the entry no longer holds; an entry names spans only from 60 s after its start, when it knows the members. An agent sends its own record again to an entry that says that it doesn't hold it; before, only a broken connection made it do so.

Conclusion: memory for members follows the live members and 10 minutes of replacements (about 7 records).

--- a/bins/agent/src/report.rs
+++ b/bins/agent/src/report.rs
@@ -7,7 +7,7 @@
 
 use futures::future::join_all;
 use gate::Event;
-use gossip::{Key, Member, Phase, Record, Scope, Store, Target, Value, report_entries};
+use gossip::{Expiry, Key, Member, Phase, Record, Scope, Store, Target, Value, report_entries};
 use weights::Digest;
 use wire::{Client, Reply, Report, connect};
 
@@ -22,6 +22,12 @@
 /// Time for which an entry that didn't answer is passed over for the next in order.
 const AVOID: Duration = Duration::from_secs(5);
 
+/// Time for which the record of a member that is down is kept.
+///
+/// It is longer than the 15 minutes for which keyed calls are remembered: until then an agent must know of an earlier
+/// owner of a claim slot that it is gone and can't be asked.
+const DOWN_KEPT: Duration = Duration::from_secs(1_200);
+
 /// What is known of the entries that get the reports.
 struct Reporter {
     shared: Rc<Shared>,
@@ -31,6 +37,7 @@
     /// Entries that hold the newest own record.
     known: HashSet<SocketAddr>,
     failed: HashMap<SocketAddr, Instant>,
+    expiry: Expiry,
 }
 
 /// Sends reports; never returns.
@@ -52,14 +59,16 @@
             clients: HashMap::new(),
             known: HashSet::new(),
             failed: HashMap::new(),
+            expiry: Expiry::new(DOWN_KEPT),
         }
     }
 
     /// Sends one report to each chosen entry and takes the replies.
     async fn report(&mut self) {
+        let now = Instant::now();
         self.update_member();
+        self.expire(now);
         self.sequence += 1;
-        let now = Instant::now();
         self.failed
             .retain(|_, since| now.saturating_duration_since(*since) < AVOID);
         let addresses = self.addresses();
@@ -106,12 +115,22 @@
         shared.view.borrow_mut().merge(record);
     }
 
+    /// Drops the records of members that have been down for 20 minutes; nothing reads them by then.
+    fn expire(&mut self, now: Instant) {
+        let mut view = self.shared.view.borrow_mut();
+        for key in self.expiry.due(&view, now) {
+            view.remove(&key);
+        }
+    }
+
     /// Takes the records of a reply; the own one may have to rise above what others say.
     fn take(&mut self, address: SocketAddr, reply: Reply) {
-        if reply.known {
-            self.known.insert(address);
-        }
-        let mut changed = false;
+        match reply.known {
+            true => self.known.insert(address),
+            // An entry that has dropped the own record gets it again.
+            false => self.known.remove(&address),
+        };
+        let mut changed = self.drop_missing(&reply);
         for record in reply.records {
             if is_told_to_leave(&self.member, &record) && !self.shared.is_leaving() {
                 self.shared.handle(Event::Leave);
@@ -127,6 +146,22 @@
         }
     }
 
+    /// Drops the members that an entry doesn't hold, and returns whether there were any.
+    ///
+    /// An agent that was cut off or paused holds members that all entries have dropped meanwhile.
+    fn drop_missing(&self, reply: &Reply) -> bool {
+        let Some(span) = &reply.span else {
+            return false;
+        };
+        let mut view = self.shared.view.borrow_mut();
+        let mut missing = span.missing(&view, &reply.records);
+        missing.retain(|key| *key != self.member.record().key);
+        for key in &missing {
+            view.remove(key);
+        }
+        !missing.is_empty()
+    }
+
     /// Returns the peer ports to report to: those of the chosen entries, or the seeds while none is known to answer.
     fn addresses(&self) -> Vec<SocketAddr> {
         let settings = &self.shared.settings;
--- a/bins/agent/tests/process/main.rs
+++ b/bins/agent/tests/process/main.rs
@@ -225,6 +225,24 @@
     });
 }
 
+/// Guards against a live target that stays unknown to an entry which dropped its record, as after a long pause.
+#[test]
+fn dropped_member_reported_again() {
+    with_world("plain", json!({}), |world| async move {
+        world.publish(1, true, None);
+        let _agent = Process::agent(&world.settings);
+        let without = |report: &wire::Report| report.member.is_none();
+        until("a report without the member", async || {
+            world.reported(without)
+        })
+        .await;
+        let before = world.last_sequence();
+        world.drop_members();
+        let again = |report: &wire::Report| report.sequence > before && report.member.is_some();
+        until("the member again", async || world.reported(again)).await;
+    });
+}
+
 /// Guards against a plain service that waits for weights.
 #[test]
 fn plain_forwarded() {
--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -116,6 +116,7 @@
                         router.apply(entry, revision);
                     }
                     Change::Target { name, member } => router.put_target(&name, &member),
+                    Change::TargetRemoved(name) => router.remove_target(&name),
                     Change::Report { at, report } => router.report(at, &report),
                     Change::Entries(count) => router.set_entries(count),
                 }
--- a/bins/entry/src/peer.rs
+++ b/bins/entry/src/peer.rs
@@ -47,7 +47,6 @@
 /// The entry's part in gossip.
 pub struct Peering {
     shared: Shared,
-    seeds: Vec<SocketAddr>,
     state: RefCell<State>,
     platform: platform::Client,
 }
@@ -59,16 +58,10 @@
 impl Peering {
     /// Returns the part of an entry that other entries reach at `peer`.
     pub fn new(settings: &Settings, shared: Shared, peer: SocketAddr) -> Rc<Self> {
-        let state = State::new(settings, peer);
+        let state = State::new(settings, peer, Instant::now());
         shared.set_live_entries(1);
         Rc::new(Self {
             shared,
-            seeds: settings
-                .seeds
-                .iter()
-                .copied()
-                .filter(|seed| *seed != peer)
-                .collect(),
             state: RefCell::new(state),
             platform: platform::Client::new(settings.platform, TIMEOUT),
         })
@@ -120,7 +113,7 @@
 
     async fn push_to(self: Rc<Self>, name: String, peer: SocketAddr, records: Vec<Record>) {
         let result = match wire::connect(peer, TIMEOUT).await {
-            Ok(client) => client.push(records).await,
+            Ok(client) => client.push(records).await.map(|newer| self.merge(newer)),
             Err(error) => Err(error),
         };
         self.heard(&name, result.err());
@@ -128,22 +121,11 @@
 
     /// Compares stores with one peer a second.
     async fn exchange(self: Rc<Self>) {
-        let mut turn = 0;
         loop {
             let chosen = self.state.borrow_mut().exchange_peer();
-            match chosen {
-                Some((name, peer)) => {
-                    let result = self.exchange_with(peer).await;
-                    self.heard(&name, result.err());
-                }
-                // Before any entry is known the seeds are asked in turn.
-                None if !self.seeds.is_empty() => {
-                    let _ = self
-                        .exchange_with(self.seeds[turn % self.seeds.len()])
-                        .await;
-                    turn += 1;
-                }
-                None => {}
+            if let Some((name, peer)) = chosen {
+                let result = self.exchange_with(peer).await;
+                self.heard(&name, result.err());
             }
             compio::time::sleep(EXCHANGE_INTERVAL).await;
         }
@@ -181,17 +163,19 @@
                 return Ok(());
             }
             if !wanted.is_empty() {
-                client.push(wanted).await?;
+                self.merge(client.push(wanted).await?);
             }
         }
         Ok(())
     }
 
-    /// Declares members down that have been silent for 5 s.
+    /// Declares members down that have been silent for 5 s, and drops those that have been down for long.
     async fn detect(self: Rc<Self>) {
         loop {
             compio::time::sleep(DETECT_INTERVAL).await;
-            self.state.borrow_mut().detect(Instant::now(), &self.shared);
+            let (mut state, now) = (self.state.borrow_mut(), Instant::now());
+            state.detect(now, &self.shared);
+            state.expire(now, &self.shared);
         }
     }
 
@@ -213,8 +197,10 @@
         state.report(report, Instant::now(), &self.0.shared)
     }
 
-    async fn push(self, _: Context, records: Vec<Record>) {
+    async fn push(self, _: Context, records: Vec<Record>) -> Vec<Record> {
+        let newer = self.0.state.borrow().store().corrections(&records);
         self.0.merge(records);
+        newer
     }
 
     async fn exchange(self, _: Context, digest: Digest) -> Delta {
--- a/bins/entry/src/peer/state.rs
+++ b/bins/entry/src/peer/state.rs
@@ -2,11 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use catalog::Entry;
 use gossip::{
-    Detector, Key, Member, Node, Peers, Phase, Random, Record, Scope, Store, Value, Views,
+    Detector, Expiry, Key, Member, Node, Peers, Phase, Random, Record, Scope, Store, Value, Views,
     report_entries, reporters, watchers,
 };
 use node::event;
@@ -16,6 +16,17 @@
 use crate::Settings;
 use crate::shared::Shared;
 
+/// Time for which the record of a member that is down is kept.
+///
+/// A member that was only paused or cut off for less than this finds the statement that it must refute. At 918 replaced
+/// VMs a day about 7 such records are held.
+const DOWN_KEPT: Duration = Duration::from_secs(600);
+
+/// Time after the start from which targets may drop the members that this entry lacks.
+///
+/// By then it has compared its records with several others; before, it may know few of the members.
+const SETTLED: Duration = Duration::from_secs(60);
+
 /// What the tasks of the peer port share.
 pub(crate) struct State {
     name: String,
@@ -33,14 +44,16 @@
     outbox: BTreeSet<Key>,
     /// State of the store for which the expected reports were worked out.
     expected_at: u64,
+    expiry: Expiry,
+    started: Instant,
 }
 
 impl State {
-    pub(crate) fn new(settings: &Settings, peer: SocketAddr) -> Self {
-        let now = SystemTime::now()
+    pub(crate) fn new(settings: &Settings, peer: SocketAddr, started: Instant) -> Self {
+        let clock = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
-        let started_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        let started_ms = u64::try_from(clock.as_millis()).unwrap_or(u64::MAX);
         let node = Node {
             domain: settings.domain.clone(),
             region: settings.region.clone(),
@@ -55,6 +68,9 @@
         let random = Random::new(uuid::Uuid::now_v7().as_u64_pair().1);
         let mut store = Store::new();
         store.merge(member.record().clone());
+        let mut peers = Peers::new(&settings.name, &settings.domain, random);
+        let seeds = settings.seeds.iter().copied();
+        peers.set_seeds(seeds.filter(|seed| *seed != peer).collect());
         Self {
             name: settings.name.clone(),
             domain: settings.domain.clone(),
@@ -62,11 +78,13 @@
             member,
             store,
             views: Views::default(),
-            peers: Peers::new(&settings.name, &settings.domain, random),
+            peers,
             targets: Detector::default(),
             entries: Detector::default(),
             models: BTreeMap::new(),
             expected_at: 0,
+            expiry: Expiry::new(DOWN_KEPT),
+            started,
         }
     }
 
@@ -127,7 +145,8 @@
             return Reply::default();
         };
         let scope = Scope::new(&target.domain, &target.service, &self.models);
-        let (hash, mut records) = self.views.reply(&self.store, &name, &scope, view);
+        let update = self.views.reply(&self.store, &name, &scope, view);
+        let mut records = update.records;
         let known = record.version.major == incarnation && !record.version.down;
         // What others say of the target must reach it whatever its view: it answers with a higher version.
         if !known && !records.contains(&record) {
@@ -135,8 +154,11 @@
         }
         Reply {
             known,
-            view: hash,
+            view: (update.hash != view).then_some(update.hash),
             records,
+            span: update
+                .span
+                .filter(|_| now.saturating_duration_since(self.started) >= SETTLED),
         }
     }
 
@@ -163,8 +185,7 @@
 
     /// Returns the entry to compare stores with.
     pub(crate) fn exchange_peer(&mut self) -> Option<(String, SocketAddr)> {
-        let chosen = self.peers.exchange(&self.store);
-        chosen.map(|(name, node)| (name, node.peer))
+        self.peers.exchange(&self.store)
     }
 
     /// Returns up to `count` entries that didn't answer lately.
@@ -210,6 +231,23 @@
         }
     }
 
+    /// Drops the records of members that have been down for 10 minutes.
+    pub(crate) fn expire(&mut self, now: Instant, shared: &Shared) {
+        for key in self.expiry.due(&self.store, now) {
+            let Some(record) = self.store.get(&key) else {
+                continue;
+            };
+            self.store.remove(&key);
+            self.outbox.remove(&key);
+            match (&key, &record.value) {
+                (Key::Entry(name), Value::Entry(node)) => self.peers.lose(name, node),
+                (Key::Target(name), _) => shared.remove_target(name),
+                _ => {}
+            }
+            node::event!(event::MEMBER_DROPPED, member = format_args!("{key:?}"));
+        }
+    }
+
     /// States that the VM list names a member as leaving.
     pub(crate) fn declare_leaving(&mut self, name: &str, shared: &Shared) {
         for key in [Key::Target(name.into()), Key::Entry(name.into())] {
--- a/bins/entry/src/shared.rs
+++ b/bins/entry/src/shared.rs
@@ -33,6 +33,8 @@
         /// The record's content.
         member: gossip::Target,
     },
+    /// A target's member record was dropped.
+    TargetRemoved(String),
     /// A target reported its load.
     Report {
         /// Time at which the report arrived.
@@ -116,6 +118,14 @@
         });
     }
 
+    /// Removes a target whose member record was dropped.
+    pub fn remove_target(&self, name: &str) {
+        let mut state = self.0.borrow_mut();
+        if state.targets.remove(name).is_some() {
+            state.record(Change::TargetRemoved(name.into()));
+        }
+    }
+
     /// Stores a report unless a later one of the target is held.
     ///
     /// Returns whether the report was stored.
--- a/bins/load/src/slopes.rs
+++ b/bins/load/src/slopes.rs
@@ -251,7 +251,7 @@
         member: (sequence == 1).then_some(record),
     };
     let sent = client.report(report).await;
-    sent.map(|reply| reply.view)
+    sent.map(|reply| reply.view.unwrap_or(view))
         .map_err(|error| answer("sending a report", &error))
 }
 
--- a/crates/gossip/src/choice.rs
+++ b/crates/gossip/src/choice.rs
@@ -1,10 +1,11 @@
 //! Which members talk to which.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 
 use crate::hash;
 use crate::random::Random;
-use crate::record::{Node, Phase, Target};
+use crate::record::{Key, Node, Phase, Target};
 use crate::store::Store;
 
 /// Number of peers that a changed record is pushed to.
@@ -25,6 +26,12 @@
 /// Reports that an entry would get if every target of a service chose the same number of entries.
 const REPORTS_PER_ENTRY: usize = 8;
 
+/// Most entries that are remembered after their records were dropped.
+///
+/// At target size 600 entries are replaced as often as other VMs, about 75 a day. Entries lost in a partition are still
+/// remembered when it heals after an hour, and one that answers is enough to find the others.
+const LOST_MAX: usize = 256;
+
 /// Choice of the peers of one entry.
 #[derive(Clone, Debug)]
 pub struct Peers {
@@ -32,6 +39,11 @@
     domain: String,
     random: Random,
     exchanges: u64,
+    seeds: Vec<SocketAddr>,
+    /// Number of choices among the entries that are not known to be live.
+    retries: usize,
+    /// Entries whose records were dropped, oldest first.
+    lost: VecDeque<(String, SocketAddr)>,
 }
 
 impl Peers {
@@ -42,7 +54,26 @@
             domain: domain.into(),
             random,
             exchanges: 0,
+            seeds: Vec::new(),
+            retries: 0,
+            lost: VecDeque::new(),
+        }
+    }
+
+    /// Sets the addresses that are asked while no entry is known, and at times later.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Remembers an entry whose record is dropped, so that it is found again if it was only cut off.
+    ///
+    /// The oldest of more than 256 is forgotten.
+    pub fn lose(&mut self, name: &str, node: &Node) {
+        self.lost.retain(|(lost, _)| lost != name);
+        if self.lost.len() == LOST_MAX {
+            self.lost.pop_front();
         }
+        self.lost.push_back((name.into(), node.peer));
     }
 
     /// Returns the entries to push changed records to: 3 of the own domain, and at times one of another.
@@ -63,24 +94,46 @@
 
     /// Returns the entry to compare stores with: of the own domain, but every eighth time of another.
     ///
-    /// Where one kind has no live entry, the other is chosen. Every 64th choice is among the entries that are down, so
-    /// that domains find each other again after a partition in which each side declared the other down.
-    pub fn exchange(&mut self, store: &Store) -> Option<(String, Node)> {
+    /// Where one kind has no live entry, the other is chosen. Every 64th choice is among the entries that are down, the
+    /// remembered ones and the seeds, so that domains find each other again after a partition in which each side
+    /// declared the other down. A seed is named by its address.
+    pub fn exchange(&mut self, store: &Store) -> Option<(String, SocketAddr)> {
         self.exchanges += 1;
-        if self.exchanges.is_multiple_of(ABROAD * ABROAD) || self.live(store).next().is_none() {
-            let down = store
-                .entries()
-                .filter(|(name, node)| node.phase == Phase::Down && *name != self.name);
-            let down = down
-                .map(|(name, node)| (name.to_owned(), node.clone()))
-                .collect();
-            if let Some(chosen) = self.random.choose(down, 1).pop() {
-                return Some(chosen);
-            }
+        if (self.exchanges.is_multiple_of(ABROAD * ABROAD) || self.live(store).next().is_none())
+            && let Some(chosen) = self.retry(store)
+        {
+            return Some(chosen);
         }
         let home = !self.exchanges.is_multiple_of(ABROAD);
         let chosen = self.pick(store, home, 1).pop();
-        chosen.or_else(|| self.pick(store, !home, 1).pop())
+        let chosen = chosen.or_else(|| self.pick(store, !home, 1).pop());
+        chosen.map(|(name, node)| (name, node.peer))
+    }
+
+    /// Returns a seed, and every second time an entry that is down or lost.
+    fn retry(&mut self, store: &Store) -> Option<(String, SocketAddr)> {
+        self.lost
+            .retain(|(name, _)| store.version(&Key::Entry(name.clone())).is_none());
+        self.retries += 1;
+        let live: Vec<SocketAddr> = self.live(store).map(|(_, node)| node.peer).collect();
+        let seeds = self.seeds.iter().filter(|seed| !live.contains(seed));
+        let seeds: Vec<SocketAddr> = seeds.copied().collect();
+        let down = store
+            .entries()
+            .filter(|(name, node)| node.phase == Phase::Down && *name != self.name);
+        let down = down.map(|(name, node)| (name.to_owned(), node.peer));
+        let known: Vec<_> = down.chain(self.lost.iter().cloned()).collect();
+        // Without known ones each retry is a seed, in turn.
+        let turn = match known.is_empty() {
+            true => self.retries,
+            false => self.retries / 2,
+        };
+        let seed = (!seeds.is_empty()).then(|| seeds[turn % seeds.len()]);
+        let seed = seed.map(|seed| (seed.to_string(), seed));
+        match seed {
+            Some(seed) if known.is_empty() || self.retries.is_multiple_of(2) => Some(seed),
+            _ => self.random.choose(known, 1).pop(),
+        }
     }
 
     fn pick(&mut self, store: &Store, home: bool, count: usize) -> Vec<(String, Node)> {
--- a/crates/gossip/src/exchange.rs
+++ b/crates/gossip/src/exchange.rs
@@ -3,7 +3,11 @@
 //! 1. The asking process sends [`Store::digest`]; the other answers with its bucket hashes if the roots differ.
 //! 2. The asking process sends [`Store::details`]: the hashes of its records in the buckets that differ. The answer has
 //!    the records that it lacks and the hashes of those that the other lacks.
-//! 3. The asking process merges the records and pushes what [`Store::wanted`] returns.
+//! 3. The asking process merges the records and pushes what [`Store::wanted`] returns. The answer to a push has
+//!    [`Store::corrections`].
+//!
+//! Records of members that are down are in no hash. They are sent only to a store that shows an older record of the same
+//! member, in step 3.
 //!
 //! A record hash takes 8 bytes against about 100 for a record, so a step costs little even when all buckets differ.
 
@@ -103,7 +107,8 @@
 
     /// Returns the records to push after the answer to the second step was merged.
     ///
-    /// Records that the merge replaced are not among them.
+    /// Records that the merge replaced are not among them. Those of members that are down are, when the answer has an
+    /// older record of the same member.
     pub fn wanted(&self, answer: &Delta) -> Vec<Record> {
         let wanted: HashSet<u64> = answer.wanted.iter().copied().collect();
         let mut bytes = 0;
@@ -114,6 +119,7 @@
                 records.extend(self.get(key));
             }
         }
+        records.extend(self.corrections(&answer.records));
         records
     }
 
--- a/crates/gossip/src/record.rs
+++ b/crates/gossip/src/record.rs
@@ -94,3 +94,19 @@
     /// Not heard from.
     Down,
 }
+
+impl Value {
+    /// Returns the phase of a member; `None` for a catalogue entry.
+    pub fn phase(&self) -> Option<Phase> {
+        match self {
+            Self::Catalog(_) => None,
+            Self::Entry(node) => Some(node.phase),
+            Self::Target(target) => Some(target.phase),
+        }
+    }
+
+    /// Tells whether this is a member that is down.
+    pub fn is_down(&self) -> bool {
+        self.phase() == Some(Phase::Down)
+    }
+}
--- a/crates/gossip/src/store.rs
+++ b/crates/gossip/src/store.rs
@@ -10,8 +10,13 @@
 
 /// The newest known version of each record.
 ///
-/// Merging is commutative, associative and idempotent: two stores that have merged the same records in any order are
-/// equal. The hash of a bucket is the exclusive or of its records' hashes, so a change costs one hash.
+/// Merging is commutative, associative and idempotent for the records of known members: two stores that have merged the
+/// same records in any order are equal. The hash of a bucket is the exclusive or of its records' hashes, so a change
+/// costs one hash.
+///
+/// Records of members that are down are kept only for a while, and a store takes none of a member that it doesn't know;
+/// otherwise gossip would bring dropped ones back. They count for no hash: stores that drop one at different times stay
+/// equal by their hashes, and nothing is sent again and again.
 #[derive(Clone, Debug)]
 pub struct Store {
     records: BTreeMap<Key, Held>,
@@ -51,7 +56,7 @@
         self.changes
     }
 
-    /// Returns the hash of all records; 0 for an empty store.
+    /// Returns the hash of all records but those of members that are down; 0 for an empty store.
     pub fn root(&self) -> u64 {
         self.buckets.iter().fold(0, |root, bucket| root ^ bucket)
     }
@@ -111,25 +116,51 @@
         if !fits || held.is_some_and(|held| held.version > record.version) {
             return false;
         }
+        if held.is_none() && record.value.is_down() {
+            return false;
+        }
         let hash = hash::record(&record.key, record.version, &record.value);
-        let old = held.map_or(0, |held| held.hash);
+        let old = held.map_or(0, Held::counted);
         if held.is_some_and(|held| held.version == record.version && held.hash >= hash) {
             return false;
         }
-        self.buckets[hash::bucket(&record.key, BUCKETS)] ^= old ^ hash;
-        self.changes += 1;
         let (version, value) = (record.version, record.value);
-        self.records.insert(
-            record.key,
-            Held {
-                version,
-                value,
-                hash,
-            },
-        );
+        let held = Held {
+            version,
+            value,
+            hash,
+        };
+        self.buckets[hash::bucket(&record.key, BUCKETS)] ^= old ^ held.counted();
+        self.changes += 1;
+        self.records.insert(record.key, held);
         true
     }
 
+    /// Drops the record with `key`, and returns whether it was held.
+    pub fn remove(&mut self, key: &Key) -> bool {
+        let Some(held) = self.records.remove(key) else {
+            return false;
+        };
+        self.buckets[hash::bucket(key, BUCKETS)] ^= held.counted();
+        self.changes += 1;
+        true
+    }
+
+    /// Returns the records held of members that are down which replace one of `records`.
+    ///
+    /// They are in no hash, so they reach a store that holds an older record of the same member only as the answer to
+    /// that record.
+    pub fn corrections(&self, records: &[Record]) -> Vec<Record> {
+        let replacing = records.iter().filter_map(|record| {
+            let held = self.records.get(&record.key)?;
+            let order = (held.version, held.hash);
+            let hash = hash::record(&record.key, record.version, &record.value);
+            let replaces = held.value.is_down() && order > (record.version, hash);
+            replaces.then(|| held.record(&record.key))
+        });
+        replacing.collect()
+    }
+
     /// Returns the record of a member with its state set to `Down`, as an observer states it.
     ///
     /// The record loses to any later one of the member itself. Returns `None` for a member that is unknown or already
@@ -164,9 +195,11 @@
         Some(record)
     }
 
+    /// Returns the records that count for the hashes.
     pub(crate) fn hashes(&self) -> impl Iterator<Item = (&Key, &Value, u64)> {
         self.records
             .iter()
+            .filter(|(_, held)| !held.value.is_down())
             .map(|(key, held)| (key, &held.value, held.hash))
     }
 }
@@ -188,6 +221,14 @@
 }
 
 impl Held {
+    /// Returns what the record adds to the hash of its bucket.
+    fn counted(&self) -> u64 {
+        match self.value.is_down() {
+            true => 0,
+            false => self.hash,
+        }
+    }
+
     fn record(&self, key: &Key) -> Record {
         Record {
             key: key.clone(),
--- a/crates/gossip/src/view.rs
+++ b/crates/gossip/src/view.rs
@@ -1,6 +1,8 @@
 //! The records that agents are given.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
+
+use serde::{Deserialize, Serialize};
 
 use crate::exchange::size;
 use crate::record::{Key, Record, Value};
@@ -37,6 +39,26 @@
     pub services: Vec<String>,
 }
 
+/// What the reply to a report says of the target's view.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Update {
+    /// Hash of the entry's records that concern the target.
+    pub hash: u64,
+    /// Records that the target seems to lack.
+    pub records: Vec<Record>,
+    /// Keys between which `records` has all members that concern the target.
+    pub span: Option<Span>,
+}
+
+/// A range of keys of which all records are given.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Span {
+    /// Key before the first; `None` from the start.
+    pub after: Option<Key>,
+    /// Last key; `None` to the end.
+    pub last: Option<Key>,
+}
+
 /// Replies to the targets that report to one entry.
 #[derive(Clone, Debug, Default)]
 pub struct Views {
@@ -96,8 +118,11 @@
         }
     }
 
-    /// Returns the hash of the records in `store` that concern the target; 0 if there are none.
+    /// Returns the hash of the records in `store` that concern the target, without members that are down.
+    ///
+    /// It is 0 if there are none.
     pub fn hash(&self, store: &Store) -> u64 {
+        // Members that are down count for no hash: a process drops their records when its own time for them is over.
         let covered = store
             .hashes()
             .filter(|(key, value, _)| self.covers(key, value));
@@ -105,6 +130,24 @@
     }
 }
 
+impl Span {
+    /// Returns the members held in `view` that the complete `records` of this range lack.
+    ///
+    /// The entry has dropped their records, or never had them. Members that are down count for no hash and are not
+    /// named; catalogue entries are never dropped.
+    pub fn missing(&self, view: &Store, records: &[Record]) -> Vec<Key> {
+        let given: HashSet<&Key> = records.iter().map(|record| &record.key).collect();
+        let inside = |key: &Key| {
+            self.after.as_ref().is_none_or(|after| key > after)
+                && self.last.as_ref().is_none_or(|last| key <= last)
+        };
+        let members = view.iter().filter(|(key, _, value)| {
+            value.phase().is_some() && !value.is_down() && inside(key) && !given.contains(key)
+        });
+        members.map(|(key, _, _)| key.clone()).collect()
+    }
+}
+
 impl Views {
     /// Notes that a record changed in `store`; call it after each merge that returned true.
     pub fn changed(&mut self, store: &Store, key: Key) {
@@ -122,14 +165,9 @@
     /// Returns the hash of a target's view and the records that it seems to lack.
     ///
     /// `reported` is the hash that the target reported. A known earlier hash is answered with the changes since; 0 with
-    /// all records, in parts; an unknown hash first with the latest changes and then with all.
-    pub fn reply(
-        &mut self,
-        store: &Store,
-        target: &str,
-        scope: &Scope,
-        reported: u64,
-    ) -> (u64, Vec<Record>) {
+    /// all records, in parts; an unknown hash first with the latest changes and then with all. A part of all records
+    /// names the span of its keys, so that the target can drop members that the entry no longer holds.
+    pub fn reply(&mut self, store: &Store, target: &str, scope: &Scope, reported: u64) -> Update {
         let view = self.view(store, scope);
         let hash = view.hash;
         let since = view
@@ -140,13 +178,20 @@
             .map(|(_, at)| *at);
         if reported == hash {
             self.targets.remove(target);
-            return (hash, Vec::new());
+            return Update {
+                hash,
+                ..Update::default()
+            };
         }
         let kept = self.changed.front().map_or(u64::MAX, |(at, _)| *at);
         if let Some(since) = since.filter(|since| since + 1 >= kept) {
             let records = self.since(store, scope, since);
             if total(&records) <= REPLY_BYTES {
-                return (hash, records);
+                return Update {
+                    hash,
+                    records,
+                    span: None,
+                };
             }
         }
         let progress = self.targets.entry(target.into()).or_default();
@@ -154,9 +199,18 @@
             progress.unknown += 1;
             let first = self.changed.len().saturating_sub(LATEST);
             let since = self.changed.get(first).map_or(0, |(at, _)| at - 1);
-            return (hash, self.since(store, scope, since));
+            return Update {
+                hash,
+                records: self.since(store, scope, since),
+                span: None,
+            };
+        }
+        let (records, span) = progress.next(store, scope);
+        Update {
+            hash,
+            records,
+            span: Some(span),
         }
-        (hash, progress.next(store, scope))
     }
 
     fn view(&mut self, store: &Store, scope: &Scope) -> &View {
@@ -195,7 +249,7 @@
 }
 
 impl Progress {
-    fn next(&mut self, store: &Store, scope: &Scope) -> Vec<Record> {
+    fn next(&mut self, store: &Store, scope: &Scope) -> (Vec<Record>, Span) {
         let mut records = Vec::new();
         let mut bytes = 0;
         let cursor = self.cursor.take();
@@ -211,11 +265,24 @@
             });
             if bytes >= REPLY_BYTES {
                 self.cursor = Some(key.clone());
-                return records;
+                let last = self.cursor.clone();
+                return (
+                    records,
+                    Span {
+                        after: cursor,
+                        last,
+                    },
+                );
             }
         }
         self.unknown = 0;
-        records
+        (
+            records,
+            Span {
+                after: cursor,
+                last: None,
+            },
+        )
     }
 }
 
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -52,6 +52,7 @@
     REFUTED = 223 Warn "refuted";
     PEER_FAILED = 224 Debug "peer-failed";
     WATCH_FAILED = 225 Warn "watch-failed";
+    MEMBER_DROPPED = 226 Info "member-dropped";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -168,6 +168,14 @@
         lane.pool.put(name, member, per_target);
     }
 
+    /// Forgets a target; its requests in progress end as they would have.
+    pub fn remove_target(&mut self, name: &str) {
+        let home = self.homes.remove(name);
+        if let Some(lane) = home.and_then(|home| self.lanes.get_mut(&home)) {
+            lane.pool.remove(name);
+        }
+    }
+
     /// Takes a target's report; a report of a target without a member record is ignored.
     pub fn report(&mut self, now: Instant, report: &wire::Report) {
         let lane = self
--- a/crates/route/tests/route/targets.rs
+++ b/crates/route/tests/route/targets.rs
@@ -351,3 +351,20 @@
     world.now += ms(2000);
     assert!(world.submit("urgent-a").is_ok());
 }
+
+/// Guards against work for a target whose record was dropped, and against a request in progress on it that never ends.
+#[test]
+fn remove_target_in_progress() {
+    let mut world = World::new("{}");
+    world.targets(1);
+    world.submit("urgent-a").unwrap();
+    let request = world.poll_one();
+    world.router.remove_target("t0");
+    assert!(world.router.pool("desk").unwrap().get("t0").is_none());
+    assert_eq!(world.answer(request), Outcome::Answered);
+    world.report("t0", Gate::Open, 0, 0);
+    assert_eq!(world.submit("urgent-a").unwrap_err().reason, Reason::Target);
+    world.targets(1);
+    world.submit("urgent-a").unwrap();
+    world.poll_one();
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages of the peer port.
 
-use gossip::Record;
+use gossip::{Record, Span};
 use serde::{Deserialize, Serialize};
 
 /// State and load of a target, sent once a second.
@@ -46,8 +46,10 @@
 pub struct Reply {
     /// True once the entry holds the target's own record.
     pub known: bool,
-    /// Hash of the records that concern the target.
-    pub view: u64,
+    /// Hash of the records that concern the target, when it differs from the reported one.
+    pub view: Option<u64>,
     /// These records, when the hashes differ.
     pub records: Vec<Record>,
+    /// Keys between which `records` is complete: other members that the target holds there are to be dropped.
+    pub span: Option<Span>,
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -10,8 +10,8 @@
     /// Takes a target's report and returns the records that the target lacks.
     async fn report(report: Report) -> Reply;
 
-    /// Takes records that changed at the sender.
-    async fn push(records: Vec<Record>);
+    /// Takes records that changed at the sender and returns newer ones of members that are down.
+    async fn push(records: Vec<Record>) -> Vec<Record>;
 
     /// Compares hashes and returns what differs.
     async fn exchange(digest: Digest) -> Delta;
--- a/crates/wire/src/transport/client.rs
+++ b/crates/wire/src/transport/client.rs
@@ -94,12 +94,12 @@
             .await
     }
 
-    /// Sends changed records.
+    /// Sends changed records and returns newer ones of members that are down.
     ///
     /// # Errors
     ///
     /// Returns [`Error::Timeout`] or [`Error::Rpc`].
-    pub async fn push(&self, records: Vec<Record>) -> Result<(), Error> {
+    pub async fn push(&self, records: Vec<Record>) -> Result<Vec<Record>, Error> {
         self.ended(self.calls.push(context::current(), records))
             .await
     }
