--- a/bins/agent/src/lib.rs
+++ b/bins/agent/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod operator;
 pub mod process;
 pub mod report;
+pub mod schedule;
 pub mod settings;
 pub mod shared;
 pub mod staging;
@@ -21,5 +22,6 @@
 
 pub use metrics::Metrics;
 pub use notify::Notify;
+pub use schedule::Schedule;
 pub use settings::Settings;
 pub use shared::Shared;
--- a/bins/agent/src/report.rs
+++ b/bins/agent/src/report.rs
@@ -11,10 +11,7 @@
 use weights::Digest;
 use wire::{Client, Reply, Report, connect};
 
-use crate::Shared;
-
-/// Time between two reports when nothing changed.
-const INTERVAL: Duration = Duration::from_secs(1);
+use crate::{Schedule, Shared};
 
 /// Time allowed for a connection or call.
 const TIMEOUT: Duration = Duration::from_millis(800);
@@ -45,8 +42,15 @@
     let mut reporter = Reporter::new(Rc::clone(&shared));
     loop {
         let seen = shared.report.count();
+        let schedule = Schedule::new(Instant::now(), load(&shared));
         reporter.report().await;
-        let _ = compio::time::timeout(INTERVAL, shared.report.changed(seen)).await;
+        loop {
+            let wait = schedule.wait(Instant::now(), load(&shared));
+            let changed = compio::time::timeout(wait, shared.report.changed(seen));
+            if wait.is_zero() || changed.await.is_ok() {
+                break;
+            }
+        }
     }
 }
 
@@ -202,6 +206,15 @@
     }
 }
 
+/// Returns the number of requests at the backend.
+fn load(shared: &Shared) -> u32 {
+    let counters = &shared.counters;
+    counters
+        .running
+        .get()
+        .saturating_add(counters.waiting.get())
+}
+
 async fn send(
     address: SocketAddr,
     client: Option<Client>,
--- /dev/null
+++ b/bins/agent/tests/schedule.rs
@@ -0,0 +1,40 @@
+//! Times of the reports against the silence that entries allow.
+
+use std::time::{Duration, Instant};
+
+use agent::Schedule;
+use gossip::{Detector, Sign};
+use yare::parameterized;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Guards against load that is reported later than a second after it changed, and against reports that come early
+/// because of small changes and so exceed the control traffic.
+#[parameterized(
+    early_look = { 400, 8, 99, 600 },
+    unchanged = { 1_000, 8, 8, 400 },
+    small_change = { 1_000, 8, 9, 400 },
+    quarter_up = { 1_000, 8, 10, 0 },
+    quarter_down = { 1_000, 40, 30, 0 },
+    below_a_quarter = { 1_000, 40, 31, 400 },
+    from_idle = { 1_000, 0, 2, 0 },
+    late_change = { 1_200, 8, 16, 0 },
+    interval = { 1_400, 8, 8, 0 },
+    after_a_stall = { 9_000, 8, 8, 0 },
+)]
+fn wait_load(elapsed: u64, reported: u32, load: u32, expected: u64) {
+    let start = Instant::now();
+    let schedule = Schedule::new(start, reported);
+    assert_eq!(schedule.wait(start + ms(elapsed), load), ms(expected));
+}
+
+/// Guards against an interval at which a report that is half a second late makes a live target suspect.
+#[test]
+fn interval_leaves_slack() {
+    let (start, mut detector) = (Instant::now(), Detector::default());
+    detector.heard("t1", start);
+    let late = start + wire::REPORT_INTERVAL + ms(500);
+    assert_eq!(detector.sign("t1", late), Sign::Alive);
+}
--- a/bins/load/src/slopes.rs
+++ b/bins/load/src/slopes.rs
@@ -11,7 +11,7 @@
 use platform::Condition;
 use serde::Serialize;
 use serde_json::json;
-use wire::{Client, Gate, Report};
+use wire::{Client, Gate, REPORT_INTERVAL, Report};
 
 use crate::deployment::{Deployment, Error, Member};
 use crate::{Plan, Usage};
@@ -58,7 +58,7 @@
 /// What is varied in a series.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Variable {
-    /// Targets that report once a second.
+    /// Targets that report at the agents' interval.
     Reports,
     /// Members known by gossip.
     Members,
@@ -87,7 +87,7 @@
 pub async fn run(variable: Variable) -> Result<Series, Error> {
     match variable {
         Variable::Reports => {
-            let name = "targets that report once a second";
+            let name = "targets that report every 1.4 s";
             series(name, &[10, 50, 200], async |entry, size| {
                 report(entry, size).await
             })
@@ -208,7 +208,7 @@
     }
 }
 
-/// Sends a report of each of `size` targets once a second.
+/// Sends a report of each of `size` targets at the interval of agents whose load doesn't change.
 async fn report(running: &Running, size: usize) -> Result<(), Error> {
     let mut clients = Vec::with_capacity(size);
     let mut views = vec![0; size];
@@ -223,11 +223,12 @@
     }
     running.restart_window()?;
     let start = Instant::now();
-    for sequence in 3..=2 + WINDOW.as_secs() {
+    let rounds = (WINDOW.as_millis() / REPORT_INTERVAL.as_millis()) as u32;
+    for round in 0..rounds {
         for (index, client) in clients.iter().enumerate() {
-            let second = Duration::from_secs(sequence - 3);
-            let offset = Duration::from_secs(1) / size as u32 * index as u32;
-            compio::time::sleep_until(start + second + offset).await;
+            let offset = REPORT_INTERVAL / size as u32 * index as u32;
+            compio::time::sleep_until(start + REPORT_INTERVAL * round + offset).await;
+            let sequence = u64::from(round) + 3;
             views[index] = send(client, index, sequence, views[index]).await?;
         }
     }
--- a/crates/gossip/src/choice.rs
+++ b/crates/gossip/src/choice.rs
@@ -21,7 +21,11 @@
 const WATCHERS: usize = 2;
 
 /// Fewest entries that a target reports to, where there are as many.
-const REPORTS_MIN: usize = 3;
+///
+/// With 2 an entry of the target size gets the reports of 22 targets. With 3 they are 33, and a report costs about 240
+/// bytes with its reply and three TCP/IP headers: more than the 6 KB/s of control traffic at any interval that leaves
+/// slack within the 2 s after which a target is suspect.
+const REPORTS_MIN: usize = 2;
 
 /// Reports that an entry would get if every target of a service chose the same number of entries.
 const REPORTS_PER_ENTRY: usize = 8;
@@ -165,10 +169,10 @@
     order
 }
 
-/// Returns the number of entries that a target reports to: `ceil(8 * entries / targets)`, between 3 and `entries`.
+/// Returns the number of entries that a target reports to: `ceil(8 * entries / targets)`, between 2 and `entries`.
 ///
 /// ```
-/// assert_eq!(gossip::report_count(67, 722), 3);
+/// assert_eq!(gossip::report_count(67, 722), 2);
 /// assert_eq!(gossip::report_count(67, 20), 27);
 /// assert_eq!(gossip::report_count(2, 5), 2);
 /// ```
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -184,5 +184,5 @@
         entries.saturating_mul(8),
         u32::try_from(targets).unwrap_or(u32::MAX),
     );
-    wanted.clamp(3.min(entries), entries.max(1))
+    wanted.clamp(2.min(entries), entries.max(1))
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,6 @@
 pub mod transport;
 
 pub use gossip::{Delta, Digest};
-pub use message::{Gate, Reply, Report};
+pub use message::{Gate, REPORT_INTERVAL, Reply, Report};
 pub use peer::{Peer, PeerClient, PeerRequest, PeerResponse};
 pub use transport::{Client, connect, serve};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,9 +1,16 @@
 //! Messages of the peer port.
 
+use std::time::Duration;
+
 use gossip::{Record, Span};
 use serde::{Deserialize, Serialize};
 
-/// State and load of a target, sent once a second.
+/// Longest time from the start of one report of a target to the next.
+///
+/// It leaves 0.6 s of slack before the target is suspect after 2 s.
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(1_400);
+
+/// State and load of a target, sent at least every 1.4 s.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Report {
     /// Name of the target.
--- a/crates/wire/src/report.rs
+++ b/crates/wire/src/report.rs
@@ -1,7 +1,7 @@
 //! The compact form of a report.
 //!
-//! Every target sends a report each second to several entries; 33 targets at 60 bytes keep an entry within its control
-//! traffic limit. Gate and presence of the optional fields share one byte, and hashes take 8 bytes instead of the 10 of
+//! Every target sends reports to several entries all the time; of the control traffic of an entry they are the largest
+//! part. Gate and presence of the optional fields share one byte, and hashes take 8 bytes instead of the 10 of
 //! a variable-length number. The form is a tuple: flags, then the fields in the order of their declaration, absent ones
 //! left out.
 
