--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,9 +1,16 @@
 //! Messages of the peer port.
 
-use gossip::Record;
+use std::time::Duration;
+
+use gossip::{Record, Span};
 use serde::{Deserialize, Serialize};
 
-/// State and load of a target, sent once a second.
+/// Longest time from the start of one report of a target to the next.
+///
+/// It leaves 0.6 s of slack before the target is suspect after 2 s.
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(1_400);
+
+/// State and load of a target, sent at least every 1.4 s.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Report {
     /// Name of the target.
@@ -46,8 +53,10 @@
 pub struct Reply {
     /// True once the entry holds the target's own record.
     pub known: bool,
-    /// Hash of the records that concern the target.
-    pub view: u64,
+    /// Hash of the records that concern the target, when it differs from the reported one.
+    pub view: Option<u64>,
     /// These records, when the hashes differ.
     pub records: Vec<Record>,
+    /// Keys between which `records` is complete: other members that the target holds there are to be dropped.
+    pub span: Option<Span>,
 }
