load: kill a backend while a call runs there, so that the check of "not run" is always tested

Cause: the check that a request refused as not run did not run was never seen to fail.

Change: the test waits until a call has just started at the backend that is about to die, for agents and their backends alike, and expects that the kill of the plain service left calls with an unknown outcome.

--- a/bins/load/tests/faults/kill.rs
+++ b/bins/load/tests/faults/kill.rs
@@ -32,6 +32,15 @@
     }
 }
 
+/// Waits until a call has just started at the backend that dies with `kind`, so that the kill hits it in progress.
+async fn wait_in_progress(deployment: &Deployment, kind: Kind) {
+    match kind {
+        Kind::Agent | Kind::Engine => wait_run(deployment, &deployment.engines[0]).await,
+        Kind::ClaimOwner | Kind::Plain => wait_run(deployment, &deployment.plains[0]).await,
+        Kind::Entry | Kind::Platform | Kind::Store => {}
+    }
+}
+
 /// Starts the killed process again, but for the platform: its stand-in's objects are gone, the real one's are not.
 fn restart(deployment: &mut Deployment, kind: Kind) {
     let restarted = match kind {
@@ -46,17 +55,6 @@
     restarted.unwrap();
 }
 
-fn restart_in(
-    deployment: &mut Deployment,
-    index: usize,
-    members: fn(&mut Deployment) -> &mut Vec<Member>,
-) -> Result<(), load::Error> {
-    let mut member = members(deployment).remove(index);
-    let restarted = deployment.restart(&mut member);
-    members(deployment).insert(index, member);
-    restarted
-}
-
 // Guards against wrong, mixed or repeated work when a process dies in the middle of a burst, and against a system that
 // doesn't recover from it.
 #[parameterized(
@@ -78,6 +76,7 @@
         ];
         sleep_ms(500).await;
         deployment.put_version("v2").await.unwrap();
+        wait_in_progress(deployment, kind).await;
         victim(deployment, kind).process.kill();
         sleep_ms(1500).await;
         restart(deployment, kind);
@@ -94,6 +93,10 @@
             tallies.extend(after);
         }
         check(deployment, &[&v1, &v2], &tallies);
+        if kind == Kind::Plain {
+            // Only a call that ran can be mistaken for one that did not.
+            assert!(tallies[1].outcome("unknown") > 0, "no call was cut");
+        }
         check_not_mixed(deployment).await;
     });
 }
--- a/bins/load/tests/faults/support.rs
+++ b/bins/load/tests/faults/support.rs
@@ -125,6 +125,19 @@
         .unwrap();
 }
 
+/// Waits until a call starts to run at the backend `standin`; it is still in progress then.
+pub async fn wait_run(deployment: &Deployment, standin: &Member) {
+    let runs = || {
+        let runs = deployment.runs(std::slice::from_ref(standin)).unwrap();
+        runs.values().sum::<u64>()
+    };
+    let before = runs();
+    deployment
+        .wait("a call in progress", LIMIT, async || runs() > before)
+        .await
+        .unwrap();
+}
+
 /// Checks invariants 1 to 4 over `tallies`, none of whose calls was sent twice by its caller.
 ///
 /// `versions` are the versions that answers may come from, as digests.
@@ -177,3 +190,15 @@
         assert_eq!(mixed, 0, "{}", engine.process.name());
     }
 }
+
+/// Starts a process of the deployment again, after it has ended.
+pub fn restart_in(
+    deployment: &mut Deployment,
+    index: usize,
+    members: fn(&mut Deployment) -> &mut Vec<Member>,
+) -> Result<(), load::Error> {
+    let mut member = members(deployment).remove(index);
+    let restarted = deployment.restart(&mut member);
+    members(deployment).insert(index, member);
+    restarted
+}
