--- a/bins/load/tests/faults/main.rs
+++ b/bins/load/tests/faults/main.rs
@@ -1,6 +1,7 @@
 //! The invariants of the design page under failure, shown with real processes.
 
 mod changes;
+mod combined;
 mod kill;
 mod pause;
 mod stop;
--- a/bins/load/tests/faults/pause.rs
+++ b/bins/load/tests/faults/pause.rs
@@ -5,9 +5,11 @@
 use std::time::{Duration, Instant};
 
 use compio::runtime::spawn;
-use load::{CALL_PORT, Load, PLAIN_SERVICE, Plan, Record, WORKSPACE};
+use load::{CALL_PORT, Deployment, Load, Member, PLAIN_SERVICE, Plan, Record, WORKSPACE};
 use node::http::{Body, Client, Request};
+use serde_json::json;
 use wire::header;
+use yare::parameterized;
 
 use super::support::*;
 
@@ -17,6 +19,10 @@
 const NEXT_CALL_MS: u64 = 200;
 const NEXT_ATTEMPT_MS: u64 = 900;
 
+/// Delay of the platform's answers to an owner that stops, above the 100 ms within which it begins its release.
+const SLOW_MS: u64 = 400;
+const EXIT: Duration = Duration::from_secs(10);
+
 /// Repeats a call with its key to the entries in turn until `end`, also after it was answered.
 async fn repeat(load: Load, client: Client, key: String, end: Instant) -> Vec<Record> {
     let prompt = format!("reservation {key}");
@@ -46,9 +52,25 @@
     let _ = client.send(agent, request, deadline).await;
 }
 
-// Guards against a key that runs at the owner of the next interval and again at the owner that was paused.
-#[test]
-fn pause_claim_owner_past_interval() {
+async fn switch_slow(deployment: &Deployment, slow_ms: u64) {
+    let slow = json!({ "slow_ms": slow_ms });
+    deployment
+        .switch(&deployment.platform, &slow)
+        .await
+        .unwrap();
+}
+
+/// Asks `owner` to stop and returns while it waits for the claim table that its release will be based on.
+async fn stop_until_release(deployment: &Deployment, owner: &Member) {
+    switch_slow(deployment, SLOW_MS).await;
+    owner.process.terminate();
+    sleep_ms(SLOW_MS / 2).await;
+}
+
+// Guards against a key that runs at the owner of the next interval and again at the owner that was paused, whether it
+// was about to renew its claims or to release them.
+#[parameterized(running = { false }, stopping = { true })]
+fn pause_claim_owner_past_interval(stopping: bool) {
     let plan = Plan {
         engines: 1,
         service_ms: 50,
@@ -61,7 +83,8 @@
         let client = Client::new();
         let start = Instant::now();
         let end = start + PAUSE + Duration::from_secs(4);
-        let owner = &deployment.agents[deployment.engines.len()];
+        let index = deployment.engines.len();
+        let owner = &deployment.agents[index];
         let mut callers = Vec::new();
         let mut keys = Vec::new();
         let mut paused = false;
@@ -72,8 +95,12 @@
             keys.push(key);
             sleep_ms(NEXT_CALL_MS).await;
             if !paused && start.elapsed() > Duration::from_secs(1) {
+                if stopping {
+                    stop_until_release(deployment, owner).await;
+                }
                 owner.process.pause();
                 paused = true;
+                switch_slow(deployment, 0).await;
             }
         }
         // These calls wait in the paused agent's sockets and are the first thing that it reads.
@@ -105,5 +132,9 @@
         assert!(outcomes["answered"] > keys.len(), "{outcomes:?}");
         assert!(outcomes.len() > 1, "the pause had no effect: {outcomes:?}");
         check_once(deployment);
+        if stopping {
+            let exit = deployment.agents[index].process.wait_exit(EXIT);
+            assert!(exit.is_some_and(|status| status.success()), "{exit:?}");
+        }
     });
 }
