agent: give up claim slots while the backend takes no calls

Cause: the gate before a plain service was always open and an agent kept its claim slots whatever its backend did. When a plain service died, its agent refused every keyed call of its slots for as long as it stayed away, although the other agents of the service could have run them.

Change: the agent connects to a plain service each second, and its gate follows the answers as an engine's does: it closes 2.5 s after the last connection that was accepted. claim::Owner is told whether the gate is open. While it isn't, no key starts; after 3 s the slots are released if other agents are live. The released interval ends just above the latest key that ran or is in progress, so keys that were refused can run at the next owner; for that the owner counts a key's issue time when the key ends, not when it starts. Vacant slots are taken again at once, slots of others are asked for after 30 s with an open gate.

Tests: begin_runs_a_key_once also opens and closes backends. plan_moves_slots_to_the_open is new: one open backend ends up with all slots, whatever the backends did before. plain_without_pin now expects that the gate opens with the first connection, and plain_unreachable that it closes and opens again. The agents in tests/claims.rs have a backend that accepts connections, without which they own no slot now.

A service that accepts connections but never answers is not detected and stays listed as not covered.

--- a/bins/agent/src/call/once.rs
+++ b/bins/agent/src/call/once.rs
@@ -8,6 +8,7 @@
 
 use catalog::Service;
 use claim::{Answer, Decision, Outcome, Reason};
+use gate::Refusal;
 use node::http::header::{HeaderName, HeaderValue};
 use node::http::{Body, Error, Response, StatusCode};
 use uuid::Uuid;
@@ -64,6 +65,10 @@
                 } => {
                     return Err(NotRun::Malformed(wire::header::IDEMPOTENCY_KEY).into());
                 }
+                Decision::NotRun {
+                    reason: Reason::Closed,
+                    ..
+                } => return Err(NotRun::Refused(self.refusal(&incoming)).into()),
                 Decision::NotRun { reason, .. } => return Err(elsewhere(reason, None)),
                 Decision::Elsewhere(owner) => return Err(elsewhere(Reason::NoOwner, Some(owner))),
             }
@@ -123,6 +128,12 @@
         })
     }
 
+    /// Returns why the gate refuses a call; closed when it opened just now.
+    fn refusal(&self, incoming: &Incoming) -> Refusal {
+        let admitted = self.shared.admit(incoming.pin.as_ref());
+        admitted.err().unwrap_or(Refusal::Closed)
+    }
+
     fn stored(&self, answer: &Answer) -> Response<Body> {
         self.shared.metrics.call("answered", "");
         let mut response = Response::new(Body::from(answer.body.clone()));
@@ -165,6 +176,7 @@
         Reason::Late => "late-key",
         Reason::NotStored => "not-stored",
         Reason::NoOwner => "no-owner",
+        Reason::Closed => "closed",
     }
 }
 
--- a/bins/agent/src/claims.rs
+++ b/bins/agent/src/claims.rs
@@ -41,21 +41,31 @@
 }
 
 /// Waits until the next step is due; a stop or a change among the service's agents ends the wait.
+///
+/// Meanwhile the owner is told whether the gate is open.
 async fn rest(shared: &Shared, stepped: bool) {
-    let start = now();
-    let due = match stepped {
-        true => shared.claims.borrow().due(start),
-        false => start + PAUSE,
-    };
-    let mut left = due.saturating_sub(start).max(STEP);
+    let paused = now() + PAUSE;
+    compio::time::sleep(STEP).await;
     let leaving = shared.is_leaving();
     let service = &shared.settings.service;
     let agents = members(&shared.view.borrow(), service);
     let mut seen = shared.changed.count();
-    while !left.is_zero() && shared.is_leaving() == leaving {
-        let slice = left.min(LOOK);
-        compio::time::sleep(slice).await;
-        left -= slice;
+    while shared.is_leaving() == leaving {
+        let now = now();
+        let due = {
+            let mut claims = shared.claims.borrow_mut();
+            claims.set_open(shared.gate() == wire::Gate::Open, now);
+            match stepped {
+                true => claims.due(now),
+                // A clock that was set back must not prolong the wait.
+                false => paused.min(now + PAUSE),
+            }
+        };
+        let left = due.saturating_sub(now);
+        if left.is_zero() {
+            return;
+        }
+        compio::time::sleep(left.min(LOOK)).await;
         if seen != shared.changed.count() {
             seen = shared.changed.count();
             if members(&shared.view.borrow(), service) != agents {
@@ -108,6 +118,7 @@
         if shared.is_leaving() {
             claims.stop();
         }
+        claims.set_open(shared.gate() == wire::Gate::Open, now());
         claims.observe(table.0, &table.1);
         claims.plan(now(), &live, &gone)
     };
--- a/bins/agent/src/engine.rs
+++ b/bins/agent/src/engine.rs
@@ -1,4 +1,4 @@
-//! Status polls and orders to the engine.
+//! Status polls of the backend and orders to the engine.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -63,8 +63,11 @@
     match action {
         Action::Poll(poll) => {
             compio::runtime::spawn(async move {
-                let status = poll_status(&shared, &http).await;
-                shared.handle(Event::Polled(poll, status.map(Status::from)));
+                let status = match shared.settings.backend {
+                    Backend::Engine => poll_status(&shared, &http).await.map(Status::from),
+                    Backend::Plain => reach(&shared).await,
+                };
+                shared.handle(Event::Polled(poll, status));
             })
             .detach();
         }
@@ -113,6 +116,15 @@
     Some(poll_status(shared, http).await?.weights)
 }
 
+/// Connects to a plain service; `None` when it accepts no connection.
+async fn reach(shared: &Shared) -> Option<Status> {
+    let connected = node::connect(shared.settings.backend_address);
+    match compio::time::timeout(POLL_TIMEOUT, connected).await {
+        Ok(Ok(_)) => Some(Status::REACHED),
+        Ok(Err(_)) | Err(_) => None,
+    }
+}
+
 async fn poll_status(shared: &Shared, http: &Client) -> Option<EngineStatus> {
     let request = Request::get("/status").body(Body::empty()).ok()?;
     let deadline = Instant::now() + POLL_TIMEOUT;
--- a/bins/agent/tests/claims.rs
+++ b/bins/agent/tests/claims.rs
@@ -5,12 +5,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
-use agent::{Settings, Shared, claims};
+use agent::{Settings, Shared, claims, engine};
 use claim::{Decision, Outcome, Table};
 use compio::runtime::{JoinHandle, spawn};
 use gate::Event;
 use gossip::{Key, Phase, Record, Target, Value, Version};
-use node::http::{Body, Limits, Request, Response, StatusCode, header, json, response, serve};
+use node::http::{
+    Body, Client, Limits, Request, Response, StatusCode, header, json, response, serve,
+};
 use serde_json::json;
 
 /// The claim table, its revision and how the platform fails.
@@ -82,11 +84,12 @@
 fn start(name: &str, platform: SocketAddr) -> (Rc<Shared>, JoinHandle<()>) {
     let text = json!({
         "name": name, "domain": "north", "region": "north", "service": "bookings", "backend": "plain",
-        "backend_address": "127.0.0.1:1", "call_listen": "127.0.0.1:1", "chunk_listen": "127.0.0.1:1",
+        "backend_address": platform, "call_listen": "127.0.0.1:1", "chunk_listen": "127.0.0.1:1",
         "operator_listen": "127.0.0.1:1", "order_listen": "127.0.0.1:1", "platform": platform, "seeds": []
     });
     let settings: Settings = node::settings::parse(&text.to_string()).unwrap();
-    let (shared, _) = Shared::new(settings, 1);
+    let (shared, actions) = Shared::new(settings, 1);
+    spawn(engine::run(Rc::clone(&shared), actions, Client::new())).detach();
     let entry = json!({
         "kind": "service", "name": "bookings", "owner": "desk", "class": "urgent", "repeatable": false,
         "backend": "plain", "deadline_ms": 5000, "limits": {}
--- a/bins/load/tests/faults/kill.rs
+++ b/bins/load/tests/faults/kill.rs
@@ -6,6 +6,9 @@
 
 use super::support::*;
 
+/// Time in which the slots of an agent without its plain service are taken over: the limit of the design page.
+const SLOTS_MOVED_MS: u64 = 12_000;
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Kind {
     Entry,
@@ -133,3 +136,20 @@
         check_not_mixed(deployment).await;
     });
 }
+
+// Guards against keyed calls that stay refused while one plain service is gone and the others could run them.
+#[test]
+fn plain_stays_down() {
+    with_system(small(), async |deployment| {
+        let load = keyed(deployment, 1500);
+        let during = start(load.clone());
+        sleep_ms(500).await;
+        deployment.plains[0].process.kill();
+        sleep_ms(SLOTS_MOVED_MS).await;
+        let after = start(keyed(deployment, 1000)).await.unwrap();
+        expect_answered(&after);
+        let during = during.await.unwrap().repeated(&load).await;
+        assert_eq!(during.outcome("not-run"), 0, "{:?}", during.reasons);
+        check_once(deployment);
+    });
+}
--- a/crates/claim/src/memory.rs
+++ b/crates/claim/src/memory.rs
@@ -76,16 +76,22 @@
         self.keys.insert((key, workspace.into()), State::Running);
     }
 
-    /// Records how a running key ended. A key that isn't running is left as it is.
-    pub(crate) fn finish(&mut self, workspace: &str, key: Uuid, now: Duration, outcome: Outcome) {
+    /// Records how a running key ended. A key that isn't running is left as it is; returns whether it was running.
+    pub(crate) fn finish(
+        &mut self,
+        workspace: &str,
+        key: Uuid,
+        now: Duration,
+        outcome: Outcome,
+    ) -> bool {
         let id: Id = (key, workspace.into());
         if !matches!(self.keys.get(&id), Some(State::Running)) {
-            return;
+            return false;
         }
         let answer = match outcome {
             Outcome::NotRun => {
                 self.keys.remove(&id);
-                return;
+                return true;
             }
             Outcome::Answered(answer) if answer.size() <= ANSWER_LIMIT => Some(Arc::new(answer)),
             Outcome::Answered(_) | Outcome::Unknown => None,
@@ -97,6 +103,7 @@
         self.keys.insert(id.clone(), State::Done(answer));
         self.finished.push_back((now, id));
         self.drop_answers();
+        true
     }
 
     /// Removes finished keys past the retention or above the number kept, and returns them.
--- a/crates/claim/src/owner.rs
+++ b/crates/claim/src/owner.rs
@@ -1,5 +1,7 @@
 //! The process that owns slots.
 
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +23,16 @@
 /// Head start of each agent before the next in order may take a vacant slot.
 const HEAD_START: Duration = Duration::from_secs(2);
 
+/// Time for which the backend takes no calls before the process gives up its slots.
+///
+/// A shorter outage, such as a restart of the backend, ends before the others could have taken them.
+const GIVE_UP: Duration = Duration::from_secs(3);
+
+/// Time for which the backend must have taken calls before the process asks others for the slots it should own.
+///
+/// Each hand-over refuses calls for a moment; a backend that fails again and again must not cause one each time.
+const TAKE_BACK: Duration = Duration::from_secs(30);
+
 /// Number of closed intervals of a slot whose keys a live process still answers for.
 const PAST_LIMIT: usize = 4;
 
@@ -59,6 +71,8 @@
     NotStored,
     /// No agent is known to own its slot.
     NoOwner,
+    /// The backend takes no calls.
+    Closed,
 }
 
 /// A conditional update of the claim table.
@@ -88,6 +102,15 @@
     share: (Vec<String>, [usize; SLOTS as usize]),
     renewed: Option<Duration>,
     stopping: bool,
+    backend: Backend,
+}
+
+/// Whether the backend takes calls, and since when.
+#[derive(Clone, Copy, Debug)]
+enum Backend {
+    /// It takes calls; no time for one that did so from the start.
+    Open(Option<Duration>),
+    Closed(Duration),
 }
 
 #[derive(Clone, Debug, Default)]
@@ -95,6 +118,10 @@
     current: Option<Interval>,
     past: Vec<Interval>,
     vacant_since: Option<Duration>,
+    /// Lowest time above the issue times of all keys that ran.
+    ran: u64,
+    /// Number of keys in progress by their issue times.
+    running: BTreeMap<u64, u32>,
 }
 
 #[derive(Clone, Debug)]
@@ -106,8 +133,6 @@
     until: u64,
     /// Earliest end in writes that may take effect.
     promised: u64,
-    /// Lowest time above the issue times of all keys that ran.
-    ran: u64,
 }
 
 impl Owner {
@@ -126,6 +151,7 @@
             share: (Vec::new(), [0; SLOTS as usize]),
             renewed: None,
             stopping: false,
+            backend: Backend::Open(None),
         }
     }
 
@@ -158,11 +184,16 @@
         let Some(renewed) = self.renewed else {
             return now;
         };
+        if self.gives_up(now) && self.slots() != 0 && self.share.0.len() > 1 {
+            return (renewed + POLL).min(now + POLL);
+        }
         let claims = (0..SLOTS).map(|slot| self.table.claim(slot));
+        // A closed backend's process takes no slot, so it need not look out for one.
         let unsettled = self.stopping
-            || claims
-                .into_iter()
-                .any(|claim| claim.holder.is_none() || claim.wanted_by.is_some());
+            || self.is_open()
+                && claims
+                    .into_iter()
+                    .any(|claim| claim.holder.is_none() || claim.wanted_by.is_some());
         // A clock that was set back must not hold up the renewal.
         (renewed + if unsettled { POLL } else { RENEWAL }).min(now + RENEWAL)
     }
@@ -187,6 +218,23 @@
         self.stopping = true;
     }
 
+    /// Takes note of whether the backend takes calls.
+    ///
+    /// While it doesn't, no key starts and no slot is taken. After 3 s of it the slots are given up when other agents of
+    /// the service are live. Vacant slots are taken as soon as it takes calls again; slots of others are asked for once
+    /// it has done so for 30 s.
+    pub fn set_open(&mut self, open: bool, now: Duration) {
+        match (self.backend, open) {
+            (Backend::Open(_), false) => self.backend = Backend::Closed(now),
+            (Backend::Closed(_), true) => self.backend = Backend::Open(Some(now)),
+            // A clock that was set back starts the wait anew.
+            (Backend::Closed(since), false) => self.backend = Backend::Closed(since.min(now)),
+            (Backend::Open(since), true) => {
+                self.backend = Backend::Open(since.map(|since| since.min(now)));
+            }
+        }
+    }
+
     /// Returns the next write of the table, if one is due.
     ///
     /// `live` are the agents of the service that take work, this one included; `gone` those that are known to be down.
@@ -199,13 +247,15 @@
         }
         let base = self.revision?;
         self.forget(now);
+        let gives_up = self.gives_up(now) && live.iter().any(|name| *name != self.holder.name);
         let due = self.stopping
+            || gives_up
             || self.renewed.is_none_or(|last| {
                 now.saturating_sub(last) >= RENEWAL || last.saturating_sub(now) >= RENEWAL
             });
         let mut table = self.table.clone();
         for index in 0..SLOTS {
-            self.plan_slot(&mut table, index, now, live, due);
+            self.plan_slot(&mut table, index, now, live, (due, gives_up));
         }
         if due {
             self.renewed = Some(now);
@@ -233,7 +283,13 @@
         let intervals = slot.current.iter_mut().chain(&mut slot.past);
         for interval in intervals {
             if (interval.from..interval.until.min(interval.promised)).contains(&time) {
-                interval.ran = interval.ran.max(time + 1);
+                if matches!(self.backend, Backend::Closed(_)) {
+                    return Decision::NotRun {
+                        reason: Reason::Closed,
+                        retry_after: Duration::from_secs(1),
+                    };
+                }
+                *slot.running.entry(time).or_default() += 1;
                 self.memory.start(workspace, key);
                 return Decision::Run;
             }
@@ -243,7 +299,13 @@
 
     /// Records how a call ended that [`Owner::begin`] allowed to run.
     pub fn finish(&mut self, workspace: &str, key: Uuid, now: Duration, outcome: Outcome) {
-        self.memory.finish(workspace, key, now, outcome);
+        let ran = outcome != Outcome::NotRun;
+        if !self.memory.finish(workspace, key, now, outcome) {
+            return;
+        }
+        if let Some(time) = issued(key).map(millis) {
+            self.slots[usize::from(slot(workspace, key))].finish(time, ran);
+        }
     }
 
     fn plan_slot(
@@ -252,13 +314,16 @@
         index: u8,
         now: Duration,
         live: &[String],
-        due: bool,
+        (due, gives_up): (bool, bool),
     ) {
+        let open = self.is_open();
+        let settled = self.is_settled(now);
         let claim = table.claim(index).clone();
         let slot = &mut self.slots[usize::from(index)];
+        let started = slot.started();
         if let Some(interval) = &mut slot.current {
             slot.vacant_since = None;
-            let ran = Duration::from_millis(interval.ran);
+            let ran = Duration::from_millis(started);
             let wanted = claim
                 .wanted_by
                 .as_ref()
@@ -266,6 +331,9 @@
             let from = Duration::from_millis(interval.from);
             let result = if self.stopping {
                 table.release(index, &self.holder, interval.epoch, now.max(ran))
+            } else if gives_up {
+                // Keys that were issued during the outage and never started can run at the next owner.
+                table.release(index, &self.holder, interval.epoch, ran)
             } else if wanted {
                 let until = (now + HAND_OVER).max(ran);
                 table.release(index, &self.holder, interval.epoch, until)
@@ -291,6 +359,13 @@
         if self.stopping || !live.contains(&self.holder.name) {
             return;
         }
+        if !open {
+            slot.vacant_since = None;
+            if claim.wanted_by.as_ref() == Some(&self.holder.name) {
+                table.want(index, None);
+            }
+            return;
+        }
         let place = self.share.1[usize::from(index)];
         if is_vacant(&claim, &self.holder, &self.gone, now) {
             // A clock that was set back starts the wait anew.
@@ -306,12 +381,31 @@
                 .wanted_by
                 .as_ref()
                 .is_some_and(|name| live.contains(name));
-            if place == 0 && !asked {
+            if place == 0 && !asked && settled {
                 table.want(index, Some(&self.holder.name));
             }
         }
     }
 
+    fn is_open(&self) -> bool {
+        matches!(self.backend, Backend::Open(_))
+    }
+
+    /// Tells whether the backend has taken no calls for so long that others should own the slots.
+    fn gives_up(&self, now: Duration) -> bool {
+        matches!(self.backend, Backend::Closed(since) if now.saturating_sub(since) >= GIVE_UP)
+    }
+
+    /// Tells whether the backend takes calls reliably enough to ask others for their slots.
+    fn is_settled(&self, now: Duration) -> bool {
+        match self.backend {
+            Backend::Open(since) => {
+                since.is_none_or(|since| now.saturating_sub(since) >= TAKE_BACK)
+            }
+            Backend::Closed(_) => false,
+        }
+    }
+
     /// Forgets keys past the retention; their slots run no key issued up to theirs from now on.
     fn forget(&mut self, now: Duration) {
         for (key, workspace) in self.memory.expire(now) {
@@ -369,6 +463,25 @@
 }
 
 impl Slot {
+    /// Returns the lowest time above the issue times of all keys that ran or may run to their end.
+    fn started(&self) -> u64 {
+        let running = self.running.last_key_value();
+        running.map_or(self.ran, |(time, _)| self.ran.max(time + 1))
+    }
+
+    /// Takes note of the end of a key in progress that was issued at `time`.
+    fn finish(&mut self, time: u64, ran: bool) {
+        if let Entry::Occupied(mut running) = self.running.entry(time) {
+            *running.get_mut() -= 1;
+            if *running.get() == 0 {
+                running.remove();
+            }
+        }
+        if ran {
+            self.ran = self.ran.max(time + 1);
+        }
+    }
+
     fn observe(&mut self, claim: &Claim, mine: bool) {
         match &mut self.current {
             Some(interval) if mine && interval.epoch == claim.epoch => {
@@ -393,7 +506,6 @@
                 from: claim.from_ms,
                 until: claim.until_ms,
                 promised: u64::MAX,
-                ran: claim.from_ms,
             });
         }
     }
--- a/crates/claim/tests/once.rs
+++ b/crates/claim/tests/once.rs
@@ -38,6 +38,8 @@
     },
     Restart(usize),
     Stop(usize),
+    /// The backend of an owner begins or ceases to take calls.
+    Open(usize, bool),
 }
 
 /// The platform's object with all its versions, and the processes.
@@ -140,6 +142,29 @@
                 self.owners[owner] = Owner::new(&name(owner), self.instances[owner]);
             }
             Event::Stop(owner) => self.owners[owner].stop(),
+            Event::Open(owner, open) => {
+                let now = self.now(owner);
+                self.owners[owner].set_open(open, now);
+            }
+        }
+        Ok(())
+    }
+
+    /// Lets `millis` pass, in which each owner reads the table and plans twice a second.
+    fn run(&mut self, open: &[bool; OWNERS], millis: i64) -> Result<(), TestCaseError> {
+        for _ in 0..=millis / 500 {
+            for (owner, open) in open.iter().enumerate() {
+                self.clocks[owner] += 500;
+                self.apply(&Event::Open(owner, *open))?;
+                self.apply(&Event::Read(owner, 0))?;
+                self.apply(&Event::Plan {
+                    owner,
+                    gone: 0,
+                    lands: true,
+                    heard: true,
+                })?;
+                self.call(owner, START.saturating_add_signed(self.clocks[owner]))?;
+            }
         }
         Ok(())
     }
@@ -200,7 +225,8 @@
         12 => (owner.clone(), 0..40_u64).prop_map(|(owner, step)| Event::Call { owner, offset: step * 1500 }),
         4 => (any::<usize>(), any::<u8>()).prop_map(|(run, outcome)| Event::Finish { run, outcome }),
         1 => owner.clone().prop_map(Event::Restart),
-        1 => owner.prop_map(Event::Stop),
+        1 => owner.clone().prop_map(Event::Stop),
+        2 => (owner, any::<bool>()).prop_map(|(owner, open)| Event::Open(owner, open)),
     ]
 }
 
@@ -221,6 +247,26 @@
         }
     }
 
+    /// Guards against keys that nobody runs while one backend takes calls, whatever the backends did before.
+    #[test]
+    fn plan_moves_slots_to_the_open(
+        steps in prop::collection::vec((0..OWNERS, any::<bool>(), 1..6_000_i64), 0..20),
+        open in 0..OWNERS,
+    ) {
+        let mut world = World::new();
+        let mut open_now = [true; OWNERS];
+        let ends = (0..OWNERS).map(|owner| (owner, owner == open, 1));
+        let last = [(open, true, 15_000)];
+        for (owner, is_open, pause) in steps.into_iter().chain(ends).chain(last) {
+            open_now[owner] = is_open;
+            world.run(&open_now, pause)?;
+        }
+        let now = START.saturating_add_signed(world.clocks[open]);
+        prop_assert_eq!(world.owners[open].slots(), 0xffff);
+        let decision = world.owners[open].begin("a", key(now + 1), Duration::from_millis(now));
+        prop_assert_eq!(decision, Decision::Run);
+    }
+
     /// Guards against overlapping intervals of successive epochs in any order of table changes.
     #[test]
     fn table_intervals_are_disjoint(steps in prop::collection::vec((0..4_u8, 0..3_u64, 0..60_u64), 1..60)) {
--- a/crates/claim/tests/owner.rs
+++ b/crates/claim/tests/owner.rs
@@ -156,6 +156,73 @@
     ));
 }
 
+/// Guards against keys that stay with an agent whose backend is gone although they never ran, and against a hand-over
+/// back for each short recovery.
+#[test]
+fn plan_closed_backend() {
+    let (mut first, revision, table) = sole_owner();
+    let both = ["vm-1", "vm-2"];
+    assert_eq!(first.begin("a", key(NOW, 1), NOW), Decision::Run);
+    first.finish("a", key(NOW, 1), NOW, answer(1));
+    let slot = 1 << claim::slot("a", key(NOW, 1));
+    let mut refused = (2..).map(|tail| key(NOW + Duration::from_millis(5), tail));
+    let refused = refused
+        .find(|key| 1 << claim::slot("a", *key) == slot)
+        .unwrap();
+    // The backend refuses the connection before the gate notices.
+    assert_eq!(first.begin("a", refused, NOW), Decision::Run);
+    first.finish("a", refused, NOW, Outcome::NotRun);
+    first.set_open(false, NOW);
+    let closed = Decision::NotRun {
+        reason: Reason::Closed,
+        retry_after: Duration::from_secs(1),
+    };
+    assert_eq!(first.begin("a", refused, NOW), closed);
+    assert!(matches!(
+        first.begin("a", key(NOW, 1), NOW),
+        Decision::Stored(_)
+    ));
+    write(&mut first, NOW + Duration::from_secs(2), &both);
+    assert_eq!(first.slots(), 0xffff);
+    let later = NOW + Duration::from_secs(3);
+    let (released, table_2) = write(&mut first, later, &both).unwrap();
+    assert_eq!(first.slots(), 0);
+
+    let mut second = Owner::new("vm-2", 2);
+    second.observe(revision, &table);
+    second.observe(released, &table_2);
+    write(&mut second, later, &both);
+    let (revision, table) = write(&mut second, later + Duration::from_secs(2), &both).unwrap();
+    assert_eq!(second.slots(), 0xffff);
+    assert_eq!(second.begin("a", refused, later), Decision::Run);
+    assert_eq!(
+        second.begin("a", key(NOW, 1), later),
+        Decision::Elsewhere("vm-1".into())
+    );
+
+    first.observe(revision, &table);
+    first.set_open(true, later);
+    let (revision, table) = write(&mut second, later + Duration::from_secs(25), &both).unwrap();
+    first.observe(revision, &table);
+    let asks = |first: &mut Owner, seconds: u64| {
+        let live = both.map(String::from);
+        first
+            .plan(later + Duration::from_secs(seconds), &live, &[])
+            .is_some()
+    };
+    assert!(!asks(&mut first, 29));
+    assert!(asks(&mut first, 30));
+}
+
+/// Guards against an agent that gives up its slots although no other could take them.
+#[test]
+fn plan_closed_backend_alone() {
+    let (mut owner, _, _) = sole_owner();
+    owner.set_open(false, NOW);
+    write(&mut owner, NOW + Duration::from_secs(5), &["vm-1"]);
+    assert_eq!(owner.slots(), 0xffff);
+}
+
 /// Guards against one agent keeping all slots when others join, and against keys that nobody runs meanwhile.
 #[test]
 fn plan_hands_over() {
--- a/crates/gate/src/controller.rs
+++ b/crates/gate/src/controller.rs
@@ -152,7 +152,7 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`Refusal`] unless the gate is open and the engine is known to serve exactly `pin`.
+    /// Returns a [`Refusal`] unless the gate is open and the backend is known to serve exactly `pin`.
     pub fn admit(&self, pin: Option<&Pin>, now: Instant) -> Result<Call, Refusal> {
         if self.leaving {
             return Err(Refusal::Leaving);
@@ -310,20 +310,17 @@
     }
 
     fn is_expired(&self, now: Instant) -> bool {
-        match (self.backend, &self.seen) {
-            (Backend::Plain, _) => false,
-            (Backend::Engine, Some(seen)) => now.duration_since(seen.asked) > STATUS_LIMIT,
-            (Backend::Engine, None) => true,
-        }
+        self.seen
+            .is_none_or(|seen| now.duration_since(seen.asked) > STATUS_LIMIT)
     }
 
     fn advance(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.is_expired(now) {
+            self.close();
+            self.seen = None;
+        }
+        self.start_poll(now, actions);
         if self.backend == Backend::Engine {
-            if self.is_expired(now) {
-                self.close();
-                self.seen = None;
-            }
-            self.start_poll(now, actions);
             self.start_staging(now, actions);
         }
         self.gate = match mem::take(&mut self.gate) {
@@ -417,7 +414,7 @@
             return None;
         }
         if self.backend == Backend::Plain {
-            return Some(None);
+            return self.seen.map(|_| None);
         }
         if self.order_sent.is_some() || self.orders == Orders::Superseded {
             return None;
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -13,7 +13,7 @@
     Plain,
 }
 
-/// What an engine says of itself.
+/// What an engine says of itself; [`Status::REACHED`] for a plain service.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Status {
     /// Identity of the engine's run.
@@ -22,6 +22,14 @@
     pub active: Option<Digest>,
 }
 
+impl Status {
+    /// Status of a plain service that accepts connections, which is all that is known of one.
+    pub const REACHED: Self = Self {
+        incarnation: 0,
+        active: None,
+    };
+}
+
 /// How an activate order ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OrderAnswer {
@@ -48,9 +56,9 @@
     Staged(Digest, Incarnation),
     /// Whether it is this target's turn to switch, by [`turn::predecessor`](crate::turn::is_due).
     Turn(bool),
-    /// The poll of this number was answered; `None` when the engine could not be reached.
+    /// The poll of this number was answered; `None` when the backend could not be reached.
     Polled(u64, Option<Status>),
-    /// A connection to the engine failed.
+    /// A connection to the backend failed.
     ConnectionFailed,
     /// The order of this number ended.
     Ordered(u64, OrderAnswer),
@@ -61,7 +69,7 @@
 /// What the agent must do.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
-    /// Ask the engine for its status and answer with [`Event::Polled`].
+    /// Ask an engine for its status, or connect to a plain service, and answer with [`Event::Polled`].
     Poll(u64),
     /// Bring the weights into the engine of this incarnation and answer with [`Event::Staged`].
     Stage(Pin, Incarnation),
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -13,7 +13,8 @@
 //! # Loss of contact
 //!
 //! Knowledge of the engine expires [`STATUS_LIMIT`] after the poll that gave it was sent, so an agent that was paused
-//! refuses requests until a new poll is answered.
+//! refuses requests until a new poll is answered. A plain service has no status: a poll connects to it, and the gate is
+//! closed while it accepts no connections.
 
 mod controller;
 mod event;
--- a/crates/gate/tests/gate.rs
+++ b/crates/gate/tests/gate.rs
@@ -364,6 +364,8 @@
     let now = Instant::now();
     let mut controller = Controller::new(Backend::Plain, now);
     controller.handle(Event::Tick, now);
+    assert_eq!(controller.admit(None, now).unwrap_err(), Refusal::Closed);
+    controller.handle(Event::Polled(1, Some(Status::REACHED)), now);
     let call = controller.admit(None, now).unwrap();
     assert!(controller.check(&call, None, now).is_ok());
     assert_eq!(
@@ -372,6 +374,26 @@
     );
 }
 
+/// Guards against an open gate in front of a plain service that is gone, and a closed one when it is back.
+#[test]
+fn plain_unreachable() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut controller = Controller::new(Backend::Plain, start);
+    let reached = [true, false, false, false, true];
+    let mut open = Vec::new();
+    for (reached, second) in reached.into_iter().zip(0..) {
+        let now = at(second * 1000);
+        for action in controller.handle(Event::Tick, now) {
+            if let Action::Poll(poll) = action {
+                controller.handle(Event::Polled(poll, reached.then_some(Status::REACHED)), now);
+            }
+        }
+        open.push(controller.admit(None, now).is_ok());
+    }
+    assert_eq!(open, [true, true, true, false, true]);
+}
+
 /// Guards against a target that stays out of service when the catalogue returns to the weights in service.
 #[test]
 fn drain_wanted_back() {
