agent: add metrics of transfers

Cause: the agent registered no metrics of transfers. In a burst an operator had only the number of chunks in /status and the log.

Change: bytes of chunk data by source and destination, chunks held and wanted, corrupted chunks, stalls, redirects, answers about permits, and transfers that ended with their time. Labels have fixed values.

Conclusion: the sum of the bytes with source "origin" over the agents gives the number of copies drawn.

--- a/bins/agent/src/chunk_server.rs
+++ b/bins/agent/src/chunk_server.rs
@@ -15,6 +15,7 @@
 use node::http::{self, Body, Limits, Method, Request, Response, StatusCode, json, response};
 use weights::{ChunkIndex, Digest};
 
+use crate::metrics::Remote;
 use crate::transfer::Holdings;
 
 /// Bytes that are sent before the token bucket is asked again. With whole chunks, a slow link would let one transfer
@@ -87,12 +88,14 @@
         return not_found(request.uri().path());
     };
     let held = holdings.contains(&chunk);
+    let to = holdings.remote(&asker.address);
     match holdings.uploader.answer(chunk, held, asker, Instant::now()) {
         Choice::Send(slot) => match holdings.chunk(&chunk) {
-            Some(bytes) => response(StatusCode::OK, paced(holdings, digest, bytes, slot)),
+            Some(bytes) => response(StatusCode::OK, paced(holdings, digest, bytes, (slot, to))),
             None => not_yet(UNKNOWN_WAIT),
         },
         Choice::Redirect(holders) => {
+            holdings.metrics.redirects.inc();
             let holders: Vec<String> = holders.iter().map(SocketAddr::to_string).collect();
             with_header(
                 StatusCode::SEE_OTHER,
@@ -114,7 +117,12 @@
 }
 
 /// Returns a body that follows the uplink's bucket. The slot is released when the body ends or is dropped.
-fn paced(holdings: &Rc<Holdings>, version: Digest, bytes: Bytes, slot: Slot) -> Body {
+fn paced(
+    holdings: &Rc<Holdings>,
+    version: Digest,
+    bytes: Bytes,
+    (slot, to): (Slot, Remote),
+) -> Body {
     let holdings = Rc::clone(holdings);
     Body::stream(stream::unfold(
         (bytes, Some(slot)),
@@ -132,6 +140,7 @@
                 while let Err(wait) = ticket.poll(Instant::now()) {
                     compio::time::sleep(wait).await;
                 }
+                holdings.metrics.sent(to, piece.len());
                 holdings.count(|traffic| traffic.to_peers += piece.len() as u64);
                 Some((io::Result::Ok(piece), (rest, slot)))
             }
--- a/bins/agent/src/metrics.rs
+++ b/bins/agent/src/metrics.rs
@@ -1,5 +1,9 @@
 //! Metrics of the agent; `docs/METRICS.md` lists them.
 
+mod transfers;
+
+pub use transfers::{Remote, Transfers};
+
 use gate::OrderAnswer;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -19,6 +23,8 @@
     pub in_progress: Gauge,
     /// 0 closed, 1 open, 2 draining.
     pub gate: Gauge,
+    /// Transfers of weights.
+    pub transfers: Transfers,
 }
 
 impl Metrics {
@@ -64,5 +70,6 @@
             "State of the gate: 0 closed, 1 open, 2 draining",
             self.gate.clone(),
         );
+        self.transfers.register(registry);
     }
 }
--- a/bins/agent/src/process.rs
+++ b/bins/agent/src/process.rs
@@ -59,7 +59,7 @@
         )),
     ];
     if let (Backend::Engine, Some(store)) = (shared.settings.backend, shared.settings.store) {
-        let holdings = staging::holdings(&shared.settings);
+        let holdings = staging::holdings(&shared.settings, shared.metrics.transfers.clone());
         let (transfer, worker) = staging::transfer(&shared, holdings.clone(), platform, store);
         tasks.push(spawn(worker.run()));
         tasks.push(spawn(staging::run(
--- a/bins/agent/src/staging.rs
+++ b/bins/agent/src/staging.rs
@@ -11,6 +11,7 @@
 use gossip::{Phase, Store, Value};
 use weights::{Digest, Pin};
 
+use crate::metrics::Transfers;
 use crate::transfer::{Holdings, Order, Rates, Settings, Transfer, Worker};
 use crate::{Shared, settings};
 
@@ -24,18 +25,20 @@
 const PARALLEL: usize = 16;
 
 /// Returns the holdings of an agent, sized by its settings.
-pub fn holdings(settings: &settings::Settings) -> Rc<Holdings> {
+pub fn holdings(settings: &settings::Settings, metrics: Transfers) -> Rc<Holdings> {
     let rates = Rates {
         uplink: settings.uplink,
         downlink: settings.downlink,
         inter_region: settings.inter_region,
     };
-    Rc::new(Holdings::new(
+    let holdings = Holdings::new(
+        &settings.domain,
         &settings.region,
         &rates,
         settings.chunk_cache,
         UPLOAD_SLOTS,
-    ))
+    );
+    Rc::new(holdings.with_metrics(metrics))
 }
 
 /// Returns the transfer of an agent whose engine takes weights from `store`.
--- a/bins/agent/src/transfer.rs
+++ b/bins/agent/src/transfer.rs
@@ -71,7 +71,7 @@
 ///
 /// # fn example(settings: Settings, platform: platform::Client, order: agent::transfer::Order) {
 /// let rates = Rates { uplink: 100_000_000, downlink: 100_000_000, inter_region: 2_500_000 };
-/// let holdings = Rc::new(Holdings::new(&settings.me.region, &rates, 64 << 20, 4));
+/// let holdings = Rc::new(Holdings::new(&settings.me.domain, &settings.me.region, &rates, 64 << 20, 4));
 /// let on_complete = |pin: &weights::Pin| println!("{pin} is staged");
 /// let (transfer, worker) = Transfer::new(settings, holdings, platform, on_complete);
 /// compio::runtime::spawn(worker.run()).detach();
--- a/bins/agent/src/transfer/fetch.rs
+++ b/bins/agent/src/transfer/fetch.rs
@@ -13,6 +13,7 @@
 use weights::{ChunkIndex, Digest, Manifest, Pin};
 
 use super::{Holdings, Settings};
+use crate::metrics::Remote;
 
 /// Time in which each part of an answer must arrive. The downloader gives up stalled requests earlier.
 const PART: Duration = Duration::from_secs(30);
@@ -72,9 +73,10 @@
         match parts.status {
             StatusCode::OK => {
                 let buckets = self.buckets(Some(&peer));
+                let from = self.holdings.remote(&peer);
                 let mut bytes = BytesMut::with_capacity(len as usize);
                 match self
-                    .read(body, &mut bytes, len as usize, &buckets, progress)
+                    .read(body, &mut bytes, len as usize, &buckets, (from, progress))
                     .await
                 {
                     Ok(()) => {
@@ -143,7 +145,13 @@
             let before = partial.bytes.len();
             let buckets = self.buckets(None);
             let read = self
-                .read(body, &mut partial.bytes, len, &buckets, progress)
+                .read(
+                    body,
+                    &mut partial.bytes,
+                    len,
+                    &buckets,
+                    (Remote::Origin, progress),
+                )
                 .await;
             let received = (partial.bytes.len() - before) as u64;
             self.holdings
@@ -186,7 +194,7 @@
         bytes: &mut BytesMut,
         len: usize,
         buckets: &[&Bucket],
-        progress: impl Fn(),
+        (from, progress): (Remote, impl Fn()),
     ) -> Result<(), Error> {
         loop {
             body.set_deadline(Instant::now() + PART);
@@ -194,6 +202,7 @@
                 break;
             };
             progress();
+            self.holdings.metrics.received(from, piece.len());
             if bytes.len() + piece.len() > len {
                 return Err(Error::Length(bytes.len() + piece.len(), len));
             }
--- a/bins/agent/src/transfer/holdings.rs
+++ b/bins/agent/src/transfer/holdings.rs
@@ -5,10 +5,12 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use burst::{Bucket, Members, Uploader, Version};
+use burst::{Bucket, Members, Peer, Uploader, Version};
 use bytes::Bytes;
 use weights::{Chunk, Digest, Store};
 
+use crate::metrics::{Remote, Transfers};
+
 /// Versions whose manifests are served: the current one and the one before, which other agents may still transfer.
 const VERSIONS: usize = 2;
 
@@ -46,14 +48,18 @@
     pub uploader: Uploader,
     store: RefCell<Store>,
     versions: RefCell<Vec<Version>>,
+    /// Metrics of what the transfer and the chunk port do.
+    pub metrics: Transfers,
     region: String,
-    regions: RefCell<HashMap<SocketAddr, String>>,
+    domain: String,
+    peers: RefCell<HashMap<SocketAddr, Peer>>,
     traffic: Cell<Traffic>,
 }
 
 impl Holdings {
-    /// Returns empty holdings of an agent in `region` that cache at most `cache` bytes besides the chunks kept for others.
-    pub fn new(region: &str, rates: &Rates, cache: u64, slots: usize) -> Self {
+    /// Returns empty holdings of an agent in `domain` and `region` that cache at most `cache` bytes besides the chunks
+    /// kept for others.
+    pub fn new(domain: &str, region: &str, rates: &Rates, cache: u64, slots: usize) -> Self {
         let now = Instant::now();
         // A tenth of a second's bytes: short enough for live requests, long enough to use the whole rate.
         let bucket = |rate: u64| Bucket::new(rate as f64, rate as f64 / 10.0, now);
@@ -64,8 +70,10 @@
             uploader: Uploader::new(slots),
             store: RefCell::new(Store::new(cache)),
             versions: RefCell::default(),
+            metrics: Transfers::default(),
             region: region.into(),
-            regions: RefCell::default(),
+            domain: domain.into(),
+            peers: RefCell::default(),
             traffic: Cell::default(),
         }
     }
@@ -102,7 +110,24 @@
 
     /// Tells whether `peer` is known to be in this agent's region; strangers count as being elsewhere.
     pub fn is_near(&self, peer: &SocketAddr) -> bool {
-        self.regions.borrow().get(peer) == Some(&self.region)
+        let peers = self.peers.borrow();
+        peers
+            .get(peer)
+            .is_some_and(|peer| peer.region == self.region)
+    }
+
+    /// Returns where `peer` is, for the metrics; strangers count as being elsewhere.
+    pub fn remote(&self, peer: &SocketAddr) -> Remote {
+        match self.peers.borrow().get(peer) {
+            Some(peer) if peer.domain == self.domain => Remote::OwnDomain,
+            _ => Remote::OtherDomain,
+        }
+    }
+
+    /// Counts into `metrics` from now on.
+    pub fn with_metrics(mut self, metrics: Transfers) -> Self {
+        self.metrics = metrics;
+        self
     }
 
     pub(crate) fn add_version(&self, version: &Version) {
@@ -126,13 +151,12 @@
     }
 
     pub(crate) fn set_members(&self, members: &Members) {
-        let regions: HashMap<SocketAddr, String> = members
+        let peers: HashMap<SocketAddr, Peer> = members
             .iter()
-            .map(|peer| (peer.address, peer.region.clone()))
+            .map(|peer| (peer.address, peer.clone()))
             .collect();
-        self.uploader
-            .retain(|address| regions.contains_key(address));
-        *self.regions.borrow_mut() = regions;
+        self.uploader.retain(|address| peers.contains_key(address));
+        *self.peers.borrow_mut() = peers;
     }
 
     pub(crate) fn count(&self, change: impl FnOnce(&mut Traffic)) {
--- a/bins/agent/src/transfer/run.rs
+++ b/bins/agent/src/transfer/run.rs
@@ -43,6 +43,7 @@
     since: Instant,
     fetcher: Rc<Fetcher>,
     stage: Stage,
+    complete: bool,
 }
 
 /// Life cycle of a transfer.
@@ -174,6 +175,13 @@
     /// Stops the current transfer and starts one for `order` with its manifest.
     fn begin(&mut self, order: Option<Order>) {
         self.transfer += 1;
+        if self
+            .current
+            .as_ref()
+            .is_some_and(|current| !current.complete)
+        {
+            self.holdings.metrics.stopped();
+        }
         let before = self.current.take().and_then(|current| match current.stage {
             Stage::Manifest { before, .. } => before,
             Stage::Chunks(chunks) => Some(Box::new(chunks.downloader)),
@@ -195,6 +203,7 @@
                     before,
                     _task: task,
                 },
+                complete: false,
             }
         });
     }
@@ -386,10 +395,12 @@
         let transfer = self.transfer;
         let inputs = self.handle.inputs.clone();
         let platform = self.platform.clone();
+        let metrics = self.holdings.metrics.clone();
         if let Some(chunks) = self.chunks_mut() {
             let name = chunks.downloader.version().stripes().object(stripe);
             let task = compio::runtime::spawn(async move {
                 let grant = permits::ask(&platform, &name, &holder, read).await;
+                metrics.permit(grant);
                 send(
                     &inputs,
                     Input::Permit {
@@ -408,7 +419,9 @@
             return;
         };
         let stats = chunks.downloader.stats();
-        if let Some(current) = &self.current {
+        if let Some(current) = &mut self.current {
+            current.complete = true;
+            self.holdings.metrics.complete(current.since.elapsed());
             node::event!(
                 event::TRANSFER_COMPLETE,
                 pin = current.order.pin,
@@ -441,7 +454,12 @@
             missing: chunks.downloader.missing() as u32,
             stats: chunks.downloader.stats(),
         });
-        self.handle.progress.set(progress.unwrap_or_default());
+        let progress = progress.unwrap_or_default();
+        let before = self.handle.progress.replace(progress);
+        let (chunks, missing) = (progress.chunks, progress.missing);
+        self.holdings
+            .metrics
+            .progress(chunks, missing, before.stats, progress.stats);
     }
 
     fn corrupted(&self) -> u32 {
--- a/bins/agent/tests/transfer/main.rs
+++ b/bins/agent/tests/transfer/main.rs
@@ -35,6 +35,45 @@
     });
 }
 
+// Guards against metrics under other names than the page lists, and against bytes counted for another source.
+#[test]
+fn transfer_metrics() {
+    with_world(|world| async move {
+        let agents = world.fleet(&["a"], Plan::OriginBytes);
+        wait_complete(&agents, &world.pin("v1")).await;
+        let sum = |name: &str| -> u64 { agents.iter().map(|agent| agent.metric(name)).sum() };
+        let traffic = agents.iter().map(|agent| agent.holdings.traffic());
+        let (peers, sent) = traffic.fold((0, 0), |(peers, sent), traffic| {
+            (peers + traffic.from_peers, sent + traffic.to_peers)
+        });
+        let received = |source: &str| {
+            sum(&format!(
+                "chunk_received_bytes_total{{source=\"{source}\"}}"
+            ))
+        };
+        assert_eq!(received("origin"), world.size("v1"));
+        assert!(peers > 0 && received("own-domain") >= peers);
+        assert_eq!(
+            sum("chunk_sent_bytes_total{destination=\"own-domain\"}"),
+            sent
+        );
+        assert_eq!(
+            sum("draw_permits_total{answer=\"granted\"}"),
+            world.objects.borrow().len() as u64
+        );
+        assert_eq!(sum("transfers_total{result=\"complete\"}"), 2);
+        assert_eq!(sum("transfer_duration_seconds_count"), 2);
+        assert_eq!(sum("chunks_held"), sum("chunks_wanted"));
+        for zero in [
+            "chunks_corrupted_total",
+            "chunk_stalls_total",
+            "chunk_redirects_total",
+        ] {
+            assert_eq!(sum(zero), 0, "{zero}");
+        }
+    });
+}
+
 // Guards against a transfer that hangs when an agent dies in its middle, and against a fifth copy by take-over.
 #[parameterized(early = { 5 }, middle = { 100 }, late = { 230 })]
 fn transfer_agent_dies(held: u32) {
--- a/bins/agent/tests/transfer/support.rs
+++ b/bins/agent/tests/transfer/support.rs
@@ -15,6 +15,8 @@
 use node::http::{
     Body, Limits, Method, Request, Response, StatusCode, header, json, response, serve,
 };
+use prometheus_client::encoding::text::encode;
+use prometheus_client::registry::Registry;
 use weights::{Digest, Manifest, Pin};
 
 pub const CHUNK: usize = 16 << 10;
@@ -218,7 +220,7 @@
             downlink: 200 << 20,
             inter_region: 200 << 20,
         };
-        let holdings = Rc::new(Holdings::new(domain, &rates, 1 << 30, 2));
+        let holdings = Rc::new(Holdings::new(domain, domain, &rates, 1 << 30, 2));
         let peer = Peer {
             name: format!("{domain}-{number}"),
             domain: domain.into(),
@@ -278,6 +280,22 @@
     }
 }
 
+impl Agent {
+    /// Returns the value of the metric `carobport_agent_{name}`, with its labels, as the operator port gives it.
+    pub fn metric(&self, name: &str) -> u64 {
+        let mut registry = Registry::default();
+        self.holdings.metrics.register(&mut registry);
+        let mut text = String::new();
+        encode(&mut text, &registry).unwrap();
+        let start = format!("carobport_agent_{name} ");
+        let value = text.lines().find_map(|line| line.strip_prefix(&start));
+        value
+            .unwrap_or_else(|| panic!("no {name} in {text}"))
+            .parse()
+            .unwrap()
+    }
+}
+
 /// Tells all agents of each other and of `others`.
 pub fn introduce(agents: &[Agent], others: &[Peer]) {
     let peers = agents.iter().map(|agent| &agent.peer).chain(others);
