Keep standard and foreign derives apart; start test processes at the default log level

Cause: the house style puts derives of the standard library and of other crates on separate lines, but rustfmt's default joins adjacent derives, so 96 places in 54 files had them in one. Tests that start processes wait for events of the level info; with CAROBPORT_LOG=error in the environment these never come and the tests hang.

Tests and the load tool remove CAROBPORT_LOG from the environment of the processes that they start.

--- a/bins/agent/src/engine.rs
+++ b/bins/agent/src/engine.rs
@@ -24,7 +24,8 @@
 const MAX_ANSWER: usize = 64 << 10;
 
 /// What the engine answers on `/status` and to an activate order.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct EngineStatus {
     incarnation: Incarnation,
     weights: Option<Digest>,
--- a/bins/agent/src/main.rs
+++ b/bins/agent/src/main.rs
@@ -9,7 +9,8 @@
 /// Brings weights to a target and passes calls on to it
 ///
 /// Exit codes: 0 stopped; 1 a port could not be opened; 2 findings in the settings or a wrong command line.
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(options, version)]
 struct Options {
     /// Settings file, in JSON
--- a/bins/agent/src/number.rs
+++ b/bins/agent/src/number.rs
@@ -18,7 +18,8 @@
 const WAITS: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(8));
 
 /// Content of `agents/{vm}`: who took the number.
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Debug)]
+#[derive(Deserialize, Serialize)]
 struct Taken {
     domain: String,
     service: String,
--- a/bins/agent/src/transfer/fetch.rs
+++ b/bins/agent/src/transfer/fetch.rs
@@ -247,7 +247,8 @@
 }
 
 /// A fetch that failed.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub(super) enum Error {
     #[error("the version has no chunk {0}")]
     NoChunk(ChunkIndex),
--- a/bins/agent/src/transfer/permits.rs
+++ b/bins/agent/src/transfer/permits.rs
@@ -64,7 +64,8 @@
 }
 
 /// A permit that could be neither granted nor refused.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 enum Failure {
     #[error(transparent)]
     Platform(#[from] Error),
--- a/bins/agent/src/turn.rs
+++ b/bins/agent/src/turn.rs
@@ -19,7 +19,8 @@
 const INTERVAL: Duration = Duration::from_secs(1);
 
 /// Answer on [`PATH`].
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct Weights {
     /// Digest of the weights in service; `None` while the gate is closed or drains.
     pub open: Option<Digest>,
--- a/bins/agent/tests/process/support.rs
+++ b/bins/agent/tests/process/support.rs
@@ -83,7 +83,11 @@
     }
 
     fn start(command: &mut Command, ready: &str) -> (Self, String) {
-        let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
+        // Tests wait for events of the level `info`.
+        let command = command
+            .env_remove(node::log::LEVEL_VARIABLE)
+            .stdout(Stdio::piped());
+        let mut child = command.spawn().unwrap();
         let mut stdout = BufReader::new(child.stdout.take().unwrap());
         let mut line = String::new();
         while !line.contains(ready) {
--- a/bins/burn/src/fetch.rs
+++ b/bins/burn/src/fetch.rs
@@ -15,7 +15,8 @@
 const CALL: Duration = Duration::from_secs(5);
 
 /// Objectives that can't be read.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// The platform gave no catalogue.
     #[error(transparent)]
--- a/bins/burn/src/file.rs
+++ b/bins/burn/src/file.rs
@@ -8,7 +8,8 @@
 use crate::thin::Thinner;
 
 /// A sample file that can't be used.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// The file can't be opened, read or written.
     #[error("samples in {path}: {error}")]
--- a/bins/burn/src/metrics.rs
+++ b/bins/burn/src/metrics.rs
@@ -3,7 +3,8 @@
 use crate::sample::{Bucket, Reading};
 
 /// A text that is not the metrics of an entry.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// A line can't be read.
     #[error("line {line} of the metrics can't be read: `{text}`")]
--- a/bins/burn/src/options.rs
+++ b/bins/burn/src/options.rs
@@ -14,7 +14,8 @@
 ///
 /// Exit codes: 0 no alert; 1 the command failed; 2 wrong command line; 3 alert; 4 no alert, but entries were not reached
 /// or lack samples.
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(options, version)]
 pub enum Options {
     /// Sample the entries, or read earlier samples, and show budgets and burn rates
@@ -26,7 +27,8 @@
 }
 
 /// Arguments of `report`.
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(ignore_rustdoc, guard(has_source, "give --entry, --samples or both"))]
 pub struct Arguments {
     /// Operator port of an entry VM to sample; may be repeated
--- a/bins/burn/src/picture.rs
+++ b/bins/burn/src/picture.rs
@@ -20,7 +20,8 @@
 const WINDOW: Duration = Duration::from_secs(300);
 
 /// A picture that can't be drawn.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[error("picture {path}: {reason}")]
 pub struct Error {
     path: String,
--- a/bins/burn/src/report.rs
+++ b/bins/burn/src/report.rs
@@ -27,7 +27,8 @@
 }
 
 /// Burn of all objectives at one time.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Report {
     /// Time of the report, in milliseconds since 1970.
     pub time_ms: u64,
@@ -46,7 +47,8 @@
 }
 
 /// An entry whose requests are missing in some window.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Unreached {
     /// Address of the entry.
     pub entry: String,
@@ -61,7 +63,8 @@
 }
 
 /// Burn of one objective.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Burn {
     /// Name of the class.
     pub class: String,
@@ -82,7 +85,8 @@
 }
 
 /// Kind of an objective.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Kind {
     /// Share of requests that are answered.
@@ -92,7 +96,8 @@
 }
 
 /// Burn in a pair of windows.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct PairBurn {
     /// Whether both windows exceed the rate.
     pub alert: bool,
@@ -105,7 +110,8 @@
 }
 
 /// Burn in a window that ends at the time of the report.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Window {
     /// Length in seconds.
     pub seconds: u64,
--- a/bins/burn/src/sample.rs
+++ b/bins/burn/src/sample.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// An attempt to read an entry's metrics; one JSON line of a sample file.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Sample {
     /// Time of the attempt, in milliseconds since 1970.
     pub time_ms: u64,
@@ -18,7 +19,8 @@
 }
 
 /// Result of an attempt.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Observation {
     /// The counters that the entry showed.
@@ -28,7 +30,8 @@
 }
 
 /// Counters of an entry since its start, summed over services and workspaces.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Reading {
     /// Start of the process in seconds since 1970, if the entry tells it.
     pub started: Option<f64>,
@@ -42,7 +45,8 @@
 pub type Causes = BTreeMap<String, u64>;
 
 /// A cumulative bucket of a histogram.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Bucket {
     /// Upper bound in seconds; `None` for the bucket of all answers.
     pub bound: Option<f64>,
--- a/bins/burn/tests/command/support.rs
+++ b/bins/burn/tests/command/support.rs
@@ -101,6 +101,7 @@
         std::fs::write(&file, settings.to_string()).unwrap();
         let mut command = Command::new(binary);
         command.args(["--settings", &file]).stdout(Stdio::null());
+        command.env_remove(node::log::LEVEL_VARIABLE);
         Self {
             callers,
             operators,
@@ -153,6 +154,7 @@
         entry,
     ]);
     command.args(rest.split(' '));
+    command.env_remove(node::log::LEVEL_VARIABLE);
     let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
     until("the report", async || child.try_wait().unwrap().is_some()).await;
     let output = child.wait_with_output().unwrap();
--- a/bins/catalog/src/files.rs
+++ b/bins/catalog/src/files.rs
@@ -10,7 +10,8 @@
 pub type Files = Vec<(String, String)>;
 
 /// A file or directory that can't be read.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[error("can't read {path}: {source}")]
 pub struct Error {
     path: String,
--- a/bins/catalog/src/options.rs
+++ b/bins/catalog/src/options.rs
@@ -10,7 +10,8 @@
 ///
 /// Exit codes: 0 done; 1 the command failed or its outcome is unknown; 2 findings or a wrong command line; 3 another
 /// operator was first; 4 written, but not yet in force everywhere.
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(options, version)]
 pub enum Options {
     /// Report everything that is wrong in a set of files
--- a/bins/catalog/src/put.rs
+++ b/bins/catalog/src/put.rs
@@ -26,7 +26,8 @@
 }
 
 /// A put without a known result.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// Nothing was written.
     #[error("{key} was not written: {reason}")]
--- a/bins/catalog/tests/put.rs
+++ b/bins/catalog/tests/put.rs
@@ -245,6 +245,7 @@
     std::fs::write(&file, r#"{"kind":"class"}"#).unwrap();
     let output = Command::new(env!("CARGO_BIN_EXE_carobport-catalog"))
         .args(["check", "--json"])
+        .env_remove(node::log::LEVEL_VARIABLE)
         .arg(&file)
         .output();
     std::fs::remove_file(&file).unwrap();
--- a/bins/catalog/tests/samples.rs
+++ b/bins/catalog/tests/samples.rs
@@ -14,6 +14,7 @@
     let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../samples");
     let output = Command::new(env!("CARGO_BIN_EXE_carobport-catalog"))
         .arg("check")
+        .env_remove(node::log::LEVEL_VARIABLE)
         .arg(samples.join(deployment).join("catalog"))
         .output()
         .unwrap();
--- a/bins/entry/src/main.rs
+++ b/bins/entry/src/main.rs
@@ -11,7 +11,8 @@
 ///
 ///
 /// Exit codes: 0 stopped as asked; 1 failed; 2 findings in the settings or a wrong command line.
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(options, version)]
 struct Options {
     /// Settings file, in JSON
--- a/bins/entry/src/metrics.rs
+++ b/bins/entry/src/metrics.rs
@@ -17,7 +17,8 @@
 ];
 
 /// Labels of a request.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 pub struct Labels {
     /// Service that was called.
     pub service: String,
@@ -36,7 +37,8 @@
     in_progress: Family<Service, Gauge>,
 }
 
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 struct Ended {
     service: String,
     class: String,
@@ -45,18 +47,21 @@
     outcome: &'static str,
 }
 
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 struct Class {
     class: String,
 }
 
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 struct Queue {
     service: String,
     class: String,
 }
 
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 struct Service {
     service: String,
 }
--- a/bins/entry/tests/entry/shutdown.rs
+++ b/bins/entry/tests/entry/shutdown.rs
@@ -84,6 +84,7 @@
         .arg("--settings")
         .arg(&file)
         .stdout(Stdio::null())
+        .env_remove(node::log::LEVEL_VARIABLE)
         .spawn()
         .unwrap();
     let up = (0..200).any(|_| {
--- a/bins/load/src/burst.rs
+++ b/bins/load/src/burst.rs
@@ -16,7 +16,8 @@
 const MARGIN: Duration = Duration::from_secs(2);
 
 /// Figures of a burst.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Report {
     /// What was run.
     pub plan: Plan,
--- a/bins/load/src/catalogue.rs
+++ b/bins/load/src/catalogue.rs
@@ -110,6 +110,7 @@
         let log = self.folder().join(format!("put-{author}.log"));
         fs::create_dir_all(&folder).map_err(io_error("creating the catalogue's folder"))?;
         let mut command = Command::new(self.binary("carobport-catalog"));
+        command.env_remove(node::log::LEVEL_VARIABLE);
         command.args(["put", "--author", author, "--timeout", PUT_LIMIT_S]);
         command
             .arg("--platform")
--- a/bins/load/src/deployment.rs
+++ b/bins/load/src/deployment.rs
@@ -38,7 +38,8 @@
 pub const MODEL: &str = "fixtures-lm";
 
 /// An experiment that failed for a reason outside the system under test.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// A file or process of the experiment can't be used.
     #[error("{what}: {source}")]
--- a/bins/load/src/main.rs
+++ b/bins/load/src/main.rs
@@ -14,7 +14,8 @@
 /// Runs experiments with real processes on loopback.
 ///
 /// All processes of an experiment are started by this program and end with it.
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(options, version)]
 enum Options {
     /// Show a burst: two entries, six engines and two plain services in two failure domains
--- a/bins/load/src/plan.rs
+++ b/bins/load/src/plan.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Domains, targets, weights and links of an experiment.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Plan {
     /// Failure domains; each is a region of its own.
--- a/bins/load/src/process.rs
+++ b/bins/load/src/process.rs
@@ -24,7 +24,8 @@
 }
 
 /// Processor time and memory of a process.
-#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Usage {
     /// Processor time since the start, in seconds.
     pub cpu_s: f64,
@@ -45,6 +46,8 @@
         let output = File::create(&log)?;
         let child = Command::new(binary)
             .args(args)
+            // Experiments wait for events of the level `info`.
+            .env_remove(node::log::LEVEL_VARIABLE)
             .stdin(Stdio::null())
             .stdout(output.try_clone()?)
             .stderr(output)
--- a/bins/load/src/sample.rs
+++ b/bins/load/src/sample.rs
@@ -5,7 +5,8 @@
 use serde::Serialize;
 
 /// Percentiles of a set of durations, in milliseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct Percentiles {
     /// Number of durations.
     pub count: usize,
--- a/bins/load/src/slopes.rs
+++ b/bins/load/src/slopes.rs
@@ -28,7 +28,8 @@
 const PUSH: usize = 500;
 
 /// A quantity at several sizes, and the slopes of its costs.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Series {
     /// What varies.
     pub variable: &'static str,
@@ -43,7 +44,8 @@
 }
 
 /// One run.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
 pub struct Point {
     /// Size.
     pub size: usize,
--- a/bins/load/src/traffic.rs
+++ b/bins/load/src/traffic.rs
@@ -44,7 +44,8 @@
 }
 
 /// What became of the requests.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Tally {
     /// Requests sent.
     pub sent: u64,
--- a/bins/standin/src/engine.rs
+++ b/bins/standin/src/engine.rs
@@ -34,7 +34,8 @@
     journal: Option<PathBuf>,
 }
 
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 struct Switches {
     /// Time until the first token, in milliseconds.
--- a/bins/standin/src/main.rs
+++ b/bins/standin/src/main.rs
@@ -20,7 +20,8 @@
 use node::settings::{Settings, load};
 
 /// Stand-ins for the outside systems of carobport
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(options, version)]
 enum Command {
     /// The platform's object API and VM list
--- a/bins/standin/src/plain.rs
+++ b/bins/standin/src/plain.rs
@@ -27,7 +27,8 @@
     journal: Option<PathBuf>,
 }
 
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 struct Switches {
     /// Whether every call is answered with 503 without running.
--- a/bins/standin/src/platform.rs
+++ b/bins/standin/src/platform.rs
@@ -30,7 +30,8 @@
 }
 
 /// How the platform fails.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 enum Outage {
     /// It doesn't.
@@ -44,7 +45,8 @@
     Hang,
 }
 
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 struct Switches {
     /// How calls fail.
--- a/bins/standin/src/store.rs
+++ b/bins/standin/src/store.rs
@@ -35,7 +35,8 @@
     chunk_size: u32,
 }
 
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 struct Switches {
     /// Whether every call is answered with 503.
--- a/bins/standin/tests/support/mod.rs
+++ b/bins/standin/tests/support/mod.rs
@@ -30,6 +30,8 @@
     std::fs::write(&file, settings.to_string()).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_carobport-standin"));
     command.arg(role).arg(file);
+    // Tests wait for events of the level `info`.
+    command.env_remove(node::log::LEVEL_VARIABLE);
     command
 }
 
--- a/crates/burst/src/permit.rs
+++ b/crates/burst/src/permit.rs
@@ -22,7 +22,8 @@
 /// assert_eq!(value.to_string(), r#"{"draws":["vm-1/5/0"]}"#);
 /// assert_eq!(Draws::decide(Some(&value), "vm-1/5/0").unwrap(), Decision::Granted);
 /// ```
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Draws {
     draws: Vec<String>,
@@ -40,7 +41,8 @@
 }
 
 /// A value that isn't a permit object.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[error("`{value}` is not a permit object: {source}")]
 pub struct Error {
     value: Value,
--- a/crates/burst/src/version.rs
+++ b/crates/burst/src/version.rs
@@ -22,7 +22,8 @@
 }
 
 /// A manifest that can't be used.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// The manifest has another digest.
     #[error("the manifest has the digest {found}, but {expected} was expected")]
--- a/crates/catalog/src/difference.rs
+++ b/crates/catalog/src/difference.rs
@@ -8,7 +8,8 @@
 use crate::Entry;
 
 /// A field that differs between two versions of an entry.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Change {
     /// JSON pointer of the field.
     pub pointer: String,
--- a/crates/catalog/src/entry.rs
+++ b/crates/catalog/src/entry.rs
@@ -13,7 +13,8 @@
 /// let entry: catalog::Entry = serde_json::from_str(text).unwrap();
 /// assert_eq!(entry.key(), "workspace/captains");
 /// ```
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(tag = "kind", rename_all = "lowercase")]
 pub enum Entry {
     /// A level of urgency.
@@ -25,7 +26,8 @@
 }
 
 /// A level of urgency and its service-level objective.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Class {
     /// Name of the class.
@@ -50,7 +52,8 @@
 }
 
 /// A service-level objective.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Objective {
     /// Share of requests that must be answered, 0 to 1.
@@ -62,7 +65,8 @@
 }
 
 /// A service and what runs it.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Name of the service, as callers use it in the path.
@@ -89,7 +93,8 @@
 }
 
 /// Kind of a service's targets.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Backend {
     /// Model engines that serve the weights of the entry.
@@ -99,7 +104,8 @@
 }
 
 /// The weights that a service must serve, and how they spread.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Model {
     /// Name of the model in the weight store.
@@ -113,7 +119,8 @@
 }
 
 /// What a transfer of weights saves first.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Plan {
     /// Fewest bytes drawn from the origin.
@@ -125,7 +132,8 @@
 }
 
 /// A group of callers and the services it may call.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Workspace {
     /// Name of the workspace, as callers send it.
@@ -145,7 +153,8 @@
 }
 
 /// Limits of an entry; an absent limit doesn't bind.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Limits {
     /// Most requests in progress in the whole system.
--- a/crates/catalog/src/finding.rs
+++ b/crates/catalog/src/finding.rs
@@ -11,7 +11,8 @@
 /// ```text
 /// secretaries.json:3:12: /class: read "urgnt", allowed: a declared class: "standard", "urgent"
 /// ```
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 pub struct Finding {
     /// Name of the file, as it was given.
     pub file: String,
--- a/crates/catalog/src/stored.rs
+++ b/crates/catalog/src/stored.rs
@@ -11,7 +11,8 @@
 ///
 /// The history stands in the object itself, so that one conditional update writes both and an operator who lost a race
 /// finds the name of the other in what is read back.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Stored {
     /// The entry.
     pub entry: Entry,
@@ -27,7 +28,8 @@
 }
 
 /// An earlier version of an entry.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Past {
     /// Revision that the platform gave to the version.
     pub revision: Revision,
--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -23,13 +23,15 @@
 /// assert_eq!(table.claim(3).from_ms, 1_760_000_010_000);
 /// assert!(table.renew(3, &first, epoch, now, now + claim::TERM).is_err());
 /// ```
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Table {
     slots: [Claim; SLOTS as usize],
 }
 
 /// The claim of one slot; epoch 0 means that it was never claimed.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Claim {
     /// The owner, or none once the slot is released.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -49,7 +51,8 @@
 }
 
 /// A process that holds claims.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Holder {
     /// Name of the agent.
     pub name: String,
@@ -58,7 +61,8 @@
 }
 
 /// The owner of the interval before the current one.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Prior {
     /// The process, which answers for its keys while it lives.
     pub holder: Holder,
@@ -67,7 +71,8 @@
 }
 
 /// A claim that its process no longer holds.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(thiserror::Error)]
 #[error("slot {slot} is not held by `{name}` in epoch {epoch}")]
 pub struct Error {
     slot: u8,
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -91,7 +91,8 @@
 }
 
 /// An answer that was made from other weights than its request asked for.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(thiserror::Error)]
 #[error("the engine answered from weights {found:?}, the request asked for {expected}")]
 pub struct Mismatch {
     /// Pin of the request.
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -49,7 +49,8 @@
 }
 
 /// Why a request was not admitted. Nothing was written to the backend.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(thiserror::Error)]
 pub enum Refusal {
     /// The gate is closed.
     #[error("closed")]
--- a/crates/gossip/src/exchange.rs
+++ b/crates/gossip/src/exchange.rs
@@ -21,7 +21,8 @@
 const MESSAGE_BYTES: usize = 64 * 1024;
 
 /// Hashes of a record store.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Digest {
     /// Hash of the whole store.
     pub root: u64,
@@ -32,7 +33,8 @@
 }
 
 /// What two stores differ in.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Delta {
     /// Hash of the answering store.
     pub root: u64,
--- a/crates/gossip/src/record.rs
+++ b/crates/gossip/src/record.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What a record describes.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub enum Key {
     /// A catalogue entry, by `kind/name`.
     Catalog(String),
@@ -20,9 +21,8 @@
 /// For catalogue entries `major` is the platform's revision. For members `major` is the incarnation and `minor` counts
 /// the member's own changes. An observer that finds a member dead sets `down` on the version it saw; any later change
 /// of the member itself is higher.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct Version {
     /// Platform revision or incarnation.
     pub major: u64,
@@ -44,7 +44,8 @@
 }
 
 /// Content of a record.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Value {
     /// JSON text of a catalogue entry.
     Catalog(String),
@@ -55,7 +56,8 @@
 }
 
 /// An entry VM.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Node {
     /// Failure domain.
     pub domain: String,
@@ -68,7 +70,8 @@
 }
 
 /// A target VM.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Target {
     /// Failure domain.
     pub domain: String,
@@ -85,7 +88,8 @@
 }
 
 /// Life cycle of a member as others see it.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Phase {
     /// Takes work or will do so when its weights are complete.
     Live,
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -26,7 +26,8 @@
 }
 
 /// A request without a whole answer.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// No byte of the request was written: it did not run.
     #[error("request to {peer} not written: {reason}")]
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -24,7 +24,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Mark of a response that ends the connection instead of being sent.
-#[derive(Clone, Debug, thiserror::Error)]
+#[derive(Clone, Debug)]
+#[derive(thiserror::Error)]
 #[error("the handler ended the connection without an answer")]
 pub struct Cut;
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -59,7 +59,8 @@
 }
 
 /// All findings of a file.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub struct Findings {
     source_name: String,
     findings: Vec<Finding>,
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -25,7 +25,8 @@
 }
 
 /// A call without a result.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// The platform didn't take the call: a write took no effect.
     #[error("platform unavailable for {call}: {reason}")]
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -4,7 +4,8 @@
 use serde_json::value::RawValue;
 
 /// A version of an object.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct Object {
     /// Name within its kind.
     pub name: String,
@@ -15,7 +16,8 @@
 }
 
 /// Objects of a kind.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct Listing {
     /// Highest revision that the platform had given when it made the list; watch after it.
     pub revision: u64,
@@ -44,7 +46,8 @@
 }
 
 /// A VM of the platform's list.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Vm {
     /// Name of the VM.
     pub name: String,
@@ -55,7 +58,8 @@
 }
 
 /// State of a VM in the platform's list.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     /// Runs.
--- a/crates/route/src/outcome.rs
+++ b/crates/route/src/outcome.rs
@@ -19,7 +19,8 @@
 pub struct NotRun(Refusal);
 
 /// Why the outcome of a request is not known.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(thiserror::Error)]
 pub enum Unknown {
     /// The connection to the target broke.
     #[error("lost")]
@@ -36,7 +37,8 @@
 }
 
 /// Why a request is refused, and when to try again.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(thiserror::Error)]
 #[error("{reason}")]
 pub struct Refusal {
     /// Why the request is refused.
@@ -46,7 +48,8 @@
 }
 
 /// Why a request did not run.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(thiserror::Error)]
 pub enum Reason {
     /// The request is malformed.
     #[error("malformed")]
--- a/crates/weights/src/chunk.rs
+++ b/crates/weights/src/chunk.rs
@@ -21,7 +21,8 @@
 }
 
 /// Bytes that don't have the expected digest.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(thiserror::Error)]
 #[error("{len} bytes have the digest {found}, but {expected} was expected")]
 pub struct Mismatch {
     /// Digest that the manifest lists.
--- a/crates/weights/src/digest.rs
+++ b/crates/weights/src/digest.rs
@@ -17,7 +17,8 @@
 pub struct Digest([u8; 32]);
 
 /// A text that is not a digest.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(thiserror::Error)]
 #[error("`{text}` is not a digest: expected 64 hexadecimal digits")]
 pub struct ParseError {
     text: String,
--- a/crates/weights/src/manifest.rs
+++ b/crates/weights/src/manifest.rs
@@ -17,7 +17,8 @@
 /// assert!(manifest.verify(2, b"89"));
 /// assert!(!manifest.verify(2, b"8x"));
 /// ```
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Manifest {
     /// Size of the weights in bytes.
@@ -29,7 +30,8 @@
 }
 
 /// A manifest that contradicts itself.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// The chunk size is zero.
     #[error("the manifest's chunk size is 0")]
--- a/crates/weights/src/pin.rs
+++ b/crates/weights/src/pin.rs
@@ -16,7 +16,8 @@
 /// let pin = weights::Pin::new("fixtures-lm", "v7", digest);
 /// assert_eq!(pin.to_string().parse::<weights::Pin>().unwrap(), pin);
 /// ```
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct Pin {
     /// Name of the model.
     pub model: String,
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -31,7 +31,8 @@
 }
 
 /// Whether an agent passes requests on.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Gate {
     /// No request is passed on.
     Closed,
@@ -42,7 +43,8 @@
 }
 
 /// Answer to a report.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Reply {
     /// True once the entry holds the target's own record.
     pub known: bool,
--- a/crates/wire/src/transport/client.rs
+++ b/crates/wire/src/transport/client.rs
@@ -26,7 +26,8 @@
 }
 
 /// A call or connection that failed.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// No connection was made.
     #[error("can't connect to {peer}: {source}")]
