--- a/bins/agent/src/chunk_server.rs
+++ b/bins/agent/src/chunk_server.rs
@@ -15,16 +15,26 @@
 use node::http::{self, Body, Limits, Method, Request, Response, StatusCode, json, response};
 use weights::{ChunkIndex, Digest};
 
+use crate::metrics::Remote;
 use crate::transfer::Holdings;
 
 /// Bytes that are sent before the token bucket is asked again. With whole chunks, a slow link would let one transfer
 /// hold up all others for longer than the stall time.
 const PIECE: usize = 64 << 10;
 
+/// Time that chunks in progress get after a stop began.
+///
+/// At a quarter of the slowest link that a burst is sized for, 2.5 MB/s between regions, a chunk of 4 MB takes 6.4 s.
+const DRAIN: Duration = Duration::from_secs(10);
+
+/// Time after a stop began in which connections stay open: other agents learn of the stop within it.
+const LINGER: Duration = Duration::from_millis(500);
+
 /// Time to wait that is given for a version whose manifest isn't known here yet: the catalogue takes about 1.5 s.
 const UNKNOWN_WAIT: Duration = Duration::from_millis(300);
 
-/// Serves the chunk port on `listener` until `shutdown` resolves.
+/// Serves the chunk port on `listener` until `shutdown` resolves, and then up to 10 s until the chunks in progress are
+/// sent.
 pub async fn serve(
     listener: TcpListener,
     holdings: Rc<Holdings>,
@@ -36,6 +46,8 @@
     };
     let limits = Limits {
         body: 0,
+        drain: DRAIN,
+        linger: LINGER,
         ..Limits::default()
     };
     http::serve(listener, limits, handler, shutdown).await;
@@ -87,12 +99,14 @@
         return not_found(request.uri().path());
     };
     let held = holdings.contains(&chunk);
+    let to = holdings.remote(&asker.address);
     match holdings.uploader.answer(chunk, held, asker, Instant::now()) {
         Choice::Send(slot) => match holdings.chunk(&chunk) {
-            Some(bytes) => response(StatusCode::OK, paced(holdings, digest, bytes, slot)),
+            Some(bytes) => response(StatusCode::OK, paced(holdings, digest, bytes, (slot, to))),
             None => not_yet(UNKNOWN_WAIT),
         },
         Choice::Redirect(holders) => {
+            holdings.metrics.redirects.inc();
             let holders: Vec<String> = holders.iter().map(SocketAddr::to_string).collect();
             with_header(
                 StatusCode::SEE_OTHER,
@@ -114,7 +128,12 @@
 }
 
 /// Returns a body that follows the uplink's bucket. The slot is released when the body ends or is dropped.
-fn paced(holdings: &Rc<Holdings>, version: Digest, bytes: Bytes, slot: Slot) -> Body {
+fn paced(
+    holdings: &Rc<Holdings>,
+    version: Digest,
+    bytes: Bytes,
+    (slot, to): (Slot, Remote),
+) -> Body {
     let holdings = Rc::clone(holdings);
     Body::stream(stream::unfold(
         (bytes, Some(slot)),
@@ -132,6 +151,7 @@
                 while let Err(wait) = ticket.poll(Instant::now()) {
                     compio::time::sleep(wait).await;
                 }
+                holdings.metrics.sent(to, piece.len());
                 holdings.count(|traffic| traffic.to_peers += piece.len() as u64);
                 Some((io::Result::Ok(piece), (rest, slot)))
             }
--- a/bins/agent/src/engine.rs
+++ b/bins/agent/src/engine.rs
@@ -1,4 +1,4 @@
-//! Status polls and orders to the engine.
+//! Status polls of the backend and orders to the engine.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -24,7 +24,8 @@
 const MAX_ANSWER: usize = 64 << 10;
 
 /// What the engine answers on `/status` and to an activate order.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct EngineStatus {
     incarnation: Incarnation,
     weights: Option<Digest>,
@@ -63,8 +64,11 @@
     match action {
         Action::Poll(poll) => {
             compio::runtime::spawn(async move {
-                let status = poll_status(&shared, &http).await;
-                shared.handle(Event::Polled(poll, status.map(Status::from)));
+                let status = match shared.settings.backend {
+                    Backend::Engine => poll_status(&shared, &http).await.map(Status::from),
+                    Backend::Plain => reach(&shared).await,
+                };
+                shared.handle(Event::Polled(poll, status));
             })
             .detach();
         }
@@ -118,6 +122,15 @@
     Some(poll_status(shared, http).await?.fencing_number)
 }
 
+/// Connects to a plain service; `None` when it accepts no connection.
+async fn reach(shared: &Shared) -> Option<Status> {
+    let connected = node::connect(shared.settings.backend_address);
+    match compio::time::timeout(POLL_TIMEOUT, connected).await {
+        Ok(Ok(_)) => Some(Status::REACHED),
+        Ok(Err(_)) | Err(_) => None,
+    }
+}
+
 async fn poll_status(shared: &Shared, http: &Client) -> Option<EngineStatus> {
     let request = Request::get("/status").body(Body::empty()).ok()?;
     let deadline = Instant::now() + POLL_TIMEOUT;
--- a/bins/agent/tests/process/support.rs
+++ b/bins/agent/tests/process/support.rs
@@ -83,7 +83,11 @@
     }
 
     fn start(command: &mut Command, ready: &str) -> (Self, String) {
-        let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
+        // Tests wait for events of the level `info`.
+        let command = command
+            .env_remove(node::log::LEVEL_VARIABLE)
+            .stdout(Stdio::piped());
+        let mut child = command.spawn().unwrap();
         let mut stdout = BufReader::new(child.stdout.take().unwrap());
         let mut line = String::new();
         while !line.contains(ready) {
@@ -343,6 +347,23 @@
         Some((outcome, answer.into_body().bytes(1 << 20).await.ok()?))
     }
 
+    /// Asks the agent for a chunk as another agent, and returns the body, of which nothing was read.
+    pub async fn chunk(&self, pin: &Pin, index: u32) -> Answer {
+        let request = Request::get(format!("/chunks/{}/{index}", pin.digest))
+            .header(wire::header::CHUNK_ADDRESS, "127.0.0.1:9")
+            .body(Body::empty())
+            .unwrap();
+        let address = self.settings["chunk_listen"].as_str().unwrap();
+        let deadline = Instant::now() + SOON;
+        let answer = self
+            .client
+            .send(address.parse().unwrap(), request, deadline)
+            .await
+            .unwrap();
+        assert_eq!(answer.status().as_u16(), 200);
+        answer.into_body()
+    }
+
     /// Returns the claim table of the service.
     pub async fn claims(&self) -> Value {
         let body = self
--- a/bins/load/src/requests.rs
+++ b/bins/load/src/requests.rs
@@ -42,7 +42,8 @@
 }
 
 /// A quantity at several sizes, and the slopes of its costs.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Series {
     /// What varies.
     pub variable: &'static str,
@@ -59,7 +60,8 @@
 }
 
 /// One run.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Point {
     /// Requests a second, or streams at a time.
     pub size: usize,
--- a/crates/catalog/src/entry.rs
+++ b/crates/catalog/src/entry.rs
@@ -16,7 +16,8 @@
 /// let entry: catalog::Entry = serde_json::from_str(text).unwrap();
 /// assert_eq!(entry.key(), "workspace/captains");
 /// ```
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(tag = "kind", rename_all = "lowercase")]
 pub enum Entry {
     /// A level of urgency.
@@ -28,7 +29,8 @@
 }
 
 /// A level of urgency and its service-level objective.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Class {
     /// Name of the class.
@@ -53,7 +55,8 @@
 }
 
 /// A service-level objective.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Objective {
     /// Share of requests that must be answered, 0 to 1.
@@ -65,7 +68,8 @@
 }
 
 /// A service and what runs it.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Name of the service, as callers use it in the path.
@@ -92,7 +96,8 @@
 }
 
 /// Kind of a service's targets.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Backend {
     /// Model engines that serve the weights of the entry.
@@ -102,7 +107,8 @@
 }
 
 /// The weights that a service must serve, and how they spread.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Model {
     /// Name of the model in the weight store.
@@ -121,7 +127,8 @@
 }
 
 /// What a transfer of weights saves first.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Plan {
     /// Fewest bytes drawn from the origin.
@@ -133,7 +140,8 @@
 }
 
 /// A group of callers and the services it may call.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Workspace {
     /// Name of the workspace, as callers send it.
@@ -153,7 +161,8 @@
 }
 
 /// Limits of an entry; an absent limit doesn't bind.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Limits {
     /// Most requests in progress in the whole system.
--- a/crates/gossip/src/view.rs
+++ b/crates/gossip/src/view.rs
@@ -51,7 +51,8 @@
 }
 
 /// A range of keys of which all records are given.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Span {
     /// Key before the first; `None` from the start.
     pub after: Option<Key>,
