load: give faults and thin region links in a burst

Cause: a burst could only be measured without a fault, and with a rate between regions for each agent, which grows with the fleet and so is never the narrowest link.

Change: a plan names a fault (domain_lost, agents_killed, owner_stalled), which is given once the agents hold a quarter of all chunks, and the rate of each region's link, which its agents share equally. The report counts the survivors only, and adds copies for each drawing domain, the p99 to the first byte between the put and the last holder, its ratio to the idle one, and the share of chunks held every 250 ms. The bound includes the region's link.

Ruled out: a relay that shares the region's link among its agents at run time. It would be one more process in the path of each chunk; owners receive about equal shares, so equal shares of the link are close to it.

Times under faults at 60 replicas were not measured yet.

--- a/bins/load/src/burst.rs
+++ b/bins/load/src/burst.rs
@@ -1,11 +1,12 @@
 //! The experiment: a new version reaches all targets while live requests flow.
 
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use serde::Serialize;
 
 use crate::deployment::{Deployment, Error, MODEL_SERVICE, PLAIN_SERVICE, WORKSPACE};
-use crate::{Load, Plan, Replicas, Tally};
+use crate::{Fault, Load, Percentiles, Plan, Replicas, Tally, fault};
 
 /// Requests a second to the model's service.
 const MODEL_RATE: f64 = 20.0;
@@ -20,14 +21,18 @@
 pub struct Report {
     /// What was run.
     pub plan: Plan,
-    /// Targets that had to serve the version.
+    /// Targets that had to serve the version: those that survived the fault.
     pub replicas: usize,
+    /// Targets that were lost by the fault.
+    pub lost: usize,
     /// Time from the start of the put until half, 90% and all of the targets held the version, in seconds.
     pub hold_s: [f64; 3],
     /// The same until they served it.
     pub serve_s: [f64; 3],
     /// Copies of the model drawn from the origin.
     pub origin_copies: f64,
+    /// Copies for each domain that draws from the origin while all domains are alive.
+    pub copies_per_drawing_domain: f64,
     /// Bytes drawn from the origin.
     pub origin_bytes: u64,
     /// Lower bound of the time until all hold the weights, in seconds.
@@ -40,6 +45,12 @@
     pub keyed: Tally,
     /// Time to the first byte without a burst, 99th percentile in milliseconds.
     pub idle_p99_ms: f64,
+    /// Time to the first byte of the model's requests from the put until the last target held the weights.
+    pub burst_first_byte: Percentiles,
+    /// Its 99th percentile over the idle one.
+    pub p99_ratio: f64,
+    /// Share of all chunks held by the targets, every 250 ms from the start of the put.
+    pub progress: Vec<f64>,
 }
 
 /// Starts a system, serves `v1`, then brings `v2` to all targets under live requests.
@@ -53,7 +64,7 @@
     let idle = load(&deployment, MODEL_SERVICE, MODEL_RATE, MARGIN * 2)
         .run()
         .await;
-    burst(&deployment, "v2", limit, idle.first_byte.p99_ms).await
+    burst(deployment, "v2", limit, idle.first_byte.p99_ms).await
 }
 
 /// Puts the whole catalogue with the model at `version` and waits until requests are answered.
@@ -86,7 +97,7 @@
 }
 
 async fn burst(
-    deployment: &Deployment,
+    mut deployment: Deployment,
     version: &str,
     limit: Duration,
     idle_p99_ms: f64,
@@ -94,31 +105,56 @@
     let plan = deployment.plan.clone();
     let drawn_before = deployment.count(&deployment.store, "bytes_drawn").await?;
     let time = MARGIN * 2 + estimate(&plan);
-    let model = compio::runtime::spawn(load_owned(deployment, MODEL_SERVICE, MODEL_RATE, time));
-    let keyed = compio::runtime::spawn(load_owned(deployment, PLAIN_SERVICE, KEYED_RATE, time));
+    let model = load(&deployment, MODEL_SERVICE, MODEL_RATE, time);
+    let removed = Rc::clone(&model.removed);
+    let keyed = Load {
+        removed: Rc::clone(&removed),
+        ..load(&deployment, PLAIN_SERVICE, KEYED_RATE, time)
+    };
+    let model = compio::runtime::spawn(async move { model.run().await });
+    let keyed = compio::runtime::spawn(async move { keyed.run().await });
     compio::time::sleep(MARGIN).await;
 
     let digest = deployment.digest(version).await?;
+    let start = Instant::now();
     let replicas = Replicas::watch(deployment.engine_agents(), &digest, plan.chunks());
     deployment.put_version(version).await?;
-    let count = plan.replicas();
+    let progress = compio::time::timeout(limit, replicas.progress());
+    let fault = async {
+        if let Some(fault) = plan.fault {
+            // A burst that never gets that far ends at its limit.
+            let given = fault::give(fault, &mut deployment, &replicas, &removed);
+            let _ = compio::time::timeout(limit, given).await;
+        }
+    };
+    let (progress, ()) = futures::join!(progress, fault);
     replicas.wait(limit).await?;
+    let count = replicas.expected();
     let shares = [count.div_ceil(2), (count * 9).div_ceil(10), count];
     let hold_s = shares.map(|count| replicas.held_time_of(count).as_secs_f64());
     let serve_s = shares.map(|count| replicas.time_of(count).as_secs_f64());
     let drawn = deployment.count(&deployment.store, "bytes_drawn").await? - drawn_before;
     let bound_s = bound(&plan).as_secs_f64();
+    let copies = drawn as f64 / plan.model_bytes as f64;
+    let model = tally(model.await)?;
+    let end = start + replicas.held_time_of(count);
+    let burst_first_byte = model.first_byte_between(start, end);
     Ok(Report {
         replicas: count,
+        lost: plan.replicas() - count,
         hold_s,
         serve_s,
-        origin_copies: drawn as f64 / plan.model_bytes as f64,
+        origin_copies: copies,
+        copies_per_drawing_domain: copies / plan.drawing_domains() as f64,
         origin_bytes: drawn,
         bound_s,
         ratio: hold_s[2] / bound_s,
-        model: tally(model.await)?,
+        model,
         keyed: tally(keyed.await)?,
         idle_p99_ms,
+        burst_first_byte,
+        p99_ratio: burst_first_byte.p99_ms / idle_p99_ms,
+        progress: progress.unwrap_or_default(),
         plan,
     })
 }
@@ -137,6 +173,7 @@
     };
     Load {
         entries: deployment.callers(),
+        removed: Rc::default(),
         path,
         workspace: WORKSPACE.into(),
         rate_per_s,
@@ -146,42 +183,30 @@
     }
 }
 
-fn load_owned(
-    deployment: &Deployment,
-    service: &str,
-    rate_per_s: f64,
-    duration: Duration,
-) -> impl Future<Output = Tally> + 'static {
-    let load = load(deployment, service, rate_per_s, duration);
-    async move { load.run().await }
-}
-
-/// Returns the time for which requests should flow: three times the lower bound, and the turns of the switch.
+/// Returns the time for which requests should flow: three times the lower bound, the turns of the switch, and what a
+/// fault adds.
 fn estimate(plan: &Plan) -> Duration {
-    bound(plan) * 3 + Duration::from_secs(4)
+    let fault = plan.fault.map_or(Duration::ZERO, |_| Fault::STALL * 2);
+    bound(plan) * 3 + Duration::from_secs(4) + fault
 }
 
 /// Returns the lower bound of the time until all targets hold a new version.
 ///
-/// It is the larger of two times: that of the copies which must cross the origin's link, and that of a pipelined
-/// broadcast, size over link rate times (1 + log2 N / chunks).
+/// It is the largest of three times: that of the copies which must cross the origin's link, that of the copies which
+/// must cross a region's link, and that of a pipelined broadcast, size over link rate times (1 + log2 N / chunks).
 pub fn bound(plan: &Plan) -> Duration {
     let size = plan.model_bytes as f64;
     let domains = plan.domains.len() as f64;
     let drawing = match plan.transfer.as_str() {
-        "origin_bytes" => 1.0,
-        "direct" => plan.replicas() as f64,
-        _ => domains.min(3.0),
+        "direct" => plan.replicas(),
+        _ => plan.drawing_domains(),
     };
-    let origin = drawing * size / plan.origin_bytes_per_s as f64;
+    let origin = drawing as f64 * size / plan.origin_bytes_per_s as f64;
     let pipeline = 1.0 + (plan.replicas() as f64).log2() / plan.chunks() as f64;
     let broadcast = size / plan.link_bytes_per_s as f64 * pipeline;
-    // Every domain receives one copy over its agents' share of the region's link, unless it draws all from the origin.
-    let per_domain = f64::from(plan.engines) * plan.region_bytes_per_s as f64;
-    let crossing = if domains > 1.0 && plan.transfer == "origin_bytes" {
-        size * (domains - 1.0) / domains / per_domain
-    } else {
-        0.0
-    };
+    // Each domain receives the stripes that it doesn't draw over its agents' share of the region's link.
+    let per_domain = f64::from(plan.engines) * plan.region_share() as f64;
+    let received = 1.0 - plan.drawing_domains() as f64 / domains;
+    let crossing = size * received / per_domain;
     Duration::from_secs_f64(origin.max(broadcast).max(crossing))
 }
--- a/bins/load/src/deployment.rs
+++ b/bins/load/src/deployment.rs
@@ -410,7 +410,7 @@
             "seeds": self.seeds(),
             "uplink": self.plan.link_bytes_per_s,
             "downlink": self.plan.link_bytes_per_s,
-            "inter_region": self.plan.region_bytes_per_s,
+            "inter_region": self.plan.region_share(),
         });
         if engine {
             settings["store"] = json!(self.store_address());
--- a/bins/load/src/lib.rs
+++ b/bins/load/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod burst;
 mod catalogue;
 mod deployment;
+mod fault;
 mod plan;
 mod process;
 mod replicas;
@@ -21,7 +22,7 @@
     BACKEND_CONTROL_PORT, BACKEND_PORT, CALL_PORT, Network, OPERATOR_PORT, ORDER_PORT, PEER_PORT,
 };
 pub use deployment::{Deployment, Error, MODEL, MODEL_SERVICE, Member, PLAIN_SERVICE, WORKSPACE};
-pub use plan::Plan;
+pub use plan::{Fault, Plan};
 pub use process::{Process, Usage};
 pub use replicas::Replicas;
 pub use revisions::Revisions;
--- a/bins/load/src/plan.rs
+++ b/bins/load/src/plan.rs
@@ -1,5 +1,7 @@
 //! What an experiment consists of.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 /// Domains, targets, weights and links of an experiment.
@@ -26,6 +28,13 @@
     pub link_bytes_per_s: u64,
     /// Rate at which each agent receives from other regions, in bytes a second.
     pub region_bytes_per_s: u64,
+    /// Rate of each region's link to the others, in bytes a second; it takes the place of `region_bytes_per_s`. Each
+    /// agent gets an equal share, because owners receive equal shares from other regions.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub region_link_bytes_per_s: Option<u64>,
+    /// What fails once the agents hold [`Fault::SHARE`] of all chunks.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub fault: Option<Fault>,
     /// Whether engines refuse orders with an old fencing number.
     pub engines_check_fencing: bool,
     /// Requests that an engine runs at once.
@@ -38,7 +47,43 @@
     pub service_ms: u64,
 }
 
+/// A fault during a burst.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// All processes of the last domain are killed.
+    DomainLost,
+    /// One agent in ten is killed, spread over the domains.
+    AgentsKilled,
+    /// The first agent is stopped by SIGSTOP and continued after [`Fault::STALL`].
+    OwnerStalled,
+}
+
+impl Fault {
+    /// Share of all chunks that the agents hold when the fault comes.
+    pub const SHARE: f64 = 0.25;
+    /// Time for which an owner is stalled, longer than the 2 s after which a request is given up.
+    pub const STALL: Duration = Duration::from_secs(5);
+}
+
 impl Plan {
+    /// Returns the rate at which each agent receives from other regions, in bytes a second.
+    pub fn region_share(&self) -> u64 {
+        self.region_link_bytes_per_s
+            .map_or(self.region_bytes_per_s, |link| {
+                (link / u64::from(self.engines).max(1)).max(1)
+            })
+    }
+
+    /// Returns the number of domains that draw from the origin while all are alive.
+    pub fn drawing_domains(&self) -> usize {
+        match self.transfer.as_str() {
+            "origin_bytes" => 1,
+            "direct" => self.domains.len(),
+            _ => self.domains.len().min(3),
+        }
+    }
+
     /// Returns the number of targets with an engine.
     pub fn replicas(&self) -> usize {
         self.domains.len() * usize::from(self.engines)
@@ -63,6 +108,8 @@
             origin_bytes_per_s: 16 << 20,
             link_bytes_per_s: 8 << 20,
             region_bytes_per_s: 4 << 20,
+            region_link_bytes_per_s: None,
+            fault: None,
             engines_check_fencing: true,
             engine_slots: 8,
             first_token_ms: 20,
--- a/bins/load/src/traffic.rs
+++ b/bins/load/src/traffic.rs
@@ -29,6 +29,8 @@
 pub struct Load {
     /// Caller ports of the entries, used in turn.
     pub entries: Vec<SocketAddr>,
+    /// Entries that the balancer has taken out of rotation.
+    pub removed: Rc<RefCell<Vec<SocketAddr>>>,
     /// Path with the service, as `/v1/assistant/v1/chat/completions`.
     pub path: String,
     /// Workspace of the requests.
@@ -138,8 +140,25 @@
         tally
     }
 
+    /// Returns the entry for request `index`; with none left in rotation, those removed are used.
+    fn entry(&self, index: u64) -> SocketAddr {
+        let removed = self.removed.borrow();
+        let rotation: Vec<SocketAddr> = self
+            .entries
+            .iter()
+            .copied()
+            .filter(|entry| !removed.contains(entry))
+            .collect();
+        let rotation = if rotation.is_empty() {
+            &self.entries
+        } else {
+            &rotation
+        };
+        rotation[index as usize % rotation.len()]
+    }
+
     async fn shoot(&self, client: &Client, index: u64) -> Record {
-        let entry = self.entries[index as usize % self.entries.len()];
+        let entry = self.entry(index);
         let prompt = format!("request {}", uuid::Uuid::now_v7());
         let key = self.keyed.then(|| uuid::Uuid::now_v7().to_string());
         self.send(client, entry, &prompt, key).await
@@ -242,6 +261,15 @@
         self.outcomes.get(outcome).copied().unwrap_or(0)
     }
 
+    /// Returns the time to the first byte of the requests sent between `from` and `until` that were answered.
+    pub fn first_byte_between(&self, from: Instant, until: Instant) -> Percentiles {
+        let within = |record: &&Record| {
+            record.outcome == "answered" && record.sent >= from && record.sent <= until
+        };
+        let records = self.records.iter().filter(within);
+        Percentiles::of(&records.map(|record| record.first_byte).collect::<Vec<_>>())
+    }
+
     fn add(&mut self, record: Record) {
         *self.outcomes.entry(record.outcome.clone()).or_default() += 1;
         self.without_retry_after += u64::from(record.lacks_retry_after);
--- a/bins/load/tests/faults/main.rs
+++ b/bins/load/tests/faults/main.rs
@@ -1,5 +1,6 @@
 //! The invariants of the design page under failure, shown with real processes.
 
+mod burst;
 mod changes;
 mod kill;
 mod pause;
--- a/bins/load/tests/faults/support.rs
+++ b/bins/load/tests/faults/support.rs
@@ -1,6 +1,6 @@
 //! A small system, its traffic, and the checks that hold after every failure.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use compio::runtime::{JoinHandle, spawn};
@@ -32,9 +32,14 @@
     }
 }
 
+/// Waits until no other test uses the machine.
+pub fn machine() -> MutexGuard<'static, ()> {
+    MACHINE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Runs `test` on a system that serves version `v1`.
 pub fn with_system(plan: Plan, test: impl AsyncFnOnce(&mut Deployment)) {
-    let _machine = MACHINE.lock().unwrap_or_else(PoisonError::into_inner);
+    let _machine = machine();
     node::run("test", async {
         let mut deployment = Deployment::start(plan).await.unwrap();
         load::burst::serve_version(&deployment, "v1", LIMIT)
@@ -52,6 +57,7 @@
 pub fn model(deployment: &Deployment, millis: u64) -> Load {
     Load {
         entries: deployment.callers(),
+        removed: Default::default(),
         path: format!("/v1/{MODEL_SERVICE}/v1/chat/completions"),
         workspace: WORKSPACE.into(),
         rate_per_s: MODEL_RATE,
