entry: name the outcome when a request's head is too large

Cause: the HTTP library answers 431 itself and offers no hook, so that the answer had no `carobport-outcome`. It also counted up to 100 headers: with the entry's own added, the agent's port could refuse the head without the request's id, which made the outcome unknown.

Change: the library's limits are twice the port's; the port checks size and number of headers itself and refuses with `not-run`, reason `head`. The caller port takes 80 headers, so that 20 of the entry's own still fit the agent's 100. The reason `body` of the port's other refusals is documented.

Tests: `cargo test -p node -p entry` passes; new are a head of 16 KB and one of 90 headers at the entry.

Conclusion: only a head above twice the limit, or one that is no HTTP, is still answered by the library, without an outcome.

--- a/bins/entry/src/serve.rs
+++ b/bins/entry/src/serve.rs
@@ -6,7 +6,7 @@
 
 use compio::net::TcpListener;
 use node::event;
-use node::http::{self, Limits};
+use node::http::{self, Headers, Limits, StatusCode};
 use node::operator::{self, Operator};
 use prometheus_client::registry::Registry;
 
@@ -27,8 +27,8 @@
 const FLUSH: Duration = Duration::from_secs(5);
 /// Time for which idle connections then stay open: a request that crosses the close would have an unknown outcome.
 const LINGER: Duration = Duration::from_millis(500);
-/// The port itself refuses malformed, late and too large bodies before any of them runs.
-const REFUSAL_HEADERS: &[(&str, &str)] = &[(name::OUTCOME, NOT_RUN), (name::REASON, "body")];
+/// Headers that the entry adds at most, kept free for the same reason.
+const OWN_HEADER_COUNT: usize = 20;
 
 /// Serves callers and operators until `stop` resolves and the requests in progress are finished.
 ///
@@ -66,7 +66,8 @@
         header: Limits::default().header - OWN_HEADERS,
         drain: FLUSH,
         linger: LINGER,
-        refusal_headers: REFUSAL_HEADERS,
+        headers: Limits::default().headers - OWN_HEADER_COUNT,
+        refusal_headers,
         ..Limits::default()
     };
     let gateway = Gateway::new(settings, shared, &mut registry);
@@ -88,6 +89,16 @@
     operator.cancel().await;
 }
 
+/// The port itself refuses too large heads and malformed, late and too large bodies before any of them runs.
+fn refusal_headers(status: StatusCode) -> Headers {
+    match status {
+        StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE => {
+            &[(name::OUTCOME, NOT_RUN), (name::REASON, "head")]
+        }
+        _ => &[(name::OUTCOME, NOT_RUN), (name::REASON, "body")],
+    }
+}
+
 /// Resolves once the entry was asked to stop and has nothing left to do, or its time to drain has passed.
 ///
 /// The port stays open meanwhile: callers that the balancer still sends here get a refusal that says when to retry
--- a/bins/entry/tests/entry/requests.rs
+++ b/bins/entry/tests/entry/requests.rs
@@ -206,6 +206,21 @@
     });
 }
 
+/// Guards against a refusal of the port that doesn't say that the request did not run.
+#[parameterized(large = { 1, 16 << 10 }, many = { 90, 1 })]
+fn request_head_names_outcome(count: usize, size: usize) {
+    with_entry(|world| async move {
+        let seen = world.agent("t0", "desk", 0, |_| vec![answer()]);
+        let value = "x".repeat(size);
+        let names: Vec<String> = (0..count).map(|index| format!("x-{index}")).collect();
+        let headers: Vec<(&str, &str)> = names.iter().map(|name| (&**name, &*value)).collect();
+        let answer = world.call("/v1/desk/x", &headers).await;
+        let expected = (431, "not-run".into(), "head".into(), false);
+        assert_eq!(summary(&answer), expected);
+        assert!(seen.borrow().is_empty());
+    });
+}
+
 /// Guards against a request that fits the caller port but, with the entry's headers added, not the agent's.
 #[test]
 fn request_head_too_large() {
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -12,6 +12,7 @@
 use futures::{FutureExt, StreamExt, select_biased};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, header};
@@ -28,11 +29,18 @@
 #[error("the handler ended the connection without an answer")]
 pub struct Cut;
 
+/// Names and values of headers.
+pub type Headers = &'static [(&'static str, &'static str)];
+
 /// Limits of a served port.
 #[derive(Clone, Debug)]
 pub struct Limits {
     /// Most bytes of a request's line and headers; above it the answer is 431.
+    ///
+    /// A head of more than twice the limit is refused by the HTTP library, without the refusal headers.
     pub header: usize,
+    /// Most headers of a request; above it the answer is 431, by the library above twice the limit.
+    pub headers: usize,
     /// Most bytes of a request's body; above it the answer is 413.
     pub body: usize,
     /// Time in which a request's headers must arrive, and the same again for its body; the answer to a late body is 408.
@@ -46,21 +54,22 @@
     pub linger: Duration,
     /// Most connections; further ones wait in the listener's backlog.
     pub connections: usize,
-    /// Headers of the port's own refusals (400, 408 and 413), which the handler never sees.
-    pub refusal_headers: &'static [(&'static str, &'static str)],
+    /// Headers of the port's own refusals (400, 408, 413 and 431), which the handler never sees.
+    pub refusal_headers: fn(StatusCode) -> Headers,
 }
 
 impl Default for Limits {
-    /// Returns 16 KB of headers, 4 MB of body, 10 s to receive, 60 s to drain, no linger and 4,096 connections.
+    /// Returns 16 KB in 100 headers, 4 MB of body, 10 s to receive, 60 s to drain, no linger and 4,096 connections.
     fn default() -> Self {
         Self {
             header: 16 << 10,
+            headers: 100,
             body: 4 << 20,
             receive: Duration::from_secs(10),
             drain: Duration::from_secs(60),
             linger: Duration::ZERO,
             connections: 4096,
-            refusal_headers: &[],
+            refusal_headers: |_| &[],
         }
     }
 }
@@ -145,7 +154,7 @@
         async move {
             let response = match receive(request, limits).await {
                 Ok(request) => handler(peer, request).await,
-                Err(status) => refusal(status, limits.refusal_headers),
+                Err(status) => refusal(status, (limits.refusal_headers)(status)),
             };
             match response.extensions().get::<Cut>() {
                 Some(Cut) => Err(Cut),
@@ -157,7 +166,9 @@
     let connection = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(limits.receive)
-        .max_header_size(limits.header)
+        // Between the limit and its double, the port itself refuses the head and names the outcome.
+        .max_header_size(2 * limits.header)
+        .max_headers(2 * limits.headers)
         .serve_connection(Stream::new(stream), service);
     let mut connection = pin!(connection);
     let result = match select(connection.as_mut(), stopped).await {
@@ -184,6 +195,7 @@
     limits: &Limits,
 ) -> Result<Request<Bytes>, StatusCode> {
     let (parts, body) = request.into_parts();
+    let head_fits = head_size(&parts) <= limits.header && parts.headers.len() <= limits.headers;
     let announced = parts
         .headers
         .get(header::CONTENT_LENGTH)
@@ -195,6 +207,7 @@
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
     match compio::time::timeout(limits.receive, collect(body, limits.body)).await {
+        _ if !head_fits => Err(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
         Ok(Ok(Some(bytes))) => Ok(Request::from_parts(parts, bytes)),
         Ok(Ok(None)) => Err(StatusCode::PAYLOAD_TOO_LARGE),
         Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
@@ -202,6 +215,17 @@
     }
 }
 
+/// Returns the bytes of a request's line and headers.
+fn head_size(parts: &Parts) -> usize {
+    // `METHOD target HTTP/1.1` and each `name: value` end with two bytes, as does the head.
+    let line = parts.method.as_str().len() + 1 + parts.uri.to_string().len() + 11;
+    let headers = parts.headers.iter();
+    let fields: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum();
+    line + fields + 2
+}
+
 /// Reads a body; returns `None` when it is longer than `limit`.
 async fn collect(mut body: Incoming, limit: usize) -> Result<Option<Bytes>, hyper::Error> {
     let mut whole = BytesMut::new();
@@ -220,7 +244,7 @@
     Ok((length <= limit).then(|| whole.freeze()))
 }
 
-fn refusal(status: StatusCode, headers: &[(&'static str, &'static str)]) -> Response<Body> {
+fn refusal(status: StatusCode, headers: Headers) -> Response<Body> {
     let mut refusal = last(response(status, ""));
     for (name, value) in headers {
         let name = header::HeaderName::from_static(name);
