catalog: let a malformed object stop only what needs it

Cause: `put` and `status` read all objects of the kind `catalog`, and the first one that held no entry ended them with an error, whatever was put.

Change: the listing is read into entries and findings. A malformed object stops the put of its own entry and of entries that name it as class or service; the finding names object, revision, what was read and what to do. An object that holds another entry than its name says counts as malformed. Findings in other stored entries count only if the put causes them, so that references to a malformed object don't stop other puts either. `status` prints the findings and goes on.

Conclusion: one damaged object no longer blocks the catalogue.

--- a/bins/catalog/src/lib.rs
+++ b/bins/catalog/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`put`] writes an entry by a conditional update and resolves lost answers by reading back; [`force`] tells at which
 //! entry VMs a revision is in force.
 
+pub mod catalogue;
 pub mod files;
 pub mod force;
 pub mod options;
--- a/bins/catalog/src/main.rs
+++ b/bins/catalog/src/main.rs
@@ -1,10 +1,10 @@
 //! The binary `carobport-catalog`.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
+use carobport_catalog::catalogue::Catalogue;
 use carobport_catalog::files::{self, Files};
 use carobport_catalog::force::{self, Progress, Revisions};
 use carobport_catalog::options::{Options, options};
@@ -21,9 +21,6 @@
 /// Time for one call to the platform.
 const CALL: Duration = Duration::from_secs(5);
 
-/// Versions that the platform holds, by kind and name.
-type Catalogue = BTreeMap<String, (Revision, Stored)>;
-
 type Error = Box<dyn std::error::Error>;
 
 fn main() -> ExitCode {
@@ -91,9 +88,12 @@
         Options::Status { platform, entries } => {
             let catalogue = list(&Client::new(platform, CALL)).await?;
             let wanted: Revisions = catalogue
+                .entries
                 .into_iter()
                 .map(|(key, (revision, _))| (key, revision))
                 .collect();
+            let malformed = catalogue.malformed.values();
+            malformed.for_each(|finding| println!("{finding}"));
             for (key, revision) in &wanted {
                 println!("{key} at revision {revision}");
             }
@@ -121,7 +121,7 @@
     entries: &[SocketAddr],
 ) -> Result<u8, Error> {
     let mut catalogue = list(client).await?;
-    let result = check_with(files, &catalogue);
+    let result = catalogue.check(files);
     if !result.findings.is_empty() {
         return report(&result.findings, false);
     }
@@ -134,7 +134,7 @@
         if !files.iter().any(|(name, _)| *name == file) {
             continue;
         }
-        let base = catalogue.remove(&key);
+        let base = catalogue.entries.remove(&key);
         let changes = difference(base.as_ref().map(|(_, stored)| &stored.entry), &entry);
         println!("{key}: {} change(s)", changes.len());
         changes.iter().for_each(|change| println!("  {change}"));
@@ -167,19 +167,6 @@
     Ok(conclude(&progress.await, "in force everywhere"))
 }
 
-/// Checks files together with the rest of the catalogue, so that what they break elsewhere is found too.
-fn check_with(files: &Files, catalogue: &Catalogue) -> catalog::Check {
-    let own = files::check_all(files, &BTreeMap::new());
-    let keys: Vec<String> = own.entries.iter().map(|(_, entry)| entry.key()).collect();
-    let mut all = files.clone();
-    for (key, (revision, stored)) in catalogue {
-        if !keys.contains(key) {
-            all.push((format!("{key}@{revision}"), show::entry(&stored.entry)));
-        }
-    }
-    files::check_all(&all, &BTreeMap::new())
-}
-
 fn conclude(progress: &Progress, done: &str) -> u8 {
     for (entry, lack) in &progress.missing {
         println!("not in force at {entry}: {lack}");
@@ -201,10 +188,5 @@
 }
 
 async fn list(client: &Client) -> Result<Catalogue, Error> {
-    let listing = client.list(KIND).await?;
-    let parsed = listing.objects.iter().map(|object| {
-        let stored = put::parse(object)?;
-        Ok((object.name.clone(), (object.revision, stored)))
-    });
-    parsed.collect()
+    Ok(Catalogue::new(&client.list(KIND).await?))
 }
