--- a/bins/load/src/requests.rs
+++ b/bins/load/src/requests.rs
@@ -4,6 +4,7 @@
 //! process of each kind.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compio::runtime::{JoinHandle, spawn};
@@ -165,6 +166,7 @@
     let deployment = start(Duration::from_millis(2)).await?;
     let load = Load {
         entries: deployment.callers(),
+        removed: Rc::default(),
         path: format!("/v1/{MODEL_SERVICE}/v1/chat/completions"),
         workspace: WORKSPACE.into(),
         rate_per_s: size as f64,
