--- a/bins/load/tests/faults/support.rs
+++ b/bins/load/tests/faults/support.rs
@@ -112,20 +112,18 @@
     );
 }
 
-/// Waits until the balancer would send callers to an entry.
-pub async fn wait_healthy(deployment: &Deployment, entry: usize) {
+/// Waits until an entry or agent says that it takes work.
+pub async fn wait_healthy(deployment: &Deployment, member: &Member) {
     let client = node::http::Client::new();
     let healthy = async || {
         let request = node::http::Request::builder().uri("/healthz");
         let request = request.body(node::http::Body::empty()).unwrap();
         let deadline = Instant::now() + Duration::from_secs(1);
-        let answer = client
-            .send(deployment.entries[entry].operator, request, deadline)
-            .await;
+        let answer = client.send(member.operator, request, deadline).await;
         answer.is_ok_and(|answer| answer.status().is_success())
     };
     deployment
-        .wait("a healthy entry", LIMIT, healthy)
+        .wait(member.process.name(), LIMIT, healthy)
         .await
         .unwrap();
 }
--- a/bins/load/tests/faults/weights.rs
+++ b/bins/load/tests/faults/weights.rs
@@ -64,9 +64,9 @@
 }
 
 // Guards against an entry that starts while no target serves the new version yet and refuses all requests, although all
-// targets serve the old one.
+// targets serve the old one, and against an agent that starts then and keeps its engine out of service.
 #[test]
-fn entry_starts_during_burst() {
+fn nodes_start_during_burst() {
     with_system(small(), async |deployment| {
         let v1 = deployment.digest("v1").await.unwrap();
         let v2 = deployment.digest("v2").await.unwrap();
@@ -77,7 +77,12 @@
         let mut entry = deployment.entries.remove(0);
         deployment.restart(&mut entry).unwrap();
         deployment.entries.insert(0, entry);
-        wait_healthy(deployment, 0).await;
+        let mut agent = deployment.agents.remove(0);
+        deployment.restart(&mut agent).unwrap();
+        deployment.agents.insert(0, agent);
+        for member in [&deployment.entries[0], &deployment.agents[0]] {
+            wait_healthy(deployment, member).await;
+        }
         let load = Load {
             entries: vec![deployment.callers()[0]],
             ..model(deployment, 2000)
