burst: blame no peer after a pause of the agent itself

Change: a look at the requests that comes 1 s or more after the first of them was due gives all of them their 2 s again. Test: tick_after_own_pause; without the change the first look after the pause counts all requests as stalled.

--- a/crates/burst/src/downloader.rs
+++ b/crates/burst/src/downloader.rs
@@ -14,6 +14,9 @@
 /// Time without a byte after which a request is given up.
 const STALL: Duration = Duration::from_secs(2);
 
+/// Lateness of [`Downloader::tick`] from which this process itself was paused, and not its peers.
+const PAUSE: Duration = Duration::from_secs(1);
+
 /// Missing chunks below which slow ones are requested twice.
 const ENDGAME: usize = 8;
 
@@ -241,8 +244,17 @@
     }
 
     /// Gives up stalled requests and starts those whose time to wait is over.
+    ///
+    /// After a pause of this process all requests look stalled. They get their time again, since an agent that avoided
+    /// all its peers would get nothing for 10 s.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
+        let first = self.requests.values().map(|request| request.last).min();
+        if first.is_some_and(|first| first + STALL + PAUSE <= now) {
+            for request in self.requests.values_mut() {
+                request.last = now;
+            }
+        }
         let stalled =
             |(id, request): (&RequestId, &Request)| (request.last + STALL <= now).then_some(*id);
         let stalled: Vec<RequestId> = self.requests.iter().filter_map(stalled).collect();
--- a/crates/burst/tests/burst/downloader.rs
+++ b/crates/burst/tests/burst/downloader.rs
@@ -77,6 +77,19 @@
     assert!(seen);
 }
 
+// Guards against an agent that avoids all its peers after a pause of its own, and against requests that wait for ever.
+#[test]
+fn tick_after_own_pause() {
+    let (mut downloader, first, now) = start(6);
+    let resumed = now + Duration::from_secs(5);
+    assert_eq!(fetches(&downloader.tick(resumed)), []);
+    assert_eq!(downloader.stats().stalled, 0);
+    let later = resumed + Duration::from_secs(2);
+    assert_eq!(downloader.deadline(resumed), Some(later));
+    downloader.tick(later);
+    assert_eq!(downloader.stats().stalled as usize, first.len());
+}
+
 // Guards against storing a corrupted chunk and against asking its sender again.
 #[test]
 fn answer_corrupted() {
