--- a/bins/entry/src/main.rs
+++ b/bins/entry/src/main.rs
@@ -4,7 +4,6 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use entry::Settings;
 use entry::shared::Shared;
 
 /// Takes callers' requests and routes them to targets
@@ -21,22 +20,10 @@
 }
 
 fn main() -> ExitCode {
-    let options = match node::arguments::parse(&options()) {
-        Ok(options) => options,
-        Err(code) => return code,
-    };
-    let settings: Settings = match node::settings::load(&options.settings) {
-        Ok(settings) => settings,
-        Err(findings) => return findings.exit(),
-    };
-    let served = node::run("carobport-entry", async {
-        entry::serve(settings, Shared::new(), node::signal::shutdown()).await
-    });
-    match served.flatten() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error}");
-            ExitCode::FAILURE
-        }
+    match node::arguments::parse(&options()) {
+        Ok(options) => node::serve("carobport-entry", &options.settings, async |settings| {
+            entry::serve(settings, Shared::new(), node::signal::shutdown()).await
+        }),
+        Err(code) => code,
     }
 }
