agent: release claim slots at once on a stop that comes just after a step

The wait between two steps read whether the agent leaves only after its first 20 ms, so a stop in that time, or during a step's calls to the platform, was taken for old and the release waited for the next renewal, up to 3 s. Change: the wait compares with what the claim owner was told, which a step does before its first call; changes among the agents count from the start of a step, too. Test: stop_right_after_a_step fails without the change (slots not released after 1 s) and passes with it.

--- a/bins/agent/src/claims.rs
+++ b/bins/agent/src/claims.rs
@@ -27,30 +27,33 @@
 /// Longest time that a stopping agent tries to give up its slots; after it, others wait for the interval to lapse.
 const RELEASE: Duration = Duration::from_secs(3);
 
+/// What a step started from; a change of it makes the next step due.
+struct Seen {
+    changes: u64,
+    agents: (Vec<String>, Vec<String>),
+}
+
 /// Takes, renews and releases claims while the service has calls that must not be repeated; never returns.
 pub async fn run(shared: Rc<Shared>, platform: Client) {
     loop {
         if is_needed(&shared) {
+            let seen = Seen::new(&shared);
             let stepped = step(&shared, &platform).await;
             publish(&shared);
-            rest(&shared, stepped).await;
+            rest(&shared, stepped, seen).await;
         } else {
             compio::time::sleep(LOOK).await;
         }
     }
 }
 
-/// Waits until the next step is due; a stop or a change among the service's agents ends the wait.
+/// Waits until the next step is due; a stop or a change among the service's agents since `seen` ends the wait.
 ///
 /// Meanwhile the owner is told whether the gate is open.
-async fn rest(shared: &Shared, stepped: bool) {
+async fn rest(shared: &Shared, stepped: bool, mut seen: Seen) {
     let paused = now() + PAUSE;
     compio::time::sleep(STEP).await;
-    let leaving = shared.is_leaving();
-    let service = &shared.settings.service;
-    let agents = members(&shared.view.borrow(), service);
-    let mut seen = shared.changed.count();
-    while shared.is_leaving() == leaving {
+    while shared.is_leaving() == shared.claims.borrow().is_stopping() {
         let now = now();
         let due = {
             let mut claims = shared.claims.borrow_mut();
@@ -66,9 +69,9 @@
             return;
         }
         compio::time::sleep(left.min(LOOK)).await;
-        if seen != shared.changed.count() {
-            seen = shared.changed.count();
-            if members(&shared.view.borrow(), service) != agents {
+        if seen.changes != shared.changed.count() {
+            seen.changes = shared.changed.count();
+            if members(&shared.view.borrow(), &shared.settings.service) != seen.agents {
                 return;
             }
         }
@@ -97,6 +100,9 @@
 /// Reads the table and writes what the owner plans; returns false after a failure.
 async fn step(shared: &Shared, platform: &Client) -> bool {
     let service = &shared.settings.service;
+    if shared.is_leaving() {
+        shared.claims.borrow_mut().stop();
+    }
     let table = match platform.get(KIND, service).await {
         Ok(Some(object)) => match serde_json::from_str::<Table>(object.value.get()) {
             Ok(table) => (object.revision, table),
@@ -115,9 +121,6 @@
     let (live, gone) = members(&shared.view.borrow(), service);
     let write = {
         let mut claims = shared.claims.borrow_mut();
-        if shared.is_leaving() {
-            claims.stop();
-        }
         claims.set_open(shared.gate() == wire::Gate::Open, now());
         claims.observe(table.0, &table.1);
         claims.plan(now(), &live, &gone)
@@ -146,6 +149,15 @@
     }
 }
 
+impl Seen {
+    fn new(shared: &Shared) -> Self {
+        Self {
+            changes: shared.changed.count(),
+            agents: members(&shared.view.borrow(), &shared.settings.service),
+        }
+    }
+}
+
 /// Returns the service's agents that take work and those that are down.
 fn members(view: &Store, service: &str) -> (Vec<String>, Vec<String>) {
     let of_phase = |phase: Phase| -> Vec<String> {
--- a/bins/agent/tests/claims.rs
+++ b/bins/agent/tests/claims.rs
@@ -197,6 +197,23 @@
     });
 }
 
+/// Guards against slots that stay with a stopping agent until its next renewal, as when the stop comes just after a step.
+#[test]
+fn stop_right_after_a_step() {
+    with_platform(|platform, address| async move {
+        let (first, _task) = start("vm-1", address);
+        until(10_000, "vm-1 doesn't own all slots", || {
+            slots(&first) == 0xffff
+        })
+        .await;
+        let revision = || platform.table.borrow().as_ref().unwrap().0;
+        let before = revision();
+        until(4_000, "vm-1 doesn't renew", || revision() > before).await;
+        first.handle(Event::Leave);
+        until(1_000, "the slots aren't released", || slots(&first) == 0).await;
+    });
+}
+
 /// Guards against a key that runs on after the interval ended while the platform is down, and against a lost slot.
 #[test]
 fn platform_outage_ends_intervals() {
--- a/crates/claim/src/owner.rs
+++ b/crates/claim/src/owner.rs
@@ -174,6 +174,11 @@
         self.memory.stored_bytes()
     }
 
+    /// Tells whether a planned stop was asked for.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping
+    }
+
     /// Tells whether a planned stop has given up all slots.
     pub fn is_released(&self) -> bool {
         self.stopping && self.slots.iter().all(|slot| slot.current.is_none())
