agent: give process tests addresses that no other run uses

Cause: kill_while_stopping failed once in this check because its process could not bind a port ("the process ended"), while another run of the same tests was on the machine; engine_cuts_answer and engine_restarts had failed like that before. A port was only tried out and could be taken before the process bound it.

--- a/bins/agent/tests/process/support.rs
+++ b/bins/agent/tests/process/support.rs
@@ -2,11 +2,11 @@
 
 use std::cell::RefCell;
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -465,20 +465,15 @@
     }
 }
 
-/// Returns an address on loopback whose port was free just now.
+/// Returns an address on loopback that no other test uses: the IP address follows from the process id, each port is given
+/// once.
 ///
-/// The ports are below the range from which the system takes ports of connections, and each is given once.
+/// A port that was only tried out could be taken by another test run before its process binds it.
 pub fn free() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let start = std::process::id() * 61;
-    loop {
-        let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = 10_000 + (start.wrapping_add(number) % 20_000) as u16;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
+    static NEXT: AtomicU16 = AtomicU16::new(10_000);
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let port = NEXT.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, 220 + high % 16, middle, low], port))
 }
 
 fn file(name: &str, settings: &Value) -> PathBuf {
