Remove three pieces of logic that stood twice; plainer names

Cause: a reading of the whole change. An entry worked out for each silent target whether it reports here, which the set of targets that are due already says. The agent read and checked short answers of engines and those of keyed calls in two places. The load tool turned errors into text in three. Change: Detector::is_due, call::Port::read and one `run` in the load tool serve all. Names: wait_until_due for rest, remember for lose, send_next for shoot, read_stream for follow.

--- a/bins/agent/src/call.rs
+++ b/bins/agent/src/call.rs
@@ -94,11 +94,8 @@
         let engine = names_weights(&answer).then(|| self.clone());
         let response = if engine.is_some() && is_short(&answer) {
             // Held back until the weights were checked again, so that the entry can still try another target.
-            let (parts, body) = answer::head(answer).into_parts();
-            let body = body.bytes(SHORT_ANSWER).await;
-            let body = body.map_err(|error| self.backend_failed(&error, deadline))?;
-            self.check_again(&progress).await?;
-            Response::from_parts(parts, Body::from(body))
+            let whole = self.read(answer, &progress, SHORT_ANSWER, deadline).await?;
+            whole.map(Body::from)
         } else {
             answer::head(answer).map(|answer| stream_body(answer, progress, engine))
         };
@@ -128,6 +125,26 @@
         Ok((progress, answer))
     }
 
+    /// Reads an answer of at most `limit` bytes to its end and checks its weights again.
+    async fn read(
+        &self,
+        answer: Response<Answer>,
+        progress: &InProgress,
+        limit: usize,
+        deadline: Instant,
+    ) -> Result<Response<Bytes>, Failure> {
+        let from_weights = names_weights(&answer);
+        let (parts, body) = answer::head(answer).into_parts();
+        let body = body
+            .bytes(limit)
+            .await
+            .map_err(|error| self.backend_failed(&error, deadline))?;
+        if from_weights {
+            self.check_again(progress).await?;
+        }
+        Ok(Response::from_parts(parts, body))
+    }
+
     /// Checks the weights of an answer.
     ///
     /// An error without the header was made from no weights: one of the request is the answer, one of the engine, such
--- a/bins/agent/src/call/once.rs
+++ b/bins/agent/src/call/once.rs
@@ -10,12 +10,12 @@
 use claim::{Answer, Decision, Outcome, Reason};
 use gate::Refusal;
 use node::http::header::{HeaderName, HeaderValue};
-use node::http::{Body, Error, Response, StatusCode};
+use node::http::{Body, Response, StatusCode};
 use uuid::Uuid;
 
-use super::answer::{NotRun, Unknown, head};
+use super::answer::{NotRun, Unknown};
 use super::request::Incoming;
-use super::{Failure, Port, names_weights};
+use super::{Failure, Port};
 use crate::Shared;
 
 /// Time past the caller's deadline for which a call's answer is still awaited and remembered.
@@ -106,16 +106,9 @@
     /// Sends the call and reads its whole answer.
     async fn attempt(&self, incoming: Incoming, deadline: Instant) -> Result<Answer, Failure> {
         let (progress, answer) = self.forward(incoming, deadline).await?;
-        let from_weights = names_weights(&answer);
-        let (parts, body) = head(answer).into_parts();
-        let body = body
-            .bytes(MAX_ANSWER)
-            .await
-            .map_err(|error: Error| self.backend_failed(&error, deadline))?;
-        if from_weights {
-            self.check_again(&progress).await?;
-        }
+        let answer = self.read(answer, &progress, MAX_ANSWER, deadline).await?;
         drop(progress);
+        let (parts, body) = answer.into_parts();
         let headers = parts
             .headers
             .iter()
--- a/bins/agent/src/claims.rs
+++ b/bins/agent/src/claims.rs
@@ -40,7 +40,7 @@
             let seen = Seen::new(&shared);
             let stepped = step(&shared, &platform).await;
             publish(&shared);
-            rest(&shared, stepped, seen).await;
+            wait_until_due(&shared, stepped, seen).await;
         } else {
             compio::time::sleep(LOOK).await;
         }
@@ -50,7 +50,7 @@
 /// Waits until the next step is due; a stop or a change among the service's agents since `seen` ends the wait.
 ///
 /// Meanwhile the owner is told whether the gate is open.
-async fn rest(shared: &Shared, stepped: bool, mut seen: Seen) {
+async fn wait_until_due(shared: &Shared, stepped: bool, mut seen: Seen) {
     let paused = now() + PAUSE;
     compio::time::sleep(STEP).await;
     while shared.is_leaving() == shared.claims.borrow().is_stopping() {
--- a/bins/entry/src/peer/state.rs
+++ b/bins/entry/src/peer/state.rs
@@ -7,7 +7,7 @@
 use catalog::Entry;
 use gossip::{
     Detector, Expiry, Key, Member, Node, Peers, Phase, Random, Record, Scope, Store, Value, Views,
-    report_entries, reporters, watchers,
+    reporters, watchers,
 };
 use node::event;
 use weights::Digest;
@@ -222,7 +222,7 @@
         }
         for name in self.targets.silent(now) {
             self.views.forget(&name);
-            if self.reports_here(&name) {
+            if self.targets.is_due(&name) {
                 self.declare_down(&Key::Target(name), shared);
             }
         }
@@ -240,7 +240,7 @@
             self.store.remove(&key);
             self.outbox.remove(&key);
             match (&key, &record.value) {
-                (Key::Entry(name), Value::Entry(node)) => self.peers.lose(name, node),
+                (Key::Entry(name), Value::Entry(node)) => self.peers.remember(name, node),
                 (Key::Target(name), _) => shared.remove_target(name),
                 _ => {}
             }
@@ -320,19 +320,4 @@
             self.merge(record, shared);
         }
     }
-
-    /// Tells whether a target still chooses this entry for its reports.
-    fn reports_here(&self, name: &str) -> bool {
-        let Some(Value::Target(target)) = self
-            .store
-            .get(&Key::Target(name.into()))
-            .map(|record| record.value)
-        else {
-            return false;
-        };
-        let entries = report_entries(&self.store, name, &target.domain, &target.service, |_| {
-            false
-        });
-        entries.iter().any(|(entry, _)| *entry == self.name)
-    }
 }
--- a/bins/load/src/main.rs
+++ b/bins/load/src/main.rs
@@ -50,18 +50,16 @@
         Err(code) => return code,
     };
     let outcome = match options {
-        Options::Demo {} => measure(Plan::default()).map(|report| show(&report)),
+        Options::Demo {} => run(burst::run(Plan::default(), LIMIT)).map(|report| show(&report)),
         Options::Burst { plan } => read(plan.as_deref())
-            .and_then(measure)
+            .and_then(|plan| run(burst::run(plan, LIMIT)))
             .map(|report| print(&report)),
-        Options::Slopes { variable } => node::block_on(load::slopes::run(variable))
-            .map_err(|error| error.to_string())
-            .and_then(|outcome| outcome.map_err(|error| error.to_string()))
-            .map(|series| print(&series)),
-        Options::Requests { variable } => node::block_on(load::requests::run(variable))
-            .map_err(|error| error.to_string())
-            .and_then(|outcome| outcome.map_err(|error| error.to_string()))
-            .map(|series| print(&series)),
+        Options::Slopes { variable } => {
+            run(load::slopes::run(variable)).map(|series| print(&series))
+        }
+        Options::Requests { variable } => {
+            run(load::requests::run(variable)).map(|series| print(&series))
+        }
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -72,9 +70,9 @@
     }
 }
 
-fn measure(plan: Plan) -> Result<Report, String> {
-    let outcome = node::block_on(burst::run(plan, LIMIT));
-    let outcome: Result<Report, Error> = outcome.map_err(|error| error.to_string())?;
+/// Runs an experiment on the event loop.
+fn run<T>(experiment: impl Future<Output = Result<T, Error>>) -> Result<T, String> {
+    let outcome = node::block_on(experiment).map_err(|error| error.to_string())?;
     outcome.map_err(|error| error.to_string())
 }
 
--- a/bins/load/src/requests.rs
+++ b/bins/load/src/requests.rs
@@ -199,8 +199,8 @@
     let start = Instant::now();
     let begin = |index: usize, count: usize| start + RAMP / count as u32 * index as u32;
     let open = |address, path: &str, count: usize| -> Vec<JoinHandle<Stream>> {
-        let tasks =
-            (0..count).map(|index| spawn(follow(address, path.to_owned(), begin(index, count))));
+        let tasks = (0..count)
+            .map(|index| spawn(read_stream(address, path.to_owned(), begin(index, count))));
         tasks.collect()
     };
     let path = format!("/v1/{MODEL_SERVICE}");
@@ -217,9 +217,9 @@
         // A task only fails by a panic; its stream then counts as failed.
         streams.push(task.await.unwrap_or_default());
     }
-    let mut beside = Vec::with_capacity(DIRECT);
+    let mut direct_streams = Vec::with_capacity(DIRECT);
     for task in direct {
-        beside.push(task.await.unwrap_or_default());
+        direct_streams.push(task.await.unwrap_or_default());
     }
     let gaps = |streams: &[Stream]| -> Vec<Duration> {
         let all = streams.iter().flat_map(|stream| &stream.gaps);
@@ -232,12 +232,12 @@
     let firsts: Vec<_> = streams.iter().map(|stream| stream.first).collect();
     point.first = Percentiles::of(&firsts);
     point.next = Percentiles::of(&passed);
-    point.next_direct = Percentiles::of(&gaps(&beside));
+    point.next_direct = Percentiles::of(&gaps(&direct_streams));
     Ok(point)
 }
 
 /// Reads a streamed answer that lasts from `begin` over the whole window.
-async fn follow(address: SocketAddr, path: String, begin: Instant) -> Stream {
+async fn read_stream(address: SocketAddr, path: String, begin: Instant) -> Stream {
     compio::time::sleep_until(begin).await;
     let tokens = (RAMP + WINDOW + REST).as_millis() / TOKEN.as_millis();
     let message = json!({"role": "user", "content": "word"});
--- a/bins/load/src/traffic.rs
+++ b/bins/load/src/traffic.rs
@@ -126,7 +126,7 @@
             compio::time::sleep_until(due).await;
             let (load, client, tally) = (self.clone(), client.clone(), Rc::clone(&tally));
             tasks.push(compio::runtime::spawn(async move {
-                let record = load.shoot(&client, index).await;
+                let record = load.send_next(&client, index).await;
                 tally.borrow_mut().add(record);
             }));
         }
@@ -158,7 +158,7 @@
         rotation[index as usize % rotation.len()]
     }
 
-    async fn shoot(&self, client: &Client, index: u64) -> Record {
+    async fn send_next(&self, client: &Client, index: u64) -> Record {
         let entry = self.entry(index);
         let prompt = format!("request {}", uuid::Uuid::now_v7());
         let key = self.keyed.then(|| uuid::Uuid::now_v7().to_string());
--- a/crates/gossip/src/choice.rs
+++ b/crates/gossip/src/choice.rs
@@ -72,7 +72,7 @@
     /// Remembers an entry whose record is dropped, so that it is found again if it was only cut off.
     ///
     /// The oldest of more than 256 is forgotten.
-    pub fn lose(&mut self, name: &str, node: &Node) {
+    pub fn remember(&mut self, name: &str, node: &Node) {
         self.lost.retain(|(lost, _)| lost != name);
         if self.lost.len() == LOST_MAX {
             self.lost.pop_front();
--- a/crates/gossip/src/detect.rs
+++ b/crates/gossip/src/detect.rs
@@ -71,6 +71,11 @@
         self.due = due;
     }
 
+    /// Tells whether a member is due to be heard from.
+    pub fn is_due(&self, name: &str) -> bool {
+        self.due.contains(name)
+    }
+
     /// Stops watching a member, such as one that reports elsewhere now.
     pub fn forget(&mut self, name: &str) {
         self.heard.remove(name);
--- a/crates/gossip/tests/expiry.rs
+++ b/crates/gossip/tests/expiry.rs
@@ -91,7 +91,7 @@
             if let (Key::Entry(name), Some(Value::Entry(node))) =
                 (&key, self.store.get(&key).map(|record| record.value))
             {
-                self.peers.lose(name, &node);
+                self.peers.remember(name, &node);
             }
             self.store.remove(&key);
         }
@@ -325,7 +325,7 @@
         let Value::Entry(node) = entry(index).record().value.clone() else {
             panic!("an entry has another value");
         };
-        peers.lose(&format!("entry-{index}"), &node);
+        peers.remember(&format!("entry-{index}"), &node);
     }
     let tried: BTreeMap<_, _> = (0..10_000).filter_map(|_| peers.exchange(&store)).collect();
     assert_eq!(tried.len(), 256);
