Plainer names in claims and gossip

Cause: the reading of the files changed last found `gone` for members that are down and `ABROAD` for other domains. Change: names only. Result: the tests of claim and the choice of peers pass.

--- a/bins/agent/src/claims.rs
+++ b/bins/agent/src/claims.rs
@@ -118,12 +118,12 @@
         Ok(None) => (0, Table::default()),
         Err(error) => return failed(&error),
     };
-    let (live, gone) = members(&shared.view.borrow(), service);
+    let (live, down) = members(&shared.view.borrow(), service);
     let write = {
         let mut claims = shared.claims.borrow_mut();
         claims.set_open(shared.gate() == wire::Gate::Open, now());
         claims.observe(table.0, &table.1);
-        claims.plan(now(), &live, &gone)
+        claims.plan(now(), &live, &down)
     };
     match write {
         Some(write) => store(shared, platform, &write).await,
--- a/crates/claim/src/owner.rs
+++ b/crates/claim/src/owner.rs
@@ -98,7 +98,7 @@
     table: Table,
     slots: Vec<Slot>,
     memory: Memory,
-    gone: Vec<String>,
+    down: Vec<String>,
     /// Live agents and this one's place among them for each slot, kept because hashing 2,000 agents takes milliseconds.
     share: (Vec<String>, [usize; SLOTS as usize]),
     renewed: Option<Duration>,
@@ -148,7 +148,7 @@
             table: Table::default(),
             slots: vec![Slot::default(); usize::from(SLOTS)],
             memory: Memory::default(),
-            gone: Vec::new(),
+            down: Vec::new(),
             share: (Vec::new(), [0; SLOTS as usize]),
             renewed: None,
             stopping: false,
@@ -243,11 +243,11 @@
 
     /// Returns the next write of the table, if one is due.
     ///
-    /// `live` are the agents of the service that take work, this one included; `gone` those that are known to be down.
+    /// `live` are the agents of the service that take work, this one included; `down` those that are known to be down.
     /// Call it after each reading of the table. Once it returned a write, the owner keeps to it whether or not the
     /// write succeeds; a refused write or a lost answer needs only another reading.
-    pub fn plan(&mut self, now: Duration, live: &[String], gone: &[String]) -> Option<Write> {
-        self.gone = gone.to_vec();
+    pub fn plan(&mut self, now: Duration, live: &[String], down: &[String]) -> Option<Write> {
+        self.down = down.to_vec();
         if self.share.0 != live {
             self.share = (live.to_vec(), places(&self.holder.name, live));
         }
@@ -373,7 +373,7 @@
             return;
         }
         let place = self.share.1[usize::from(index)];
-        if is_vacant(&claim, &self.holder, &self.gone, now) {
+        if is_vacant(&claim, &self.holder, &self.down, now) {
             // A clock that was set back starts the wait anew.
             let since = slot.vacant_since.unwrap_or(now).min(now);
             slot.vacant_since = Some(since);
@@ -463,7 +463,7 @@
 
     /// Returns the name of an earlier owner that may still know its keys.
     fn answers_for(&self, holder: &Holder) -> Option<String> {
-        let other = holder.name != self.holder.name && !self.gone.contains(&holder.name);
+        let other = holder.name != self.holder.name && !self.down.contains(&holder.name);
         other.then(|| holder.name.clone())
     }
 }
@@ -522,7 +522,7 @@
 }
 
 /// Tells whether a slot that isn't held by this process may be taken.
-fn is_vacant(claim: &Claim, me: &Holder, gone: &[String], now: Duration) -> bool {
+fn is_vacant(claim: &Claim, me: &Holder, down: &[String], now: Duration) -> bool {
     match &claim.holder {
         None => true,
         // The lapse covers holders that no member record names, such as a VM that was replaced long ago.
@@ -531,7 +531,7 @@
             holder.name == me.name
                 // A holder that is only cut off goes on renewing; and a key issued before `until` could be refused at
                 // best by the next holder, whose interval starts there.
-                || gone.contains(&holder.name) && until <= now
+                || down.contains(&holder.name) && until <= now
                 || until + TERM <= now
         }
     }
--- a/crates/gossip/src/choice.rs
+++ b/crates/gossip/src/choice.rs
@@ -12,10 +12,10 @@
 const FAN_OUT: usize = 3;
 
 /// One of this many exchanges reaches another domain.
-const ABROAD: u64 = 8;
+const REMOTE_EVERY: u64 = 8;
 
 /// Pushes of one change that leave a domain, about, whatever its size: enough to reach most of 8 other domains at once.
-const PUSHES_ABROAD: usize = 8;
+const REMOTE_PUSHES: usize = 8;
 
 /// Number of entries of a domain that watch the platform.
 const WATCHERS: usize = 2;
@@ -82,7 +82,7 @@
 
     /// Returns the entries to push changed records to: 3 of the own domain, and at times one of another.
     ///
-    /// Each entry of the domain pushes a change once. Each pushes it abroad too in a domain of up to 8 entries, one in
+    /// Each entry of the domain pushes a change once. Each pushes it to another domain too in a domain of up to 8 entries, one in
     /// eight in a domain of 67; exchanges alone would take up to 8 s.
     pub fn push(&mut self, store: &Store) -> Vec<(String, Node)> {
         let mut chosen = self.pick(store, true, FAN_OUT);
@@ -90,7 +90,7 @@
             .live(store)
             .filter(|(_, node)| node.domain == self.domain);
         let home = home.count() + 1;
-        if self.random.below(home) < PUSHES_ABROAD {
+        if self.random.below(home) < REMOTE_PUSHES {
             chosen.extend(self.pick(store, false, 1));
         }
         chosen
@@ -103,12 +103,13 @@
     /// declared the other down. A seed is named by its address.
     pub fn exchange(&mut self, store: &Store) -> Option<(String, SocketAddr)> {
         self.exchanges += 1;
-        if (self.exchanges.is_multiple_of(ABROAD * ABROAD) || self.live(store).next().is_none())
+        if (self.exchanges.is_multiple_of(REMOTE_EVERY * REMOTE_EVERY)
+            || self.live(store).next().is_none())
             && let Some(chosen) = self.retry(store)
         {
             return Some(chosen);
         }
-        let home = !self.exchanges.is_multiple_of(ABROAD);
+        let home = !self.exchanges.is_multiple_of(REMOTE_EVERY);
         let chosen = self.pick(store, home, 1).pop();
         let chosen = chosen.or_else(|| self.pick(store, !home, 1).pop());
         chosen.map(|(name, node)| (name, node.peer))
