claim: count a renewal only once the table shows it

Owners that renewed at the same moment lost to the same one each time, every 3 s, until their intervals ended after 10 s and new keys were refused.

Change: a renewal is due when it would move the end of an interval of the newest table seen by 3 s or more. After a refused write the agent tries again after 50 to 250 ms, at random, instead of 500 ms.

Ruled out earlier: the time to give up slots, the moves of slots, clocks.

--- a/bins/agent/src/claims.rs
+++ b/bins/agent/src/claims.rs
@@ -11,6 +11,7 @@
 use platform::{Client, Condition, Put};
 
 use crate::Shared;
+use crate::shared::random;
 
 /// Kind of the platform's objects that hold claim tables.
 const KIND: &str = "claims";
@@ -21,12 +22,31 @@
 /// Shortest wait between two steps.
 const STEP: Duration = Duration::from_millis(20);
 
-/// Wait after a failed call or a refused write.
+/// Wait after a failed call.
 const PAUSE: Duration = Duration::from_millis(500);
 
+/// Shortest wait after a refused write.
+///
+/// The wait is random, up to [`RETRY_SPREAD`] longer: up to 16 owners of a service that write at the same moment must
+/// all get through in the 7 s between the time for a renewal and the end of the interval.
+const RETRY: Duration = Duration::from_millis(50);
+
+/// Range of the random part of the wait after a refused write.
+const RETRY_SPREAD: Duration = Duration::from_millis(200);
+
 /// Longest time that a stopping agent tries to give up its slots; after it, others wait for the interval to lapse.
 const RELEASE: Duration = Duration::from_secs(3);
 
+/// How a step ended.
+enum Step {
+    /// Nothing was to be written, or the write was accepted.
+    Done,
+    /// Another agent wrote first.
+    Refused,
+    /// The platform gave no usable answer.
+    Failed,
+}
+
 /// What a step started from; a change of it makes the next step due.
 struct Seen {
     changes: u64,
@@ -38,30 +58,31 @@
     loop {
         if is_needed(&shared) {
             let seen = Seen::new(&shared);
-            let stepped = step(&shared, &platform).await;
+            let step = step(&shared, &platform).await;
             publish(&shared);
-            wait_until_due(&shared, stepped, seen).await;
+            wait_until_due(&shared, step.pause(), seen).await;
         } else {
             compio::time::sleep(LOOK).await;
         }
     }
 }
 
-/// Waits until the next step is due; a stop or a change among the service's agents since `seen` ends the wait.
+/// Waits for `pause`, or without one until the next step is due; a stop or a change among the service's agents since
+/// `seen` ends the wait.
 ///
 /// Meanwhile the owner is told whether the gate is open.
-async fn wait_until_due(shared: &Shared, stepped: bool, mut seen: Seen) {
-    let paused = now() + PAUSE;
+async fn wait_until_due(shared: &Shared, pause: Option<Duration>, mut seen: Seen) {
+    let started = now();
     compio::time::sleep(STEP).await;
     while shared.is_leaving() == shared.claims.borrow().is_stopping() {
         let now = now();
         let due = {
             let mut claims = shared.claims.borrow_mut();
             claims.set_open(shared.gate() == wire::Gate::Open, now);
-            match stepped {
-                true => claims.due(now),
+            match pause {
+                None => claims.due(now),
                 // A clock that was set back must not prolong the wait.
-                false => paused.min(now + PAUSE),
+                Some(pause) => (started + pause).min(now + pause),
             }
         };
         let left = due.saturating_sub(now);
@@ -97,8 +118,8 @@
     held || (keyed && !shared.is_leaving())
 }
 
-/// Reads the table and writes what the owner plans; returns false after a failure.
-async fn step(shared: &Shared, platform: &Client) -> bool {
+/// Reads the table and writes what the owner plans.
+async fn step(shared: &Shared, platform: &Client) -> Step {
     let service = &shared.settings.service;
     if shared.is_leaving() {
         shared.claims.borrow_mut().stop();
@@ -112,7 +133,7 @@
                     revision = object.revision,
                     error = error
                 );
-                return false;
+                return Step::Failed;
             }
         },
         Ok(None) => (0, Table::default()),
@@ -127,11 +148,11 @@
     };
     match write {
         Some(write) => store(shared, platform, &write).await,
-        None => true,
+        None => Step::Done,
     }
 }
 
-async fn store(shared: &Shared, platform: &Client, write: &Write) -> bool {
+async fn store(shared: &Shared, platform: &Client, write: &Write) -> Step {
     let condition = match write.base {
         0 => Condition::Absent,
         revision => Condition::Revision(revision),
@@ -140,15 +161,27 @@
     match platform.put(KIND, name, &write.table, condition).await {
         Ok(Put::Accepted(revision)) => {
             shared.claims.borrow_mut().observe(revision, &write.table);
-            true
+            Step::Done
         }
-        // Another agent wrote first; the next reading shows what.
-        Ok(Put::Conflict(_)) => false,
+        // The next reading shows what the other agent wrote.
+        Ok(Put::Conflict(_)) => Step::Refused,
         // The next reading shows whether the write took effect.
         Err(error) => failed(&error),
     }
 }
 
+impl Step {
+    /// Returns the wait before the next step, or none if the owner knows when it is due.
+    fn pause(&self) -> Option<Duration> {
+        let spread = u64::try_from(RETRY_SPREAD.as_millis()).unwrap_or(u64::MAX);
+        match self {
+            Self::Done => None,
+            Self::Refused => Some(RETRY + Duration::from_millis(random() % spread)),
+            Self::Failed => Some(PAUSE),
+        }
+    }
+}
+
 impl Seen {
     fn new(shared: &Shared) -> Self {
         Self {
@@ -178,9 +211,9 @@
     }
 }
 
-fn failed(error: &platform::Error) -> bool {
+fn failed(error: &platform::Error) -> Step {
     node::event!(event::CLAIMS_FAILED, error = error);
-    false
+    Step::Failed
 }
 
 /// Returns the time since 1970.
--- a/bins/agent/src/shared.rs
+++ b/bins/agent/src/shared.rs
@@ -222,7 +222,7 @@
 }
 
 /// Returns a random number.
-fn random() -> u64 {
+pub fn random() -> u64 {
     // The last 62 bits of a UUIDv7 are random (RFC 9562, section 5.7); the two above them say that it is a UUID.
     uuid::Uuid::now_v7().as_u64_pair().1
 }
--- a/crates/claim/src/owner.rs
+++ b/crates/claim/src/owner.rs
@@ -101,7 +101,8 @@
     down: Vec<String>,
     /// Live agents and this one's place among them for each slot, kept because hashing 2,000 agents takes milliseconds.
     share: (Vec<String>, [usize; SLOTS as usize]),
-    renewed: Option<Duration>,
+    /// Time of the last plan.
+    planned: Option<Duration>,
     stopping: bool,
     backend: Backend,
 }
@@ -150,7 +151,7 @@
             memory: Memory::default(),
             down: Vec::new(),
             share: (Vec::new(), [0; SLOTS as usize]),
-            renewed: None,
+            planned: None,
             stopping: false,
             backend: Backend::Open(None),
         }
@@ -187,21 +188,25 @@
 
     /// Returns the time at which the table should be read and [`Owner::plan`] called again.
     pub fn due(&self, now: Duration) -> Duration {
-        let Some(renewed) = self.renewed else {
+        let Some(planned) = self.planned else {
             return now;
         };
-        if self.gives_up(now) && self.slots() != 0 && self.share.0.len() > 1 {
-            return (renewed + POLL).min(now + POLL);
-        }
+        let gives_up = self.gives_up(now) && self.slots() != 0 && self.share.0.len() > 1;
         let claims = (0..SLOTS).map(|slot| self.table.claim(slot));
         // A closed backend's process takes no slot, so it need not look out for one.
         let unsettled = self.stopping
+            || gives_up
             || self.is_open()
                 && claims
                     .into_iter()
                     .any(|claim| claim.holder.is_none() || claim.wanted_by.is_some());
+        let pause = if unsettled { POLL } else { RENEWAL };
         // A clock that was set back must not hold up the renewal.
-        (renewed + if unsettled { POLL } else { RENEWAL }).min(now + RENEWAL)
+        let next = (planned + pause).min(now + pause);
+        let intervals = self.slots.iter().filter_map(|slot| slot.current.as_ref());
+        let renewals = intervals
+            .map(|interval| Duration::from_millis(interval.until).saturating_sub(TERM - RENEWAL));
+        renewals.fold(next, Duration::min)
     }
 
     /// Takes a table as read, watched or written successfully, with its revision.
@@ -254,18 +259,12 @@
         let base = self.revision?;
         self.forget(now);
         let gives_up = self.gives_up(now) && live.iter().any(|name| *name != self.holder.name);
-        let due = self.stopping
-            || gives_up
-            || self.renewed.is_none_or(|last| {
-                now.saturating_sub(last) >= RENEWAL || last.saturating_sub(now) >= RENEWAL
-            });
+        let renews = self.renews(now);
         let mut table = self.table.clone();
         for index in 0..SLOTS {
-            self.plan_slot(&mut table, index, now, live, (due, gives_up));
-        }
-        if due {
-            self.renewed = Some(now);
+            self.plan_slot(&mut table, index, now, live, (renews, gives_up));
         }
+        self.planned = Some(now);
         (table != self.table).then_some(Write { base, table })
     }
 
@@ -320,7 +319,7 @@
         index: u8,
         now: Duration,
         live: &[String],
-        (due, gives_up): (bool, bool),
+        (renews, gives_up): (bool, bool),
     ) {
         let open = self.is_open();
         let settled = self.is_settled(now);
@@ -343,7 +342,7 @@
             } else if wanted {
                 let until = (now + HAND_OVER).max(ran);
                 table.release(index, &self.holder, interval.epoch, until)
-            } else if due {
+            } else if renews {
                 table.renew(
                     index,
                     &self.holder,
@@ -393,6 +392,18 @@
         }
     }
 
+    /// Tells whether a renewal would move the end of an interval by 3 s or more in the newest table seen.
+    ///
+    /// A renewal counts only once the table shows it. When it counted as soon as it was planned, owners that renewed at
+    /// the same moment lost the conditional write to the same other one each time, until their intervals ended.
+    fn renews(&self, now: Duration) -> bool {
+        self.slots.iter().any(|slot| {
+            let end = millis(now + TERM).max(slot.started());
+            let held = slot.current.as_ref();
+            held.is_some_and(|held| u128::from(held.until.abs_diff(end)) >= RENEWAL.as_millis())
+        })
+    }
+
     fn is_open(&self) -> bool {
         matches!(self.backend, Backend::Open(_))
     }
--- a/crates/claim/tests/once.rs
+++ b/crates/claim/tests/once.rs
@@ -267,6 +267,50 @@
         prop_assert_eq!(decision, Decision::Run);
     }
 
+    /// Guards against a live owner that loses its interval because others that renew at the same moment always write
+    /// first.
+    #[test]
+    fn plan_renews_in_phase(owners in 2..=16_usize, last in any::<prop::sample::Index>()) {
+        let live: Vec<String> = (0..owners).map(name).collect();
+        let mut table = Table::default();
+        let mut held: Vec<Owner> = Vec::new();
+        let mut now = Duration::from_millis(START);
+        for (owner, name) in live.iter().enumerate() {
+            for (slot, place) in claim::places(name, &live).into_iter().enumerate() {
+                if place == 0 {
+                    table.take(slot as u8, &Holder::new(name, owner as u64), now, now + claim::TERM);
+                }
+            }
+            held.push(Owner::new(name, owner as u64));
+        }
+        let mut order: Vec<usize> = (0..owners).collect();
+        order.rotate_left(last.index(owners) + 1);
+        let mut revision = 1;
+        for _ in 0..100 {
+            // All that are due read the same table, so only the first write takes effect; the others try again after
+            // 150 ms, the mean wait of the agent. The same owner is last each time.
+            let read = (revision, table.clone());
+            for &owner in &order {
+                if held[owner].due(now) > now {
+                    continue;
+                }
+                held[owner].observe(read.0, &read.1);
+                match held[owner].plan(now, &live, &[]) {
+                    Some(write) if write.base == revision => {
+                        (revision, table) = (revision + 1, write.table);
+                        held[owner].observe(revision, &table);
+                    }
+                    _ => {}
+                }
+            }
+            now += Duration::from_millis(150);
+            for slot in 0..claim::SLOTS {
+                let until = Duration::from_millis(table.claim(slot).until_ms);
+                prop_assert!(until > now, "slot {} ended at {:?}, now {:?}", slot, until, now);
+            }
+        }
+    }
+
     /// Guards against overlapping intervals of successive epochs in any order of table changes.
     #[test]
     fn table_intervals_are_disjoint(steps in prop::collection::vec((0..4_u8, 0..3_u64, 0..60_u64), 1..60)) {
