entry: ask a peer before reading the catalogue at the start

Change: a starting entry waits until one peer has answered an exchange, at most 2 s, before it lists the catalogue; until then it tries a peer every 100 ms.

Before: the new test start_with_stale_read fails (revision 4 instead of 5); after: passes.

--- a/bins/entry/src/peer.rs
+++ b/bins/entry/src/peer.rs
@@ -7,7 +7,7 @@
 mod state;
 mod watch;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -35,6 +35,14 @@
 /// Time between two looks for silent members.
 const DETECT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time between two exchanges before the first peer has answered.
+const JOIN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest time for which a starting entry waits for a peer before it reads the catalogue from the platform.
+///
+/// A read may be stale, and after a restart the entry no longer knows the revisions that it held. The peers do.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Most entries that are tried again at once.
 const PROBES: usize = 32;
 
@@ -48,6 +56,8 @@
 pub struct Peering {
     shared: Shared,
     state: RefCell<State>,
+    /// Whether a peer has answered an exchange, or none is known.
+    joined: Cell<bool>,
     platform: platform::Client,
 }
 
@@ -63,6 +73,7 @@
         Rc::new(Self {
             shared,
             state: RefCell::new(state),
+            joined: Cell::new(false),
             platform: platform::Client::new(settings.platform, TIMEOUT),
         })
     }
@@ -119,18 +130,39 @@
         self.heard(&name, result.err());
     }
 
-    /// Compares stores with one peer a second.
+    /// Compares stores with one peer a second, more often until the first one has answered.
     async fn exchange(self: Rc<Self>) {
+        let started = Instant::now();
         loop {
             let chosen = self.state.borrow_mut().exchange_peer();
-            if let Some((name, peer)) = chosen {
-                let result = self.exchange_with(peer).await;
-                self.heard(&name, result.err());
+            match chosen {
+                Some((name, peer)) => {
+                    let result = self.exchange_with(peer).await;
+                    self.joined.set(self.joined.get() || result.is_ok());
+                    self.heard(&name, result.err());
+                }
+                None => self.joined.set(true),
             }
-            compio::time::sleep(EXCHANGE_INTERVAL).await;
+            let joins = !self.joined.get() && started.elapsed() < JOIN_TIMEOUT;
+            let pause = if joins {
+                JOIN_INTERVAL
+            } else {
+                EXCHANGE_INTERVAL
+            };
+            compio::time::sleep(pause).await;
         }
     }
 
+    /// Waits until a peer has answered an exchange, or 2 s.
+    async fn join(&self) {
+        let joined = async {
+            while !self.joined.get() {
+                compio::time::sleep(PUSH_INTERVAL).await;
+            }
+        };
+        let _ = compio::time::timeout(JOIN_TIMEOUT, joined).await;
+    }
+
     /// Tries entries again that didn't answer, so that one lost call doesn't bring an entry down.
     async fn probe(self: Rc<Self>) {
         loop {
--- a/bins/entry/src/peer/watch.rs
+++ b/bins/entry/src/peer/watch.rs
@@ -30,6 +30,7 @@
 }
 
 async fn catalogue(peering: &Peering) {
+    peering.join().await;
     let mut after = None;
     let mut listed = Instant::now();
     loop {
--- a/bins/entry/tests/peer.rs
+++ b/bins/entry/tests/peer.rs
@@ -54,6 +54,11 @@
 
 /// Runs `test` with three entries in one domain, one of which is no watcher, one in another, and the platform.
 fn with_entries<F: Future<Output = ()>>(test: impl FnOnce(Platform, Vec<Vm>) -> F) {
+    with_platform(|platform, _, vms| test(platform, vms));
+}
+
+/// Like [`with_entries`], and gives the address of the platform too.
+fn with_platform<F: Future<Output = ()>>(test: impl FnOnce(Platform, SocketAddr, Vec<Vm>) -> F) {
     node::run("test", async {
         let platform = Platform::default();
         let served = Rc::clone(&platform);
@@ -90,7 +95,7 @@
         let rest = [("a1", "a"), ("a2", "a"), ("b0", "b")];
         let rest = rest.map(|(name, domain)| start(name, domain, address, &seeds));
         let vms = std::iter::once(first).chain(rest).collect();
-        test(platform, vms).await;
+        test(platform, address, vms).await;
         server.cancel().await;
     })
     .unwrap();
@@ -153,6 +158,29 @@
     Member::new(Key::Target("t1".into()), 7, value)
 }
 
+/// Guards against a restarted entry that puts an older revision in force because its first read is stale.
+#[test]
+fn start_with_stale_read() {
+    with_platform(|platform, address, vms| async move {
+        put(&platform, 5, 0);
+        let all = || vms.iter().all(|vm| revision(vm) == 5);
+        until(6_000, "revision 5 isn't everywhere", all).await;
+        put(&platform, 4, 9);
+        // The seed that is asked first doesn't answer, so the platform would answer before a peer does.
+        let silent = node::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let silent = silent.local_addr().unwrap();
+        let started = start("b1", "b", address, &[vms[0].peer, silent]);
+        let knows = || match revision(&started) {
+            0 => false,
+            found => {
+                assert_eq!(found, 5);
+                true
+            }
+        };
+        until(2_000, "the entry knows no catalogue", knows).await;
+    });
+}
+
 /// Guards against a change that is not in force everywhere within 6 s, and against one that reverts on a stale read.
 #[test]
 fn catalogue_in_force_everywhere() {
