claim: move the slots of an owner and its decisions into files of their own

Slots, their intervals and the decisions now have their own files; Interval::contains and Slot::start replace code that spelled them out. The reason given for GIVE_UP named an effect that the renewals had caused, and now says what the time must fit.

--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -23,14 +23,17 @@
 //! assert_eq!(owner.begin("clerks", key, now), Decision::Wait);
 //! ```
 
+mod decision;
+mod held;
 mod memory;
 mod owner;
 mod share;
 mod slot;
 mod table;
 
+pub use decision::{Decision, Reason};
 pub use memory::{Answer, Outcome};
-pub use owner::{Decision, Owner, Reason, Write};
+pub use owner::{Owner, Write};
 pub use share::places;
 pub use slot::{SLOTS, issued, slot};
 pub use table::{Claim, Error, Holder, Prior, Table};
--- a/crates/claim/src/owner.rs
+++ b/crates/claim/src/owner.rs
@@ -1,13 +1,13 @@
 //! The process that owns slots.
 
-use std::collections::BTreeMap;
-use std::collections::btree_map::Entry;
 use std::sync::Arc;
 use std::time::Duration;
 
 use uuid::Uuid;
 
-use crate::memory::{Answer, Memory, Outcome, State};
+use crate::decision::{Decision, Reason};
+use crate::held::Slot;
+use crate::memory::{Memory, Outcome, State};
 use crate::share::places;
 use crate::table::{Claim, Holder, Table};
 use crate::{RENEWAL, SLOTS, TERM, issued, millis, slot};
@@ -26,7 +26,7 @@
 /// Time for which the backend takes no calls before the process gives up its slots.
 ///
 /// A shorter outage, such as a restart of the backend, ends before the others could have taken them: the gate closes only
-/// 2.5 s after the last connection. With 3 s here, keyed calls were refused for more than the 12 s of the design page.
+/// 2.5 s after the last connection. A longer time would not fit the 12 s within which keyed calls are answered again.
 const GIVE_UP: Duration = Duration::from_secs(2);
 
 /// Time for which the backend must have taken calls before the process asks others for the slots it should own.
@@ -34,48 +34,6 @@
 /// Each hand-over refuses calls for a moment; a backend that fails again and again must not cause one each time.
 const TAKE_BACK: Duration = Duration::from_secs(30);
 
-/// Number of closed intervals of a slot whose keys a live process still answers for.
-const PAST_LIMIT: usize = 4;
-
-/// What to do with a keyed call.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Decision {
-    /// Run it; report the end with [`Owner::finish`].
-    Run,
-    /// The key is running; answer with the same outcome.
-    Wait,
-    /// The key ran; send this answer again.
-    Stored(Arc<Answer>),
-    /// The key may have run and its answer is not known.
-    Unknown(Reason),
-    /// The key didn't run here; the call is safe to repeat after `retry_after`.
-    NotRun {
-        /// Why it is refused.
-        reason: Reason,
-        /// Time after which a repetition may succeed.
-        retry_after: Duration,
-    },
-    /// Another agent may run the key or know its outcome; this one doesn't run it.
-    Elsewhere(String),
-}
-
-/// Why a keyed call is not run.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum Reason {
-    /// The key is not a UUIDv7.
-    Malformed,
-    /// An earlier owner may have run it, or this one ran it and forgot it.
-    Early,
-    /// Its issue time is at or after the end of the interval.
-    Late,
-    /// It ran, and its answer was not stored.
-    NotStored,
-    /// No agent is known to own its slot.
-    NoOwner,
-    /// The backend takes no calls.
-    Closed,
-}
-
 /// A conditional update of the claim table.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Write {
@@ -115,28 +73,6 @@
     Closed(Duration),
 }
 
-#[derive(Clone, Debug, Default)]
-struct Slot {
-    current: Option<Interval>,
-    past: Vec<Interval>,
-    vacant_since: Option<Duration>,
-    /// Lowest time above the issue times of all keys that ran.
-    ran: u64,
-    /// Number of keys in progress by their issue times.
-    running: BTreeMap<u64, u32>,
-}
-
-#[derive(Clone, Debug)]
-struct Interval {
-    epoch: u64,
-    /// First issue time that may run; at or above the table's.
-    from: u64,
-    /// End of the interval in the newest table seen.
-    until: u64,
-    /// Earliest end in writes that may take effect.
-    promised: u64,
-}
-
 impl Owner {
     /// Returns the owner of no slot, for the process `instance` of the agent `name`.
     ///
@@ -287,14 +223,14 @@
         let slot = &mut self.slots[usize::from(index)];
         let intervals = slot.current.iter_mut().chain(&mut slot.past);
         for interval in intervals {
-            if (interval.from..interval.until.min(interval.promised)).contains(&time) {
+            if interval.contains(time) {
                 if matches!(self.backend, Backend::Closed(_)) {
                     return Decision::NotRun {
                         reason: Reason::Closed,
                         retry_after: Duration::from_secs(1),
                     };
                 }
-                *slot.running.entry(time).or_default() += 1;
+                slot.start(time);
                 self.memory.start(workspace, key);
                 return Decision::Run;
             }
@@ -479,55 +415,6 @@
     }
 }
 
-impl Slot {
-    /// Returns the lowest time above the issue times of all keys that ran or may run to their end.
-    fn started(&self) -> u64 {
-        let running = self.running.last_key_value();
-        running.map_or(self.ran, |(time, _)| self.ran.max(time + 1))
-    }
-
-    /// Takes note of the end of a key in progress that was issued at `time`.
-    fn finish(&mut self, time: u64, ran: bool) {
-        if let Entry::Occupied(mut running) = self.running.entry(time) {
-            *running.get_mut() -= 1;
-            if *running.get() == 0 {
-                running.remove();
-            }
-        }
-        if ran {
-            self.ran = self.ran.max(time + 1);
-        }
-    }
-
-    fn observe(&mut self, claim: &Claim, mine: bool) {
-        match &mut self.current {
-            Some(interval) if mine && interval.epoch == claim.epoch => {
-                interval.until = claim.until_ms;
-                interval.promised = u64::MAX;
-                interval.from = interval.from.max(claim.from_ms);
-                return;
-            }
-            _ => {}
-        }
-        if let Some(closed) = self.current.take() {
-            // A promise stays with the closed interval: the newer table doesn't say where this epoch ended.
-            self.past.push(closed);
-            if self.past.len() > PAST_LIMIT {
-                self.past.remove(0);
-            }
-        }
-        if mine {
-            self.vacant_since = None;
-            self.current = Some(Interval {
-                epoch: claim.epoch,
-                from: claim.from_ms,
-                until: claim.until_ms,
-                promised: u64::MAX,
-            });
-        }
-    }
-}
-
 fn head_start(place: usize) -> Duration {
     HEAD_START.saturating_mul(u32::try_from(place).unwrap_or(u32::MAX))
 }
