route: take a target that reports to other entries for unreported at once

Trace: with two domains, /status of each entry showed both agents of the other domain as suspect at 0, 1 and 2 s after the version was served, unreported from 3 s on. Ruled out: renewals, intervals, the gate, the concurrency limit.

Change: the entry works out which targets should report to it whenever the members change, and passes this to routing. Only those become suspect; others are known from their member record alone from 2 s after their last report.

New test target_state_turned_elsewhere.

--- a/bins/entry/src/shared.rs
+++ b/bins/entry/src/shared.rs
@@ -4,7 +4,7 @@
 //! as a [`Change`], which routing drains in order; routing never writes.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 use std::time::Instant;
@@ -44,6 +44,8 @@
     },
     /// The number of live entries in the system changed.
     Entries(u32),
+    /// Names of the targets that should report to this entry; sent whenever the members changed.
+    Reporters(BTreeSet<String>),
 }
 
 /// A target: its member record and its last report.
@@ -154,6 +156,11 @@
         }
     }
 
+    /// Passes on which targets should report to this entry.
+    pub fn set_reporters(&self, names: BTreeSet<String>) {
+        self.0.borrow_mut().record(Change::Reporters(names));
+    }
+
     /// Waits for changes and takes them, in the order of their writes.
     ///
     /// Only one task may wait at a time.
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -66,6 +66,13 @@
         self.targets.get_mut(name)
     }
 
+    /// Sets which targets should report to this entry.
+    pub fn set_reporters(&mut self, reporters: &BTreeSet<String>) {
+        for (name, target) in &mut self.targets {
+            target.reports_here = reporters.contains(name);
+        }
+    }
+
     /// Adds the target `name` or replaces its member record.
     pub fn put(&mut self, name: &str, member: &gossip::Target, per_target: Option<u32>) {
         match self.targets.get_mut(name) {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,6 +1,6 @@
 //! All decisions of one entry.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -149,6 +149,13 @@
         }
     }
 
+    /// Sets which targets should report to this entry; a target is expected to do so until this is called.
+    pub fn set_reporters(&mut self, reporters: &BTreeSet<String>) {
+        for lane in self.lanes.values_mut() {
+            lane.pool.set_reporters(reporters);
+        }
+    }
+
     /// Takes a new version of a catalogue entry, and returns whether it was newer than the one held.
     pub fn apply(&mut self, entry: Entry, revision: Revision) -> bool {
         let service = match &entry {
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -16,8 +16,9 @@
 
 /// Time without a report after which a target that is not marked as down is taken to report to other entries.
 ///
-/// The entries that a target reports to mark it as down well within this time if it is. A target changes them when
-/// entries come and go; a starting agent reports to the entries in its settings.
+/// The entries that a target reports to mark it as down well within this time if it is. It holds for targets that should
+/// report here; the view of the target may differ. Others are taken to report elsewhere after [`SUSPECT_AFTER`]: a
+/// target changes its entries when entries come and go, and a starting agent reports to those in its settings.
 const ELSEWHERE_AFTER: Duration = Duration::from_secs(8);
 /// Time for which a target without reports gets no work after it refused all.
 const CLOSED_FOR: Duration = Duration::from_secs(2);
@@ -31,7 +32,7 @@
     Unreported,
     /// Its gate is closed or draining.
     Closed,
-    /// Has not reported for 2 s.
+    /// Should report to this entry and has not done so for 2 s.
     Suspect,
     /// Marked as down by the peer port of an entry that it reports to, after 5 s of silence.
     ///
@@ -49,6 +50,8 @@
     pub(crate) phase: Phase,
     pub(crate) concurrency: Concurrency,
     pub(crate) own: Rc<Cell<u32>>,
+    /// Whether the target should report to this entry.
+    pub(crate) reports_here: bool,
     report: Option<Load>,
     closed_until: Option<Instant>,
 }
@@ -73,6 +76,7 @@
             phase: member.phase,
             concurrency: Concurrency::new(per_target),
             own: Rc::default(),
+            reports_here: true,
             report: None,
             closed_until: None,
         }
@@ -168,8 +172,12 @@
 
     /// Returns the last report unless the target has since turned to other entries.
     fn current(&self, now: Instant) -> Option<Load> {
+        let limit = match self.reports_here {
+            true => ELSEWHERE_AFTER,
+            false => SUSPECT_AFTER,
+        };
         self.report
-            .filter(|report| now.saturating_duration_since(report.at) < ELSEWHERE_AFTER)
+            .filter(|report| now.saturating_duration_since(report.at) < limit)
     }
 
     fn is_open(&self, now: Instant) -> bool {
--- a/crates/route/tests/route/targets.rs
+++ b/crates/route/tests/route/targets.rs
@@ -57,6 +57,23 @@
     assert_eq!(world.poll().0.len(), 1);
 }
 
+/// Guards against keyed calls refused for seconds because their owner, which is alive, has turned to other entries.
+#[test]
+fn target_state_turned_elsewhere() {
+    let mut world = World::new("{}");
+    world.targets(2);
+    for target in ["t0", "t1"] {
+        world.report(target, Gate::Open, 0, 0);
+    }
+    world.router.set_reporters(&["t1".into()].into());
+    world.now += ms(2000);
+    let states = ["t0", "t1"].map(|name| {
+        let pool = world.router.pool("desk").unwrap();
+        pool.get(name).unwrap().state(world.now)
+    });
+    assert_eq!(states, [State::Unreported, State::Suspect]);
+}
+
 /// Guards against requests that cross domains while the own domain has an open target, even a busy one.
 #[test]
 fn target_own_domain_first() {
