load: end a burst's live requests with the burst

The load tool sent live requests for three times the lower bound plus 18 s, 43 s for this plan, fixed at the start, and reported only after them.

Change: the requests flow until 2 s after all targets serve the version, at most for the limit of the burst. Bursts that are longer than the estimate now have live requests to their end.

--- a/bins/load/src/burst.rs
+++ b/bins/load/src/burst.rs
@@ -1,12 +1,13 @@
 //! The experiment: a new version reaches all targets while live requests flow.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use serde::Serialize;
 
 use crate::deployment::{Deployment, Error, MODEL_SERVICE, PLAIN_SERVICE, WORKSPACE};
-use crate::{Fault, Load, Percentiles, Plan, Replicas, Tally, fault};
+use crate::{Load, Percentiles, Plan, Replicas, Tally, fault};
 
 /// Requests a second to the model's service.
 const MODEL_RATE: f64 = 20.0;
@@ -105,15 +106,20 @@
 ) -> Result<Report, Error> {
     let plan = deployment.plan.clone();
     let drawn_before = deployment.count(&deployment.store, "bytes_drawn").await?;
-    let time = MARGIN * 2 + estimate(&plan);
+    // The requests flow until the burst is over: a time estimated from the bound made short bursts wait for it, and
+    // bursts longer than it ended without live requests.
+    let time = MARGIN * 2 + limit;
+    let wanted = Rc::new(Cell::new(true));
     let model = load(&deployment, MODEL_SERVICE, MODEL_RATE, time);
     let removed = Rc::clone(&model.removed);
     let keyed = Load {
         removed: Rc::clone(&removed),
         ..load(&deployment, PLAIN_SERVICE, KEYED_RATE, time)
     };
-    let model = compio::runtime::spawn(async move { model.run().await });
-    let keyed = compio::runtime::spawn(async move { keyed.run().await });
+    let while_wanted = Rc::clone(&wanted);
+    let model = compio::runtime::spawn(async move { model.run_while(&while_wanted).await });
+    let while_wanted = Rc::clone(&wanted);
+    let keyed = compio::runtime::spawn(async move { keyed.run_while(&while_wanted).await });
     compio::time::sleep(MARGIN).await;
 
     let digest = deployment.digest(version).await?;
@@ -130,6 +136,8 @@
     };
     let (progress, ()) = futures::join!(progress, fault);
     replicas.wait(limit).await?;
+    compio::time::sleep(MARGIN).await;
+    wanted.set(false);
     let count = replicas.expected();
     let shares = [count.div_ceil(2), (count * 9).div_ceil(10), count];
     let hold_s = shares.map(|count| replicas.held_time_of(count).as_secs_f64());
@@ -184,13 +192,6 @@
     }
 }
 
-/// Returns the time for which requests should flow: three times the lower bound, the turns of the switch, and what a
-/// fault adds.
-fn estimate(plan: &Plan) -> Duration {
-    let fault = plan.fault.map_or(Duration::ZERO, |_| Fault::STALL * 2);
-    bound(plan) * 3 + Duration::from_secs(4) + fault
-}
-
 /// Returns the lower bound of the time until all targets hold a new version.
 ///
 /// It is the largest of three times: that of the copies which must cross the origin's link, that of the copies which
--- a/bins/load/src/traffic.rs
+++ b/bins/load/src/traffic.rs
@@ -1,6 +1,6 @@
 //! Live requests at a steady rate, and what became of them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -116,26 +116,35 @@
 impl Load {
     /// Sends the requests, waits for the last answer and returns the tally.
     pub async fn run(&self) -> Tally {
+        self.run_while(&Cell::new(true)).await
+    }
+
+    /// Like [`Load::run`], but sends no request once `wanted` is false.
+    pub async fn run_while(&self, wanted: &Cell<bool>) -> Tally {
         let tally = Rc::new(RefCell::new(Tally::default()));
         let client = Client::new();
         let start = Instant::now();
         let count = (self.rate_per_s * self.duration.as_secs_f64()) as u64;
-        let mut tasks = Vec::with_capacity(count as usize);
+        let mut tasks = Vec::new();
         for index in 0..count {
             let due = start + Duration::from_secs_f64(index as f64 / self.rate_per_s);
             compio::time::sleep_until(due).await;
+            if !wanted.get() {
+                break;
+            }
             let (load, client, tally) = (self.clone(), client.clone(), Rc::clone(&tally));
             tasks.push(compio::runtime::spawn(async move {
                 let record = load.send_next(&client, index).await;
                 tally.borrow_mut().add(record);
             }));
         }
+        let sent = tasks.len() as u64;
         for task in tasks {
             // A task only fails by a panic, which the missing outcome in the tally shows.
             let _ = task.await;
         }
         let mut tally = tally.take();
-        tally.sent = count;
+        tally.sent = sent;
         tally.first_byte = Percentiles::of(&tally.first_bytes);
         tally.whole = Percentiles::of(&tally.wholes);
         tally
