agent: look at stalled requests also while inputs come in quick succession

Cause: the transfer task works out its next look at the requests anew before each input, at least 1 ms away. Inputs less than 1 ms apart, for example the progress of many requests, put the look off for as long as they go on: stalled requests are not given up, and a look that comes 1 s late takes the lateness for a pause of its own process.

Conclusion: found by reading.

--- a/bins/agent/src/transfer/run.rs
+++ b/bins/agent/src/transfer/run.rs
@@ -97,15 +97,18 @@
 
     /// Reacts to the handle's inputs; dropping the future stops all requests.
     pub async fn run(mut self) {
+        let mut looked = Instant::now();
         loop {
-            let deadline = self.deadline();
+            let deadline = self.deadline().min(looked + TICK);
             match compio::time::timeout_at(deadline, self.receiver.next()).await {
                 Ok(Some(input)) => self.handle(input),
                 Ok(None) => return,
                 Err(_) => {}
             }
-            // Inputs may arrive so fast that the timeout is never reported.
+            // Inputs may arrive so fast that the timeout is never reported and that each new deadline, at least 1 ms
+            // away, comes after the next input.
             if Instant::now() >= deadline {
+                looked = Instant::now();
                 self.update(Downloader::tick);
             }
             self.report();
--- a/bins/agent/tests/transfer/main.rs
+++ b/bins/agent/tests/transfer/main.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::task::Poll;
+use std::time::{Duration, Instant};
 
 use burst::Peer;
 use bytes::Bytes;
@@ -28,6 +29,19 @@
     (peer, spawn(server))
 }
 
+/// Lets the other tasks run once.
+async fn yield_now() {
+    let mut yielded = false;
+    std::future::poll_fn(|context| {
+        if std::mem::replace(&mut yielded, true) {
+            return Poll::Ready(());
+        }
+        context.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
 // Guards against more copies from the origin than the plan allows, and against weights that arrive incomplete.
 #[parameterized(
     origin_bytes = { Plan::OriginBytes, 1 },
@@ -120,6 +134,38 @@
     });
 }
 
+// Guards against requests to a stalled peer that are never given up while inputs arrive less than 1 ms apart, as from
+// requests that wait for a slow engine.
+#[test]
+fn transfer_stall_amid_inputs() {
+    with_world(|world| async move {
+        let (listener, address) = listen();
+        let silent = |_: SocketAddr, _: Request<Bytes>| std::future::pending();
+        let peer = Peer {
+            name: "silent".into(),
+            domain: "a".into(),
+            region: "a".into(),
+            address,
+        };
+        let _server = spawn(serve(
+            listener,
+            Limits::default(),
+            silent,
+            std::future::pending(),
+        ));
+        let agents = [world.start("a", 0)];
+        introduce(&agents, std::slice::from_ref(&peer));
+        order(&agents, &world.pin("v1"), Plan::OriginBytes);
+        let start = Instant::now();
+        let stalled = || agents[0].transfer.progress().stats.stalled > 0;
+        while !stalled() && start.elapsed() < Duration::from_secs(15) {
+            introduce(&agents, std::slice::from_ref(&peer));
+            yield_now().await;
+        }
+        assert!(stalled(), "no stall after {:?}", start.elapsed());
+    });
+}
+
 // Guards against a transfer of an old version that goes on, and against fetching equal chunks again.
 #[test]
 fn transfer_version_changes() {
