route: learn the pin of a target that reports elsewhere from its answers

Cause: an entry assumed the catalogue's pin at targets that don't report to it. During a switch such a target refuses the request, and each retry elsewhere guessed again and cost a token of the retry budget.

Change: a refusal with reason `version` names the pin served. The entry keeps the pin that the last answer or refusal named, and sends the refused request to the same target once more under it, without a token. Only accepted pins are sent, and the gate compares them as before. `burst` reports the attempts that agents refused, by reason.

--- a/bins/agent/src/call.rs
+++ b/bins/agent/src/call.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use futures::stream;
-use gate::{Backend, Event};
+use gate::{Backend, Event, Refusal};
 use node::event;
 use node::http::header::CONTENT_LENGTH;
 use node::http::{Answer, Body, Client, Error, Method, Request, Response, StatusCode, json};
@@ -112,7 +112,7 @@
         let progress = self
             .shared
             .admit(incoming.pin.as_ref())
-            .map_err(NotRun::Refused)?;
+            .map_err(|refusal| self.refused(refusal))?;
         let backend = self.shared.settings.backend_address;
         let request = incoming.into_backend();
         let answer = match self.http.send(backend, request, deadline).await {
@@ -125,6 +125,14 @@
         Ok((progress, answer))
     }
 
+    /// Returns the answer to a refused call; one for other weights names those that the gate is open for.
+    fn refused(&self, refusal: Refusal) -> NotRun {
+        match self.shared.pin() {
+            Some(pin) if refusal == Refusal::Version => NotRun::Version(pin),
+            _ => NotRun::Refused(refusal),
+        }
+    }
+
     /// Reads an answer of at most `limit` bytes to its end and checks its weights again.
     async fn read(
         &self,
--- a/bins/agent/src/call/answer.rs
+++ b/bins/agent/src/call/answer.rs
@@ -6,7 +6,8 @@
     TRANSFER_ENCODING, UPGRADE,
 };
 use node::http::{Body, Response, StatusCode, response};
-use wire::header::{ENGINE_WEIGHTS, OUTCOME, OWNER, REASON, REQUEST, WEIGHTS};
+use weights::Pin;
+use wire::header::{ENGINE_WEIGHTS, OUTCOME, OWNER, PIN, REASON, REQUEST, WEIGHTS};
 
 /// Headers that hold for one connection only (RFC 9110, section 7.6.1), and those that the HTTP library sets anew.
 const HOP_BY_HOP: [HeaderName; 7] = [
@@ -30,6 +31,8 @@
     NoCatalogue,
     /// The gate refused.
     Refused(Refusal),
+    /// The gate is open for other weights: those named.
+    Version(Pin),
     /// The backend can't be reached.
     Backend,
     /// The call must run at most once and carries no key.
@@ -64,7 +67,7 @@
             Self::Service => "service",
             Self::NoCatalogue => "catalogue",
             Self::Refused(Refusal::Closed) => "closed",
-            Self::Refused(Refusal::Version) => "version",
+            Self::Refused(Refusal::Version) | Self::Version(_) => "version",
             Self::Refused(Refusal::Draining) => "draining",
             Self::Refused(Refusal::Leaving) => "leaving",
             Self::Backend => "backend",
@@ -89,6 +92,11 @@
                 .headers_mut()
                 .insert(RETRY_AFTER, HeaderValue::from_static("1"));
         }
+        if let Self::Version(pin) = self
+            && let Ok(pin) = HeaderValue::try_from(pin.to_string())
+        {
+            response.headers_mut().insert(PIN, pin);
+        }
         if let Self::Claim {
             owner: Some(owner), ..
         } = self
@@ -128,7 +136,7 @@
         headers.remove(name);
     }
     // A backend must not speak for the agent.
-    for name in [OUTCOME, REASON, REQUEST, OWNER, WEIGHTS] {
+    for name in [OUTCOME, REASON, REQUEST, OWNER, PIN, WEIGHTS] {
         headers.remove(name);
     }
     if let Some(weights) = headers.remove(ENGINE_WEIGHTS) {
--- a/bins/agent/tests/process/main.rs
+++ b/bins/agent/tests/process/main.rs
@@ -15,7 +15,8 @@
     Err(("not-run".into(), reason.into()))
 }
 
-/// Guards against a switch that cuts requests, goes on serving the old pin or never opens for the new one.
+/// Guards against a switch that cuts requests, goes on serving the old pin or never opens for the new one, and against a
+/// refusal that doesn't name the pin served.
 #[test]
 fn switch_version() {
     with_world("engine", json!({}), |world| async move {
@@ -25,6 +26,11 @@
         world.publish(2, true, Some(&v2));
         world.wait_open(&v2).await;
         assert_eq!(world.ask(Some(&v1)).await, refused("version"));
+        let refusal = world.call(Some(&v1), json!({"messages": []})).await;
+        assert_eq!(
+            refusal.unwrap().headers()[wire::header::PIN],
+            v2.to_string()
+        );
         assert_eq!(world.count("activations").await, 2);
         assert_eq!(world.count("activations_while_running").await, 0);
     });
--- a/bins/entry/src/attempt.rs
+++ b/bins/entry/src/attempt.rs
@@ -10,6 +10,7 @@
 use node::http::{Answer, Error, HeaderMap, Response, StatusCode};
 use route::{Failure, InFlight};
 use uuid::Uuid;
+use weights::Pin;
 use wire::header as name;
 
 use crate::answer::{ANSWERED, NOT_RUN, UNKNOWN};
@@ -18,10 +19,12 @@
 
 /// Time between two checks whether the target of an attempt is down.
 const DOWN_CHECK: Duration = Duration::from_millis(250);
+/// Reason of a refusal by an agent that serves other weights.
+const VERSION: &str = "version";
 /// Reasons for which an agent is likely to refuse every request until its next report.
 const CLOSED: [&str; 7] = [
     "closed",
-    "version",
+    VERSION,
     "draining",
     "leaving",
     "backend",
@@ -140,6 +143,10 @@
     if let Some(owner) = text(headers, name::OWNER) {
         return Failure::Elsewhere(owner.to_owned());
     }
+    let served = text(headers, name::PIN).and_then(|pin| pin.parse::<Pin>().ok());
+    if let (VERSION, Some(pin)) = (reason, served) {
+        return Failure::Version(pin.digest.short());
+    }
     match status {
         StatusCode::TOO_MANY_REQUESTS => Failure::Overloaded,
         StatusCode::SERVICE_UNAVAILABLE if CLOSED.contains(&reason) => Failure::Closed,
--- a/bins/entry/tests/entry/requests.rs
+++ b/bins/entry/tests/entry/requests.rs
@@ -388,3 +388,40 @@
         );
     });
 }
+
+/// Guards against a request that fails because a target which reports to other entries still serves a replaced pin.
+#[test]
+fn refusal_names_served_pin() {
+    with_entry(|world| async move {
+        let [old, new] = [b"old", b"new"].map(|name| weights::Digest::of(name));
+        let service = format!(
+            r#"{{"kind":"service","name":"desk","owner":"o","class":"urgent","backend":"model","repeatable":true,
+            "deadline_ms":1000,"model":{{"name":"m","version":"v2","digest":"{new}","plan":"direct",
+            "replaced":[{{"model":"m","version":"v1","digest":"{old}"}}]}}}}"#
+        );
+        world
+            .shared
+            .put_catalog(99, serde_json::from_str(&service).unwrap());
+        let version = format!(
+            "HTTP/1.1 503 Service Unavailable\r\ncarobport-request: ID\r\ncarobport-outcome: not-run\r\n\
+             carobport-reason: version\r\ncarobport-pin: m@v1#{old}\r\ncontent-length: 0\r\n\r\n"
+        );
+        let whole = format!("{HEAD}carobport-weights: {old}\r\ncontent-length: 0\r\n\r\n");
+        let seen = world.agent("t0", "desk", 0, move |index| {
+            let answer = if index == 0 { &version } else { &whole };
+            vec![Step::Send(answer.clone())]
+        });
+        let member = world.shared.target("t0").unwrap().member.unwrap();
+        world.shared.remove_target("t0");
+        world.shared.put_target("t0", member);
+        for _ in 0..2 {
+            let answer = world.call("/v1/desk/x", &[]).await;
+            assert_eq!(&*summary(&answer).1, "answered");
+        }
+        let seen = seen.borrow();
+        let pins = seen
+            .iter()
+            .map(|(_, head)| head.contains(&format!("#{old}\r\n")));
+        assert_eq!(pins.collect::<Vec<_>>(), [false, true, true]);
+    });
+}
--- a/bins/load/src/burst.rs
+++ b/bins/load/src/burst.rs
@@ -1,5 +1,6 @@
 //! The experiment: a new version reaches all targets while live requests flow.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -44,6 +45,9 @@
     pub model: Tally,
     /// Calls that must run at most once.
     pub keyed: Tally,
+    /// Attempts that agents refused as not run between the start of the requests and their end, by reason; agents that
+    /// are gone by the end count for nothing.
+    pub refused_attempts: BTreeMap<String, u64>,
     /// Time to the first byte without a burst, 99th percentile in milliseconds.
     pub idle_p99_ms: f64,
     /// Time to the first byte of the model's requests from the put until the last target held the weights.
@@ -105,6 +109,7 @@
 ) -> Result<Report, Error> {
     let plan = deployment.plan.clone();
     let drawn_before = deployment.count(&deployment.store, "bytes_drawn").await?;
+    let refused_before = refused_attempts(&deployment).await;
     let time = MARGIN * 2 + estimate(&plan);
     let model = load(&deployment, MODEL_SERVICE, MODEL_RATE, time);
     let removed = Rc::clone(&model.removed);
@@ -138,6 +143,13 @@
     let bound_s = bound(&plan).as_secs_f64();
     let copies = drawn as f64 / plan.model_bytes as f64;
     let model = tally(model.await)?;
+    let keyed = tally(keyed.await)?;
+    let mut refused = refused_attempts(&deployment).await;
+    for (reason, before) in refused_before {
+        if let Some(count) = refused.get_mut(&reason) {
+            *count = count.saturating_sub(before);
+        }
+    }
     let end = start + replicas.held_time_of(count);
     let burst_first_byte = model.first_byte_between(start, end);
     Ok(Report {
@@ -151,7 +163,8 @@
         bound_s,
         ratio: hold_s[2] / bound_s,
         model,
-        keyed: tally(keyed.await)?,
+        keyed,
+        refused_attempts: refused,
         idle_p99_ms,
         burst_first_byte,
         p99_ratio: burst_first_byte.p99_ms / idle_p99_ms,
@@ -160,6 +173,31 @@
     })
 }
 
+/// Returns the attempts that the agents have refused as not run, by reason.
+async fn refused_attempts(deployment: &Deployment) -> BTreeMap<String, u64> {
+    let mut refused = BTreeMap::new();
+    for agent in &deployment.agents {
+        // An agent that a fault has killed has no metrics.
+        let Ok(metrics) = deployment.metrics(agent.operator).await else {
+            continue;
+        };
+        for line in metrics.lines() {
+            let Some(rest) = line.strip_prefix("carobport_agent_calls_total{") else {
+                continue;
+            };
+            let Some((labels, count)) = rest.split_once("} ") else {
+                continue;
+            };
+            let reason = labels.split("reason=\"").nth(1).unwrap_or_default();
+            let reason = reason.split('"').next().unwrap_or_default();
+            if labels.contains("outcome=\"not-run\"") {
+                *refused.entry(reason.to_owned()).or_default() += count.parse().unwrap_or(0);
+            }
+        }
+    }
+    refused
+}
+
 fn tally<E>(result: Result<Tally, E>) -> Result<Tally, Error> {
     result.map_err(|_| Error::Answer {
         what: "live requests".into(),
--- a/bins/load/src/deployment.rs
+++ b/bins/load/src/deployment.rs
@@ -273,6 +273,31 @@
         path: &str,
         body: Option<String>,
     ) -> Result<Value, Error> {
+        let what = format!("{method} {path} of {address}");
+        let bytes = self.read(address, method, path, body).await?;
+        serde_json::from_slice(&bytes).map_err(|error| Error::Answer {
+            what,
+            reason: error.to_string(),
+        })
+    }
+
+    /// Returns the metrics of a process in their text form.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process gives no whole answer.
+    pub(crate) async fn metrics(&self, address: SocketAddr) -> Result<String, Error> {
+        let bytes = self.read(address, Method::GET, "/metrics", None).await?;
+        Ok(String::from_utf8_lossy(&bytes).into_owned())
+    }
+
+    async fn read(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Option<String>,
+    ) -> Result<Vec<u8>, Error> {
         let what = format!("{method} {path} of {address}");
         let failed = |reason: String| Error::Answer {
             what: what.clone(),
@@ -295,7 +320,7 @@
                 String::from_utf8_lossy(&bytes)
             )));
         }
-        serde_json::from_slice(&bytes).map_err(|error| failed(error.to_string()))
+        Ok(bytes.to_vec())
     }
 
     /// Returns the address of the platform's stand-in.
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -95,6 +95,7 @@
     pub tried: Vec<String>,
     pub only: Option<String>,
     pub redirected: bool,
+    pub corrected: bool,
     pub asked_again: bool,
     pub permits: Vec<Permit>,
 }
@@ -154,6 +155,16 @@
     }
 }
 
+impl Core {
+    /// Notes a failed attempt. Only a keyed request stays bound to a target after it.
+    fn tried(&mut self, target: String) {
+        self.tried.push(target);
+        if self.slot.is_none() {
+            self.only = None;
+        }
+    }
+}
+
 impl<Q: Origin> Request<Q> {
     /// Sends the request to a target.
     pub(crate) fn send(mut self, dispatch: Dispatch) -> Request<Sent<Q>> {
@@ -193,7 +204,7 @@
     /// Returns to the queue after the agent said, or the failed connection shows, that nothing was written to the
     /// backend.
     pub(crate) fn not_run(mut self) -> Request<Q> {
-        self.core.tried.push(self.state.dispatch.target);
+        self.core.tried(self.state.dispatch.target);
         Request {
             core: self.core,
             state: self.state.origin,
@@ -202,7 +213,7 @@
 
     /// Returns to the queue although this attempt may have run.
     pub(crate) fn may_have_run(mut self, why: Unknown) -> Request<Requeued> {
-        self.core.tried.push(self.state.dispatch.target);
+        self.core.tried(self.state.dispatch.target);
         Request {
             core: self.core,
             state: Requeued(why),
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -63,6 +63,8 @@
     Overloaded,
     /// The agent said not run: its gate is closed or its weights differ.
     Closed,
+    /// The agent said not run: it serves other weights, whose digest has this short form.
+    Version(u64),
     /// The agent said not run for another reason that may pass.
     Refused,
     /// The agent said not run: another agent owns the slot of the key.
@@ -250,6 +252,7 @@
             tried: Vec::new(),
             only: None,
             redirected: false,
+            corrected: false,
             asked_again: false,
             permits,
         };
@@ -278,10 +281,13 @@
         let time = now.saturating_duration_since(request.sent_at());
         if let Some(lane) = self.lanes.get_mut(&request.admission().service) {
             lane.drain.answered(now, time);
-            if let Some(target) = lane.pool.get_mut(request.target())
-                && time <= request.admission().within
-            {
-                target.concurrency.in_time();
+            if let Some(target) = lane.pool.get_mut(request.target()) {
+                if let Some(pin) = request.pin() {
+                    target.learn(now, pin.digest.short());
+                }
+                if time <= request.admission().within {
+                    target.concurrency.in_time();
+                }
             }
         }
         request.answering()
@@ -323,6 +329,7 @@
                 Failure::Rejected
                 | Failure::Refused
                 | Failure::Elsewhere(_)
+                | Failure::Version(_)
                 | Failure::Lost
                 | Failure::Reported => {}
             }
@@ -335,6 +342,7 @@
             Failure::Overloaded | Failure::Closed | Failure::Refused => {
                 refused(lane, now, request.not_run())
             }
+            Failure::Version(served) => other_weights(lane, now, request, served),
             Failure::NotConnected => lane.retry(now, request.not_run(), true),
             Failure::Elsewhere(owner) => redirect(lane, now, request.not_run(), owner),
             Failure::Lost => lost(lane, now, request),
@@ -358,6 +366,32 @@
     lane.retry(now, waiting, true)
 }
 
+/// Sends a request again to a target that doesn't report here, once, under the weights that its refusal names.
+///
+/// This costs no token of the retry budget: the refusal was due to a wrong guess of the entry. Other targets are tried
+/// when the request doesn't accept these weights.
+fn other_weights(lane: &mut Lane, now: Instant, request: InFlight, served: u64) -> Option<Action> {
+    let name = request.target().to_owned();
+    let mut waiting = request.not_run();
+    let accepted = lane.pool.accepted(now, &waiting.core().admission.pins);
+    let accepts = accepted.iter().any(|pin| pin.digest.short() == served);
+    let Some(target) = lane.pool.get_mut(&name) else {
+        return refused(lane, now, waiting);
+    };
+    if !target.learn(now, served) || !accepts {
+        // A target that reports here is closed until its next report, the others for a while.
+        target.close(now);
+    }
+    let guessed = target.state(now) == State::Unreported;
+    let core = waiting.core_mut();
+    if !guessed || core.corrected {
+        return refused(lane, now, waiting);
+    }
+    core.corrected = true;
+    core.only = Some(name);
+    lane.retry(now, waiting, false)
+}
+
 /// Sends a keyed request to the owner of its slot, once; the agent that named the owner was no failure, so this costs
 /// no token of the retry budget.
 fn redirect(lane: &mut Lane, now: Instant, mut waiting: Waiting, owner: String) -> Option<Action> {
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -51,6 +51,8 @@
     pub(crate) own: Rc<Cell<u32>>,
     report: Option<Load>,
     closed_until: Option<Instant>,
+    /// Short digest of the weights that its last report, answer or refusal named.
+    served: Option<u64>,
 }
 
 /// What matters of a report, and this entry's requests when it arrived.
@@ -75,6 +77,7 @@
             own: Rc::default(),
             report: None,
             closed_until: None,
+            served: None,
         }
     }
 
@@ -130,10 +133,16 @@
             .is_some_and(|report| report.slots & (1u16 << (slot & 15)) != 0)
     }
 
-    /// Returns the first of `pins` that the target serves by its last report; any, for a target without a report.
+    /// Returns the first of `pins` that the target serves by its last report.
+    ///
+    /// For a target without a report it is the one that its last answer or refusal named, else the first. The target
+    /// refuses the request when it serves another by now.
     pub fn pin<'a>(&self, now: Instant, pins: &'a [Pin]) -> Option<&'a Pin> {
         match self.current(now) {
-            None => pins.first(),
+            None => pins
+                .iter()
+                .find(|pin| self.served == Some(pin.digest.short()))
+                .or(pins.first()),
             Some(report) => pins
                 .iter()
                 .find(|pin| report.weights == Some(pin.digest.short())),
@@ -155,9 +164,20 @@
             slots: report.slots,
             own: self.own.get(),
         });
+        self.served = report.weights.or(self.served);
         true
     }
 
+    /// Takes the short digest of the weights that an answer or refusal named, and returns whether the target doesn't
+    /// report here: reports come first.
+    pub(crate) fn learn(&mut self, now: Instant, served: u64) -> bool {
+        let unreported = self.current(now).is_none();
+        if unreported {
+            self.served = Some(served);
+        }
+        unreported
+    }
+
     /// Treats the target's gate as closed until its next report, or for a while when it doesn't report here.
     pub(crate) fn close(&mut self, now: Instant) {
         if let Some(report) = &mut self.report {
--- a/crates/route/tests/route/targets.rs
+++ b/crates/route/tests/route/targets.rs
@@ -230,8 +230,7 @@
 fn target_pin_started_during_switch(switched: usize, expected: &[&str]) {
     let mut world = World::new("{}");
     let (old, new) = (weights::Digest::of(b"old"), weights::Digest::of(b"new"));
-    let replaced = format!(r#"[{{"model":"m","version":"v","digest":"{old}"}}]"#);
-    world.apply(&model(new, &replaced));
+    world.apply(&model(new, &replaced_by(old)));
     assert!(!world.router.knows_weights(world.now));
     world.member("t0", "desk", "levis", Phase::Live);
     assert!(
@@ -249,6 +248,88 @@
     )
 }
 
+/// Guards against a retry that costs budget, a target that is left alone and an assumed pin that is refused again and
+/// again, when a target that reports to other entries serves a replaced pin.
+#[test]
+fn target_unreported_pin_is_learnt() {
+    let mut world = World::new("{}");
+    let (old, new) = (weights::Digest::of(b"old"), weights::Digest::of(b"new"));
+    world.apply(&model(old, "[]"));
+    world.member("t0", "desk", "levis", Phase::Live);
+    world.submit("urgent-a").unwrap();
+    let request = world.poll_one();
+    world.answer(request);
+    world.apply(&model(new, &replaced_by(old)));
+    for (served, attempts) in [(old, 1), (new, 2), (new, 1)] {
+        world.submit("urgent-a").unwrap();
+        let mut request = world.poll_one();
+        while request.pin().unwrap().digest != served {
+            world.fail(request, Failure::Version(served.short()));
+            request = world.poll_one();
+        }
+        assert_eq!(request.attempts(), attempts);
+        world.answer(request);
+    }
+}
+
+/// Guards against an unaccepted pin that is sent because a refusal names it.
+#[test]
+fn target_unreported_pin_unknown() {
+    let mut world = World::new("{}");
+    world.apply(&model(weights::Digest::of(b"new"), "[]"));
+    world.member("t0", "desk", "levis", Phase::Live);
+    world.submit("urgent-a").unwrap();
+    let request = world.poll_one();
+    let other = weights::Digest::of(b"other").short();
+    world.fail(request, Failure::Version(other));
+    assert!(matches!(&world.poll().1[..], [(_, Outcome::NotRun(_))]));
+    assert_eq!(world.submit("urgent-a").unwrap_err().reason, Reason::Target);
+}
+
+proptest! {
+    #![proptest_config(config(200))]
+
+    /// Guards against requests under pins that are no longer accepted, against more than one refusal for each switch
+    /// of a target that doesn't report here, and against a refusal that the caller sees.
+    #[test]
+    fn target_unreported_switches(
+        steps in proptest::collection::vec((0..4usize, proptest::bool::weighted(0.2), 0..400u64), 1..80),
+    ) {
+        let mut world = World::new("{}");
+        let digests = [b"old", b"new"].map(|name| weights::Digest::of(name));
+        world.apply(&model(digests[1], &replaced_by(digests[0])));
+        (0..4).for_each(|index| world.member(&format!("t{index}"), "desk", "levis", Phase::Live));
+        let (mut serves, mut refused) = ([0usize; 4], [0u32; 4]);
+        for (index, switches, gap) in steps {
+            world.now += ms(gap);
+            if switches {
+                serves[index] = 1;
+            }
+            world.submit("urgent-a").unwrap();
+            loop {
+                let request = world.poll_one();
+                let target: usize = request.target()[1..].parse().unwrap();
+                let digest = request.pin().unwrap().digest;
+                prop_assert!(digests.contains(&digest));
+                if digest == digests[serves[target]] {
+                    world.answer(request);
+                    break;
+                }
+                refused[target] += 1;
+                world.fail(request, Failure::Version(digests[serves[target]].short()));
+            }
+        }
+        for index in 0..4 {
+            // The first guess is the catalogue's pin; a target that still serves the old one refuses it once more.
+            prop_assert!(refused[index] <= 1 + serves[index] as u32, "refused {:?}", refused);
+        }
+    }
+}
+
+fn replaced_by(digest: weights::Digest) -> String {
+    format!(r#"[{{"model":"m","version":"v","digest":"{digest}"}}]"#)
+}
+
 /// Expects requests under `expected` pins when the first `switched` of four open targets serve the new weights.
 fn expect_sent(mut world: World, switched: usize, expected: &[&str]) {
     let (old, new) = (weights::Digest::of(b"old"), weights::Digest::of(b"new"));
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -14,7 +14,8 @@
 pub const WEIGHTS: &str = "carobport-weights";
 /// Identity of a request between entry and agent, echoed in the answer.
 pub const REQUEST: &str = "carobport-request";
-/// Weights that a request must be answered from, as `model@version#digest`.
+/// Weights that a request must be answered from, as `model@version#digest`; in a refusal with the reason `version`,
+/// the weights that the target serves.
 pub const PIN: &str = "carobport-pin";
 /// Rank of the request's class; 0 is the most urgent.
 pub const RANK: &str = "carobport-rank";
