agent: let order_refused_as_stale wait for the order

Cause: the gate refuses with `closed` from the moment the order is given. The test read the engine's count of refused orders as soon as it saw that, and on a loaded machine the engine had not read the order yet.

Change: the test waits until the count is above 0 and then demands exactly 1, now and 3 s later, and that the gate is still closed.

--- a/bins/agent/tests/process/main.rs
+++ b/bins/agent/tests/process/main.rs
@@ -173,8 +173,8 @@
 }
 
 /// Guards against an agent that goes on giving orders after the engine took one with a higher number.
-#[test]
-fn order_refused_as_stale() {
+#[parameterized(at_once = { 0 }, slow_engine = { 300 })]
+fn order_refused_as_stale(slow_ms: u64) {
     with_world(
         "engine",
         json!({"check_fencing": true}),
@@ -186,14 +186,21 @@
                 .await;
             assert_eq!(answer.unwrap().0, 200);
             let v2 = world.pin("v2").await;
+            world
+                .backend("PUT /control", None, json!({"slow_ms": slow_ms}))
+                .await
+                .unwrap();
             world.publish(2, true, Some(&v2));
             until("the refusal", async || {
                 world.ask(Some(&v1)).await == refused("closed")
             })
             .await;
+            // The gate closes before the engine has the order.
+            until("the order", async || world.count("old_orders").await > 0).await;
             assert_eq!(world.count("old_orders").await, 1);
             compio::time::sleep(std::time::Duration::from_secs(3)).await;
             assert_eq!(world.count("old_orders").await, 1);
+            assert_eq!(world.ask(Some(&v1)).await, refused("closed"));
         },
     );
 }
