catalog: refuse empty directories, name the platform's address in errors

A read that a proxy answered with an error page was reported as "outcome of GET ... unknown", which suggests a write, without an address.

Change: a directory without *.json is an error that names it. A failed read is "platform unavailable for GET ... at ADDRESS"; only writes have an unknown outcome, as callers of reads treat all kinds alike. Help texts say IP:PORT. The fixture of wait_names_missing_entries becomes a whole status, as entries send it; its assertions are unchanged.

Before: `check empty` exits with 0; after: 1, "the directory holds no file *.json".

--- a/bins/burn/src/options.rs
+++ b/bins/burn/src/options.rs
@@ -31,10 +31,10 @@
 #[derive(Bpaf)]
 #[bpaf(ignore_rustdoc, guard(has_source, "give --entry, --samples or both"))]
 pub struct Arguments {
-    /// Operator port of an entry VM to sample; may be repeated
+    /// Operator port of an entry VM, as IP:PORT, to sample; may be repeated
     #[bpaf(long("entry"), argument("ADDRESS"), many)]
     pub entries: Vec<SocketAddr>,
-    /// Address of the platform
+    /// Address of the platform, as IP:PORT
     #[bpaf(argument("ADDRESS"), env("CAROBPORT_PLATFORM"))]
     pub platform: SocketAddr,
     /// File of samples, in JSON lines: earlier ones are read from it, new ones are appended to it
--- a/bins/catalog/src/files.rs
+++ b/bins/catalog/src/files.rs
@@ -22,12 +22,17 @@
 ///
 /// # Errors
 ///
-/// Returns the first path that can't be read.
+/// Returns the first path that can't be read, or a directory without such files: a wrong path must not pass as checked.
 pub fn read(paths: &[PathBuf]) -> Result<Files, Error> {
     let mut files = Vec::new();
     for path in paths {
         if path.is_dir() {
-            for path in list(path).map_err(|source| error(path, source))? {
+            let found = list(path).map_err(|source| error(path, source))?;
+            if found.is_empty() {
+                let source = io::Error::other("the directory holds no file *.json");
+                return Err(error(path, source));
+            }
+            for path in found {
                 files.push(file(&path)?);
             }
         } else {
--- a/bins/catalog/src/options.rs
+++ b/bins/catalog/src/options.rs
@@ -63,7 +63,7 @@
         #[bpaf(positional("KIND/NAME"))]
         key: String,
     },
-    /// Show which entries of the catalogue are in force where
+    /// Show which entries of the catalogue are in force where, and the targets: state, weights in service, chunks held
     #[bpaf(command)]
     Status {
         #[bpaf(external)]
@@ -98,7 +98,7 @@
 
 fn platform() -> impl bpaf::Parser<SocketAddr> {
     bpaf::long("platform")
-        .help("Address of the platform")
+        .help("Address of the platform, as IP:PORT")
         .env("CAROBPORT_PLATFORM")
         .argument("ADDRESS")
 }
@@ -107,7 +107,7 @@
     use bpaf::Parser;
 
     bpaf::long("entry")
-        .help("Operator port of an entry VM where the change must be in force; may be repeated")
+        .help("Operator port of an entry VM, as IP:PORT, to ask whether the change is in force there; may be repeated")
         .argument("ADDRESS")
         .many()
 }
--- a/bins/catalog/tests/put.rs
+++ b/bins/catalog/tests/put.rs
@@ -215,7 +215,14 @@
         let revision = if looks.get() < 3 { 41 } else { 42 };
         json(
             StatusCode::OK,
-            &serde_json::json!({ "catalogue": { "workspace/captains": revision } }),
+            &serde_json::json!({
+                "name": "e0",
+                "domain": "levis",
+                "draining": false,
+                "catalogue": { "workspace/captains": revision },
+                "live_entries": 1,
+                "services": {},
+            }),
         )
     };
     with_server(status, |address| async move {
@@ -238,6 +245,18 @@
     });
 }
 
+/// Guards against a wrong path whose empty directory passes as a checked catalogue.
+#[test]
+fn check_empty_directory() {
+    let name = format!("carobport-check-empty-{}", std::process::id());
+    let directory = std::env::temp_dir().join(name);
+    std::fs::create_dir(&directory).unwrap();
+    let result = carobport_catalog::files::read(std::slice::from_ref(&directory));
+    std::fs::remove_dir(&directory).unwrap();
+    let error = result.unwrap_err().to_string();
+    assert!(error.contains("holds no file *.json"), "{error}");
+}
+
 /// Guards against scripts that take a faulty set for good.
 #[test]
 fn check_exit_code() {
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -68,9 +68,9 @@
     ///
     /// # Errors
     ///
-    /// Returns an [`Error`]; for reads the kinds make no difference.
+    /// Returns an [`Error`], never [`Error::Unknown`]: a read has no effect.
     pub async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, Error> {
-        let call = Call::new(Method::GET, object_path(kind, name));
+        let call = Call::new(self.platform, Method::GET, object_path(kind, name));
         let (parts, body) = self.send(&call, Body::empty(), Duration::ZERO).await?;
         match parts.status {
             StatusCode::NOT_FOUND => Ok(None),
@@ -97,7 +97,7 @@
         value: &impl Serialize,
         condition: Condition,
     ) -> Result<Put, Error> {
-        let mut call = Call::new(Method::PUT, object_path(kind, name));
+        let mut call = Call::new(self.platform, Method::PUT, object_path(kind, name));
         call.condition = match condition {
             Condition::Absent => Some((header::IF_NONE_MATCH, "*".into())),
             Condition::Revision(revision) => Some((header::IF_MATCH, format!("\"{revision}\""))),
@@ -124,7 +124,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an [`Error`]; for reads the kinds make no difference.
+    /// Returns an [`Error`], never [`Error::Unknown`]: a read has no effect.
     pub async fn list(&self, kind: &str) -> Result<Listing, Error> {
         self.read(format!("/objects/{}", encode(kind)), Duration::ZERO)
             .await
@@ -136,7 +136,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an [`Error`]; for reads the kinds make no difference.
+    /// Returns an [`Error`], never [`Error::Unknown`]: a read has no effect.
     pub async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Result<Listing, Error> {
         let wait_ms = wait.as_millis();
         let path = format!("/watch/{}?after={after}&wait_ms={wait_ms}", encode(kind));
@@ -147,13 +147,13 @@
     ///
     /// # Errors
     ///
-    /// Returns an [`Error`]; for reads the kinds make no difference.
+    /// Returns an [`Error`], never [`Error::Unknown`]: a read has no effect.
     pub async fn vms(&self) -> Result<Vec<Vm>, Error> {
         self.read("/vms".into(), Duration::ZERO).await
     }
 
     async fn read<T: DeserializeOwned>(&self, path: String, wait: Duration) -> Result<T, Error> {
-        let call = Call::new(Method::GET, path);
+        let call = Call::new(self.platform, Method::GET, path);
         let (parts, body) = self.send(&call, Body::empty(), wait).await?;
         match parts.status {
             StatusCode::OK => call.parse(&body),
@@ -189,14 +189,16 @@
 
 /// A call as its errors name it.
 struct Call {
+    platform: SocketAddr,
     method: Method,
     path: String,
     condition: Option<(header::HeaderName, String)>,
 }
 
 impl Call {
-    fn new(method: Method, path: String) -> Self {
+    fn new(platform: SocketAddr, method: Method, path: String) -> Self {
         Self {
+            platform,
             method,
             path,
             condition: None,
@@ -235,7 +237,11 @@
         }
     }
 
+    /// Returns the error of a call whose answer says nothing; a read changes nothing, so its outcome is known.
     fn unknown(&self, reason: &dyn Display) -> Error {
+        if self.method == Method::GET {
+            return self.unavailable(reason);
+        }
         Error::Unknown {
             call: self.to_string(),
             reason: reason.to_string(),
@@ -252,7 +258,7 @@
 
 impl std::fmt::Display for Call {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{} {}", self.method, self.path)
+        write!(f, "{} {} at {}", self.method, self.path, self.platform)
     }
 }
 
