catalog: show the targets in `status`

Cause: run by hand with six entries and ten agents, `status` listed revisions only. An operator could not see which targets served which version, how far a burst was, which VMs were leaving or gone, or which domain was cut off without asking the operator port of each agent. During an outage of the platform it showed nothing at all.

Change: `/status` of an entry adds to each service the catalogue's pin, and to each target its domain, call address, and from its last report the weights in service, the chunks held and the report's age. `carobport-catalog status` asks the entries, takes the view with the latest report of each target, counts the targets that are there by domain and names up to 20 others in each. It says how many live entries each entry sees. Without the platform it compares the entries with each other and exits with 1. What answers but is no entry is named with the setting to look at.

Before: `status` in an outage prints one error; after: entries, targets and the error.

--- a/bins/catalog/src/catalogue.rs
+++ b/bins/catalog/src/catalogue.rs
@@ -6,6 +6,7 @@
 use platform::{Listing, Object};
 
 use crate::files::{self, Files};
+use crate::force::Revisions;
 use crate::{KIND, put, show};
 
 /// Most characters of a malformed object that a finding shows.
@@ -39,6 +40,14 @@
         catalogue
     }
 
+    /// Returns the revisions of the entries that could be read.
+    pub fn revisions(&self) -> Revisions {
+        let entries = self.entries.iter();
+        entries
+            .map(|(key, (revision, _))| (key.clone(), *revision))
+            .collect()
+    }
+
     /// Checks files together with the stored entries, so that what they break elsewhere is found too.
     ///
     /// Findings in stored entries that the files don't cause are left out, and so are malformed objects that the files
--- a/bins/catalog/src/main.rs
+++ b/bins/catalog/src/main.rs
@@ -6,10 +6,10 @@
 
 use carobport_catalog::catalogue::Catalogue;
 use carobport_catalog::files::{self, Files};
-use carobport_catalog::force::{self, Progress, Revisions};
+use carobport_catalog::force::{self, Answers, Progress, Revisions};
 use carobport_catalog::options::{Options, options};
 use carobport_catalog::put::{self, Written};
-use carobport_catalog::{KIND, show};
+use carobport_catalog::{KIND, show, targets};
 use catalog::{Finding, Revision, Stored, difference};
 use platform::Client;
 
@@ -86,23 +86,44 @@
             Ok(0)
         }
         Options::Status { platform, entries } => {
-            let catalogue = list(&Client::new(platform, CALL)).await?;
-            let wanted: Revisions = catalogue
-                .entries
-                .into_iter()
-                .map(|(key, (revision, _))| (key, revision))
-                .collect();
-            let malformed = catalogue.malformed.values();
-            malformed.for_each(|finding| println!("{finding}"));
-            for (key, revision) in &wanted {
-                println!("{key} at revision {revision}");
-            }
-            let progress = force::look(&node::http::Client::new(), &entries, &wanted).await;
-            Ok(conclude(&progress, "the whole catalogue is in force"))
+            let listed = list(&Client::new(platform, CALL)).await;
+            let answers = force::ask(&node::http::Client::new(), &entries).await;
+            show_status(listed, &answers)
         }
     }
 }
 
+/// Prints the catalogue and what the entry VMs answered; during an outage of the platform, the latter alone.
+fn show_status(listed: Result<Catalogue, Error>, answers: &Answers) -> Result<u8, Error> {
+    let wanted = match &listed {
+        Ok(catalogue) => catalogue.revisions(),
+        Err(_) => force::latest(answers),
+    };
+    if let Ok(catalogue) = &listed {
+        let malformed = catalogue.malformed.values();
+        malformed.for_each(|finding| println!("{finding}"));
+        for (key, revision) in &wanted {
+            println!("{key} at revision {revision}");
+        }
+    }
+    print!("{}", targets::text(answers));
+    if let Err(error) = listed {
+        conclude(
+            &force::compare(answers, &wanted),
+            "the latest versions that the entries asked hold are in force",
+        );
+        return Err(error);
+    }
+    if answers.is_empty() {
+        println!(
+            "no entry VM was asked; name operator ports with --entry to see where this is in force"
+        );
+        return Ok(0);
+    }
+    let progress = force::compare(answers, &wanted);
+    Ok(conclude(&progress, "the whole catalogue is in force"))
+}
+
 fn report(findings: &[Finding], json: bool) -> Result<u8, Error> {
     if json {
         println!("{}", serde_json::to_string_pretty(findings)?);
--- a/bins/entry/tests/entry/requests.rs
+++ b/bins/entry/tests/entry/requests.rs
@@ -388,3 +388,41 @@
         );
     });
 }
+
+/// Guards against an operator who can't see which weights a target serves, and against an old report that is shown for
+/// a target that has turned to other entries.
+#[test]
+fn status_shows_weights() {
+    with_entry(|world| async move {
+        let digest = weights::Digest::of(b"wanted");
+        let service = format!(
+            r#"{{"kind":"service","name":"desk","owner":"o","class":"urgent","backend":"model","repeatable":true,
+            "deadline_ms":1000,"model":{{"name":"m","version":"v1","digest":"{digest}","plan":"direct"}}}}"#
+        );
+        world
+            .shared
+            .put_catalog(99, serde_json::from_str(&service).unwrap());
+        world.agent("t0", "desk", 0, |_| Vec::new());
+        world.agent("t1", "desk", 0, |_| Vec::new());
+        world.report_weights("t0", 0, Some(digest.short()));
+        world.report_weights("t1", 0, Some(0xabc));
+        compio::time::sleep(Duration::from_millis(50)).await;
+        let status = async || -> serde_json::Value {
+            serde_json::from_str(&world.operator("/status").await.1).unwrap()
+        };
+        let desk = status().await["services"]["desk"].clone();
+        let pin = format!("m@v1#{digest}");
+        assert_eq!(desk["wanted"], pin);
+        let target = &desk["targets"]["t0"];
+        assert_eq!(target["weights"], pin);
+        assert_eq!(
+            (&target["state"], &target["domain"]),
+            (&"open".into(), &"levis".into())
+        );
+        assert_eq!(desk["targets"]["t1"]["weights"], "#0000000000000abc");
+        compio::time::sleep(Duration::from_millis(8100)).await;
+        let target = status().await["services"]["desk"]["targets"]["t0"].clone();
+        assert_eq!(target["state"], "unreported");
+        assert!(target.get("weights").is_none() && target.get("reported_ms_ago").is_none());
+    });
+}
