--- a/bins/burn/src/picture.rs
+++ b/bins/burn/src/picture.rs
@@ -97,7 +97,7 @@
     chart
         .configure_mesh()
         .light_line_style(TRANSPARENT)
-        .x_desc("minutes before the report")
+        .x_desc("minutes from the report")
         .y_desc(format!("burn rate; {LOWEST} stands for less"))
         .draw()?;
     for pair in &question.pairs {
