route: ignore the silence of targets that need not report here

Cause: an entry that a target reported to before took it for suspect from 2 s to 8 s after its last report, though it had only turned to other entries. A keyed call redirected to such an owner was refused as not run.

Change: the peer port passes the names of the targets that have to report here. The last report of any other target counts for 2 s instead of 8 s; it is then known from its record alone. The test failed before the change.

The refusals under overload have another cause, which is open: entries hold live owners of other domains as down.

--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -134,6 +134,7 @@
                     Change::TargetRemoved(name) => router.remove_target(&name),
                     Change::Report { at, report } => router.report(at, &report),
                     Change::Entries(count) => router.set_entries(count),
+                    Change::Reporters(names) => router.set_reporters(names),
                 }
             }
             drop(router);
--- a/bins/entry/src/peer/state.rs
+++ b/bins/entry/src/peer/state.rs
@@ -218,7 +218,9 @@
         if self.expected_at != self.store.changes() {
             self.expected_at = self.store.changes();
             // A target that never reported, because it died together with its earlier entries, must be noticed too.
-            self.targets.expect(reporters(&self.store, &self.name), now);
+            let names = reporters(&self.store, &self.name);
+            shared.set_reporters(names.iter().copied().map(String::from).collect());
+            self.targets.expect(names, now);
         }
         for name in self.targets.silent(now) {
             self.views.forget(&name);
--- a/bins/entry/src/shared.rs
+++ b/bins/entry/src/shared.rs
@@ -4,7 +4,7 @@
 //! as a [`Change`], which routing drains in order; routing never writes.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 use std::time::Instant;
@@ -44,6 +44,8 @@
     },
     /// The number of live entries in the system changed.
     Entries(u32),
+    /// Other targets than before have to report to this entry.
+    Reporters(BTreeSet<String>),
 }
 
 /// A target: its member record and its last report.
@@ -60,6 +62,7 @@
     targets: BTreeMap<String, Target>,
     catalogue: BTreeMap<String, (Revision, Entry)>,
     live_entries: u32,
+    reporters: BTreeSet<String>,
     changes: VecDeque<Change>,
     reader: Option<Waker>,
 }
@@ -154,6 +157,15 @@
         }
     }
 
+    /// Stores the names of the targets that have to report to this entry.
+    pub fn set_reporters(&self, names: BTreeSet<String>) {
+        let mut state = self.0.borrow_mut();
+        if state.reporters != names {
+            state.reporters.clone_from(&names);
+            state.record(Change::Reporters(names));
+        }
+    }
+
     /// Waits for changes and takes them, in the order of their writes.
     ///
     /// Only one task may wait at a time.
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -81,6 +81,13 @@
         }
     }
 
+    /// Sets whether the target called `name` has to report to this entry.
+    pub fn set_due(&mut self, name: &str, due: bool) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.due = due;
+        }
+    }
+
     /// Forgets the target called `name`.
     pub fn remove(&mut self, name: &str) {
         self.targets.remove(name);
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,6 +1,6 @@
 //! All decisions of one entry.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -25,6 +25,7 @@
     limiter: Limiter,
     lanes: BTreeMap<Name, Lane>,
     homes: HashMap<String, Name>,
+    reporters: Option<BTreeSet<String>>,
     next_id: RequestId,
     finished: Vec<Action>,
     random: SmallRng,
@@ -89,6 +90,7 @@
             limiter: Limiter::default(),
             lanes: BTreeMap::new(),
             homes: HashMap::new(),
+            reporters: None,
             next_id: 0,
             finished: Vec::new(),
             random: SmallRng::seed_from_u64(seed),
@@ -184,6 +186,21 @@
             .or_insert_with(|| Lane::new(domain, entries, catalog::Limits::default()));
         let per_target = lane.limits().per_target;
         lane.pool.put(name, member, per_target);
+        if let Some(reporters) = &self.reporters {
+            lane.pool.set_due(name, reporters.contains(name));
+        }
+    }
+
+    /// Sets the names of the targets that have to report to this entry.
+    ///
+    /// The silence of the others means nothing. Until the first call all have to report.
+    pub fn set_reporters(&mut self, names: BTreeSet<String>) {
+        for (target, home) in &self.homes {
+            if let Some(lane) = self.lanes.get_mut(home) {
+                lane.pool.set_due(target, names.contains(target));
+            }
+        }
+        self.reporters = Some(names);
     }
 
     /// Forgets a target; its requests in progress end as they would have.
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -49,6 +49,8 @@
     pub(crate) phase: Phase,
     pub(crate) concurrency: Concurrency,
     pub(crate) own: Rc<Cell<u32>>,
+    /// Whether the target has to report to this entry.
+    pub(crate) due: bool,
     report: Option<Load>,
     closed_until: Option<Instant>,
     /// Short digest of the weights that its last report, answer or refusal named.
@@ -75,6 +77,7 @@
             phase: member.phase,
             concurrency: Concurrency::new(per_target),
             own: Rc::default(),
+            due: true,
             report: None,
             closed_until: None,
             served: None,
@@ -188,8 +191,13 @@
 
     /// Returns the last report unless the target has since turned to other entries.
     fn current(&self, now: Instant) -> Option<Load> {
+        let kept = if self.due {
+            ELSEWHERE_AFTER
+        } else {
+            SUSPECT_AFTER
+        };
         self.report
-            .filter(|report| now.saturating_duration_since(report.at) < ELSEWHERE_AFTER)
+            .filter(|report| now.saturating_duration_since(report.at) < kept)
     }
 
     fn is_open(&self, now: Instant) -> bool {
--- a/crates/route/tests/route/targets.rs
+++ b/crates/route/tests/route/targets.rs
@@ -57,6 +57,34 @@
     assert_eq!(world.poll().0.len(), 1);
 }
 
+/// Guards against a keyed call that is refused because its owner, which other entries hear, once reported here.
+#[parameterized(
+    elsewhere = { &[], true },
+    due = { &["b1"], false },
+)]
+fn keyed_owner_reports_elsewhere(reporters: &[&str], sent: bool) {
+    let mut world = World::new("{}");
+    for name in ["b0", "b1"] {
+        world.member(name, "bookings", "levis", Phase::Live);
+        world.report(name, Gate::Open, 0, 0);
+    }
+    let names = reporters.iter().copied().chain(["b0"]);
+    world
+        .router
+        .set_reporters(names.map(String::from).collect());
+    world.now += ms(3000);
+    world.report("b0", Gate::Open, 0, 0);
+    world.submit_keyed(3);
+    let request = world.poll_one();
+    assert_eq!(request.target(), "b0");
+    world.fail(request, Failure::Elsewhere("b1".into()));
+    let (placed, refused) = world.poll();
+    assert_eq!(
+        (placed.len(), refused.len()),
+        if sent { (1, 0) } else { (0, 1) }
+    );
+}
+
 /// Guards against requests that cross domains while the own domain has an open target, even a busy one.
 #[test]
 fn target_own_domain_first() {
