--- a/bins/entry/src/shared.rs
+++ b/bins/entry/src/shared.rs
@@ -44,7 +44,7 @@
     },
     /// The number of live entries in the system changed.
     Entries(u32),
-    /// Names of the targets that should report to this entry; sent whenever the members changed.
+    /// Other targets than before have to report to this entry.
     Reporters(BTreeSet<String>),
 }
 
@@ -62,6 +62,7 @@
     targets: BTreeMap<String, Target>,
     catalogue: BTreeMap<String, (Revision, Entry)>,
     live_entries: u32,
+    reporters: BTreeSet<String>,
     changes: VecDeque<Change>,
     reader: Option<Waker>,
 }
@@ -156,9 +157,13 @@
         }
     }
 
-    /// Passes on which targets should report to this entry.
+    /// Stores the names of the targets that have to report to this entry.
     pub fn set_reporters(&self, names: BTreeSet<String>) {
-        self.0.borrow_mut().record(Change::Reporters(names));
+        let mut state = self.0.borrow_mut();
+        if state.reporters != names {
+            state.reporters.clone_from(&names);
+            state.record(Change::Reporters(names));
+        }
     }
 
     /// Waits for changes and takes them, in the order of their writes.
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -66,13 +66,6 @@
         self.targets.get_mut(name)
     }
 
-    /// Sets which targets should report to this entry.
-    pub fn set_reporters(&mut self, reporters: &BTreeSet<String>) {
-        for (name, target) in &mut self.targets {
-            target.reports_here = reporters.contains(name);
-        }
-    }
-
     /// Adds the target `name` or replaces its member record.
     pub fn put(&mut self, name: &str, member: &gossip::Target, per_target: Option<u32>) {
         match self.targets.get_mut(name) {
@@ -88,6 +81,13 @@
         }
     }
 
+    /// Sets whether the target called `name` has to report to this entry.
+    pub fn set_due(&mut self, name: &str, due: bool) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.due = due;
+        }
+    }
+
     /// Forgets the target called `name`.
     pub fn remove(&mut self, name: &str) {
         self.targets.remove(name);
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -25,6 +25,7 @@
     limiter: Limiter,
     lanes: BTreeMap<Name, Lane>,
     homes: HashMap<String, Name>,
+    reporters: Option<BTreeSet<String>>,
     next_id: RequestId,
     finished: Vec<Action>,
     random: SmallRng,
@@ -89,6 +90,7 @@
             limiter: Limiter::default(),
             lanes: BTreeMap::new(),
             homes: HashMap::new(),
+            reporters: None,
             next_id: 0,
             finished: Vec::new(),
             random: SmallRng::seed_from_u64(seed),
@@ -151,13 +153,6 @@
         }
     }
 
-    /// Sets which targets should report to this entry; a target is expected to do so until this is called.
-    pub fn set_reporters(&mut self, reporters: &BTreeSet<String>) {
-        for lane in self.lanes.values_mut() {
-            lane.pool.set_reporters(reporters);
-        }
-    }
-
     /// Takes a new version of a catalogue entry, and returns whether it was newer than the one held.
     pub fn apply(&mut self, entry: Entry, revision: Revision) -> bool {
         let service = match &entry {
@@ -191,6 +186,21 @@
             .or_insert_with(|| Lane::new(domain, entries, catalog::Limits::default()));
         let per_target = lane.limits().per_target;
         lane.pool.put(name, member, per_target);
+        if let Some(reporters) = &self.reporters {
+            lane.pool.set_due(name, reporters.contains(name));
+        }
+    }
+
+    /// Sets the names of the targets that have to report to this entry.
+    ///
+    /// The silence of the others means nothing. Until the first call all have to report.
+    pub fn set_reporters(&mut self, names: BTreeSet<String>) {
+        for (target, home) in &self.homes {
+            if let Some(lane) = self.lanes.get_mut(home) {
+                lane.pool.set_due(target, names.contains(target));
+            }
+        }
+        self.reporters = Some(names);
     }
 
     /// Forgets a target; its requests in progress end as they would have.
--- a/crates/route/tests/route/targets.rs
+++ b/crates/route/tests/route/targets.rs
@@ -65,7 +65,7 @@
     for target in ["t0", "t1"] {
         world.report(target, Gate::Open, 0, 0);
     }
-    world.router.set_reporters(&["t1".into()].into());
+    world.router.set_reporters(["t1".into()].into());
     world.now += ms(2000);
     let states = ["t0", "t1"].map(|name| {
         let pool = world.router.pool("desk").unwrap();
@@ -74,6 +74,34 @@
     assert_eq!(states, [State::Unreported, State::Suspect]);
 }
 
+/// Guards against a keyed call that is refused because its owner, which other entries hear, once reported here.
+#[parameterized(
+    elsewhere = { &[], true },
+    due = { &["b1"], false },
+)]
+fn keyed_owner_reports_elsewhere(reporters: &[&str], sent: bool) {
+    let mut world = World::new("{}");
+    for name in ["b0", "b1"] {
+        world.member(name, "bookings", "levis", Phase::Live);
+        world.report(name, Gate::Open, 0, 0);
+    }
+    let names = reporters.iter().copied().chain(["b0"]);
+    world
+        .router
+        .set_reporters(names.map(String::from).collect());
+    world.now += ms(3000);
+    world.report("b0", Gate::Open, 0, 0);
+    world.submit_keyed(3);
+    let request = world.poll_one();
+    assert_eq!(request.target(), "b0");
+    world.fail(request, Failure::Elsewhere("b1".into()));
+    let (placed, refused) = world.poll();
+    assert_eq!(
+        (placed.len(), refused.len()),
+        if sent { (1, 0) } else { (0, 1) }
+    );
+}
+
 /// Guards against requests that cross domains while the own domain has an open target, even a busy one.
 #[test]
 fn target_own_domain_first() {
