agent: log that the VM list told the agent to leave

Cause, found by hand: a replacement that starts under the name of a VM that the platform's list still calls leaving is told to leave too and ends with code 0. Its log showed only that it stopped, so an operator could not tell why.

Change: event 311 names the entry that passed it on.

Before: "gate-changed", "stopped"; after: "told-to-leave from=..." before them, seen by hand and in the new test told_to_leave.

--- a/bins/agent/src/report.rs
+++ b/bins/agent/src/report.rs
@@ -137,6 +137,7 @@
         let mut changed = self.drop_missing(&reply);
         for record in reply.records {
             if is_told_to_leave(&self.member, &record) && !self.shared.is_leaving() {
+                node::event!(node::event::TOLD_TO_LEAVE, from = address);
                 self.shared.handle(Event::Leave);
             }
             if self.member.refute(&record) {
--- a/bins/agent/tests/process/main.rs
+++ b/bins/agent/tests/process/main.rs
@@ -139,6 +139,18 @@
     });
 }
 
+/// Guards against an agent that goes on when the VM list says that its VM leaves, or ends without saying why.
+#[test]
+fn told_to_leave() {
+    with_world("engine", json!({}), |world| async move {
+        let (mut agent, _) = world.serving("v1").await;
+        world.tell_to_leave();
+        assert!(agent.exit().await.success());
+        let log = agent.rest_of_log();
+        assert!(log.contains(" 311 told-to-leave from="), "{log}");
+    });
+}
+
 /// Guards against a restarted agent with its old number, and against an engine that obeys the old number.
 #[test]
 fn kill_takes_new_number() {
--- a/bins/agent/tests/process/support.rs
+++ b/bins/agent/tests/process/support.rs
@@ -25,7 +25,7 @@
 pub struct Process {
     child: Child,
     pub address: SocketAddr,
-    _stdout: BufReader<ChildStdout>,
+    stdout: BufReader<ChildStdout>,
 }
 
 /// An entry that answers each report with all records.
@@ -97,7 +97,7 @@
         let process = Self {
             child,
             address: ([127, 0, 0, 1], 0).into(),
-            _stdout: stdout,
+            stdout,
         };
         (process, line)
     }
@@ -114,6 +114,13 @@
         );
     }
 
+    /// Returns what the process has logged since it was ready; it must have ended.
+    pub fn rest_of_log(&mut self) -> String {
+        let mut text = String::new();
+        std::io::Read::read_to_string(&mut self.stdout, &mut text).unwrap();
+        text
+    }
+
     /// Waits for the end of the process.
     pub async fn exit(&mut self) -> ExitStatus {
         let mut status = None;
@@ -199,6 +206,17 @@
         }
     }
 
+    /// Makes the entry pass on that the VM list names the agent's VM as leaving.
+    pub fn tell_to_leave(&self) {
+        let mut records = self.entry.records.borrow_mut();
+        for record in records.iter_mut() {
+            if let Content::Target(target) = &mut record.value {
+                target.phase = gossip::Phase::Leaving;
+                record.version.down = true;
+            }
+        }
+    }
+
     /// Makes the entry drop the records of all members.
     pub fn drop_members(&self) {
         let mut records = self.entry.records.borrow_mut();
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -64,6 +64,7 @@
     BACKEND_FAILED = 308 Warn "backend-failed";
     AGENT_SERVING = 309 Info "agent-serving";
     PROVISIONAL_NUMBER = 310 Warn "provisional-number";
+    TOLD_TO_LEAVE = 311 Warn "told-to-leave";
     CLAIMS_CHANGED = 320 Info "claims-changed";
     CLAIMS_FAILED = 321 Warn "claims-failed";
     CLAIMS_MALFORMED = 322 Error "claims-malformed";
