entry: read only the leaving VMs of the VM list, every 2 s

Cause: a target that the VM list names as leaving was told up to 5 s later, above the 3 s that the design allows, and each reading took the whole list: at target size 7,100 VMs of about 50 B, 355 KB, or 71 KB/s for a watcher by arithmetic, where control may take 6 KB/s.

Change: GET /vms?state=leaving every 2 s. From a platform that ignores the query the client picks the leaving VMs itself; the peer tests' platform is such a one.

After: 9 reads a second for 18 watchers, about 0.2 KB/s each by arithmetic. The tests platform, peer and client pass. Not measured with a large list.

--- a/bins/entry/src/peer/watch.rs
+++ b/bins/entry/src/peer/watch.rs
@@ -19,8 +19,8 @@
 /// Time after which the whole catalogue is listed again, in case a watch missed a change.
 const LIST_INTERVAL: Duration = Duration::from_secs(300);
 
-/// Time between two readings of the VM list.
-const VMS_INTERVAL: Duration = Duration::from_secs(5);
+/// Time between two readings of the VM list; with gossip, a leaving target gets no new work 3 s after the list names it.
+const VMS_INTERVAL: Duration = Duration::from_secs(2);
 
 const KIND: &str = "catalog";
 
@@ -96,11 +96,11 @@
         if !peering.state.borrow().is_watcher() {
             continue;
         }
-        match peering.platform.vms().await {
+        match peering.platform.leaving_vms().await {
             Ok(vms) => {
                 let mut state = peering.state.borrow_mut();
                 // A VM that the list lacks may be new or gone; silence decides about it.
-                for vm in vms.iter().filter(|vm| vm.state == platform::State::Leaving) {
+                for vm in &vms {
                     state.declare_leaving(&vm.name, &peering.shared);
                 }
             }
--- a/bins/entry/tests/peer.rs
+++ b/bins/entry/tests/peer.rs
@@ -76,6 +76,9 @@
                 let vms = leaving.iter().map(
                     |name| serde_json::json!({"name": name, "domain": "a", "state": "leaving"}),
                 );
+                // A platform that ignores the query lists live VMs too.
+                let live = serde_json::json!({"name": "a0", "domain": "a", "state": "live"});
+                let vms = vms.chain([live]);
                 match path.as_str() {
                     "/vms" => json(StatusCode::OK, &vms.collect::<Vec<_>>()),
                     _ => json(
--- a/bins/standin/src/platform.rs
+++ b/bins/standin/src/platform.rs
@@ -11,7 +11,7 @@
 use futures::channel::oneshot;
 use node::http::{Body, Method, Request, Response, StatusCode, cut, header, json, response};
 use node::settings::{Fields, Settings};
-use platform::{Listing, Object, Vm};
+use platform::{Listing, Object, State, Vm};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
@@ -137,6 +137,15 @@
 }
 
 impl Platform {
+    /// Returns the VM list, or the VMs of one state.
+    fn vms(&self, query: Option<&str>) -> Response<Body> {
+        let switches = self.control.switches();
+        let leaving = query == Some("state=leaving");
+        let listed = |vm: &&Vm| !leaving || vm.state == State::Leaving;
+        let vms: Vec<&Vm> = switches.vms.iter().filter(listed).collect();
+        json(StatusCode::OK, &vms)
+    }
+
     async fn route(&self, request: &Request<Bytes>) -> Response<Body> {
         let path: Option<Vec<String>> = request.uri().path()[1..].split('/').map(decode).collect();
         let path = path.unwrap_or_default();
@@ -144,7 +153,7 @@
         match (request.method(), &path[..]) {
             (&Method::GET, ["vms"]) => {
                 self.control.count("vms", 1);
-                json(StatusCode::OK, &self.control.switches().vms)
+                self.vms(request.uri().query())
             }
             (&Method::GET, ["objects", kind]) => {
                 self.control.count("list", 1);
--- a/bins/standin/tests/platform.rs
+++ b/bins/standin/tests/platform.rs
@@ -90,10 +90,13 @@
 #[test]
 fn vms_states() {
     with_platform(|process, client| async move {
-        assert_eq!(client.vms().await.unwrap()[0].state, State::Live);
+        assert!(client.leaving_vms().await.unwrap().is_empty());
+        let (_, _, all) = process.call("GET /vms", "").await.unwrap();
+        let all: serde_json::Value = serde_json::from_slice(&all).unwrap();
+        assert_eq!(all[0]["state"], "live");
         let vms = json!([{"name": "vm1", "domain": "levis", "state": "leaving"}]);
         process.switch(json!({"vms": vms})).await;
-        assert_eq!(client.vms().await.unwrap()[0].state, State::Leaving);
+        assert_eq!(client.leaving_vms().await.unwrap()[0].state, State::Leaving);
         let (status, _, _) = process
             .call("PUT /control", r#"{"outrage": 1}"#)
             .await
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::object::{Condition, Listing, Object, Put, Vm};
+use crate::object::{Condition, Listing, Object, Put, State, Vm};
 
 /// Largest value that the platform accepts, in bytes.
 pub const MAX_VALUE: usize = 1 << 20;
@@ -143,13 +143,19 @@
         self.read(path, wait).await
     }
 
-    /// Returns the VM list.
+    /// Returns the VMs that leave.
+    ///
+    /// The whole list of 7,100 VMs would take more than the 6 KB/s of control traffic. From a platform that ignores the
+    /// query, the leaving ones are picked here.
     ///
     /// # Errors
     ///
     /// Returns an [`Error`], never [`Error::Unknown`]: a read has no effect.
-    pub async fn vms(&self) -> Result<Vec<Vm>, Error> {
-        self.read("/vms".into(), Duration::ZERO).await
+    pub async fn leaving_vms(&self) -> Result<Vec<Vm>, Error> {
+        let path = "/vms?state=leaving".into();
+        let mut vms: Vec<Vm> = self.read(path, Duration::ZERO).await?;
+        vms.retain(|vm| vm.state == State::Leaving);
+        Ok(vms)
     }
 
     async fn read<T: DeserializeOwned>(&self, path: String, wait: Duration) -> Result<T, Error> {
