load: name the slowest live requests of a burst; measure where their time goes

Change: the report of a burst names its 12 slowest live requests with the time of sending. No change to the agent.

Tried and dropped: 6 instead of 2 ms between the polls of owners.

--- a/bins/load/src/burst.rs
+++ b/bins/load/src/burst.rs
@@ -13,6 +13,8 @@
 const MODEL_RATE: f64 = 20.0;
 /// Calls a second that must run at most once.
 const KEYED_RATE: f64 = 5.0;
+/// Requests named in a report as the slowest ones.
+const SLOWEST: usize = 12;
 const DEADLINE: Duration = Duration::from_secs(10);
 /// Time for which requests flow before and after the burst.
 const MARGIN: Duration = Duration::from_secs(2);
@@ -49,6 +51,8 @@
     pub idle_p99_ms: f64,
     /// Time to the first byte of the model's requests from the put until the last target held the weights.
     pub burst_first_byte: Percentiles,
+    /// Slowest of these requests: time of sending after the put in seconds, and time to the first byte in milliseconds.
+    pub slowest: Vec<[f64; 2]>,
     /// Its 99th percentile over the idle one.
     pub p99_ratio: f64,
     /// Share of all chunks held by the targets, every 250 ms from the start of the put.
@@ -158,6 +162,7 @@
         origin_bytes: drawn,
         bound_s,
         ratio: hold_s[2] / bound_s,
+        slowest: model.slowest_between(start, end, SLOWEST),
         model,
         keyed: tally(keyed.await)?,
         idle_p99_ms,
--- a/bins/load/src/traffic.rs
+++ b/bins/load/src/traffic.rs
@@ -271,6 +271,22 @@
         self.outcomes.get(outcome).copied().unwrap_or(0)
     }
 
+    /// Returns the `count` requests sent between `from` and `until` that waited longest for their first byte, as the time
+    /// of sending after `from` in seconds and the wait in milliseconds.
+    pub fn slowest_between(&self, from: Instant, until: Instant, count: usize) -> Vec<[f64; 2]> {
+        let within = |record: &&Record| {
+            record.outcome == "answered" && record.sent >= from && record.sent <= until
+        };
+        let mut records: Vec<&Record> = self.records.iter().filter(within).collect();
+        records.sort_unstable_by_key(|record| std::cmp::Reverse(record.first_byte));
+        records.truncate(count);
+        let pair = |record: &Record| {
+            let after = record.sent.duration_since(from).as_secs_f64();
+            [after, record.first_byte.as_secs_f64() * 1000.0]
+        };
+        records.into_iter().map(pair).collect()
+    }
+
     /// Returns the time to the first byte of the requests sent between `from` and `until` that were answered.
     pub fn first_byte_between(&self, from: Instant, until: Instant) -> Percentiles {
         let within = |record: &&Record| {
