load: measure what control costs an agent

The processor time, memory and traffic of an agent's control were not measured apart from the transfer.

slopes view runs one agent behind two entries that this program plays, with 100, 1,000 and 6,500 targets in its view.

--- a/bins/load/src/main.rs
+++ b/bins/load/src/main.rs
@@ -28,10 +28,12 @@
         #[bpaf(positional("PLAN"), optional)]
         plan: Option<PathBuf>,
     },
-    /// Measure what control costs an entry and print slopes as JSON; nothing else may use loopback meanwhile
+    /// Measure what control costs an entry or an agent and print slopes as JSON
+    ///
+    /// The traffic of an entry is that of the loopback device: nothing else may use it meanwhile.
     #[bpaf(command)]
     Slopes {
-        /// What to vary: reports, members or changes
+        /// What to vary: reports, members or changes of an entry, or the view of an agent
         #[bpaf(positional("VARIABLE"))]
         variable: load::slopes::Variable,
     },
@@ -55,7 +57,7 @@
             .and_then(|plan| run(burst::run(plan, LIMIT)))
             .map(|report| print(&report)),
         Options::Slopes { variable } => {
-            run(load::slopes::run(variable)).map(|series| print(&series))
+            run(load::slopes::run(variable)).map(|figures| print(&figures))
         }
         Options::Requests { variable } => {
             run(load::requests::run(variable)).map(|series| print(&series))
--- a/bins/load/src/slopes.rs
+++ b/bins/load/src/slopes.rs
@@ -1,4 +1,5 @@
-//! What control costs an entry: processor time, memory and traffic against the size of the system.
+//! What control costs an entry: processor time, memory and traffic against the size of the system; [`view`] measures
+//! an agent.
 //!
 //! An entry runs alone with a platform. This program plays its targets and the other entries: it sends reports, records
 //! and catalogue changes. Traffic is read from the counters of the loopback device, so nothing else may use it.
@@ -14,7 +15,7 @@
 use wire::{Client, Gate, REPORT_INTERVAL, Report};
 
 use crate::deployment::{Deployment, Error, Member};
-use crate::{Plan, Usage};
+use crate::{Plan, Usage, view};
 
 const DOMAIN: &str = "levis";
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -43,6 +44,17 @@
     pub traffic_slope: f64,
 }
 
+/// The figures of a variable.
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
+#[serde(untagged)]
+pub enum Figures {
+    /// Costs of an entry.
+    Entry(Series),
+    /// Costs of an agent.
+    Agent(view::Series),
+}
+
 /// One run.
 #[derive(Clone, Copy, Debug)]
 #[derive(Serialize)]
@@ -66,6 +78,8 @@
     Members,
     /// Catalogue changes in 10 s.
     Changes,
+    /// Targets in the view of an agent; [`crate::view::run`] measures it.
+    View,
 }
 
 impl std::str::FromStr for Variable {
@@ -76,7 +90,10 @@
             "reports" => Ok(Self::Reports),
             "members" => Ok(Self::Members),
             "changes" => Ok(Self::Changes),
-            _ => Err(format!("`{text}` is not `reports`, `members` or `changes`")),
+            "view" => Ok(Self::View),
+            _ => Err(format!(
+                "`{text}` is not `reports`, `members`, `changes` or `view`"
+            )),
         }
     }
 }
@@ -85,9 +102,9 @@
 ///
 /// # Errors
 ///
-/// Fails when an entry doesn't start or doesn't answer.
-pub async fn run(variable: Variable) -> Result<Series, Error> {
-    match variable {
+/// Fails when an entry or agent doesn't start or doesn't answer.
+pub async fn run(variable: Variable) -> Result<Figures, Error> {
+    let series = match variable {
         Variable::Reports => {
             let name = "targets that report every 1.4 s";
             series(name, &[10, 50, 200], async |entry, size| {
@@ -109,7 +126,9 @@
             })
             .await
         }
-    }
+        Variable::View => return view::run().await.map(Figures::Agent),
+    };
+    series.map(Figures::Entry)
 }
 
 async fn series(
