gossip: send long changes of a view in parts, from one entry

An agent took its view at the start and the loss of a domain once from each of its two entries, and changes above one reply of 32 KB made them send all records.

Views::reply goes on with the changes where the last part ended. Source makes an agent report the hash that an entry named last while another sends a long update.

--- a/bins/agent/src/report.rs
+++ b/bins/agent/src/report.rs
@@ -7,7 +7,9 @@
 
 use futures::future::join_all;
 use gate::Event;
-use gossip::{Expiry, Key, Member, Phase, Record, Scope, Store, Target, Value, report_entries};
+use gossip::{
+    Expiry, Key, Member, Phase, Record, Scope, Source, Store, Target, Value, report_entries,
+};
 use weights::Digest;
 use wire::{Client, Reply, Report, connect};
 
@@ -34,6 +36,7 @@
     /// Entries that hold the newest own record.
     known: HashSet<SocketAddr>,
     failed: HashMap<SocketAddr, Instant>,
+    source: Source,
     expiry: Expiry,
 }
 
@@ -63,6 +66,7 @@
             clients: HashMap::new(),
             known: HashSet::new(),
             failed: HashMap::new(),
+            source: Source::default(),
             expiry: Expiry::new(DOWN_KEPT),
         }
     }
@@ -76,7 +80,9 @@
         self.failed
             .retain(|_, since| now.saturating_duration_since(*since) < AVOID);
         let addresses = self.addresses();
+        self.source.retain(&addresses);
         let report = self.message();
+        let mut told = Vec::new();
         let calls: Vec<_> = addresses
             .iter()
             .map(|address| {
@@ -84,20 +90,23 @@
                 if self.known.contains(address) {
                     report.member = None;
                 }
+                report.view = self.source.reported(*address, report.view);
+                told.push(report.view);
                 send(*address, self.clients.remove(address), report)
             })
             .collect();
         let replies = join_all(calls).await;
         // Connections to entries that are no longer chosen are closed.
         self.clients.clear();
-        for (address, reply) in addresses.into_iter().zip(replies) {
+        for ((address, told), reply) in addresses.into_iter().zip(told).zip(replies) {
             match reply {
                 Some((client, reply)) => {
                     self.clients.insert(address, client);
-                    self.take(address, reply);
+                    self.take(address, told, reply);
                 }
                 None => {
                     self.known.remove(&address);
+                    self.source.failed(address);
                     self.failed.insert(address, now);
                 }
             }
@@ -127,8 +136,9 @@
         }
     }
 
-    /// Takes the records of a reply; the own one may have to rise above what others say.
-    fn take(&mut self, address: SocketAddr, reply: Reply) {
+    /// Takes the records of the reply to a report that said `told` of the view; the own record may have to rise above
+    /// what others say.
+    fn take(&mut self, address: SocketAddr, told: u64, reply: Reply) {
         match reply.known {
             true => self.known.insert(address),
             // An entry that has dropped the own record gets it again.
@@ -148,6 +158,12 @@
         if changed {
             self.shared.view_changed();
         }
+        let (named, held) = match reply.view {
+            Some(named) => (named, self.hash()),
+            // The entry's records had the hash that it was told.
+            None => (told, told),
+        };
+        self.source.answered(address, named, held, changed);
     }
 
     /// Drops the members that an entry doesn't hold, and returns whether there were any.
@@ -185,11 +201,16 @@
         }
     }
 
+    /// Returns the hash of the view.
+    fn hash(&self) -> u64 {
+        let view = self.shared.view.borrow();
+        let settings = &self.shared.settings;
+        Scope::new(&settings.domain, &settings.service, &models(&view)).hash(&view)
+    }
+
     fn message(&self) -> Report {
         let shared = &self.shared;
-        let view = shared.view.borrow();
         let settings = &shared.settings;
-        let scope = Scope::new(&settings.domain, &settings.service, &models(&view));
         Report {
             target: settings.name.clone(),
             incarnation: self.member.incarnation(),
@@ -200,7 +221,7 @@
             running: shared.counters.running.get(),
             waiting: shared.counters.waiting.get(),
             slots: shared.counters.slots.get(),
-            view: scope.hash(&view),
+            view: self.hash(),
             member: Some(self.member.record().clone()),
         }
     }
--- a/bins/load/src/view.rs
+++ b/bins/load/src/view.rs
@@ -101,8 +101,8 @@
 struct Played {
     store: Store,
     views: [Views; ENTRIES as usize],
-    /// Hash that the agent reported last.
-    reported: u64,
+    /// Hash that the agent reported last to each entry; during an update only one of them is told the true one.
+    reported: [u64; ENTRIES as usize],
     reports: u64,
 }
 
@@ -213,7 +213,7 @@
             played: Rc::new(RefCell::new(Played {
                 store: Store::new(),
                 views: Default::default(),
-                reported: 0,
+                reported: Default::default(),
                 reports: 0,
             })),
             traffic: Traffic::default(),
@@ -347,7 +347,7 @@
     }
 
     fn is_equal(&self) -> bool {
-        self.reported == scope().hash(&self.store)
+        self.reported == [scope().hash(&self.store); ENTRIES as usize]
     }
 }
 
@@ -355,7 +355,7 @@
     async fn report(self, _: Context, report: Report) -> Reply {
         let mut played = self.played.borrow_mut();
         played.reports += 1;
-        played.reported = report.view;
+        played.reported[self.index] = report.view;
         if let Some(record) = report.member {
             played.merge(record);
         }
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -30,6 +30,7 @@
 mod member;
 mod random;
 mod record;
+mod source;
 mod store;
 mod view;
 
@@ -40,5 +41,6 @@
 pub use member::Member;
 pub use random::Random;
 pub use record::{Key, Node, Phase, Record, Target, Value, Version};
+pub use source::Source;
 pub use store::{BUCKETS, Store};
 pub use view::{Scope, Span, Update, Views};
--- a/crates/gossip/src/view.rs
+++ b/crates/gossip/src/view.rs
@@ -80,6 +80,8 @@
 #[derive(Clone, Debug, Default)]
 struct Progress {
     unknown: u8,
+    /// Last change sent while the changes since a known hash are being sent.
+    change: Option<u64>,
     /// Last record sent while all records are being sent.
     cursor: Option<Key>,
 }
@@ -165,9 +167,12 @@
 
     /// Returns the hash of a target's view and the records that it seems to lack.
     ///
-    /// `reported` is the hash that the target reported. A known earlier hash is answered with the changes since; 0 with
-    /// all records, in parts; an unknown hash first with the latest changes and then with all. A part of all records
-    /// names the span of its keys, so that the target can drop members that the entry no longer holds.
+    /// `reported` is the hash that the target reported. A known earlier hash is answered with the changes since, in
+    /// parts; 0 with all records, in parts; an unknown hash first with the latest changes and then with all. A part of
+    /// all records names the span of its keys, so that the target can drop members that the entry no longer holds.
+    ///
+    /// After a part of the changes the target's hash is unknown, so the entry remembers how far it got. If the target
+    /// missed a part, its hash still differs after the last one and it gets all records.
     pub fn reply(&mut self, store: &Store, target: &str, scope: &Scope, reported: u64) -> Update {
         let view = self.view(store, scope);
         let hash = view.hash;
@@ -185,9 +190,12 @@
             };
         }
         let kept = self.changed.front().map_or(u64::MAX, |(at, _)| *at);
+        let progress = self.targets.get(target);
+        let since = since.or_else(|| progress?.change);
         if let Some(since) = since.filter(|since| since + 1 >= kept) {
-            let records = self.since(store, scope, since);
-            if total(&records) <= REPLY_BYTES {
+            let (records, last) = self.since(store, scope, since);
+            if !records.is_empty() {
+                self.targets.entry(target.into()).or_default().change = last;
                 return Update {
                     hash,
                     records,
@@ -196,13 +204,14 @@
             }
         }
         let progress = self.targets.entry(target.into()).or_default();
+        progress.change = None;
         if reported != 0 && progress.cursor.is_none() && progress.unknown < PATIENCE {
             progress.unknown += 1;
             let first = self.changed.len().saturating_sub(LATEST);
             let since = self.changed.get(first).map_or(0, |(at, _)| at - 1);
             return Update {
                 hash,
-                records: self.since(store, scope, since),
+                records: self.since(store, scope, since).0,
                 span: None,
             };
         }
@@ -233,19 +242,23 @@
         view
     }
 
-    fn since(&self, store: &Store, scope: &Scope, since: u64) -> Vec<Record> {
-        let mut keys: Vec<&Key> = self
-            .changed
-            .iter()
-            .filter(|(at, _)| *at > since)
-            .map(|(_, key)| key)
-            .collect();
-        keys.sort_unstable();
-        keys.dedup();
-        let records = keys.into_iter().filter_map(|key| store.get(key));
-        records
-            .filter(|record| scope.covers(&record.key, &record.value))
-            .collect()
+    /// Returns a part of the records that changed after the change `since`, and the last change it covers if more follow.
+    fn since(&self, store: &Store, scope: &Scope, since: u64) -> (Vec<Record>, Option<u64>) {
+        let mut seen = HashSet::new();
+        let mut records = Vec::new();
+        let mut bytes = 0;
+        for (at, key) in self.changed.iter().filter(|(at, _)| *at > since) {
+            if bytes >= REPLY_BYTES {
+                return (records, Some(at - 1));
+            }
+            let record = store.get(key).filter(|_| seen.insert(key));
+            let covered = record.filter(|record| scope.covers(&record.key, &record.value));
+            if let Some(record) = covered {
+                bytes += size(&record.key, &record.value);
+                records.push(record);
+            }
+        }
+        (records, None)
     }
 }
 
@@ -286,10 +299,3 @@
         )
     }
 }
-
-fn total(records: &[Record]) -> usize {
-    records
-        .iter()
-        .map(|record| size(&record.key, &record.value))
-        .sum()
-}
--- a/crates/gossip/tests/choice.rs
+++ b/crates/gossip/tests/choice.rs
@@ -242,6 +242,44 @@
     }
 }
 
+/// Guards against a loss of a domain that costs a copy of all records, because its changes don't fit one reply.
+#[test]
+fn reply_changes_in_parts() {
+    let scope = Scope {
+        domain: "north".into(),
+        services: vec!["drafting".into()],
+    };
+    let (mut store, mut views, mut agent) = (Store::new(), Views::default(), Store::new());
+    for index in 0..6500 {
+        store.merge(target(&format!("t{index}"), 0));
+    }
+    while scope.hash(&agent) != scope.hash(&store) {
+        for record in views
+            .reply(&store, "t1", &scope, scope.hash(&agent))
+            .records
+        {
+            agent.merge(record);
+        }
+    }
+    for index in 0..722 {
+        let key = Key::Target(format!("t{}", index * 9));
+        assert!(store.merge(store.down(&key).unwrap()));
+        views.changed(&store, key);
+    }
+    let mut sent = 0;
+    while scope.hash(&agent) != scope.hash(&store) {
+        let records = views
+            .reply(&store, "t1", &scope, scope.hash(&agent))
+            .records;
+        assert!(!records.is_empty(), "the view differs and nothing is sent");
+        sent += records.len();
+        for record in records {
+            agent.merge(record);
+        }
+    }
+    assert_eq!(sent, 722);
+}
+
 /// Guards against a restarted agent whose clock-based incarnation is above the number it gets from the platform.
 #[test]
 fn refute_earlier_process() {
--- /dev/null
+++ b/crates/gossip/tests/source.rs
@@ -0,0 +1,161 @@
+//! Updates of an agent's view by two entries.
+
+use std::net::SocketAddr;
+
+use gossip::{Key, Phase, Record, Scope, Source, Store, Target, Value, Version, Views};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// An agent, the two entries that it reports to, and the records that they sent.
+struct System {
+    stores: [Store; 2],
+    views: [Views; 2],
+    agent: Store,
+    source: Source,
+    sent: usize,
+}
+
+fn scope() -> Scope {
+    Scope {
+        domain: "north".into(),
+        services: vec!["drafting".into()],
+    }
+}
+
+fn target(index: usize, minor: u64) -> Record {
+    let address = "127.0.0.1:7000".parse().unwrap();
+    Record {
+        key: Key::Target(format!("t{index}")),
+        version: Version {
+            major: 1,
+            minor,
+            down: false,
+        },
+        value: Value::Target(Target {
+            domain: "north".into(),
+            region: "north".into(),
+            service: "drafting".into(),
+            call: address,
+            chunk: address,
+            phase: Phase::Live,
+        }),
+    }
+}
+
+impl System {
+    fn new(targets: usize) -> Self {
+        let mut system = Self {
+            stores: [Store::new(), Store::new()],
+            views: Default::default(),
+            agent: Store::new(),
+            source: Source::default(),
+            sent: 0,
+        };
+        for index in 0..targets {
+            system.merge(0, target(index, 0));
+            system.merge(1, target(index, 0));
+        }
+        system
+    }
+
+    fn merge(&mut self, at: usize, record: Record) {
+        let key = record.key.clone();
+        if self.stores[at].merge(record) {
+            self.views[at].changed(&self.stores[at], key);
+        }
+    }
+
+    /// Reports to both entries; the replies of those in `lost` don't arrive.
+    fn round(&mut self, lost: [bool; 2]) {
+        let held = scope().hash(&self.agent);
+        let entries = [1, 2].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+        let told = entries.map(|entry| self.source.reported(entry, held));
+        for at in 0..2 {
+            let update = self.views[at].reply(&self.stores[at], "t0", &scope(), told[at]);
+            self.sent += update.records.len();
+            if lost[at] {
+                self.source.failed(entries[at]);
+                continue;
+            }
+            let mut news = false;
+            for record in update.records {
+                let old = self.agent.version(&record.key);
+                news |= self.agent.merge(record.clone());
+                assert!(self.agent.version(&record.key) >= old, "a record reverted");
+            }
+            let held = scope().hash(&self.agent);
+            self.source.answered(entries[at], update.hash, held, news);
+        }
+    }
+
+    fn is_equal(&self) -> bool {
+        let held = scope().hash(&self.agent);
+        self.stores.iter().all(|store| scope().hash(store) == held)
+    }
+}
+
+/// Guards against a start that takes the whole view from each entry.
+#[test]
+fn start_takes_view_once() {
+    let mut system = System::new(6_500);
+    let mut rounds = 0;
+    while !system.is_equal() {
+        system.round([false, false]);
+        rounds += 1;
+        assert!(rounds < 40);
+    }
+    assert!(system.sent < 7_200, "{} records", system.sent);
+}
+
+/// Guards against an agent that learns nothing more because the entry that sent an update gets no reports any longer.
+#[test]
+fn retain_forgets_the_chosen() {
+    let [first, second] = [1, 2].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let mut source = Source::default();
+    source.answered(first, 70, 5, true);
+    source.answered(second, 60, 5, false);
+    assert_eq!(source.reported(second, 5), 60);
+    source.retain(&[second]);
+    assert_eq!(source.reported(second, 5), 5);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against an agent that waits for an entry which sends nothing more, or misses a part of an update for good.
+    #[test]
+    fn views_converge(
+        steps in prop::collection::vec((0..2_usize, 0..1_500_usize, 0..900_usize, any::<[bool; 4]>()), 1..25)
+    ) {
+        let mut system = System::new(1_500);
+        for (minor, (at, first, count, [change, down, lose_first, lose_second])) in steps.into_iter().enumerate() {
+            for index in (first..first + count).filter(|_| change) {
+                let mut record = target(index % 1_500, minor as u64 + 1);
+                if down {
+                    record = system.stores[at].down(&record.key).unwrap_or(record);
+                }
+                system.merge(at, record);
+            }
+            system.round([lose_first, lose_second]);
+        }
+        // Gossip brings the entries together.
+        for (from, to) in [(0, 1), (1, 0)] {
+            let records: Vec<Record> = system.stores[from]
+                .iter()
+                .map(|(key, ..)| system.stores[from].get(key).unwrap())
+                .collect();
+            for record in records {
+                system.merge(to, record);
+            }
+        }
+        for _ in 0..40 {
+            system.round([false, false]);
+        }
+        prop_assert!(system.is_equal());
+    }
+}
