load: lose or cut a rack in a burst, and put domains into regions

The loss of a rack and nine domains in four regions were not run.

The faults rack_lost and rack_cut hit a third of the last domain's targets, agents and backends. A plan names the region of each domain, and the bound counts the bytes that cross into a region.

--- a/bins/load/src/burst.rs
+++ b/bins/load/src/burst.rs
@@ -187,7 +187,7 @@
 /// Returns the time for which requests should flow: three times the lower bound, the turns of the switch, and what a
 /// fault adds.
 fn estimate(plan: &Plan) -> Duration {
-    let fault = plan.fault.map_or(Duration::ZERO, |_| Fault::STALL * 2);
+    let fault = plan.fault.map_or(Duration::ZERO, Fault::delay);
     bound(plan) * 3 + Duration::from_secs(4) + fault
 }
 
@@ -198,6 +198,7 @@
 pub fn bound(plan: &Plan) -> Duration {
     let size = plan.model_bytes as f64;
     let domains = plan.domains.len() as f64;
+    let regions = plan.region_count() as f64;
     let drawing = match plan.transfer.as_str() {
         "direct" => plan.replicas(),
         _ => plan.drawing_domains(),
@@ -205,9 +206,9 @@
     let origin = drawing as f64 * size / plan.origin_bytes_per_s as f64;
     let pipeline = 1.0 + (plan.replicas() as f64).log2() / plan.chunks() as f64;
     let broadcast = size / plan.link_bytes_per_s as f64 * pipeline;
-    // Each domain receives the stripes that it doesn't draw over its agents' share of the region's link.
-    let per_domain = f64::from(plan.engines) * plan.region_share() as f64;
-    let received = 1.0 - plan.drawing_domains() as f64 / domains;
-    let crossing = size * received / per_domain;
+    // Each region receives the stripes that it doesn't draw over its agents' share of its link.
+    let per_region = domains / regions * f64::from(plan.engines) * plan.region_share() as f64;
+    let received = 1.0 - (plan.drawing_domains() as f64 / regions).min(1.0);
+    let crossing = size * received / per_region;
     Duration::from_secs_f64(origin.max(broadcast).max(crossing))
 }
--- a/bins/load/src/deployment.rs
+++ b/bins/load/src/deployment.rs
@@ -380,7 +380,7 @@
         let settings = json!({
             "name": name,
             "domain": self.domain(group),
-            "region": self.domain(group),
+            "region": self.plan.region(self.domain(group)),
             "caller_listen": address(CALL_PORT),
             "peer_listen": address(PEER_PORT),
             "operator_listen": address(OPERATOR_PORT),
@@ -403,7 +403,7 @@
         let mut settings = json!({
             "name": name,
             "domain": self.domain(group),
-            "region": self.domain(group),
+            "region": self.plan.region(self.domain(group)),
             "service": if engine { MODEL_SERVICE } else { PLAIN_SERVICE },
             "backend": if engine { "engine" } else { "plain" },
             "backend_address": address(BACKEND_PORT),
--- a/bins/load/src/fault.rs
+++ b/bins/load/src/fault.rs
@@ -33,6 +33,23 @@
                 replicas.lose(agent.operator);
             }
         }
+        Fault::RackLost => {
+            for (member, is_agent) in rack(deployment) {
+                member.process.kill();
+                if is_agent {
+                    replicas.lose(member.operator);
+                }
+            }
+        }
+        Fault::RackCut => {
+            for (member, _) in rack(deployment) {
+                member.process.pause();
+            }
+            compio::time::sleep(Fault::CUT).await;
+            for (member, _) in rack(deployment) {
+                member.process.resume();
+            }
+        }
         Fault::OwnerStalled => {
             let owner = &deployment.agents[0].process;
             owner.pause();
@@ -42,6 +59,32 @@
     }
 }
 
+/// Returns the agents and backends of a third of the last domain's targets, at least one of each kind, and whether each
+/// is an agent.
+fn rack(deployment: &mut Deployment) -> impl Iterator<Item = (&mut Member, bool)> {
+    let domain = deployment.plan.domains.last().cloned();
+    let count = |targets: u8| usize::from(targets).div_ceil(Fault::RACKS);
+    let engines = count(deployment.plan.engines);
+    let plains = count(deployment.plan.plains);
+    let models = deployment.engines.len();
+    let (engine_agents, plain_agents) = deployment.agents.split_at_mut(models);
+    let groups = [
+        (engine_agents, engines, true),
+        (plain_agents, plains, true),
+        (&mut deployment.engines[..], engines, false),
+        (&mut deployment.plains[..], plains, false),
+    ];
+    groups
+        .into_iter()
+        .flat_map(move |(members, count, is_agent)| {
+            let domain = domain.clone();
+            let inside = members
+                .iter_mut()
+                .filter(move |member| Some(&member.domain) == domain.as_ref());
+            inside.take(count).map(move |member| (member, is_agent))
+        })
+}
+
 async fn lose_domain(
     deployment: &mut Deployment,
     replicas: &Replicas,
--- a/bins/load/src/plan.rs
+++ b/bins/load/src/plan.rs
@@ -1,5 +1,6 @@
 //! What an experiment consists of.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -9,8 +10,11 @@
 #[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Plan {
-    /// Failure domains; each is a region of its own.
+    /// Failure domains.
     pub domains: Vec<String>,
+    /// Region of each domain; without any, each domain is a region of its own.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub regions: Vec<String>,
     /// Entry VMs of each domain.
     pub entries: u8,
     /// Targets with a model engine in each domain.
@@ -56,6 +60,10 @@
     DomainLost,
     /// One agent in ten is killed, spread over the domains.
     AgentsKilled,
+    /// A third of the last domain's targets are killed at once, agents and backends.
+    RackLost,
+    /// The targets of [`Fault::RackLost`] are stopped by SIGSTOP at once and continued after [`Fault::CUT`].
+    RackCut,
     /// The first agent is stopped by SIGSTOP and continued after [`Fault::STALL`].
     OwnerStalled,
 }
@@ -65,6 +73,18 @@
     pub const SHARE: f64 = 0.25;
     /// Time for which an owner is stalled, longer than the 2 s after which a request is given up.
     pub const STALL: Duration = Duration::from_secs(5);
+    /// Time for which a rack is cut off, longer than the 5 s after which its targets are down.
+    pub const CUT: Duration = Duration::from_secs(30);
+    /// One in this many targets of a domain stands in the same rack.
+    pub const RACKS: usize = 3;
+
+    /// Returns the longest time that the fault adds to a burst.
+    pub fn delay(self) -> Duration {
+        match self {
+            Self::RackCut => Self::CUT + Self::STALL,
+            _ => Self::STALL * 2,
+        }
+    }
 }
 
 impl Plan {
@@ -72,10 +92,36 @@
     pub fn region_share(&self) -> u64 {
         self.region_link_bytes_per_s
             .map_or(self.region_bytes_per_s, |link| {
-                (link / u64::from(self.engines).max(1)).max(1)
+                // Domains of the same region share its link.
+                let agents = self.region_domains() * u64::from(self.engines);
+                (link / agents.max(1)).max(1)
             })
     }
 
+    /// Returns the region of the domain with this name.
+    pub fn region(&self, domain: &str) -> &str {
+        let index = self.domains.iter().position(|name| name == domain);
+        let region = index.and_then(|index| self.regions.get(index));
+        region
+            .or(index.map(|index| &self.domains[index]))
+            .map_or("", |name| name)
+    }
+
+    /// Returns the number of regions.
+    pub fn region_count(&self) -> usize {
+        let regions = self.domains.iter().map(|domain| self.region(domain));
+        regions.collect::<BTreeSet<_>>().len()
+    }
+
+    /// Returns the number of domains in the region that has most of them.
+    pub fn region_domains(&self) -> u64 {
+        let sharing = self.domains.iter().map(|domain| {
+            let same = |other: &&String| self.region(other) == self.region(domain);
+            self.domains.iter().filter(same).count() as u64
+        });
+        sharing.max().unwrap_or(1)
+    }
+
     /// Returns the number of domains that draw from the origin while all are alive.
     pub fn drawing_domains(&self) -> usize {
         match self.transfer.as_str() {
@@ -100,6 +146,7 @@
     fn default() -> Self {
         Self {
             domains: vec!["levis".into(), "beauce".into()],
+            regions: Vec::new(),
             entries: 1,
             engines: 3,
             plains: 1,
--- a/bins/load/tests/plan.rs
+++ b/bins/load/tests/plan.rs
@@ -39,10 +39,24 @@
     assert_eq!(plan("origin_bytes", None).region_share(), 4 * MIB);
 }
 
+/// Guards against domains of one region that are started as regions of their own.
+#[test]
+fn region_shared() {
+    let mut plan = plan("origin_bytes", Some(MIB));
+    plan.regions = ["east", "east", "west"].map(String::from).into();
+    assert_eq!(
+        ["levis", "beauce", "bellechasse"].map(|name| plan.region(name)),
+        ["east", "east", "west"]
+    );
+    assert_eq!(plan.region_share(), MIB / 8);
+}
+
 /// Guards against a scenario that a plan names and the tool doesn't give.
 #[parameterized(
     domain = { "domain_lost", Fault::DomainLost },
     agents = { "agents_killed", Fault::AgentsKilled },
+    rack = { "rack_lost", Fault::RackLost },
+    cut = { "rack_cut", Fault::RackCut },
     owner = { "owner_stalled", Fault::OwnerStalled },
 )]
 fn fault_named(name: &str, fault: Fault) {
