--- a/bins/load/tests/faults/burst.rs
+++ b/bins/load/tests/faults/burst.rs
@@ -10,6 +10,7 @@
 #[parameterized(
     domain = { Fault::DomainLost, 3 },
     agents = { Fault::AgentsKilled, 1 },
+    rack = { Fault::RackLost, 1 },
     owner = { Fault::OwnerStalled, 0 },
 )]
 fn run_fault(fault: Fault, lost: usize) {
