--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -266,6 +266,7 @@
             slot: submission.slot.filter(|_| !admission.repeatable),
             admission: Rc::new(admission),
             attempts: 0,
+            unreached: 0,
             tried: Vec::new(),
             only: None,
             redirected: false,
@@ -360,7 +361,11 @@
                 refused(lane, now, request.not_run())
             }
             Failure::Version(served) => other_weights(lane, now, request, served),
-            Failure::NotConnected => lane.retry(now, request.not_run(), true),
+            Failure::NotConnected => {
+                let mut waiting = request.not_run();
+                waiting.core_mut().unreached += 1;
+                lane.retry(now, waiting, true)
+            }
             Failure::Elsewhere(owner) => redirect(lane, now, request.not_run(), owner),
             Failure::Lost => lost(lane, now, request),
             Failure::TimedOut => may_have_run(request, Unknown::TimedOut),
