Plainer names in reports and routing; drop a function that nothing calls

told, tried() and _tasks become sent, record_attempt() and tasks. Fault::delay lost its last caller when a burst's live requests came to end with the burst.

--- a/bins/agent/src/report.rs
+++ b/bins/agent/src/report.rs
@@ -82,7 +82,7 @@
         let addresses = self.addresses();
         self.source.retain(&addresses);
         let report = self.message();
-        let mut told = Vec::new();
+        let mut sent = Vec::new();
         let calls: Vec<_> = addresses
             .iter()
             .map(|address| {
@@ -91,18 +91,18 @@
                     report.member = None;
                 }
                 report.view = self.source.reported(*address, report.view);
-                told.push(report.view);
+                sent.push(report.view);
                 send(*address, self.clients.remove(address), report)
             })
             .collect();
         let replies = join_all(calls).await;
         // Connections to entries that are no longer chosen are closed.
         self.clients.clear();
-        for ((address, told), reply) in addresses.into_iter().zip(told).zip(replies) {
+        for ((address, sent), reply) in addresses.into_iter().zip(sent).zip(replies) {
             match reply {
                 Some((client, reply)) => {
                     self.clients.insert(address, client);
-                    self.take(address, told, reply);
+                    self.take(address, sent, reply);
                 }
                 None => {
                     self.known.remove(&address);
@@ -136,9 +136,9 @@
         }
     }
 
-    /// Takes the records of the reply to a report that said `told` of the view; the own record may have to rise above
-    /// what others say.
-    fn take(&mut self, address: SocketAddr, told: u64, reply: Reply) {
+    /// Takes the records of the reply to a report that carried `sent` as the hash of the view; the own record may have to
+    /// rise above what others say.
+    fn take(&mut self, address: SocketAddr, sent: u64, reply: Reply) {
         match reply.known {
             true => self.known.insert(address),
             // An entry that has dropped the own record gets it again.
@@ -161,8 +161,8 @@
         }
         let (named, held) = match reply.view {
             Some(named) => (named, self.hash()),
-            // The entry's records had the hash that it was told.
-            None => (told, told),
+            // The entry's records have the hash that the report carried.
+            None => (sent, sent),
         };
         self.source.answered(address, named, held, changed);
     }
--- a/bins/load/src/plan.rs
+++ b/bins/load/src/plan.rs
@@ -77,14 +77,6 @@
     pub const CUT: Duration = Duration::from_secs(30);
     /// One in this many targets of a domain stands in the same rack.
     pub const RACKS: usize = 3;
-
-    /// Returns the longest time that the fault adds to a burst.
-    pub fn delay(self) -> Duration {
-        match self {
-            Self::RackCut => Self::CUT + Self::STALL,
-            _ => Self::STALL * 2,
-        }
-    }
 }
 
 impl Plan {
--- a/bins/load/src/view.rs
+++ b/bins/load/src/view.rs
@@ -133,7 +133,7 @@
     played: Rc<RefCell<Played>>,
     traffic: Traffic,
     network: [u8; 2],
-    _tasks: Vec<JoinHandle<()>>,
+    tasks: Vec<JoinHandle<()>>,
 }
 
 /// Measures an agent with views of 100, 1,000 and 6,500 targets.
@@ -218,7 +218,7 @@
             })),
             traffic: Traffic::default(),
             network: [first, second],
-            _tasks: Vec::new(),
+            tasks: Vec::new(),
         };
         let service = running.deployment.model_service(VERSION).await?;
         running.merge(Record {
@@ -252,9 +252,9 @@
             played: Rc::clone(&self.played),
         };
         let serve = async move { wire::serve(&inner, handler).await };
-        self._tasks.push(spawn(serve));
+        self.tasks.push(spawn(serve));
         let traffic = self.traffic.clone();
-        self._tasks
+        self.tasks
             .push(spawn(relay(outer, address(CALL_PORT), traffic)));
         self.merge(Record {
             key: Key::Entry(format!("entry-{index}")),
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -159,7 +159,7 @@
 
 impl Core {
     /// Notes a failed attempt. Only a keyed request stays bound to a target after it.
-    fn tried(&mut self, target: String) {
+    fn record_attempt(&mut self, target: String) {
         self.tried.push(target);
         if self.slot.is_none() {
             self.only = None;
@@ -206,7 +206,7 @@
     /// Returns to the queue after the agent said, or the failed connection shows, that nothing was written to the
     /// backend.
     pub(crate) fn not_run(mut self) -> Request<Q> {
-        self.core.tried(self.state.dispatch.target);
+        self.core.record_attempt(self.state.dispatch.target);
         Request {
             core: self.core,
             state: self.state.origin,
@@ -215,7 +215,7 @@
 
     /// Returns to the queue although this attempt may have run.
     pub(crate) fn may_have_run(mut self, why: Unknown) -> Request<Requeued> {
-        self.core.tried(self.state.dispatch.target);
+        self.core.record_attempt(self.state.dispatch.target);
         Request {
             core: self.core,
             state: Requeued(why),
