Write the slope of a series and the model service of the entry tests once

Cause: three experiments each gathered pairs of size and value before the same least-squares slope, and three tests of the entry spelled out the same catalogue entry of a service with a model.

Change: slope() takes the points and two functions; World::put_model takes the model. No check, bound or expectation changes.

Measurement: the entry's tests pass as before, and the formula of the slope is the same one. The experiments were not run again for this.

--- a/bins/entry/tests/entry/common.rs
+++ b/bins/entry/tests/entry/common.rs
@@ -162,6 +162,16 @@
         self.report_weights(name, slots, None);
     }
 
+    /// Makes the service `desk` one with a model, given as JSON.
+    pub fn put_model(&self, model: &str) {
+        let service = format!(
+            r#"{{"kind":"service","name":"desk","owner":"o","class":"urgent","backend":"model","repeatable":true,
+            "deadline_ms":1000,"model":{model}}}"#
+        );
+        let service = serde_json::from_str(&service).unwrap();
+        self.shared.put_catalog(99, service);
+    }
+
     pub fn report_weights(&self, name: &str, slots: u16, weights: Option<u64>) {
         self.sequence.set(self.sequence.get() + 1);
         self.shared.put_report(
--- a/bins/entry/tests/entry/requests.rs
+++ b/bins/entry/tests/entry/requests.rs
@@ -367,13 +367,9 @@
     );
     with_entry(|world| async move {
         let digest = weights::Digest::of(b"wanted");
-        let service = format!(
-            r#"{{"kind":"service","name":"desk","owner":"o","class":"urgent","backend":"model","repeatable":true,
-            "deadline_ms":1000,"model":{{"name":"m","version":"v1","digest":"{digest}","plan":"direct"}}}}"#
-        );
-        world
-            .shared
-            .put_catalog(99, serde_json::from_str(&service).unwrap());
+        world.put_model(&format!(
+            r#"{{"name":"m","version":"v1","digest":"{digest}","plan":"direct"}}"#
+        ));
         let seen = world.agent("t0", "desk", 0, move |_| vec![Step::Send(answer.clone())]);
         world.report_weights("t0", 0, Some(digest.short()));
         let answer = world.call("/v1/desk/x", &[]).await;
@@ -394,14 +390,10 @@
 fn refusal_names_served_pin() {
     with_entry(|world| async move {
         let [old, new] = [b"old", b"new"].map(|name| weights::Digest::of(name));
-        let service = format!(
-            r#"{{"kind":"service","name":"desk","owner":"o","class":"urgent","backend":"model","repeatable":true,
-            "deadline_ms":1000,"model":{{"name":"m","version":"v2","digest":"{new}","plan":"direct",
-            "replaced":[{{"model":"m","version":"v1","digest":"{old}"}}]}}}}"#
-        );
-        world
-            .shared
-            .put_catalog(99, serde_json::from_str(&service).unwrap());
+        world.put_model(&format!(
+            r#"{{"name":"m","version":"v2","digest":"{new}","plan":"direct",
+            "replaced":[{{"model":"m","version":"v1","digest":"{old}"}}]}}"#
+        ));
         let version = format!(
             "HTTP/1.1 503 Service Unavailable\r\ncarobport-request: ID\r\ncarobport-outcome: not-run\r\n\
              carobport-reason: version\r\ncarobport-pin: m@v1#{old}\r\ncontent-length: 0\r\n\r\n"
@@ -432,13 +424,9 @@
 fn status_shows_weights() {
     with_entry(|world| async move {
         let digest = weights::Digest::of(b"wanted");
-        let service = format!(
-            r#"{{"kind":"service","name":"desk","owner":"o","class":"urgent","backend":"model","repeatable":true,
-            "deadline_ms":1000,"model":{{"name":"m","version":"v1","digest":"{digest}","plan":"direct"}}}}"#
-        );
-        world
-            .shared
-            .put_catalog(99, serde_json::from_str(&service).unwrap());
+        world.put_model(&format!(
+            r#"{{"name":"m","version":"v1","digest":"{digest}","plan":"direct"}}"#
+        ));
         world.agent("t0", "desk", 0, |_| Vec::new());
         world.agent("t1", "desk", 0, |_| Vec::new());
         world.report_weights("t0", 0, Some(digest.short()));
--- a/bins/load/src/requests.rs
+++ b/bins/load/src/requests.rs
@@ -126,23 +126,14 @@
             });
         }
     }
-    let slope = |by: &dyn Fn(&Point) -> f64, value: &dyn Fn(&Point) -> f64| {
-        let pairs: Vec<_> = points
-            .iter()
-            .map(|point| (by(point), value(point)))
-            .collect();
-        slope(&pairs)
-    };
-    let (rate, size) = (
-        |point: &Point| point.rate,
-        |point: &Point| point.size as f64,
-    );
+    let by_rate = |value: fn(&Point) -> f64| slope(&points, |point| point.rate, value);
+    let by_size = |value: fn(&Point) -> f64| slope(&points, |point| point.size as f64, value);
     Ok(Series {
         variable: name,
-        entry_cpu_s: slope(&rate, &|point| point.entry_core),
-        agent_cpu_s: slope(&rate, &|point| point.agent_core),
-        entry_memory: slope(&size, &|point| point.entry_memory as f64),
-        agent_memory: slope(&size, &|point| point.agent_memory as f64),
+        entry_cpu_s: by_rate(|point| point.entry_core),
+        agent_cpu_s: by_rate(|point| point.agent_core),
+        entry_memory: by_size(|point| point.entry_memory as f64),
+        agent_memory: by_size(|point| point.agent_memory as f64),
         points,
     })
 }
--- a/bins/load/src/slopes.rs
+++ b/bins/load/src/slopes.rs
@@ -145,18 +145,12 @@
             points.push(running.point(size, &before)?);
         }
     }
-    let slope = |value: &dyn Fn(&Point) -> f64| {
-        let pairs: Vec<_> = points
-            .iter()
-            .map(|point| (point.size as f64, value(point)))
-            .collect();
-        slope(&pairs)
-    };
+    let slope = |value: fn(&Point) -> f64| slope(&points, |point| point.size as f64, value);
     Ok(Series {
         variable,
-        core_slope: slope(&|point| point.core),
-        memory_slope: slope(&|point| point.memory as f64),
-        traffic_slope: slope(&|point| point.traffic),
+        core_slope: slope(|point| point.core),
+        memory_slope: slope(|point| point.memory as f64),
+        traffic_slope: slope(|point| point.traffic),
         points,
     })
 }
@@ -386,19 +380,16 @@
     bytes.ok_or_else(|| std::io::Error::other("/proc/net/dev names no loopback device"))
 }
 
-/// Returns the least-squares slope through points of size and value.
-pub(crate) fn slope(pairs: &[(f64, f64)]) -> f64 {
-    let count = pairs.len() as f64;
-    let (sizes, values) = pairs
-        .iter()
-        .fold((0.0, 0.0), |(sizes, values), (size, value)| {
-            (sizes + size, values + value)
-        });
-    let (mean_size, mean_value) = (sizes / count, values / count);
+/// Returns the least-squares slope of `value` against `size` over the points.
+pub(crate) fn slope<P>(points: &[P], size: impl Fn(&P) -> f64, value: impl Fn(&P) -> f64) -> f64 {
+    let count = points.len() as f64;
+    let mean_size = points.iter().map(&size).sum::<f64>() / count;
+    let mean_value = points.iter().map(&value).sum::<f64>() / count;
     let (mut covariance, mut variance) = (0.0, 0.0);
-    for (size, value) in pairs {
-        covariance += (size - mean_size) * (value - mean_value);
-        variance += (size - mean_size).powi(2);
+    for point in points {
+        let distance = size(point) - mean_size;
+        covariance += distance * (value(point) - mean_value);
+        variance += distance.powi(2);
     }
     covariance / variance
 }
--- a/bins/load/src/view.rs
+++ b/bins/load/src/view.rs
@@ -145,17 +145,11 @@
     let before = load_average()?;
     let sizes = SIZES.iter().flat_map(|size| [*size; RUNS]);
     let points = try_join_all(sizes.map(measure)).await?;
-    let slope = |value: &dyn Fn(&Point) -> f64| {
-        let pairs: Vec<_> = points
-            .iter()
-            .map(|point| (point.size as f64, value(point)))
-            .collect();
-        slope(&pairs)
-    };
+    let slope = |value: fn(&Point) -> f64| slope(&points, |point| point.size as f64, value);
     Ok(Series {
         load_average: [before, load_average()?],
-        memory_slope: slope(&|point| point.memory as f64),
-        core_slope: slope(&|point| point.still.core),
+        memory_slope: slope(|point| point.memory as f64),
+        core_slope: slope(|point| point.still.core),
         points,
     })
 }
