--- a/bins/agent/src/main.rs
+++ b/bins/agent/src/main.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use agent::Interface;
 use bpaf::Bpaf;
 
 /// Brings weights to a target and passes calls on to it
@@ -20,7 +21,16 @@
 
 fn main() -> ExitCode {
     match node::arguments::parse(&options()) {
-        Ok(options) => node::serve("carobport-agent", &options.settings, agent::process::run),
+        Ok(options) => node::serve("carobport-agent", &options.settings, run),
         Err(code) => code,
     }
 }
+
+async fn run(settings: Interface) -> std::io::Result<()> {
+    match settings {
+        Interface::Own(settings) => agent::process::run(settings).await,
+        Interface::Platform(settings) => {
+            agent::rollout::serve(settings, node::signal::shutdown()).await
+        }
+    }
+}
--- /dev/null
+++ b/bins/agent/src/rollout/loads.rs
@@ -0,0 +1,165 @@
+//! Asks the engine for its state and tells entries.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compio::BufResult;
+use compio::net::UdpSocket;
+use futures::FutureExt;
+use futures::future::{Either, select};
+use node::event;
+use platform::engine::Report;
+use wire::{Datagram, Load, MAX_DATAGRAM};
+
+use super::state::State;
+
+/// Time between two questions to the engine.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// Time after which an unchanged load is told again; entries take older ones for unknown.
+const REPEATED: Duration = Duration::from_millis(800);
+/// Time after which an entry that didn't subscribe again is forgotten.
+const FORGOTTEN: Duration = Duration::from_millis(3500);
+
+/// Asks and tells; never returns.
+pub(super) async fn run(state: Rc<State>, socket: UdpSocket) {
+    let entries = std::cell::RefCell::new(BTreeMap::new());
+    let tell = tell(&state, &socket, &entries);
+    let receive = receive(&socket, &entries);
+    futures::join!(tell, receive);
+}
+
+type Entries = std::cell::RefCell<BTreeMap<SocketAddr, Instant>>;
+
+async fn receive(socket: &UdpSocket, entries: &Entries) {
+    let mut buffer = Vec::with_capacity(MAX_DATAGRAM);
+    loop {
+        let BufResult(received, mut filled) = socket.recv_from(buffer).await;
+        match received {
+            Ok((length, peer)) => {
+                filled.truncate(length);
+                if let Ok(Datagram::Subscribe) = Datagram::decode(&filled) {
+                    entries.borrow_mut().insert(peer, Instant::now());
+                }
+            }
+            Err(error) => {
+                event!(event::DATAGRAM_FAILED, peer = "any", error = error);
+                compio::time::sleep(INTERVAL).await;
+            }
+        }
+        filled.clear();
+        buffer = filled;
+    }
+}
+
+async fn tell(state: &State, socket: &UdpSocket, entries: &Entries) {
+    let mut told: Option<(Instant, Load)> = None;
+    loop {
+        let closing = state.closing.get();
+        match state.engine.report().await {
+            Ok(report) => take(state, report),
+            Err(error) => {
+                let now = Instant::now();
+                if state.report_age(now).is_some_and(|age| age < INTERVAL * 2) {
+                    event!(event::BACKEND_FAILED, reason = error);
+                }
+            }
+        }
+        let now = Instant::now();
+        entries
+            .borrow_mut()
+            .retain(|_, at| now.saturating_duration_since(*at) < FORGOTTEN);
+        let peers: Vec<SocketAddr> = entries.borrow().keys().copied().collect();
+        if let Some(load) = load(state, now, closing, peers.len()) {
+            let news = told.as_ref().is_none_or(|(at, before)| {
+                *before != load || now.saturating_duration_since(*at) >= REPEATED
+            });
+            if news {
+                send(socket, &peers, &load).await;
+                told = Some((now, load));
+            }
+        }
+        wait(state, closing).await;
+    }
+}
+
+/// Waits for the next question; an order that is about to be given is told at once.
+async fn wait(state: &State, closing: bool) {
+    let end = Instant::now() + INTERVAL;
+    loop {
+        let seen = state.changed.count();
+        if state.closing.get() != closing {
+            return;
+        }
+        let changed = state.changed.changed(seen).boxed_local();
+        let slept = compio::time::sleep_until(end).boxed_local();
+        if let Either::Right(_) = select(changed, slept).await {
+            return;
+        }
+    }
+}
+
+/// Takes the engine's state into the rollout.
+fn take(state: &State, report: Report) {
+    let held = state
+        .model()
+        .and_then(|model| report.weights.get(&model).copied());
+    let mut rollout = state.rollout.borrow_mut();
+    let before = rollout.is_switching();
+    rollout.observe(held, report.busy);
+    let changed = before != rollout.is_switching();
+    drop(rollout);
+    let known = state
+        .report
+        .borrow()
+        .as_ref()
+        .map(|(_, known)| (known.weights.clone(), known.busy, known.born));
+    let news = known != Some((report.weights.clone(), report.busy, report.born));
+    if news {
+        event!(
+            event::ENGINE_STATE,
+            weights = format_args!("{:?}", report.weights),
+            busy = report.busy,
+            running = report.running
+        );
+    }
+    *state.report.borrow_mut() = Some((Instant::now(), report));
+    if changed || news {
+        state.changed.notify();
+    }
+}
+
+/// Returns the load to tell; none without a fresh state of the engine.
+fn load(state: &State, now: Instant, closing: bool, entries: usize) -> Option<Load> {
+    if state.report_age(now)? > INTERVAL * 3 {
+        return None;
+    }
+    let report = state.report.borrow();
+    let (_, report) = report.as_ref()?;
+    Some(Load {
+        engine: state.engine.address(),
+        running: report.running,
+        waiting: report.waiting,
+        pace: report.pace as f32,
+        accepting: !closing && !report.busy && !state.rollout.borrow().is_switching(),
+        weights: report.weights.clone().into_iter().collect(),
+        entries: u16::try_from(entries).unwrap_or(u16::MAX),
+    })
+}
+
+async fn send(socket: &UdpSocket, peers: &[SocketAddr], load: &Load) {
+    let text = match Datagram::Load(load.clone()).encode() {
+        Ok(text) => text,
+        Err(error) => {
+            event!(event::DATAGRAM_FAILED, peer = "all", error = error);
+            return;
+        }
+    };
+    for peer in peers {
+        let BufResult(sent, _) = socket.send_to(text.clone(), *peer).await;
+        if let Err(error) = sent {
+            event!(event::DATAGRAM_FAILED, peer = peer, error = error);
+        }
+    }
+}
--- /dev/null
+++ b/bins/agent/src/rollout/serve.rs
@@ -0,0 +1,77 @@
+//! The ports and tasks of the agent.
+
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+
+use compio::runtime::spawn;
+use node::operator::{self, Operator};
+use prometheus_client::registry::Registry;
+
+use super::state::State;
+use super::{Settings, loads, switch, watch, weights};
+use crate::chunk_server;
+use crate::metrics::Transfers;
+use crate::transfer::{Holdings, Rates};
+
+/// Part of the VM's link that parts of weights may take; requests share it.
+const LINK_SHARE: f64 = 0.85;
+/// Bytes a second of one megabit a second.
+const BYTES_PER_MBIT: f64 = 125_000.0;
+/// Size of all parts that are held, in bytes.
+const CACHE: u64 = 48 << 20;
+/// Uploads at once; more would only share the same link.
+const UPLOADS: usize = 4;
+
+/// Runs the agent until `stop` resolves.
+///
+/// # Errors
+///
+/// Fails when a port can't be opened.
+pub async fn serve(settings: Settings, stop: impl Future<Output = ()>) -> io::Result<()> {
+    let chunks = node::listen(settings.chunk_listen)?;
+    let operators = node::listen(settings.operator_listen)?;
+    let load_port = node::bind(settings.load_listen)?;
+    let rate = (settings.link_mbps * BYTES_PER_MBIT * LINK_SHARE) as u64;
+    let rates = Rates {
+        uplink: rate,
+        downlink: rate,
+        inter_region: rate,
+    };
+    let mut registry = Registry::default();
+    let state = State::new(settings);
+    let me = state.me();
+    let transfers = Transfers::default();
+    transfers.register(&mut registry);
+    let holdings = Holdings::new(&me.domain, &me.region, &rates, CACHE, UPLOADS);
+    let holdings = Rc::new(holdings.with_metrics(transfers));
+    // Set to the origin's address before anything is drawn.
+    let origin = Rc::new(Cell::new(state.settings.engine));
+    let (transfer, worker) = weights::transfer(&state, Rc::clone(&holdings), Rc::clone(&origin));
+    let status = Rc::clone(&state);
+    let operator = Operator {
+        registry,
+        status: move || {
+            serde_json::json!({
+                "name": status.settings.name,
+                "wanted": status.wanted(),
+            })
+        },
+        healthy: || true,
+    };
+    let _tasks = [
+        spawn(watch::run(Rc::clone(&state))),
+        spawn(loads::run(Rc::clone(&state), load_port)),
+        spawn(worker.run()),
+        spawn(weights::run(
+            Rc::clone(&state),
+            Rc::clone(&holdings),
+            transfer,
+            origin,
+        )),
+        spawn(switch::run(state, Rc::clone(&holdings))),
+        spawn(operator::serve(operators, operator, std::future::pending())),
+    ];
+    chunk_server::serve(chunks, holdings, stop).await;
+    Ok(())
+}
--- /dev/null
+++ b/bins/agent/src/rollout/settings.rs
@@ -0,0 +1,69 @@
+//! Settings of an agent on the users' platform.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use node::settings::Fields;
+
+/// Everything that the agent reads from its settings file there.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of the VM.
+    pub name: String,
+    /// Failure domain of the VM.
+    pub domain: String,
+    /// Region of each failure domain.
+    pub regions: BTreeMap<String, String>,
+    /// Address of the engine on this VM.
+    pub engine: SocketAddr,
+    /// Service that the engine serves.
+    pub service: String,
+    /// Port for parts of weights; the same number at all agents.
+    pub chunk_listen: SocketAddr,
+    /// Port for operators.
+    pub operator_listen: SocketAddr,
+    /// UDP port on which entries subscribe; the same number at all agents.
+    pub load_listen: SocketAddr,
+    /// Address of the platform's store.
+    pub platform: SocketAddr,
+    /// Rate of the VM's link, in megabits a second.
+    pub link_mbps: f64,
+    /// Time in which a named version of weights must have replaced all older ones.
+    pub version: Duration,
+    /// Time from the signal to stop until the process is killed.
+    pub grace: Duration,
+}
+
+impl node::settings::Settings for Settings {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let address = "an address such as \"10.0.0.1:8080\"";
+        let number = "a number from 0";
+        let name = fields.text("name");
+        let domain = fields.text("domain");
+        let regions = fields.required("regions", "an object of regions by failure domain");
+        let engine = fields.required("engine", address);
+        let service = fields.text("service");
+        let chunk_listen = fields.required("chunk_listen", address);
+        let operator_listen = fields.required("operator_listen", address);
+        let load_listen = fields.required("load_listen", address);
+        let platform = fields.required("platform", address);
+        let link_mbps = fields.required("link_mbps", number);
+        let version = fields.millis("version_ms", 0..=3_600_000, None);
+        let grace = fields.required::<f64>("grace_s", number);
+        Some(Self {
+            name: name?,
+            domain: domain?,
+            regions: regions?,
+            engine: engine?,
+            service: service?,
+            chunk_listen: chunk_listen?,
+            operator_listen: operator_listen?,
+            load_listen: load_listen?,
+            platform: platform?,
+            link_mbps: link_mbps?,
+            version: version?,
+            grace: Duration::from_secs_f64(grace?.clamp(0.0, 3600.0)),
+        })
+    }
+}
--- /dev/null
+++ b/bins/agent/src/rollout/state.rs
@@ -0,0 +1,140 @@
+//! State that the agent's tasks share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use burst::{Members, Peer};
+use dispatch::{Engine as Facts, Origin, Target};
+use platform::engine::Report;
+use rollout::{Place, Rollout};
+use weights::Digest;
+
+use super::Settings;
+use super::engine::Engine;
+use crate::Notify;
+
+/// Version that engines hold before any is named.
+pub(super) const FIRST_VERSION: u64 = 1;
+
+/// What the agent knows of its engine, the other agents and the versions.
+pub(super) struct State {
+    pub(super) settings: Settings,
+    pub(super) engine: Engine,
+    /// Raised by every change that another task may have to act on.
+    pub(super) changed: Notify,
+    pub(super) rollout: RefCell<Rollout>,
+    /// The engine's state, and when it told it.
+    pub(super) report: RefCell<Option<(Instant, Report)>>,
+    pub(super) origin: Cell<Option<Origin>>,
+    pub(super) facts: RefCell<Option<Facts>>,
+    /// Digest of the manifest of each version whose manifest was read.
+    pub(super) digests: RefCell<BTreeMap<u64, Digest>>,
+    targets: RefCell<BTreeMap<String, Target>>,
+    /// Whether requests should go elsewhere because an order is about to be given.
+    pub(super) closing: Cell<bool>,
+}
+
+impl State {
+    pub(super) fn new(settings: Settings) -> Rc<Self> {
+        Rc::new(Self {
+            engine: Engine::new(settings.engine),
+            rollout: RefCell::new(Rollout::new(settings.version)),
+            settings,
+            changed: Notify::default(),
+            report: RefCell::default(),
+            origin: Cell::default(),
+            facts: RefCell::default(),
+            digests: RefCell::default(),
+            targets: RefCell::default(),
+            closing: Cell::new(false),
+        })
+    }
+
+    /// Returns the model that the engine serves.
+    pub(super) fn model(&self) -> Option<String> {
+        let facts = self.facts.borrow();
+        facts
+            .as_ref()?
+            .models
+            .first()
+            .map(|model| model.name.clone())
+    }
+
+    /// Returns the version that the engine should have: the newest named one, or the first.
+    pub(super) fn wanted(&self) -> u64 {
+        self.rollout.borrow().newest().unwrap_or(FIRST_VERSION)
+    }
+
+    /// Replaces the registered targets of the service.
+    pub(super) fn set_targets(&self, targets: BTreeMap<String, Target>) {
+        *self.targets.borrow_mut() = targets;
+        self.update_place();
+        self.changed.notify();
+    }
+
+    /// Adds, replaces or, with `None`, removes a target.
+    pub(super) fn set_target(&self, id: &str, target: Option<Target>) {
+        let mut targets = self.targets.borrow_mut();
+        match target {
+            Some(target) => targets.insert(id.into(), target),
+            None => targets.remove(id),
+        };
+        drop(targets);
+        self.update_place();
+        self.changed.notify();
+    }
+
+    /// Returns the agents beside the service's engines.
+    pub(super) fn members(&self) -> Members {
+        let port = self.settings.chunk_listen.port();
+        let targets = self.targets.borrow();
+        let live = targets
+            .values()
+            .filter(|target| target.service == self.settings.service && !target.draining);
+        Members::new(live.map(|target| Peer {
+            name: target.address.ip().to_string(),
+            domain: target.domain.clone(),
+            region: self.region(&target.domain),
+            address: (target.address.ip(), port).into(),
+        }))
+    }
+
+    /// Returns this agent as others see it.
+    pub(super) fn me(&self) -> Peer {
+        Peer {
+            name: self.settings.engine.ip().to_string(),
+            domain: self.settings.domain.clone(),
+            region: self.region(&self.settings.domain),
+            address: self.settings.chunk_listen,
+        }
+    }
+
+    /// Returns the time since the engine told its state.
+    pub(super) fn report_age(&self, now: Instant) -> Option<Duration> {
+        let report = self.report.borrow();
+        report
+            .as_ref()
+            .map(|(at, _)| now.saturating_duration_since(*at))
+    }
+
+    /// Gives the engine its place among the live ones in the order of the wanted version.
+    pub(super) fn update_place(&self) {
+        let targets = self.targets.borrow();
+        let addresses: Vec<String> = targets
+            .values()
+            .filter(|target| target.service == self.settings.service && !target.draining)
+            .map(|target| target.address.to_string())
+            .collect();
+        let live: Vec<&str> = addresses.iter().map(String::as_str).collect();
+        let own = self.settings.engine.to_string();
+        let place = Place::among(&own, &live, self.wanted());
+        self.rollout.borrow_mut().set_place(place);
+    }
+
+    fn region(&self, domain: &str) -> String {
+        let region = self.settings.regions.get(domain);
+        region.cloned().unwrap_or_else(|| domain.into())
+    }
+}
--- a/bins/agent/src/settings.rs
+++ b/bins/agent/src/settings.rs
@@ -7,6 +7,8 @@
 use gate::Backend;
 use node::settings::Fields;
 
+use crate::rollout;
+
 const ADDRESS: &str = "an address `IP:PORT`";
 /// Rates from 1 KB/s to 100 GB/s.
 const RATES: RangeInclusive<u64> = 1_000..=100_000_000_000;
@@ -61,6 +63,30 @@
     pub activate_timeout: Duration,
 }
 
+/// Settings by the interface that the agent serves, which the field `interface` names.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Interface {
+    /// carobport's own interface: `own`, or no such field.
+    Own(Settings),
+    /// The interface of the users' platform: `platform`.
+    Platform(rollout::Settings),
+}
+
+impl node::settings::Settings for Interface {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let allowed = "\"own\" or \"platform\"";
+        let interface: String = fields.optional("interface", allowed, "own".into())?;
+        match interface.as_str() {
+            "own" => Settings::read(fields).map(Self::Own),
+            "platform" => rollout::Settings::read(fields).map(Self::Platform),
+            _ => {
+                fields.finding("interface", allowed);
+                None
+            }
+        }
+    }
+}
+
 impl node::settings::Settings for Settings {
     fn read(fields: &mut Fields<'_>) -> Option<Self> {
         let name = fields.text("name");
--- a/bins/agent/src/staging.rs
+++ b/bins/agent/src/staging.rs
@@ -12,7 +12,7 @@
 use weights::{Digest, Pin};
 
 use crate::metrics::Transfers;
-use crate::transfer::{Holdings, Order, Rates, Settings, Transfer, Worker};
+use crate::transfer::{Holdings, Order, Origin, Rates, Settings, Transfer, Worker};
 use crate::{Shared, settings};
 
 /// Time between two looks at the transfer's progress and at the requests in progress. With 500 ms, `/status` told up to
@@ -46,7 +46,7 @@
 pub fn transfer(
     shared: &Rc<Shared>,
     holdings: Rc<Holdings>,
-    platform: platform::Client,
+    platform: objects::Client,
     store: SocketAddr,
 ) -> (Transfer, Worker) {
     let own = &shared.settings;
@@ -58,12 +58,12 @@
             address: own.chunk_listen,
         },
         incarnation: shared.started_ms,
-        store,
-        engine: own.backend_address,
+        origin: Origin::Store(store),
+        engine: Some(own.backend_address),
         parallel: PARALLEL,
     };
     let complete = Rc::clone(shared);
-    Transfer::new(settings, holdings, platform, move |pin: &Pin| {
+    Transfer::new(settings, holdings, Some(platform), move |pin: &Pin| {
         let staging = complete.staging.borrow().clone();
         // The engine may have restarted or the catalogue changed meanwhile; then another staging was asked for.
         if let Some((_, incarnation)) = staging.filter(|(staging, _)| staging == pin) {
--- a/bins/agent/src/transfer.rs
+++ b/bins/agent/src/transfer.rs
@@ -35,14 +35,23 @@
     /// Number that differs from that of all earlier processes of this name, for example the start time in
     /// milliseconds. Permits are taken under name and number, and a permit must not be used by two processes.
     pub incarnation: u64,
-    /// Address of the weight store.
-    pub store: SocketAddr,
-    /// Address of the engine.
-    pub engine: SocketAddr,
+    /// Where chunks come from that no agent has.
+    pub origin: Origin,
+    /// Address of an engine that takes each chunk as it is verified; without one, chunks are only held.
+    pub engine: Option<SocketAddr>,
     /// Most chunks requested at once.
     pub parallel: usize,
 }
 
+/// Where chunks come from that no agent has.
+#[derive(Clone, Debug)]
+pub enum Origin {
+    /// A weight store, which gives ranges of a version's bytes.
+    Store(SocketAddr),
+    /// The users' origin, which gives whole parts; its address may change with the configuration.
+    Parts(Rc<Cell<SocketAddr>>),
+}
+
 /// Weights that the engine should have.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Order {
@@ -69,11 +78,11 @@
 /// use std::rc::Rc;
 /// use agent::transfer::{Holdings, Rates, Settings, Transfer};
 ///
-/// # fn example(settings: Settings, platform: platform::Client, order: agent::transfer::Order) {
+/// # fn example(settings: Settings, platform: objects::Client, order: agent::transfer::Order) {
 /// let rates = Rates { uplink: 100_000_000, downlink: 100_000_000, inter_region: 2_500_000 };
 /// let holdings = Rc::new(Holdings::new(&settings.me.domain, &settings.me.region, &rates, 64 << 20, 4));
 /// let on_complete = |pin: &weights::Pin| println!("{pin} is staged");
-/// let (transfer, worker) = Transfer::new(settings, holdings, platform, on_complete);
+/// let (transfer, worker) = Transfer::new(settings, holdings, Some(platform), on_complete);
 /// compio::runtime::spawn(worker.run()).detach();
 /// transfer.set_members(burst::Members::default());
 /// transfer.want(Some(order));
@@ -116,11 +125,12 @@
 impl Transfer {
     /// Returns the handle and the worker, whose [`Worker::run`] must be spawned.
     ///
+    /// Draws need a permit of the platform; without a `platform` the order of the owners alone limits them.
     /// `on_complete` is called each time that every chunk of the wanted weights is verified and staged in the engine.
     pub fn new(
         settings: Settings,
         holdings: Rc<Holdings>,
-        platform: platform::Client,
+        platform: Option<objects::Client>,
         on_complete: impl Fn(&Pin) + 'static,
     ) -> (Self, Worker) {
         let (inputs, receiver) = unbounded();
--- a/bins/agent/src/transfer/fetch.rs
+++ b/bins/agent/src/transfer/fetch.rs
@@ -12,7 +12,7 @@
 use node::http::{self, Body, Client, HeaderMap, Request, StatusCode, header};
 use weights::{ChunkIndex, Digest, Manifest, Pin};
 
-use super::{Holdings, Settings};
+use super::{Holdings, Origin, Settings};
 use crate::metrics::Remote;
 
 /// Time in which each part of an answer must arrive. The downloader gives up stalled requests earlier.
@@ -121,22 +121,15 @@
         let len = manifest.chunk_len(chunk).ok_or(Error::NoChunk(chunk))? as usize;
         let mut partial = Partial::take(&self.partials, chunk);
         if partial.bytes.len() < len {
-            let first = manifest.offset(chunk) + partial.bytes.len() as u64;
-            let last = manifest.offset(chunk) + len as u64 - 1;
-            let request = Request::get(format!(
-                "/weights/{}/{}/data",
-                self.pin.model, self.pin.version
-            ))
-            .header(header::RANGE, format!("bytes={first}-{last}"))
-            .body(Body::empty())?;
+            let (origin, request) = self.draw_request(version, chunk, &mut partial.bytes)?;
             let answer = self
                 .http
-                .send(self.settings.store, request, Instant::now() + PART)
+                .send(origin, request, Instant::now() + PART)
                 .await?;
             progress();
             let (parts, body) = answer.into_parts();
             match parts.status {
-                StatusCode::PARTIAL_CONTENT => {}
+                StatusCode::PARTIAL_CONTENT | StatusCode::OK => {}
                 StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
                     return Ok(Answer::NotYet(wait(&parts.headers)));
                 }
@@ -161,6 +154,39 @@
         Ok(Answer::Bytes(partial.bytes.split().freeze()))
     }
 
+    /// Returns the request for what is missing of a chunk, and where to send it.
+    ///
+    /// The users' origin gives whole parts only, so what came of an interrupted draw is dropped.
+    fn draw_request(
+        &self,
+        version: &Version,
+        chunk: ChunkIndex,
+        received: &mut BytesMut,
+    ) -> Result<(SocketAddr, Request<Body>), Error> {
+        match &self.settings.origin {
+            Origin::Store(address) => {
+                let manifest = version.manifest();
+                let len = manifest.chunk_len(chunk).ok_or(Error::NoChunk(chunk))?;
+                let start = manifest.offset(chunk);
+                let first = start + received.len() as u64;
+                let last = start + u64::from(len) - 1;
+                let path = format!("/weights/{}/{}/data", self.pin.model, self.pin.version);
+                let request = Request::get(path)
+                    .header(header::RANGE, format!("bytes={first}-{last}"))
+                    .body(Body::empty())?;
+                Ok((*address, request))
+            }
+            Origin::Parts(address) => {
+                received.clear();
+                let number = self.pin.version.parse().map_err(|_| Error::Version {
+                    text: self.pin.version.clone(),
+                })?;
+                let request = platform::origin::piece(&self.pin.model, number, chunk);
+                Ok((address.get(), request))
+            }
+        }
+    }
+
     /// Fetches the manifest from another agent.
     pub(super) async fn manifest_from_peer(&self, peer: SocketAddr) -> Result<Version, Error> {
         self.manifest(peer, &format!("/manifests/{}", self.pin.digest))
@@ -170,7 +196,11 @@
     /// Fetches the manifest from the store.
     pub(super) async fn manifest_from_store(&self) -> Result<Version, Error> {
         let path = format!("/weights/{}/{}/manifest", self.pin.model, self.pin.version);
-        self.manifest(self.settings.store, &path).await
+        match &self.settings.origin {
+            Origin::Store(address) => self.manifest(*address, &path).await,
+            // The manifest of such an origin is known before the transfer starts.
+            Origin::Parts(_) => Err(Error::Status(StatusCode::NOT_FOUND)),
+        }
     }
 
     async fn manifest(&self, from: SocketAddr, path: &str) -> Result<Version, Error> {
@@ -263,7 +293,9 @@
     #[error("the manifest is not valid JSON: {0}")]
     Json(#[from] serde_json::Error),
     #[error(transparent)]
-    Version(#[from] burst::Error),
+    Manifest(#[from] burst::Error),
+    #[error("the version `{text}` is not a number")]
+    Version { text: String },
 }
 
 /// Takes the bytes of `piece` out of the bucket. The wait counts as progress: the sender is not to blame for it.
--- a/bins/agent/src/transfer/run.rs
+++ b/bins/agent/src/transfer/run.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use burst::{Action, Downloader, Members, RequestId, Setup, Source, StripeIndex, Version};
+use burst::{Action, Downloader, Grant, Members, RequestId, Setup, Source, StripeIndex, Version};
 use compio::runtime::JoinHandle;
 use futures::StreamExt;
 use futures::channel::mpsc::{UnboundedReceiver, UnboundedSender};
@@ -23,7 +23,7 @@
 pub struct Worker {
     settings: Rc<Settings>,
     holdings: Rc<Holdings>,
-    platform: platform::Client,
+    platform: Option<objects::Client>,
     on_complete: Box<dyn Fn(&Pin)>,
     handle: Transfer,
     receiver: UnboundedReceiver<Input>,
@@ -75,7 +75,7 @@
     pub(super) fn new(
         settings: Settings,
         holdings: Rc<Holdings>,
-        platform: platform::Client,
+        platform: Option<objects::Client>,
         on_complete: Box<dyn Fn(&Pin)>,
         handle: &Transfer,
         receiver: UnboundedReceiver<Input>,
@@ -397,7 +397,16 @@
     fn ask_permit(&mut self, stripe: StripeIndex, holder: String, read: bool) {
         let transfer = self.transfer;
         let inputs = self.handle.inputs.clone();
-        let platform = self.platform.clone();
+        let Some(platform) = self.platform.clone() else {
+            return send(
+                &inputs,
+                Input::Permit {
+                    transfer,
+                    stripe,
+                    grant: Grant::Granted,
+                },
+            );
+        };
         let metrics = self.holdings.metrics.clone();
         if let Some(chunks) = self.chunks_mut() {
             let name = chunks.downloader.version().stripes().object(stripe);
--- a/bins/agent/src/transfer/stage.rs
+++ b/bins/agent/src/transfer/stage.rs
@@ -29,15 +29,15 @@
 }
 
 struct Engine {
-    address: SocketAddr,
+    address: Option<SocketAddr>,
     http: Client,
     pin: Pin,
 }
 
 impl Stager {
-    /// Starts to send `version` to the engine at `address`; tells `inputs` when all chunks are staged.
+    /// Starts to send `version` to the engine at `address`, if there is one; tells `inputs` when all chunks are staged.
     pub(super) fn start(
-        address: SocketAddr,
+        address: Option<SocketAddr>,
         pin: Pin,
         version: Version,
         transfer: u64,
@@ -118,11 +118,14 @@
     }
 
     async fn try_put(&self, part: &str, bytes: Bytes) -> Result<(), super::fetch::Error> {
+        let Some(address) = self.address else {
+            return Ok(());
+        };
         let path = format!("/weights/{}/{part}", self.pin.digest);
         let request = Request::put(path).body(Body::from(bytes))?;
         let answer = self
             .http
-            .send(self.address, request, Instant::now() + super::CALL)
+            .send(address, request, Instant::now() + super::CALL)
             .await?;
         let (parts, body) = answer.into_parts();
         body.bytes(1 << 16).await?;
--- a/bins/agent/tests/claims.rs
+++ b/bins/agent/tests/claims.rs
@@ -109,7 +109,7 @@
     ] {
         shared.view.borrow_mut().merge(record);
     }
-    let client = platform::Client::new(platform, Duration::from_secs(1));
+    let client = objects::Client::new(platform, Duration::from_secs(1));
     let task = spawn(claims::run(Rc::clone(&shared), client));
     (shared, task)
 }
--- a/bins/agent/tests/transfer/support.rs
+++ b/bins/agent/tests/transfer/support.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use agent::chunk_server;
-use agent::transfer::{Holdings, Order, Rates, Settings, Transfer};
+use agent::transfer::{Holdings, Order, Origin, Rates, Settings, Transfer};
 use burst::{Members, Peer};
 use bytes::Bytes;
 use catalog::Plan;
@@ -231,18 +231,18 @@
         let settings = Settings {
             me: peer.clone(),
             incarnation: 1,
-            store: world,
-            engine: engine_address,
+            origin: Origin::Store(world),
+            engine: Some(engine_address),
             parallel: 8,
         };
-        let platform = platform::Client::new(world, Duration::from_secs(1));
+        let platform = objects::Client::new(world, Duration::from_secs(1));
         let complete: Rc<RefCell<Vec<Pin>>> = Rc::default();
         let on_complete = {
             let complete = Rc::clone(&complete);
             move |pin: &Pin| complete.borrow_mut().push(pin.clone())
         };
         let (transfer, worker) =
-            Transfer::new(settings, Rc::clone(&holdings), platform, on_complete);
+            Transfer::new(settings, Rc::clone(&holdings), Some(platform), on_complete);
         let server = chunk_server::serve(listener, Rc::clone(&holdings), std::future::pending());
         Agent {
             peer,
--- a/bins/catalog/src/catalogue.rs
+++ b/bins/catalog/src/catalogue.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use catalog::{Check, Entry, Finding, Revision, Stored};
-use platform::{Listing, Object};
+use objects::{Listing, Object};
 
 use crate::files::{self, Files};
 use crate::force::Revisions;
--- a/bins/catalog/tests/malformed.rs
+++ b/bins/catalog/tests/malformed.rs
@@ -3,7 +3,7 @@
 use carobport_catalog::catalogue::Catalogue;
 use carobport_catalog::files::Files;
 use catalog::Stored;
-use platform::{Listing, Object};
+use objects::{Listing, Object};
 use serde_json::{Value, json};
 use yare::parameterized;
 
--- a/bins/catalog/tests/put.rs
+++ b/bins/catalog/tests/put.rs
@@ -11,7 +11,7 @@
 use carobport_catalog::put::{Error, Written, parse, put};
 use catalog::{Entry, Stored};
 use node::http::{Body, Limits, Request, Response, StatusCode, header, json, response, serve};
-use platform::Client;
+use objects::Client;
 use yare::parameterized;
 
 /// What the platform does with a write.
--- /dev/null
+++ b/bins/entry/src/ingress.rs
@@ -0,0 +1,23 @@
+//! The entry on the users' platform: takes callers' requests and passes them to targets.
+//!
+//! A [`Gateway`] joins the decisions of the crate `dispatch` with HTTP. What the operators and the targets write into
+//! the platform's store reaches it through [`store`], the load of engines through [`loads`]. [`serve`] opens the ports
+//! and stops gracefully.
+
+mod attempt;
+mod call;
+pub mod events;
+mod gateway;
+mod loads;
+mod metrics;
+mod plain;
+mod serve;
+mod settings;
+mod store;
+mod stream;
+mod targets;
+
+pub use gateway::Gateway;
+pub use serve::serve;
+pub use settings::{Bounds, Settings};
+pub use targets::{Change, Registry};
--- /dev/null
+++ b/bins/entry/src/ingress/attempt.rs
@@ -0,0 +1,101 @@
+//! One attempt: the request to a target and the head of its answer.
+
+use std::time::{Duration, Instant};
+
+use dispatch::{Failure, Load};
+use node::event;
+use node::http::{Answer, Error, HeaderMap, StatusCode};
+use platform::answer::Head;
+
+use super::call::Call;
+use super::gateway::{Gateway, Placed};
+
+/// A target's own answer, of which the body is still to come.
+pub(super) struct Answered {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) head: Head,
+    pub(super) body: Answer,
+}
+
+impl Gateway {
+    /// Sends a request to its place and returns the head of the answer, at the latest at `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer that may be passed on.
+    pub(super) async fn attempt(
+        &self,
+        call: &Call,
+        placed: &Placed,
+        limit: Instant,
+        last_event: Option<u64>,
+    ) -> Result<Answered, Failure> {
+        let place = placed.place();
+        let request = call.to_target(&place.target, place.work.version, last_event);
+        let answer = match self.client.send(place.address, request, limit).await {
+            Ok(answer) => answer,
+            Err(Error::NotWritten { .. }) => return Err(Failure::NotConnected),
+            Err(Error::Unknown { .. }) if Instant::now() >= limit => return Err(Failure::Late),
+            Err(error) => {
+                event!(event::ANSWER_LOST, target = place.target, error = error);
+                return Err(Failure::Broken);
+            }
+        };
+        let (parts, body) = answer.into_parts();
+        let head = platform::answer::read(&parts.headers);
+        if let Some((running, waiting)) = head.load {
+            let load = Load {
+                running,
+                waiting,
+                pace: 1.0,
+                accepting: true,
+                weights: None,
+            };
+            self.update(|scheduler, now| scheduler.answer_load(now, &place.target, load));
+        }
+        match classify(call, parts.status, &head) {
+            Ok(()) => Ok(Answered {
+                status: parts.status,
+                headers: parts.headers,
+                head,
+                body,
+            }),
+            Err(failure) => {
+                // A refusal is read to its end, so that its connection can be used again.
+                match failure {
+                    Failure::Refused | Failure::Misdirected => discard(body).await,
+                    _ => body.close(),
+                }
+                Err(failure)
+            }
+        }
+    }
+}
+
+/// Tells whether an answer is the target's own answer to the request.
+fn classify(call: &Call, status: StatusCode, head: &Head) -> Result<(), Failure> {
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(Failure::Misdirected);
+    }
+    if head.not_run {
+        return Err(Failure::Refused);
+    }
+    if head.id.as_deref() != Some(&*call.caller.id) || !head.sealed || head.encoded {
+        event!(
+            event::FOREIGN_ANSWER,
+            request = call.caller.id,
+            received = head.id.as_deref().unwrap_or("none"),
+            sealed = head.sealed
+        );
+        return Err(Failure::Broken);
+    }
+    Ok(())
+}
+
+async fn discard(mut body: Answer) {
+    /// Time for the rest of a refusal to arrive.
+    const REST: Duration = Duration::from_millis(100);
+    body.set_deadline(Instant::now() + REST);
+    while let Ok(Some(_)) = body.next().await {}
+}
--- /dev/null
+++ b/bins/entry/src/ingress/call.rs
@@ -0,0 +1,179 @@
+//! A caller's request as it was admitted, and refusals of the entry's own.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use dispatch::{Config, Kind, Work};
+use hyper::Uri;
+use node::http::{Body, HeaderMap, Method, Request, Response, StatusCode, header, response};
+use platform::request::{Caller, Instructions};
+
+/// Time that a caller waits who doesn't tell.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+/// Time after which callers may come back while the entry holds no configuration.
+const UNCONFIGURED: Duration = Duration::from_millis(500);
+
+/// A request that the configuration allows.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) caller: Caller,
+    pub(super) service: String,
+    pub(super) kind: Kind,
+    pub(super) objective: Duration,
+    pub(super) gap: Duration,
+    pub(super) arrived: Instant,
+    pub(super) deadline: Instant,
+    attempts: u32,
+    priority: u8,
+    workspace: Option<String>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// A refusal or failure that the entry answers by itself.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Refusal {
+    pub(super) status: StatusCode,
+    pub(super) reason: &'static str,
+    pub(super) retry_after: Option<Duration>,
+}
+
+impl Call {
+    /// Evaluates a request against the configuration; `draw`, from 0 to 1, chooses among weighted services.
+    ///
+    /// # Errors
+    ///
+    /// Returns the request's id, as far as it has one, and the refusal.
+    pub(super) fn admit(
+        request: Request<Bytes>,
+        config: Option<&Config>,
+        now: Instant,
+        draw: f64,
+    ) -> Result<Self, (String, Refusal)> {
+        let (parts, body) = request.into_parts();
+        let caller = platform::request::read(&parts.headers).map_err(|reason| {
+            let refusal = Refusal::new(StatusCode::BAD_REQUEST, reason);
+            (String::new(), refusal)
+        })?;
+        let refuse = |refusal| (caller.id.clone(), refusal);
+        let config =
+            config.ok_or_else(|| refuse(Refusal::unavailable("unconfigured", UNCONFIGURED)))?;
+        let host = parts
+            .headers
+            .get(header::HOST)
+            .and_then(|host| host.to_str().ok())
+            .or(parts.uri.host())
+            .unwrap_or_default();
+        let not_found = || refuse(Refusal::new(StatusCode::NOT_FOUND, "no-route"));
+        let route = config.route(host, parts.uri.path()).ok_or_else(not_found)?;
+        let tenant =
+            match config.has_tenants() && !route.anonymous {
+                true => {
+                    let tenant = caller.key.as_deref().and_then(|key| config.tenant(key));
+                    Some(tenant.ok_or_else(|| {
+                        refuse(Refusal::new(StatusCode::UNAUTHORIZED, "unknown-key"))
+                    })?)
+                }
+                false => None,
+            };
+        let service = route.backend(draw).ok_or_else(not_found)?;
+        let wait = caller.deadline.unwrap_or(DEFAULT_DEADLINE);
+        let uri = parts
+            .uri
+            .into_parts()
+            .path_and_query
+            .map_or_else(|| Uri::from_static("/"), Uri::from);
+        Ok(Self {
+            service: service.into(),
+            kind: route.kind,
+            objective: route.objective,
+            gap: route.gap.unwrap_or(route.objective),
+            arrived: now,
+            deadline: now + wait.min(route.timeout),
+            attempts: route.attempts,
+            priority: tenant
+                .and_then(|tenant| tenant.priority)
+                .unwrap_or(route.priority),
+            workspace: tenant.map(|tenant| tenant.name.clone()),
+            method: parts.method,
+            uri,
+            headers: parts.headers,
+            body,
+            caller,
+        })
+    }
+
+    /// Tells whether the answer is a series of events.
+    pub(super) fn is_stream(&self) -> bool {
+        matches!(self.kind, Kind::Streaming { .. })
+    }
+
+    /// Returns what the scheduler needs to know.
+    pub(super) fn work(&self) -> Work {
+        Work {
+            service: self.service.clone(),
+            kind: self.kind,
+            priority: self.priority,
+            arrived: self.arrived,
+            objective: self.objective,
+            deadline: self.deadline,
+            prompt: self.caller.prompt,
+            model: self.caller.model.clone(),
+            version: None,
+            attempts: self.attempts,
+            tried: Vec::new(),
+        }
+    }
+
+    /// Returns the request for `target`; `last_event` is the last event that the caller has.
+    pub(super) fn to_target(
+        &self,
+        target: &str,
+        version: Option<u64>,
+        last_event: Option<u64>,
+    ) -> Request<Body> {
+        let instructions = Instructions {
+            target,
+            left: self.deadline.saturating_duration_since(Instant::now()),
+            workspace: self.workspace.as_deref(),
+            priority: self.priority,
+            version,
+            last_event,
+        };
+        let mut request = Request::new(Body::from(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = platform::request::write(&self.headers, &instructions);
+        request
+    }
+}
+
+impl Refusal {
+    pub(super) fn new(status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            status,
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// Returns the refusal of a request that did not run and may be sent again after `retry_after`.
+    pub(super) fn unavailable(reason: &'static str, retry_after: Duration) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason,
+            retry_after: Some(retry_after),
+        }
+    }
+
+    /// Returns the answer to the request `id`.
+    pub(super) fn answer(&self, id: &str) -> Response<Body> {
+        let mut answer = response(self.status, format!("{}\n", self.reason));
+        answer
+            .headers_mut()
+            .extend(platform::answer::own(id, self.retry_after));
+        answer
+    }
+}
--- /dev/null
+++ b/bins/entry/src/ingress/gateway.rs
@@ -0,0 +1,353 @@
+//! Requests in progress: the state that all tasks of the ingress share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use dispatch::{Decision, Failure, Outcome, Place, Reason, RequestId, Scheduler, Versions, Work};
+use futures::channel::oneshot;
+use node::event;
+use node::http::header::{self, HeaderValue};
+use node::http::{Body, Client, Request, Response, StatusCode};
+use prometheus_client::registry::Registry;
+use rand::RngExt;
+
+use super::Settings;
+use super::call::{Call, Refusal};
+use super::metrics::Metrics;
+
+/// Time in which a connection to a target must come about.
+const CONNECT_TIME: Duration = Duration::from_millis(300);
+/// Time between two polls while requests wait.
+const TICK: Duration = Duration::from_millis(10);
+/// Time between two polls while none does.
+const IDLE_TICK: Duration = Duration::from_millis(100);
+/// Time after which callers may come back to another entry while this one stops or holds no configuration.
+const ELSEWHERE: Duration = Duration::from_millis(200);
+
+/// Scheduler, callers that wait for it, and connections to targets.
+pub struct Gateway {
+    pub(super) settings: Settings,
+    pub(super) client: Client,
+    pub(super) metrics: Metrics,
+    scheduler: RefCell<Scheduler>,
+    steps: RefCell<HashMap<RequestId, oneshot::Sender<Decision>>>,
+    in_progress: Rc<Cell<usize>>,
+    draining: Cell<bool>,
+    refusing: Cell<bool>,
+}
+
+/// A caller that is being served; dropping it counts down.
+pub(super) struct InProgress(Rc<Cell<usize>>);
+
+/// A request that waits for a target; dropping it takes it out of the queue.
+struct Waiting<'a> {
+    gateway: &'a Gateway,
+    id: RequestId,
+}
+
+/// A request's place on a target; dropping it frees the place as if the caller had left.
+pub(super) struct Placed {
+    gateway: Rc<Gateway>,
+    place: Place,
+    ended: bool,
+}
+
+/// A request that got no place; it did not run in the attempt that this ends.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Rejection {
+    pub(super) reason: Reason,
+    pub(super) retry_after: Duration,
+}
+
+impl Gateway {
+    /// Returns a gateway without configuration or targets.
+    pub fn new(settings: Settings, registry: &mut Registry) -> Rc<Self> {
+        let versions = Versions::new(settings.bounds.version);
+        let mut scheduler = Scheduler::new(&settings.domain, versions, rand::rng().random());
+        let bounds = &settings.bounds;
+        scheduler.limit_repeats(
+            bounds.repeat_ratio,
+            bounds.repeat_extra,
+            bounds.repeat_window,
+            1,
+        );
+        Rc::new(Self {
+            settings,
+            client: Client::new().with_connect_time(CONNECT_TIME),
+            metrics: Metrics::new(registry),
+            scheduler: RefCell::new(scheduler),
+            steps: RefCell::default(),
+            in_progress: Rc::default(),
+            draining: Cell::new(false),
+            refusing: Cell::new(false),
+        })
+    }
+
+    /// Returns whether the entry takes new callers: it holds a configuration and isn't stopping.
+    pub fn is_ready(&self) -> bool {
+        self.scheduler.borrow().config().is_some() && !self.draining.get()
+    }
+
+    /// Returns the number of callers that are being served.
+    pub fn in_progress(&self) -> usize {
+        self.in_progress.get()
+    }
+
+    /// Tells the balancer to send no more callers, and callers to open new connections.
+    pub fn start_draining(&self) {
+        self.draining.set(true);
+    }
+
+    /// Refuses all further requests as not run.
+    pub fn start_refusing(&self) {
+        self.refusing.set(true);
+    }
+
+    /// Returns the object of `/status`.
+    pub fn status(&self) -> serde_json::Value {
+        let scheduler = self.scheduler.borrow();
+        serde_json::json!({
+            "name": self.settings.name,
+            "ready": self.is_ready(),
+            "config": scheduler.config().map(|config| config.version),
+            "targets": scheduler.targets().count(),
+            "waiting": scheduler.waiting(),
+            "in_progress": scheduler.in_progress(),
+        })
+    }
+
+    /// Calls `change` with the scheduler, and lets it act on what changed.
+    pub fn update<T>(&self, change: impl FnOnce(&mut Scheduler, Instant) -> T) -> T {
+        let result = change(&mut self.scheduler.borrow_mut(), Instant::now());
+        self.pump();
+        result
+    }
+
+    /// Calls `read` with the scheduler.
+    pub fn view<T>(&self, read: impl FnOnce(&Scheduler) -> T) -> T {
+        read(&self.scheduler.borrow())
+    }
+
+    /// Polls the scheduler while requests wait; never returns.
+    pub async fn keep_time(self: Rc<Self>) {
+        loop {
+            let waiting = self.scheduler.borrow().waiting() > 0;
+            compio::time::sleep(if waiting { TICK } else { IDLE_TICK }).await;
+            if waiting {
+                self.pump();
+            }
+        }
+    }
+
+    /// Serves one caller's request.
+    pub async fn handle(self: Rc<Self>, request: Request<Bytes>) -> Response<Body> {
+        let guard = InProgress::new(&self.in_progress);
+        let now = Instant::now();
+        let config = self.scheduler.borrow().config().cloned();
+        let draw = rand::rng().random();
+        let mut answer = match Call::admit(request, config.as_deref(), now, draw) {
+            Ok(_) if self.refusing.get() => {
+                self.refuse("", &Refusal::unavailable("stopping", ELSEWHERE))
+            }
+            Ok(call) if call.is_stream() => super::stream::serve(&self, call, guard).await,
+            Ok(call) => super::plain::serve(&self, &call).await,
+            Err((id, refusal)) => self.refuse(&id, &refusal),
+        };
+        if self.draining.get() {
+            // The caller's next connection goes to another entry.
+            answer
+                .headers_mut()
+                .insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        answer
+    }
+
+    /// Submits `work` and waits for its place.
+    pub(super) async fn submit(self: &Rc<Self>, work: Work) -> Result<Placed, Rejection> {
+        let id = self.scheduler.borrow_mut().submit(Instant::now(), work);
+        self.wait(id).await
+    }
+
+    /// Submits a request once more after an attempt failed; `None` when it may not be sent again.
+    pub(super) async fn retry(
+        self: &Rc<Self>,
+        work: Work,
+        failure: Failure,
+    ) -> Option<Result<Placed, Rejection>> {
+        let id = self
+            .scheduler
+            .borrow_mut()
+            .retry(Instant::now(), work, failure)?;
+        Some(self.wait(id).await)
+    }
+
+    /// Returns a time after which a caller whose request did not run may come back.
+    pub(super) fn retry_after(&self, deadline: Instant) -> Duration {
+        self.scheduler
+            .borrow_mut()
+            .retry_after(Instant::now(), deadline)
+    }
+
+    /// Logs and counts a refusal of the entry's own, and returns its answer.
+    pub(super) fn refuse(&self, id: &str, refusal: &Refusal) -> Response<Body> {
+        self.metrics.refused(refusal.reason);
+        event!(
+            event::REQUEST_REFUSED,
+            request = id,
+            status = refusal.status.as_u16(),
+            reason = refusal.reason,
+            retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis()
+        );
+        refusal.answer(id)
+    }
+
+    /// Returns the final answer to a request that no target answered.
+    pub(super) fn give_up(&self, call: &Call, end: &End) -> Response<Body> {
+        let refusal = match *end {
+            End::NotRun {
+                reason,
+                retry_after,
+            } => Refusal::unavailable(reason, retry_after),
+            End::MayHaveRun(Failure::Late) => {
+                Refusal::new(StatusCode::GATEWAY_TIMEOUT, Failure::Late.name())
+            }
+            End::MayHaveRun(failure) => Refusal::new(StatusCode::BAD_GATEWAY, failure.name()),
+        };
+        self.refuse(&call.caller.id, &refusal)
+    }
+
+    async fn wait(self: &Rc<Self>, id: RequestId) -> Result<Placed, Rejection> {
+        let (sender, receiver) = oneshot::channel();
+        self.steps.borrow_mut().insert(id, sender);
+        let waiting = Waiting { gateway: self, id };
+        self.pump();
+        let decision = receiver.await;
+        drop(waiting);
+        match decision {
+            Ok(Decision::Send(place)) => Ok(Placed {
+                gateway: Rc::clone(self),
+                place,
+                ended: false,
+            }),
+            Ok(Decision::Reject {
+                reason,
+                retry_after,
+                ..
+            }) => Err(Rejection {
+                reason,
+                retry_after,
+            }),
+            // The sender lives in the gateway until the request has its decision.
+            Err(_) => unreachable!("the request {id} lost its scheduler"),
+        }
+    }
+
+    /// Lets the scheduler act and passes its decisions to the callers that wait for them.
+    fn pump(&self) {
+        loop {
+            let now = Instant::now();
+            let decisions = self.scheduler.borrow_mut().poll(now);
+            if decisions.is_empty() {
+                return;
+            }
+            for decision in decisions {
+                let id = match &decision {
+                    Decision::Send(place) => place.request,
+                    Decision::Reject { request, .. } => *request,
+                };
+                let step = self.steps.borrow_mut().remove(&id);
+                if step.is_none_or(|step| step.send(decision).is_err()) {
+                    // The caller is gone.
+                    self.scheduler
+                        .borrow_mut()
+                        .ended(now, id, Outcome::Abandoned);
+                }
+            }
+        }
+    }
+}
+
+/// How a request ended that no target answered.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum End {
+    /// No attempt ran it.
+    NotRun {
+        reason: &'static str,
+        retry_after: Duration,
+    },
+    /// An attempt may have run it.
+    MayHaveRun(Failure),
+}
+
+impl Placed {
+    pub(super) fn place(&self) -> &Place {
+        &self.place
+    }
+
+    /// Notes that the first event arrived.
+    pub(super) fn started(&self) {
+        self.gateway
+            .scheduler
+            .borrow_mut()
+            .started(self.place.request);
+    }
+
+    /// Ends the attempt and returns what was asked for, to be submitted once more or dropped.
+    pub(super) fn end(mut self, outcome: Outcome) -> Work {
+        self.finish(outcome);
+        self.place.work.clone()
+    }
+
+    fn finish(&mut self, outcome: Outcome) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let (id, target) = (self.place.request, &self.place.target);
+        if let Outcome::Failed(failure) = outcome {
+            self.gateway.metrics.failed(failure);
+            event!(
+                event::ATTEMPT_FAILED,
+                request = id,
+                target = target,
+                failure = failure.name(),
+                load = self.place.load
+            );
+        }
+        let ejected = self
+            .gateway
+            .update(|scheduler, now| scheduler.ended(now, id, outcome));
+        if ejected {
+            event!(event::TARGET_EJECTED, target = target);
+        }
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        self.finish(Outcome::Abandoned);
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.gateway.steps.borrow_mut().remove(&self.id).is_some() {
+            self.gateway.scheduler.borrow_mut().cancel(self.id);
+        }
+    }
+}
+
+impl InProgress {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- /dev/null
+++ b/bins/entry/src/ingress/settings.rs
@@ -0,0 +1,88 @@
+//! Settings of an entry on the users' platform.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use node::settings::Fields;
+
+/// Everything that the entry reads from its settings file there.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of the VM.
+    pub name: String,
+    /// Failure domain of the VM.
+    pub domain: String,
+    /// Port for callers.
+    pub caller_listen: SocketAddr,
+    /// Port on which the balancer asks whether the entry takes callers.
+    pub ready_listen: SocketAddr,
+    /// Port for operators.
+    pub operator_listen: SocketAddr,
+    /// UDP port on which agents tell the load of their engines; agents use the same number.
+    pub load_listen: SocketAddr,
+    /// Address of the platform's store.
+    pub platform: SocketAddr,
+    /// What the deployment demands.
+    pub bounds: Bounds,
+}
+
+/// Bounds that the deployment sets.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// Time from the signal to stop until the process is killed.
+    pub grace: Duration,
+    /// Time in which a named version of weights must have replaced all older ones.
+    pub version: Duration,
+    /// Repeats allowed per request.
+    pub repeat_ratio: f64,
+    /// Repeats allowed besides, per window and over all entries.
+    pub repeat_extra: f64,
+    /// Window of repeats.
+    pub repeat_window: Duration,
+}
+
+impl node::settings::Settings for Settings {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let address = "an address such as \"10.0.0.1:8080\"";
+        let name = fields.text("name");
+        let domain = fields.text("domain");
+        let caller_listen = fields.required("caller_listen", address);
+        let ready_listen = fields.required("ready_listen", address);
+        let operator_listen = fields.required("operator_listen", address);
+        let load_listen = fields.required("load_listen", address);
+        let platform = fields.required("platform", address);
+        let bounds = fields.object("bounds");
+        Some(Self {
+            name: name?,
+            domain: domain?,
+            caller_listen: caller_listen?,
+            ready_listen: ready_listen?,
+            operator_listen: operator_listen?,
+            load_listen: load_listen?,
+            platform: platform?,
+            bounds: bounds?,
+        })
+    }
+}
+
+impl node::settings::Settings for Bounds {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let number = "a number from 0";
+        let grace = fields.required::<f64>("grace_s", number);
+        let version = fields.millis("version_ms", 0..=3_600_000, None);
+        let ratio = fields.required("repeat_ratio", number);
+        let extra = fields.required("repeat_extra", number);
+        let window = fields.required::<f64>("repeat_window_s", number);
+        Some(Self {
+            grace: seconds(grace?),
+            version: version?,
+            repeat_ratio: ratio?,
+            repeat_extra: extra?,
+            repeat_window: seconds(window?),
+        })
+    }
+}
+
+fn seconds(number: f64) -> Duration {
+    Duration::from_secs_f64(number.clamp(0.0, 3600.0))
+}
--- a/bins/entry/src/lib.rs
+++ b/bins/entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod call;
 mod gateway;
+pub mod ingress;
 mod metrics;
 mod passing;
 pub mod peer;
@@ -18,4 +19,4 @@
 
 pub use gateway::Gateway;
 pub use serve::{serve, serve_on};
-pub use settings::Settings;
+pub use settings::{Interface, Settings};
--- a/bins/entry/src/main.rs
+++ b/bins/entry/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use entry::Interface;
 use entry::shared::Shared;
 
 /// Takes callers' requests and routes them to targets
@@ -21,9 +22,20 @@
 
 fn main() -> ExitCode {
     match node::arguments::parse(&options()) {
-        Ok(options) => node::serve("carobport-entry", &options.settings, async |settings| {
-            entry::serve(settings, Shared::new(), node::signal::shutdown()).await
-        }),
+        Ok(options) => {
+            node::serve(
+                "carobport-entry",
+                &options.settings,
+                async |settings| match settings {
+                    Interface::Own(settings) => {
+                        entry::serve(settings, Shared::new(), node::signal::shutdown()).await
+                    }
+                    Interface::Platform(settings) => {
+                        entry::ingress::serve(settings, node::signal::shutdown()).await
+                    }
+                },
+            )
+        }
         Err(code) => code,
     }
 }
--- a/bins/entry/src/peer/watch.rs
+++ b/bins/entry/src/peer/watch.rs
@@ -6,7 +6,7 @@
 use catalog::Stored;
 use gossip::{Key, Record, Value, Version};
 use node::event;
-use platform::{Listing, Object};
+use objects::{Listing, Object};
 
 use super::Peering;
 
--- a/bins/entry/src/settings.rs
+++ b/bins/entry/src/settings.rs
@@ -5,6 +5,8 @@
 
 use node::settings::Fields;
 
+use crate::ingress;
+
 /// Everything that the entry reads from its settings file.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Settings {
@@ -32,6 +34,30 @@
     pub stall: Duration,
 }
 
+/// Settings by the interface that the entry serves, which the field `interface` names.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Interface {
+    /// carobport's own interface: `own`, or no such field.
+    Own(Settings),
+    /// The interface of the users' platform: `platform`.
+    Platform(ingress::Settings),
+}
+
+impl node::settings::Settings for Interface {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let allowed = "\"own\" or \"platform\"";
+        let interface: String = fields.optional("interface", allowed, "own".into())?;
+        match interface.as_str() {
+            "own" => Settings::read(fields).map(Self::Own),
+            "platform" => ingress::Settings::read(fields).map(Self::Platform),
+            _ => {
+                fields.finding("interface", allowed);
+                None
+            }
+        }
+    }
+}
+
 impl node::settings::Settings for Settings {
     fn read(fields: &mut Fields<'_>) -> Option<Self> {
         let address = "an address such as \"10.0.0.1:8080\"";
--- a/bins/standin/src/engine/staging.rs
+++ b/bins/standin/src/engine/staging.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use node::http::{Body, Response, StatusCode, response};
-use weights::{Digest, Manifest};
+use weights::{Algorithm, Digest, Manifest};
 
 /// Staged versions, by the digest under which they were staged.
 ///
@@ -58,6 +58,7 @@
             size: chunks.iter().map(|(_, length)| length).sum(),
             chunk_size: version.manifest.chunk_size,
             chunks: chunks.iter().map(|(digest, _)| *digest).collect(),
+            algorithm: Algorithm::Blake3,
         };
         Some(held.digest())
     }
--- a/bins/standin/src/platform.rs
+++ b/bins/standin/src/platform.rs
@@ -11,7 +11,7 @@
 use futures::channel::oneshot;
 use node::http::{Body, Method, Request, Response, StatusCode, cut, header, json, response};
 use node::settings::{Fields, Settings};
-use platform::{Listing, Object, State, Vm};
+use objects::{Listing, Object, State, Vm};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
--- a/bins/standin/src/store.rs
+++ b/bins/standin/src/store.rs
@@ -12,7 +12,7 @@
 use node::http::{Body, Method, Request, Response, StatusCode, header, json, response};
 use node::settings::{Fields, Settings};
 use serde::{Deserialize, Serialize};
-use weights::{Digest, Manifest};
+use weights::{Algorithm, Digest, Manifest};
 
 use crate::control::Control;
 use crate::server::{self, Standin};
@@ -124,6 +124,7 @@
             size: model.size,
             chunk_size: model.chunk_size,
             chunks: chunks.collect(),
+            algorithm: Algorithm::Blake3,
         };
         Self { manifest, content }
     }
--- a/crates/burst/src/downloader.rs
+++ b/crates/burst/src/downloader.rs
@@ -272,7 +272,7 @@
 
     fn take(&mut self, request: &Request, answer: Answer, now: Instant, actions: &mut Vec<Action>) {
         match answer {
-            Answer::Bytes(bytes) => match Chunk::verify(self.version.chunk(request.chunk), bytes) {
+            Answer::Bytes(bytes) => match self.version.verify(request.chunk, bytes) {
                 Ok(content) => return self.accept(request, content, actions),
                 Err(_) => {
                     self.stats.corrupted += 1;
--- a/crates/burst/src/version.rs
+++ b/crates/burst/src/version.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use weights::{ChunkIndex, Digest, Manifest};
+use bytes::Bytes;
+use weights::{Chunk, ChunkIndex, Digest, Manifest, Mismatch};
 
 use crate::Stripes;
 
@@ -82,6 +83,19 @@
         self.manifest.chunks.len() as u32
     }
 
+    /// Returns `bytes` as chunk `chunk`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Mismatch`] when they aren't its content.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the version has no such chunk.
+    pub fn verify(&self, chunk: ChunkIndex, bytes: Bytes) -> Result<Chunk, Mismatch> {
+        Chunk::verify_by(self.manifest.algorithm, self.chunk(chunk), bytes)
+    }
+
     /// Returns the digest of chunk `chunk`.
     ///
     /// # Panics
--- /dev/null
+++ b/crates/dispatch/src/budget.rs
@@ -0,0 +1,56 @@
+//! A budget for requests that are sent once more.
+
+use std::time::{Duration, Instant};
+
+/// Share of the allowance that is used: the bound is judged in sliding windows over all entries, whose shares of the
+/// traffic differ.
+const USED: f64 = 0.5;
+
+/// Limits repeated requests to a share of the first ones, plus a constant rate.
+///
+/// Every entry keeps a budget of its own. Their sum stays within the bound of the deployment because each gets its own
+/// requests' share, and the constant part is divided by the number of entries.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    ratio: f64,
+    per_s: f64,
+    capacity: f64,
+    tokens: f64,
+    at: Instant,
+}
+
+impl Budget {
+    /// Returns a full budget: `ratio` repeats per request and `extra` repeats per `window`, shared by `entries`.
+    pub fn new(ratio: f64, extra: f64, window: Duration, entries: usize, now: Instant) -> Self {
+        let share = USED * extra / entries.max(1) as f64;
+        Self {
+            ratio: USED * ratio,
+            per_s: share / window.as_secs_f64().max(0.001) / 2.0,
+            capacity: share.max(1.0),
+            tokens: share.max(1.0) / 2.0,
+            at: now,
+        }
+    }
+
+    /// Counts a request that a caller sent.
+    pub fn request(&mut self, now: Instant) {
+        self.refill(now);
+        self.tokens = (self.tokens + self.ratio).min(self.capacity);
+    }
+
+    /// Takes a repeat out of the budget, and returns whether there was one.
+    pub fn take(&mut self, now: Instant) -> bool {
+        self.refill(now);
+        let left = self.tokens >= 1.0;
+        if left {
+            self.tokens -= 1.0;
+        }
+        left
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        self.tokens = (self.tokens + passed * self.per_s).min(self.capacity);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/health.rs
@@ -0,0 +1,100 @@
+//! Keeps requests away from targets that fail.
+
+use std::time::{Duration, Instant};
+
+/// Bounds of the time for which a failing target is ejected; it doubles with each ejection.
+const EJECTION: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(4));
+/// Weight of the newest outcome in the failure rate.
+const NEWEST: f64 = 0.15;
+/// Failure rate from which a target is ejected.
+const EJECTION_RATE: f64 = 0.3;
+/// Failures in a row from which a target is ejected.
+const EJECTION_STREAK: u32 = 3;
+/// Time without ejection after which the next one is short again.
+const FORGIVEN: Duration = Duration::from_secs(10);
+
+/// How a target failed a request.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Failure {
+    /// No connection came about.
+    NotConnected,
+    /// The target said that it did not run the request.
+    Refused,
+    /// Another target, or one with other weights, has the address.
+    Misdirected,
+    /// The connection broke, or the answer was malformed or belongs to another request.
+    Broken,
+    /// The answer did not come in time.
+    Late,
+    /// The target answered with a server error of its own.
+    Error,
+}
+
+/// Record of a target's outcomes.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    rate: f64,
+    streak: u32,
+    ejections: u32,
+    until: Option<Instant>,
+}
+
+impl Failure {
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotConnected => "not-connected",
+            Self::Refused => "refused",
+            Self::Misdirected => "misdirected",
+            Self::Broken => "broken",
+            Self::Late => "late",
+            Self::Error => "error",
+        }
+    }
+
+    /// Tells whether the request certainly did not run.
+    pub fn is_not_run(self) -> bool {
+        matches!(self, Self::NotConnected | Self::Refused | Self::Misdirected)
+    }
+}
+
+impl Health {
+    /// Returns the share of failures among the latest outcomes.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
+    /// Tells whether the target gets no requests at `now`.
+    pub fn is_ejected(&self, now: Instant) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+
+    /// Counts a success.
+    pub fn success(&mut self, now: Instant) {
+        self.rate *= 1.0 - NEWEST;
+        self.streak = 0;
+        if self.until.is_some_and(|until| until + FORGIVEN < now) {
+            self.ejections = 0;
+        }
+    }
+
+    /// Counts a failure; returns whether the target was ejected for it.
+    pub fn failure(&mut self, now: Instant, failure: Failure) -> bool {
+        match failure {
+            // The target is busy or changed its weights; its load tells whether it takes work.
+            Failure::Refused | Failure::Misdirected => return false,
+            Failure::NotConnected => self.streak = EJECTION_STREAK,
+            Failure::Broken | Failure::Late | Failure::Error => self.streak += 1,
+        }
+        self.rate += (1.0 - self.rate) * NEWEST;
+        let eject = self.streak >= EJECTION_STREAK || self.rate >= EJECTION_RATE;
+        if eject && !self.is_ejected(now) {
+            let time = EJECTION.0 * 2u32.pow(self.ejections.min(8));
+            self.until = Some(now + time.min(EJECTION.1));
+            self.ejections += 1;
+            self.streak = EJECTION_STREAK - 1;
+            return true;
+        }
+        false
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/queue.rs
@@ -0,0 +1,83 @@
+//! Requests of a service that wait for a target.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::work::{RequestId, Work};
+
+/// Share of the objective for which a request waits; what is left of it is needed by the target.
+const PATIENCE: f64 = 0.6;
+/// Weight of the newest interval in the mean time between two placements.
+const NEWEST: f64 = 0.1;
+/// Time without a placement after which the mean of earlier ones says nothing.
+const RATE_KEPT: Duration = Duration::from_secs(2);
+
+/// Order of waiting requests: rank first, then arrival.
+type Order = (u8, RequestId);
+
+/// Waiting requests, the most urgent first.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    waiting: BTreeMap<Order, Work>,
+    /// Mean time between two placements while requests waited, in seconds.
+    interval: Option<f64>,
+    last: Option<Instant>,
+}
+
+impl Queue {
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(crate) fn push(&mut self, id: RequestId, work: Work) {
+        self.waiting.insert((work.priority, id), work);
+    }
+
+    pub(crate) fn remove(&mut self, order: Order) -> Option<Work> {
+        self.waiting.remove(&order)
+    }
+
+    /// Removes the request `id`, and returns whether it was waiting.
+    pub(crate) fn cancel(&mut self, id: RequestId) -> bool {
+        let order = self.waiting.keys().find(|(_, other)| *other == id).copied();
+        order.is_some_and(|order| self.waiting.remove(&order).is_some())
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (Order, &Work)> {
+        self.waiting.iter().map(|(order, work)| (*order, work))
+    }
+
+    /// Returns the time until which `work` may wait.
+    pub(crate) fn patience(work: &Work) -> Instant {
+        (work.arrived + work.objective.mul_f64(PATIENCE)).min(work.deadline)
+    }
+
+    /// Returns the time at which the first request has waited long enough.
+    pub(crate) fn next_expiry(&self) -> Option<Instant> {
+        self.waiting.values().map(Self::patience).min()
+    }
+
+    /// Notes that a waiting request got a target at `now`.
+    pub(crate) fn placed(&mut self, now: Instant) {
+        if let Some(last) = self.last.replace(now) {
+            let passed = now.saturating_duration_since(last);
+            if passed < RATE_KEPT {
+                let passed = passed.as_secs_f64();
+                let mean = self.interval.unwrap_or(passed);
+                self.interval = Some(mean + (passed - mean) * NEWEST);
+            }
+        }
+    }
+
+    /// Returns the forecast of the time that a request of rank `priority` would wait behind those ahead of it.
+    pub(crate) fn wait(&self, now: Instant, priority: u8) -> Option<Duration> {
+        let fresh = self
+            .last
+            .is_some_and(|last| now.saturating_duration_since(last) < RATE_KEPT);
+        let interval = self.interval.filter(|_| fresh)?;
+        let ahead = self.waiting.range(..=(priority, RequestId::MAX)).count();
+        Some(Duration::from_secs_f64(
+            (interval * ahead as f64).min(3600.0),
+        ))
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/scheduler.rs
@@ -0,0 +1,504 @@
+//! Placement, waiting and refusal of one entry's requests.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::budget::Budget;
+use crate::config::{Config, Engine};
+use crate::health::Failure;
+use crate::queue::Queue;
+use crate::target::{Held, Load, Target, TargetId};
+use crate::versions::Versions;
+use crate::work::{Reason, RequestId, Work};
+
+/// Requests beyond its slots that an engine may hold; a freed slot is then taken at once, and the wait stays short.
+const ENGINE_BACKLOG: u32 = 2;
+/// Share of its slots that a plain target may hold beyond them.
+const PLAIN_BACKLOG: f64 = 0.5;
+/// Time to a first token that another failure domain must save to be preferred; bytes between domains have a price.
+const DOMAIN_PENALTY: Duration = Duration::from_millis(25);
+/// Load that a plain target of another failure domain must save to be preferred.
+const DOMAIN_LOAD: f64 = 0.5;
+/// Time that is added to a target's forecast if all of its requests fail.
+const FAILURE_PENALTY: Duration = Duration::from_millis(400);
+/// Least time that must be left for another attempt.
+const LEAST_TIME: Duration = Duration::from_millis(20);
+/// Attempts that may end without a connection, beside those that were sent.
+const UNCONNECTED: usize = 3;
+/// Waiting requests that are looked at before the rest waits for the next poll.
+const SCANNED: usize = 64;
+
+/// Requests, targets and configuration of one entry.
+#[derive(Debug)]
+pub struct Scheduler {
+    domain: String,
+    config: Option<Rc<Config>>,
+    versions: Versions,
+    targets: BTreeMap<TargetId, Held>,
+    queues: BTreeMap<String, Queue>,
+    budgets: HashMap<String, Budget>,
+    repeats: Repeats,
+    places: HashMap<RequestId, TargetId>,
+    next: RequestId,
+    rejected: Vec<Decision>,
+    random: SmallRng,
+}
+
+/// Bounds of repeated requests.
+#[derive(Clone, Copy, Debug)]
+struct Repeats {
+    ratio: f64,
+    extra: f64,
+    window: Duration,
+    entries: usize,
+}
+
+/// What the owner of the scheduler must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// Send the request to its place.
+    Send(Place),
+    /// Tell the caller that the request did not run.
+    Reject {
+        /// The request.
+        request: RequestId,
+        /// Why it is refused.
+        reason: Reason,
+        /// Time after which the caller may come back.
+        retry_after: Duration,
+    },
+}
+
+/// Where a request is sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    /// The request.
+    pub request: RequestId,
+    /// What it asks for; the target is among those tried.
+    pub work: Work,
+    /// Id of the target.
+    pub target: TargetId,
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// Requests that the target was taken to hold, this one not counted.
+    pub load: u32,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The caller got the target's answer.
+    Answered,
+    /// There was no answer to pass on.
+    Failed(Failure),
+    /// The caller left.
+    Abandoned,
+}
+
+impl Scheduler {
+    /// Returns the scheduler of an entry in `domain`; `seed` sets its random choices.
+    pub fn new(domain: &str, versions: Versions, seed: u64) -> Self {
+        Self {
+            domain: domain.into(),
+            config: None,
+            versions,
+            targets: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            budgets: HashMap::new(),
+            repeats: Repeats {
+                ratio: 0.1,
+                extra: 20.0,
+                window: Duration::from_secs(10),
+                entries: 1,
+            },
+            places: HashMap::new(),
+            next: 0,
+            rejected: Vec::new(),
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Limits repeats to `ratio` of the requests plus `extra` per `window`, over `entries` entries together.
+    pub fn limit_repeats(&mut self, ratio: f64, extra: f64, window: Duration, entries: usize) {
+        self.repeats = Repeats {
+            ratio,
+            extra,
+            window,
+            entries,
+        };
+        self.budgets.clear();
+    }
+
+    /// Sets the number of entries, among which repeats are shared.
+    pub fn set_entries(&mut self, entries: usize) {
+        let entries = entries.max(1);
+        if self.repeats.entries != entries {
+            self.repeats.entries = entries;
+            self.budgets.clear();
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Option<&Rc<Config>> {
+        self.config.as_ref()
+    }
+
+    /// Takes a configuration.
+    pub fn set_config(&mut self, config: Rc<Config>) {
+        self.config = Some(config);
+    }
+
+    /// Takes `version` of `model` as named, and returns whether it is news.
+    pub fn name_version(&mut self, now: Instant, model: &str, version: u64) -> bool {
+        self.versions.name(now, model, version)
+    }
+
+    /// Adds a target or takes its newer registration.
+    pub fn put_target(&mut self, target: Target) {
+        match self.targets.get_mut(&target.id) {
+            Some(held) => held.update(target),
+            None => {
+                self.targets.insert(target.id.clone(), Held::new(target));
+            }
+        }
+    }
+
+    /// Forgets a target; its requests end as they would have.
+    pub fn remove_target(&mut self, id: &str) {
+        self.targets.remove(id);
+    }
+
+    /// Returns the targets by id.
+    pub fn targets(&self) -> impl Iterator<Item = &Target> {
+        self.targets.values().map(|held| &held.target)
+    }
+
+    /// Returns the target called `id`.
+    pub fn target(&self, id: &str) -> Option<&Target> {
+        self.targets.get(id).map(|held| &held.target)
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.queues.values().map(Queue::len).sum()
+    }
+
+    /// Returns the number of requests at targets.
+    pub fn in_progress(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Takes the load that the target at `address` told of itself.
+    pub fn report(&mut self, now: Instant, address: SocketAddr, load: Load) {
+        let held = self
+            .targets
+            .values_mut()
+            .find(|held| held.target.address == address);
+        if let Some(held) = held {
+            held.report(now, load);
+        }
+    }
+
+    /// Takes the load that an answer of target `id` carried.
+    pub fn answer_load(&mut self, now: Instant, id: &str, load: Load) {
+        if let Some(held) = self.targets.get_mut(id) {
+            held.report(now, load);
+        }
+    }
+
+    /// Takes a request; [`Scheduler::poll`] gives out what becomes of it.
+    pub fn submit(&mut self, now: Instant, work: Work) -> RequestId {
+        self.budget(now, &work.service).request(now);
+        self.enqueue(now, work)
+    }
+
+    /// Takes a request whose attempt failed once more, or returns `None` when it may not be sent again.
+    ///
+    /// It may be if it certainly did not run or its kind allows repeats, if an attempt and some time are left, and if
+    /// the budget has a repeat; an attempt without a connection costs neither.
+    pub fn retry(&mut self, now: Instant, work: Work, failure: Failure) -> Option<RequestId> {
+        let allowed = failure.is_not_run() || work.is_repeatable();
+        let unsent = failure == Failure::NotConnected;
+        let left = match unsent {
+            true => work.tried.len() < UNCONNECTED + 1,
+            false => work.attempts > 0,
+        };
+        if !allowed || !left || now + LEAST_TIME >= work.deadline {
+            return None;
+        }
+        if !unsent && !self.budget(now, &work.service).take(now) {
+            return None;
+        }
+        Some(self.enqueue(now, work))
+    }
+
+    /// Forgets a waiting request whose caller left.
+    pub fn cancel(&mut self, id: RequestId) {
+        for queue in self.queues.values_mut() {
+            if queue.cancel(id) {
+                return;
+            }
+        }
+    }
+
+    /// Notes that the first event of a request arrived: its prompt was read.
+    pub fn started(&mut self, id: RequestId) {
+        if let Some(held) = self.held(id) {
+            held.started(id);
+        }
+    }
+
+    /// Takes the end of an attempt, and returns whether its target was ejected for it.
+    pub fn ended(&mut self, now: Instant, id: RequestId, outcome: Outcome) -> bool {
+        let Some(target) = self.places.remove(&id) else {
+            return false;
+        };
+        let Some(held) = self.targets.get_mut(&target) else {
+            return false;
+        };
+        held.ended(id);
+        match outcome {
+            Outcome::Answered => held.health.success(now),
+            Outcome::Failed(failure) => return held.health.failure(now, failure),
+            Outcome::Abandoned => {}
+        }
+        false
+    }
+
+    /// Returns when [`Scheduler::poll`] must be called if no event calls for it before.
+    pub fn next_poll(&self) -> Option<Instant> {
+        self.queues.values().filter_map(Queue::next_expiry).min()
+    }
+
+    /// Returns what to do now.
+    pub fn poll(&mut self, now: Instant) -> Vec<Decision> {
+        let mut decisions = std::mem::take(&mut self.rejected);
+        let services: Vec<String> = self
+            .queues
+            .iter()
+            .filter(|(_, queue)| queue.len() > 0)
+            .map(|(service, _)| service.clone())
+            .collect();
+        for service in services {
+            self.poll_service(now, &service, &mut decisions);
+        }
+        decisions
+    }
+
+    fn poll_service(&mut self, now: Instant, service: &str, decisions: &mut Vec<Decision>) {
+        let Some(queue) = self.queues.get(service) else {
+            return;
+        };
+        let waiting: Vec<_> = queue.iter().map(|(order, _)| order).take(SCANNED).collect();
+        for order in waiting {
+            let Some(work) = self
+                .queues
+                .get_mut(service)
+                .and_then(|queue| queue.remove(order))
+            else {
+                continue;
+            };
+            match self.choose(now, &work) {
+                Choice::Target(id) => {
+                    if let Some(place) = self.place(now, order.1, work, &id) {
+                        decisions.push(Decision::Send(place));
+                    }
+                    if let Some(queue) = self.queues.get_mut(service) {
+                        queue.placed(now);
+                    }
+                }
+                Choice::Busy if Queue::patience(&work) > now => {
+                    if let Some(queue) = self.queues.get_mut(service) {
+                        queue.push(order.1, work);
+                    }
+                }
+                Choice::Busy => decisions.push(self.reject(now, order.1, &work, Reason::Overload)),
+                Choice::Nobody => {
+                    let reason = match work.tried.is_empty() {
+                        true => Reason::NoTarget,
+                        false => Reason::Refused,
+                    };
+                    decisions.push(self.reject(now, order.1, &work, reason));
+                }
+            }
+        }
+    }
+
+    fn enqueue(&mut self, now: Instant, work: Work) -> RequestId {
+        self.next += 1;
+        let id = self.next;
+        let queue = self.queues.entry(work.service.clone()).or_default();
+        let wait = queue.wait(now, work.priority);
+        if queue.len() > 0 && wait.is_some_and(|wait| now + wait > Queue::patience(&work)) {
+            let rejected = self.reject(now, id, &work, Reason::Overload);
+            self.rejected.push(rejected);
+        } else {
+            queue.push(id, work);
+        }
+        id
+    }
+
+    fn place(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        mut work: Work,
+        id: &str,
+    ) -> Option<Place> {
+        let held = self.targets.get_mut(id)?;
+        let load = held.requests(now);
+        held.sent(now, request, work.prompt);
+        work.attempts = work.attempts.saturating_sub(1);
+        work.tried.push(id.into());
+        self.places.insert(request, id.into());
+        Some(Place {
+            request,
+            target: id.into(),
+            address: held.target.address,
+            work,
+            load,
+        })
+    }
+
+    /// Chooses the target with the shortest forecast among those with room.
+    ///
+    /// Ejected targets are passed over unless they are more than half of those that could serve: then the failures say
+    /// little about single targets.
+    fn choose(&mut self, now: Instant, work: &Work) -> Choice {
+        let engine = self
+            .config
+            .as_ref()
+            .and_then(|config| config.services.get(&work.service))
+            .and_then(|service| service.engine.clone());
+        let eligible: Vec<&Held> = self
+            .targets
+            .values()
+            .filter(|held| self.is_eligible(now, held, work, engine.is_some()))
+            .collect();
+        let sound: Vec<&Held> = eligible
+            .iter()
+            .filter(|held| !held.health.is_ejected(now))
+            .copied()
+            .collect();
+        let usable = match sound.len() * 2 >= eligible.len() {
+            true => sound,
+            false => eligible,
+        };
+        if usable.is_empty() {
+            return Choice::Nobody;
+        }
+        let mut best: Option<(f64, &Held)> = None;
+        for held in usable {
+            let cost = match &engine {
+                Some(engine) => self.engine_cost(now, held, engine, work),
+                None => self.plain_cost(now, held),
+            };
+            let Some(cost) = cost else { continue };
+            // Entries that see the same load must not all choose the same target.
+            let cost = cost * self.random.random_range(1.0..1.1);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, held));
+            }
+        }
+        match best {
+            Some((_, held)) => Choice::Target(held.target.id.clone()),
+            None => Choice::Busy,
+        }
+    }
+
+    fn is_eligible(&self, now: Instant, held: &Held, work: &Work, engine: bool) -> bool {
+        let target = &held.target;
+        if target.service != work.service
+            || !held.is_accepting(now)
+            || work.tried.contains(&target.id)
+        {
+            return false;
+        }
+        match &work.model {
+            Some(model) if engine => {
+                let oldest = self.versions.oldest(model, now);
+                let held = target.weights.get(model).copied();
+                let exact = |held| work.version.is_none_or(|wanted| wanted == held);
+                held.is_some_and(|held| held >= oldest && exact(held))
+            }
+            _ => !engine || !target.weights.is_empty(),
+        }
+    }
+
+    /// Returns the forecast of the time to the first token in milliseconds, or `None` without room.
+    fn engine_cost(&self, now: Instant, held: &Held, engine: &Engine, work: &Work) -> Option<f64> {
+        let occupancy = held.occupancy(now, engine);
+        if occupancy.requests >= f64::from(engine.slots + ENGINE_BACKLOG) {
+            return None;
+        }
+        let mut time = engine.first_token(occupancy, f64::from(work.prompt));
+        time += FAILURE_PENALTY.mul_f64(held.health.rate());
+        if held.target.domain != self.domain {
+            time += DOMAIN_PENALTY;
+        }
+        Some(time.as_secs_f64() * 1000.0)
+    }
+
+    /// Returns the load per slot, or `None` without room.
+    fn plain_cost(&self, now: Instant, held: &Held) -> Option<f64> {
+        let slots = f64::from(held.target.slots.max(1));
+        let load = f64::from(held.requests(now)) / slots;
+        if load >= 1.0 + PLAIN_BACKLOG {
+            return None;
+        }
+        let away = match held.target.domain == self.domain {
+            true => 0.0,
+            false => DOMAIN_LOAD,
+        };
+        Some(0.1 + load + away + held.health.rate())
+    }
+
+    /// Returns the time after which a caller that waits until `deadline` may come back.
+    ///
+    /// Callers that are turned away together come back spread over time. A caller waits at most a third of the time
+    /// that it has left, so a longer time would say nothing.
+    pub fn retry_after(&mut self, now: Instant, deadline: Instant) -> Duration {
+        let left = deadline.saturating_duration_since(now);
+        left.mul_f64(self.random.random_range(0.5..1.0) / 3.0)
+    }
+
+    fn reject(&mut self, now: Instant, id: RequestId, work: &Work, reason: Reason) -> Decision {
+        Decision::Reject {
+            request: id,
+            reason,
+            retry_after: self.retry_after(now, work.deadline),
+        }
+    }
+
+    fn budget(&mut self, now: Instant, service: &str) -> &mut Budget {
+        let repeats = self.repeats;
+        self.budgets.entry(service.into()).or_insert_with(|| {
+            Budget::new(
+                repeats.ratio,
+                repeats.extra,
+                repeats.window,
+                repeats.entries,
+                now,
+            )
+        })
+    }
+
+    fn held(&mut self, id: RequestId) -> Option<&mut Held> {
+        let target = self.places.get(&id)?;
+        self.targets.get_mut(target)
+    }
+}
+
+/// Result of a search for a target.
+enum Choice {
+    Target(TargetId),
+    /// Targets take work but have no room.
+    Busy,
+    /// No target takes such work.
+    Nobody,
+}
--- /dev/null
+++ b/crates/dispatch/src/target.rs
@@ -0,0 +1,171 @@
+//! A target: what is known of it and this entry's requests on it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::config::Engine;
+use crate::engine::Occupancy;
+use crate::health::Health;
+use crate::work::RequestId;
+
+/// Id of a target, new with most starts.
+pub type TargetId = String;
+
+/// Age from which a load says nothing about the present any more.
+const STALE: Duration = Duration::from_secs(2);
+/// Time that a request takes to show in its target's load.
+const IN_TRANSIT: Duration = Duration::from_millis(8);
+
+/// A target as it registered itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// Id of this start of the target.
+    pub id: TargetId,
+    /// Service that it serves.
+    pub service: String,
+    /// Address that takes requests.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is about to stop and takes no new work.
+    pub draining: bool,
+    /// Time for which it stays slow after its start.
+    pub cold: Duration,
+    /// Models that it holds whole, and the version of each.
+    pub weights: BTreeMap<String, u64>,
+    /// Time of its start in milliseconds since 1970; tells starts under the same id apart.
+    pub born: Option<u64>,
+}
+
+/// Load of a target at a moment.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait in the target's own queue.
+    pub waiting: u32,
+    /// Factor by which the target is slower than usual.
+    pub pace: f64,
+    /// Whether it takes new work; it doesn't while it changes its weights.
+    pub accepting: bool,
+    /// Models that it holds and their versions, where the source of the load knows them.
+    pub weights: Option<BTreeMap<String, u64>>,
+}
+
+/// A target in the scheduler.
+#[derive(Debug)]
+pub(crate) struct Held {
+    pub(crate) target: Target,
+    pub(crate) health: Health,
+    own: BTreeMap<RequestId, Own>,
+    load: Option<Reported>,
+}
+
+/// A request of this entry on a target.
+#[derive(Clone, Copy, Debug)]
+struct Own {
+    prompt: u32,
+    started: bool,
+    sent: Instant,
+}
+
+/// A load and the requests of other entries that follow from it.
+#[derive(Clone, Debug)]
+struct Reported {
+    at: Instant,
+    load: Load,
+    others: u32,
+}
+
+impl Held {
+    pub(crate) fn new(target: Target) -> Self {
+        Self {
+            target,
+            health: Health::default(),
+            own: BTreeMap::new(),
+            load: None,
+        }
+    }
+
+    /// Takes a newer registration; a new start forgets what was known of the one before.
+    pub(crate) fn update(&mut self, target: Target) {
+        if self.target.born != target.born || self.target.address != target.address {
+            self.health = Health::default();
+            self.load = None;
+        }
+        self.target = target;
+    }
+
+    pub(crate) fn report(&mut self, now: Instant, load: Load) {
+        let shown = |own: &&Own| now.saturating_duration_since(own.sent) >= IN_TRANSIT;
+        let own = self.own.values().filter(shown).count() as u32;
+        let others = (load.running + load.waiting).saturating_sub(own);
+        if let Some(weights) = &load.weights {
+            self.target.weights.clone_from(weights);
+        }
+        self.load = Some(Reported {
+            at: now,
+            load,
+            others,
+        });
+    }
+
+    pub(crate) fn sent(&mut self, now: Instant, request: RequestId, prompt: u32) {
+        let own = Own {
+            prompt,
+            started: false,
+            sent: now,
+        };
+        self.own.insert(request, own);
+    }
+
+    pub(crate) fn started(&mut self, request: RequestId) {
+        if let Some(own) = self.own.get_mut(&request) {
+            own.started = true;
+        }
+    }
+
+    pub(crate) fn ended(&mut self, request: RequestId) {
+        self.own.remove(&request);
+    }
+
+    /// Returns the number of requests on the target.
+    pub(crate) fn requests(&self, now: Instant) -> u32 {
+        let others = self.fresh(now).map_or(0, |reported| reported.others);
+        others + self.own.len() as u32
+    }
+
+    /// Tells whether the target takes work, as far as its registration and its last load say.
+    pub(crate) fn is_accepting(&self, now: Instant) -> bool {
+        let closed = self
+            .fresh(now)
+            .is_some_and(|reported| !reported.load.accepting);
+        !self.target.draining && !closed
+    }
+
+    /// Returns what occupies the target's engine.
+    pub(crate) fn occupancy(&self, now: Instant, engine: &Engine) -> Occupancy {
+        let unread: u32 = self
+            .own
+            .values()
+            .filter(|own| !own.started)
+            .map(|own| own.prompt)
+            .sum();
+        let fresh = self.fresh(now);
+        let waiting = fresh.map_or(0, |reported| reported.load.waiting.min(reported.others));
+        Occupancy {
+            requests: f64::from(self.requests(now)),
+            unread: f64::from(unread) + f64::from(waiting) * engine.usual_prompt,
+            pace: fresh.map_or(1.0, |reported| reported.load.pace),
+        }
+    }
+
+    fn fresh(&self, now: Instant) -> Option<&Reported> {
+        self.load
+            .as_ref()
+            .filter(|reported| now.saturating_duration_since(reported.at) < STALE)
+    }
+}
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -3,14 +3,14 @@
 use std::fmt::Display;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use futures::stream;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1;
-use hyper::header::{HOST, HeaderValue};
+use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Request, Response};
 
 use super::Body;
@@ -23,6 +23,7 @@
 #[derive(Clone, Default)]
 pub struct Client {
     pool: Pool,
+    connect_time: Option<Duration>,
 }
 
 /// A request without a whole answer.
@@ -56,6 +57,8 @@
     deadline: Instant,
     body: Incoming,
     lease: Option<(Connection, Pool)>,
+    /// Time for which the other end keeps the connection open once it is idle.
+    idle: Option<Duration>,
 }
 
 impl Client {
@@ -64,6 +67,12 @@
         Self::default()
     }
 
+    /// Limits the time in which a connection must come about; without it only the request's deadline does.
+    pub fn with_connect_time(mut self, time: Duration) -> Self {
+        self.connect_time = Some(time);
+        self
+    }
+
     /// Sends `request` to `peer` and returns the head of the answer, at the latest at `deadline`.
     ///
     /// The deadline also holds for the answer's body, until [`Answer::set_deadline`]. A `host` header is added when
@@ -85,13 +94,24 @@
         loop {
             let (mut connection, fresh) = match self.pool.take(peer).await {
                 Some(connection) => (connection, false),
-                None => (connect(peer, deadline).await?, true),
+                None => {
+                    let limit = self.connect_time.map(|time| Instant::now() + time);
+                    let limit = limit.map_or(deadline, |limit| limit.min(deadline));
+                    (connect(peer, limit).await?, true)
+                }
             };
             let sent = connection.sender.try_send_request(request);
             match compio::time::timeout_at(deadline, sent).await {
                 Ok(Ok(response)) => {
                     let lease = Some((connection, self.pool.clone()));
-                    return Ok(response.map(|body| Answer::new(peer, deadline, body, lease)));
+                    let idle = idle_time(response.headers());
+                    return Ok(response.map(|body| Answer {
+                        peer,
+                        deadline,
+                        body,
+                        lease,
+                        idle,
+                    }));
                 }
                 Ok(Err(mut error)) => match error.take_message() {
                     // The peer closed an idle connection; a new one decides.
@@ -125,20 +145,6 @@
 }
 
 impl Answer {
-    fn new(
-        peer: SocketAddr,
-        deadline: Instant,
-        body: Incoming,
-        lease: Option<(Connection, Pool)>,
-    ) -> Self {
-        Self {
-            peer,
-            deadline,
-            body,
-            lease,
-        }
-    }
-
     /// Moves the deadline of the rest of the body.
     pub fn set_deadline(&mut self, deadline: Instant) {
         self.deadline = deadline;
@@ -206,7 +212,7 @@
 
     fn release(&mut self) {
         if let Some((connection, pool)) = self.lease.take() {
-            pool.put(self.peer, connection);
+            pool.put(self.peer, connection, self.idle);
         }
     }
 
@@ -224,6 +230,15 @@
     }
 }
 
+/// Reads the time from a `Keep-Alive` header such as `timeout=5`.
+fn idle_time(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
+
 fn not_written(peer: SocketAddr, reason: &dyn Display) -> Error {
     Error::NotWritten {
         peer,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,7 +1,7 @@
 //! Runtime, settings, logs and operator port of a process.
 //!
 //! A binary that serves passes its work to [`serve`], which loads the settings with [`settings::load`] and calls
-//! [`run`]; that sets up the event loop and the log. Within the loop, [`listen`] opens ports, [`connect`] reaches others, [`http`] serves and calls over HTTP/1.1, [`operator`] serves
+//! [`run`]; that sets up the event loop and the log. Within the loop, [`listen`] and [`bind`] open ports, [`connect`] reaches others, [`http`] serves and calls over HTTP/1.1, [`operator`] serves
 //! the operator port, and [`signal::shutdown`] resolves when the process is asked to stop. [`time::show`] writes times.
 
 pub mod arguments;
@@ -17,6 +17,6 @@
 pub mod time;
 
 pub use event::Event;
-pub use port::{connect, listen, shut_down};
+pub use port::{bind, connect, listen, shut_down};
 pub use runtime::{block_on, run};
 pub use service::serve;
--- a/crates/platform/tests/client.rs
+++ b/crates/objects/tests/client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use node::http::{Body, Limits, Request, Response, StatusCode, header, response, serve};
-use platform::{Client, Condition, Error, Put};
+use objects::{Client, Condition, Error, Put};
 use yare::parameterized;
 
 const TIMEOUT: Duration = Duration::from_millis(200);
--- /dev/null
+++ b/crates/rollout/src/turn.rs
@@ -0,0 +1,53 @@
+//! The order in which engines load.
+
+/// Place of an engine among the engines that load the same version.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Place {
+    rank: usize,
+    count: usize,
+}
+
+impl Place {
+    /// Returns the place of `own` among `live`, which may include it.
+    ///
+    /// The order differs from version to version. Engines of one failure domain don't follow each other in it more
+    /// often than chance has it.
+    ///
+    /// ```
+    /// use rollout::Place;
+    ///
+    /// let live = ["a", "b", "c"];
+    /// let mut shares: Vec<f64> = live.iter().map(|own| Place::among(own, &live, 7).share()).collect();
+    /// shares.sort_by(f64::total_cmp);
+    /// assert_eq!(shares, [0.0, 0.5, 1.0]);
+    /// ```
+    pub fn among(own: &str, live: &[&str], version: u64) -> Self {
+        let own_key = key(own, version);
+        let others = live.iter().filter(|name| **name != own);
+        Self {
+            rank: others
+                .clone()
+                .filter(|name| key(name, version) < own_key)
+                .count(),
+            count: others.count() + 1,
+        }
+    }
+
+    /// Returns the place as a share: 0 for the first and 1 for the last.
+    pub fn share(self) -> f64 {
+        match self.count {
+            0 | 1 => 0.0,
+            count => self.rank as f64 / (count - 1) as f64,
+        }
+    }
+}
+
+/// Position in the order; the name breaks ties.
+fn key(name: &str, version: u64) -> ([u8; 8], &str) {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&version.to_be_bytes());
+    hasher.update(name.as_bytes());
+    let mut head = [0; 8];
+    head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    (head, name)
+}
--- a/crates/weights/src/chunk.rs
+++ b/crates/weights/src/chunk.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use crate::Digest;
+use crate::{Algorithm, Digest};
 
 /// The content of a chunk together with its digest, which was computed from these bytes.
 ///
@@ -40,7 +40,20 @@
     ///
     /// Returns a [`Mismatch`] when the bytes have another digest.
     pub fn verify(expected: Digest, bytes: Bytes) -> Result<Self, Mismatch> {
-        let found = Digest::of(&bytes);
+        Self::verify_by(Algorithm::Blake3, expected, bytes)
+    }
+
+    /// Returns `bytes` as a chunk when their digest by `algorithm` is `expected`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Mismatch`] when the bytes have another digest.
+    pub fn verify_by(
+        algorithm: Algorithm,
+        expected: Digest,
+        bytes: Bytes,
+    ) -> Result<Self, Mismatch> {
+        let found = Digest::by(algorithm, &bytes);
         if found != expected {
             return Err(Mismatch {
                 expected,
--- a/crates/weights/src/digest.rs
+++ b/crates/weights/src/digest.rs
@@ -4,10 +4,23 @@
 use std::str::FromStr;
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use sha2::{Digest as _, Sha256};
 
 const HEX_LEN: usize = 64;
 
-/// A blake3 digest of 32 bytes, written as 64 lower-case hexadecimal digits.
+/// How the digests of chunks are computed.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Algorithm {
+    /// BLAKE3, for manifests that this project builds.
+    #[default]
+    Blake3,
+    /// SHA-256, for manifests of origins that list such digests.
+    Sha256,
+}
+
+/// A digest of 32 bytes, written as 64 lower-case hexadecimal digits; BLAKE3 where nothing else is said.
 ///
 /// ```
 /// let digest = weights::Digest::of(b"chunk");
@@ -30,6 +43,14 @@
         Self(*blake3::hash(bytes).as_bytes())
     }
 
+    /// Returns the digest of `bytes` by `algorithm`.
+    pub fn by(algorithm: Algorithm, bytes: &[u8]) -> Self {
+        match algorithm {
+            Algorithm::Blake3 => Self::of(bytes),
+            Algorithm::Sha256 => Self(Sha256::digest(bytes).into()),
+        }
+    }
+
     /// Returns a digest with the given 32 bytes.
     pub fn from_bytes(bytes: [u8; 32]) -> Self {
         Self(bytes)
--- a/crates/weights/src/lib.rs
+++ b/crates/weights/src/lib.rs
@@ -11,7 +11,7 @@
 mod store;
 
 pub use chunk::{Chunk, Mismatch};
-pub use digest::{Digest, ParseError};
+pub use digest::{Algorithm, Digest, ParseError};
 pub use manifest::{Error, Manifest};
 pub use pin::Pin;
 pub use store::Store;
--- a/crates/weights/src/manifest.rs
+++ b/crates/weights/src/manifest.rs
@@ -2,7 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ChunkIndex, digest::Digest};
+use crate::ChunkIndex;
+use crate::digest::{Algorithm, Digest};
 
 /// Most chunks that a manifest may list; its text stays near 1 MB, the platform's limit of a value.
 pub const MAX_CHUNKS: usize = 16_384;
@@ -27,6 +28,9 @@
     pub chunk_size: u32,
     /// Digest of each chunk, in order.
     pub chunks: Vec<Digest>,
+    /// How these digests are computed.
+    #[serde(default)]
+    pub algorithm: Algorithm,
 }
 
 /// A manifest that contradicts itself.
@@ -59,6 +63,7 @@
             size: data.len() as u64,
             chunk_size,
             chunks: data.chunks(chunk_size as usize).map(Digest::of).collect(),
+            algorithm: Algorithm::Blake3,
         }
     }
 
@@ -84,6 +89,9 @@
     /// Returns the digest that names this version.
     pub fn digest(&self) -> Digest {
         let mut text = format!("{}\n{}\n", self.size, self.chunk_size);
+        if self.algorithm != Algorithm::Blake3 {
+            text.push_str("sha256\n");
+        }
         for chunk in &self.chunks {
             text.push_str(&chunk.to_string());
             text.push('\n');
@@ -105,6 +113,6 @@
 
     /// Tells whether `bytes` are the content of chunk `index`.
     pub fn verify(&self, index: ChunkIndex, bytes: &[u8]) -> bool {
-        self.chunks.get(index as usize) == Some(&Digest::of(bytes))
+        self.chunks.get(index as usize) == Some(&Digest::by(self.algorithm, bytes))
     }
 }
--- /dev/null
+++ b/crates/wire/src/datagram.rs
@@ -0,0 +1,72 @@
+//! What agents tell entries of their engines' load.
+//!
+//! An entry sends [`Datagram::Subscribe`] to an agent every second; for a few seconds after each, the agent sends
+//! [`Datagram::Load`] whenever its engine's load has changed. A lost datagram is made up for by the next one.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// Largest encoded datagram, in bytes.
+pub const MAX_DATAGRAM: usize = 1200;
+
+/// A message between an entry and an agent over UDP.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum Datagram {
+    /// The sender wants to be told the load.
+    Subscribe,
+    /// The load of the receiver's engine.
+    Load(Load),
+}
+
+/// Load of an engine at a moment.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Load {
+    /// Address at which the engine takes requests.
+    pub engine: SocketAddr,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait in the engine's queue.
+    pub waiting: u32,
+    /// Factor by which the engine is slower than usual.
+    pub pace: f32,
+    /// Whether the engine takes new work.
+    pub accepting: bool,
+    /// Models that the engine holds and their versions.
+    pub weights: Vec<(String, u64)>,
+    /// Entries that the agent tells its load.
+    pub entries: u16,
+}
+
+impl Datagram {
+    /// Returns the encoded form.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is longer than [`MAX_DATAGRAM`].
+    ///
+    /// ```
+    /// use wire::Datagram;
+    ///
+    /// let bytes = Datagram::Subscribe.encode().unwrap();
+    /// assert_eq!(Datagram::decode(&bytes).unwrap(), Datagram::Subscribe);
+    /// ```
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let bytes = postcard::to_stdvec(self)?;
+        match bytes.len() > MAX_DATAGRAM {
+            true => Err(postcard::Error::SerializeBufferFull),
+            false => Ok(bytes),
+        }
+    }
+
+    /// Decodes a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Fails when `bytes` are no datagram of this form.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,12 +3,14 @@
 //! Control messages are calls of the tarpc service [`Peer`] on an entry's peer port. Requests and chunks travel over
 //! HTTP with the header names of [`header`].
 
+mod datagram;
 pub mod header;
 mod message;
 mod peer;
 mod report;
 pub mod transport;
 
+pub use datagram::{Datagram, Load, MAX_DATAGRAM};
 pub use gossip::{Delta, Digest};
 pub use message::{Gate, REPORT_INTERVAL, Reply, Report};
 pub use peer::{Peer, PeerClient, PeerRequest, PeerResponse};
