--- a/bins/agent/src/chunk_server.rs
+++ b/bins/agent/src/chunk_server.rs
@@ -1,7 +1,7 @@
 //! The chunk port: manifests and chunks for other agents.
 //!
 //! `GET /chunks/{manifest digest}/{index}` gives the bytes, a redirect to holders (303) or a time to wait (503).
-//! `GET /manifests/{digest}` gives the manifest as JSON, or 404.
+//! `GET /manifests/{digest}` and `GET /manifests/{model}/{version}` give the manifest as JSON, or 404.
 
 use std::io;
 use std::net::SocketAddr;
@@ -41,8 +41,8 @@
     shutdown: impl Future<Output = ()>,
 ) {
     let handler = move |_: SocketAddr, request: Request<Bytes>| {
-        let answer = answer(&holdings, &request);
-        async move { answer }
+        let holdings = Rc::clone(&holdings);
+        async move { answer(&holdings, &request).await }
     };
     let limits = Limits {
         body: 0,
@@ -53,15 +53,19 @@
     http::serve(listener, limits, handler, shutdown).await;
 }
 
-fn answer(holdings: &Rc<Holdings>, request: &Request<Bytes>) -> Response<Body> {
+async fn answer(holdings: &Rc<Holdings>, request: &Request<Bytes>) -> Response<Body> {
     if request.method() != Method::GET {
         return response(StatusCode::METHOD_NOT_ALLOWED, "only GET is served here\n");
     }
     let path: Vec<&str> = request.uri().path().split('/').skip(1).collect();
     match path[..] {
         ["manifests", digest] => manifest(holdings, digest),
+        ["manifests", model, name] => match holdings.named(model, name) {
+            Some(version) => json(StatusCode::OK, version.manifest()),
+            None => not_found(request.uri().path()),
+        },
         ["chunks", digest, index] => match (digest.parse(), index.parse()) {
-            (Ok(digest), Ok(index)) => chunk(holdings, request, digest, index),
+            (Ok(digest), Ok(index)) => chunk(holdings, request, digest, index).await,
             _ => not_found(request.uri().path()),
         },
         _ => not_found(request.uri().path()),
@@ -79,7 +83,7 @@
     }
 }
 
-fn chunk(
+async fn chunk(
     holdings: &Rc<Holdings>,
     request: &Request<Bytes>,
     digest: Digest,
@@ -98,7 +102,7 @@
     let Some(chunk) = version.manifest().chunks.get(index as usize).copied() else {
         return not_found(request.uri().path());
     };
-    let held = holdings.contains(&chunk);
+    let held = holdings.wait_for(&chunk).await;
     let to = holdings.remote(&asker.address);
     match holdings.uploader.answer(chunk, held, asker, Instant::now()) {
         Choice::Send(slot) => match holdings.chunk(&chunk) {
--- a/bins/agent/src/rollout/loads.rs
+++ b/bins/agent/src/rollout/loads.rs
@@ -137,17 +137,25 @@
     }
     let report = state.report.borrow();
     let (_, report) = report.as_ref()?;
+    let rollout = state.rollout.borrow();
+    let closes = rollout.closing(now);
     Some(Load {
         engine: state.engine.address(),
         running: report.running,
         waiting: report.waiting,
         pace: report.pace as f32,
-        accepting: !closing && !report.busy && !state.rollout.borrow().is_switching(),
+        accepting: !closing && !report.busy && !rollout.is_switching(),
+        closes_ms: closes.map(|at| millis(at.saturating_duration_since(now))),
         weights: report.weights.clone().into_iter().collect(),
         entries: u16::try_from(entries).unwrap_or(u16::MAX),
     })
 }
 
+/// Returns whole tenths of a second in milliseconds, so that a time that comes nearer isn't news each time.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis() / 100 * 100).unwrap_or(u32::MAX)
+}
+
 async fn send(socket: &UdpSocket, peers: &[SocketAddr], load: &Load) {
     let text = match Datagram::Load(load.clone()).encode() {
         Ok(text) => text,
--- a/bins/agent/src/rollout/serve.rs
+++ b/bins/agent/src/rollout/serve.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use compio::runtime::spawn;
 use node::operator::{self, Operator};
@@ -12,7 +13,7 @@
 use super::{Settings, loads, switch, watch, weights};
 use crate::chunk_server;
 use crate::metrics::Transfers;
-use crate::transfer::{Holdings, Rates};
+use crate::transfer::{Holdings, Parts, Rates};
 
 /// Part of the VM's link that parts of weights may take; requests share it.
 const LINK_SHARE: f64 = 0.85;
@@ -21,7 +22,9 @@
 /// Size of all parts that are held, in bytes.
 const CACHE: u64 = 48 << 20;
 /// Uploads at once; more would only share the same link.
-const UPLOADS: usize = 4;
+const UPLOADS: usize = 2;
+/// Time for which a request for a part that is on its way waits.
+const HOLD: Duration = Duration::from_millis(400);
 
 /// Runs the agent until `stop` resolves.
 ///
@@ -44,9 +47,12 @@
     let transfers = Transfers::default();
     transfers.register(&mut registry);
     let holdings = Holdings::new(&me.domain, &me.region, &rates, CACHE, UPLOADS);
-    let holdings = Rc::new(holdings.with_metrics(transfers));
-    // Set to the origin's address before anything is drawn.
-    let origin = Rc::new(Cell::new(state.settings.engine));
+    let holdings = Rc::new(holdings.with_metrics(transfers).with_hold(HOLD));
+    let origin = Rc::new(Parts {
+        // Set to the origin's address before anything is drawn.
+        address: Cell::new(state.settings.engine),
+        not_before: Cell::new(Instant::now()),
+    });
     let (transfer, worker) = weights::transfer(&state, Rc::clone(&holdings), Rc::clone(&origin));
     let status = Rc::clone(&state);
     let operator = Operator {
--- a/bins/agent/src/rollout/state.rs
+++ b/bins/agent/src/rollout/state.rs
@@ -9,7 +9,6 @@
 use dispatch::{Engine as Facts, Origin, Target};
 use platform::engine::Report;
 use rollout::{Place, Rollout};
-use weights::Digest;
 
 use super::Settings;
 use super::engine::Engine;
@@ -29,9 +28,9 @@
     pub(super) report: RefCell<Option<(Instant, Report)>>,
     pub(super) origin: Cell<Option<Origin>>,
     pub(super) facts: RefCell<Option<Facts>>,
-    /// Digest of the manifest of each version whose manifest was read.
-    pub(super) digests: RefCell<BTreeMap<u64, Digest>>,
     targets: RefCell<BTreeMap<String, Target>>,
+    /// Newest version when the targets were last read; `None` before the first time.
+    read_for: Cell<Option<Option<u64>>>,
     /// Whether requests should go elsewhere because an order is about to be given.
     pub(super) closing: Cell<bool>,
 }
@@ -46,8 +45,8 @@
             report: RefCell::default(),
             origin: Cell::default(),
             facts: RefCell::default(),
-            digests: RefCell::default(),
             targets: RefCell::default(),
+            read_for: Cell::new(None),
             closing: Cell::new(false),
         })
     }
@@ -62,26 +61,32 @@
             .map(|model| model.name.clone())
     }
 
-    /// Returns the version that the engine should have: the newest named one, or the first.
+    /// Returns the version whose parts the agent should have.
     pub(super) fn wanted(&self) -> u64 {
-        self.rollout.borrow().newest().unwrap_or(FIRST_VERSION)
+        let rollout = self.rollout.borrow();
+        rollout
+            .wanted()
+            .or(rollout.newest())
+            .unwrap_or(FIRST_VERSION)
     }
 
-    /// Replaces the registered targets of the service.
-    pub(super) fn set_targets(&self, targets: BTreeMap<String, Target>) {
-        *self.targets.borrow_mut() = targets;
-        self.update_place();
-        self.changed.notify();
+    /// Tells whether the targets were read since the newest version was named.
+    pub(super) fn is_current(&self) -> bool {
+        self.read_for.get() == Some(self.rollout.borrow().newest())
+    }
+
+    /// Tells whether the own engine is among the registered targets.
+    pub(super) fn is_registered(&self) -> bool {
+        let targets = self.targets.borrow();
+        targets
+            .values()
+            .any(|target| target.address == self.settings.engine)
     }
 
-    /// Adds, replaces or, with `None`, removes a target.
-    pub(super) fn set_target(&self, id: &str, target: Option<Target>) {
-        let mut targets = self.targets.borrow_mut();
-        match target {
-            Some(target) => targets.insert(id.into(), target),
-            None => targets.remove(id),
-        };
-        drop(targets);
+    /// Replaces the registered targets, which were read when `newest` was the newest version.
+    pub(super) fn set_targets(&self, newest: Option<u64>, targets: BTreeMap<String, Target>) {
+        *self.targets.borrow_mut() = targets;
+        self.read_for.set(Some(newest));
         self.update_place();
         self.changed.notify();
     }
--- a/bins/agent/src/rollout/switch.rs
+++ b/bins/agent/src/rollout/switch.rs
@@ -39,7 +39,7 @@
     let Some(model) = state.model() else {
         return;
     };
-    let Some(version) = find(state, holdings, number) else {
+    let Some(version) = holdings.named(&model, &number.to_string()) else {
         event!(event::WEIGHTS_MISSING, version = number);
         compio::time::sleep(PAUSE).await;
         return;
@@ -80,12 +80,6 @@
     state.changed.notify();
 }
 
-/// Returns the held version that was transferred under `number`.
-fn find(state: &State, holdings: &Holdings, number: u64) -> Option<Version> {
-    let digests = state.digests.borrow();
-    holdings.version(digests.get(&number)?)
-}
-
 /// Puts every part into the engine, just before the order: what lies there for long may turn bad.
 async fn stage(
     state: &State,
--- a/bins/agent/src/rollout/watch.rs
+++ b/bins/agent/src/rollout/watch.rs
@@ -1,9 +1,13 @@
 //! What operators name and which targets live, from the platform's store.
+//!
+//! Every call of the store has a price, and a watch returns with every change. Only the named versions are watched; the
+//! configuration and the registered targets are read at the start and again whenever a version is named.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures::future::join;
 use node::event;
 use platform::{Client, Error, Listing, config, target, versions};
 
@@ -11,56 +15,91 @@
 
 /// Time allowed for a call of the store, beside the wait of a watch.
 const TIMEOUT: Duration = Duration::from_secs(1);
-/// Longest wait of one watch call; every call has a price.
-const WAIT: Duration = Duration::from_secs(25);
+/// Longest wait of one watch call.
+const WAIT: Duration = Duration::from_secs(28);
+/// Time between two readings before the own engine is registered.
+const UNREGISTERED: Duration = Duration::from_millis(500);
 /// Bounds of the pause after a failed call; it doubles with each failure.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(1));
 
 /// Follows all kinds that the agent needs; never returns.
 pub(super) async fn run(state: Rc<State>) {
     let client = Client::new(state.settings.platform, TIMEOUT);
-    let configs = follow(&client, config::KIND, |listing, _| {
-        take_config(&state, listing)
-    });
-    let named = follow(&client, versions::KIND, |listing, _| {
-        take_versions(&state, listing);
-    });
-    let targets = follow(&client, target::KIND, |listing, whole| {
-        take_targets(&state, listing, whole);
-    });
-    futures::join!(configs, named, targets);
+    join(follow_versions(&state, &client), refresh(&state, &client)).await;
 }
 
-/// Lists a kind and then watches it; `take` gets each list, and whether it holds all objects.
-async fn follow(client: &Client, kind: &'static str, take: impl Fn(&Listing, bool)) {
+async fn follow_versions(state: &State, client: &Client) {
     let mut after = None;
     let mut pause = PAUSE.0;
     loop {
         let listing = match after {
-            Some(revision) => client.watch(kind, revision, WAIT).await,
-            None => client.list(kind).await,
+            Some(revision) => client.watch(versions::KIND, revision, WAIT).await,
+            None => client.list(versions::KIND).await,
         };
         match listing {
             Ok(listing) => {
                 if pause > PAUSE.0 {
-                    event!(event::STORE_BACK, kind = kind);
+                    event!(event::STORE_BACK, kind = versions::KIND);
                 }
                 pause = PAUSE.0;
-                take(&listing, after.is_none());
+                take_versions(state, &listing);
                 after = Some(listing.revision);
             }
             Err(Error::HistoryGone { .. }) => after = None,
             Err(error) => {
-                if pause == PAUSE.0 {
-                    event!(event::STORE_LOST, kind = kind, error = error);
+                pause = failed(versions::KIND, &error, pause).await;
+            }
+        }
+    }
+}
+
+/// Reads the configuration and the targets at the start and after a version was named.
+async fn refresh(state: &State, client: &Client) {
+    let mut first = true;
+    let mut pause = PAUSE.0;
+    loop {
+        let newest = state.rollout.borrow().newest();
+        if !first && state.is_current() && state.is_registered() {
+            state.changed.changed(state.changed.count()).await;
+            continue;
+        }
+        let read = async {
+            let (configs, targets) = match first {
+                true => join(client.list(config::KIND), client.list(target::KIND)).await,
+                false => {
+                    join(
+                        client.list_stale(config::KIND),
+                        client.list_stale(target::KIND),
+                    )
+                    .await
+                }
+            };
+            Ok::<_, Error>((configs?, targets?))
+        };
+        match read.await {
+            Ok((configs, targets)) => {
+                pause = PAUSE.0;
+                take_config(state, &configs);
+                take_targets(state, newest, &targets);
+                first = state.model().is_none();
+                if first || !state.is_registered() {
+                    compio::time::sleep(UNREGISTERED).await;
                 }
-                compio::time::sleep(pause).await;
-                pause = (pause * 2).min(PAUSE.1);
             }
+            Err(error) => pause = failed(target::KIND, &error, pause).await,
         }
     }
 }
 
+/// Logs the first failure of a series, waits, and returns the next pause.
+async fn failed(kind: &str, error: &Error, pause: Duration) -> Duration {
+    if pause == PAUSE.0 {
+        event!(event::STORE_LOST, kind = kind, error = error);
+    }
+    compio::time::sleep(pause).await;
+    (pause * 2).min(PAUSE.1)
+}
+
 fn take_config(state: &State, listing: &Listing) {
     let named = |object: &&platform::Object| object.name == config::NAME;
     let Some(object) = listing.objects.iter().find(named) else {
@@ -102,21 +141,12 @@
     }
 }
 
-fn take_targets(state: &State, listing: &Listing, whole: bool) {
+fn take_targets(state: &State, newest: Option<u64>, listing: &Listing) {
     let decoded = listing.objects.iter().filter_map(|object| {
         target::decode(object)
             .inspect_err(|error| event!(event::OBJECT_MALFORMED, error = error))
             .ok()
     });
-    if whole {
-        let targets: BTreeMap<_, _> = decoded.map(|target| (target.id.clone(), target)).collect();
-        return state.set_targets(targets);
-    }
-    for target in decoded {
-        let id = target.id.clone();
-        state.set_target(&id, Some(target));
-    }
-    for id in &listing.deleted {
-        state.set_target(id, None);
-    }
+    let targets: BTreeMap<_, _> = decoded.map(|target| (target.id.clone(), target)).collect();
+    state.set_targets(newest, targets);
 }
--- a/bins/agent/src/rollout/weights.rs
+++ b/bins/agent/src/rollout/weights.rs
@@ -1,6 +1,5 @@
 //! Gets the parts of the wanted version.
 
-use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,20 +8,36 @@
 use burst::Version;
 use catalog::Plan;
 use node::event;
-use node::http::{self, Client, StatusCode};
+use node::http::{self, Body, Client, Request, StatusCode};
 use weights::{Digest, Manifest, Pin};
 
 use super::state::State;
-use crate::transfer::{Holdings, Order, Origin, Settings, Transfer, Worker};
+use crate::transfer::{Holdings, Order, Origin, Parts, Settings, Transfer, Worker};
 
-/// Parts requested at once.
-const PARALLEL: usize = 8;
+/// Parts requested at once; most of them wait at their owner until it has the part.
+const PARALLEL: usize = 32;
+/// Parts requested at once that bring parts into the failure domain.
+const UPSTREAM: usize = 12;
+/// Longest time before a failed call to the origin is repeated: a version has seconds to arrive.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// Time allowed for the list of parts; the origin's link may be full of parts.
 const MANIFEST_TIME: Duration = Duration::from_secs(2);
 /// Largest list of parts that is read, in bytes.
 const MAX_MANIFEST: usize = 2 << 20;
 /// Pause after a list of parts could not be read.
 const PAUSE: Duration = Duration::from_millis(100);
+/// Longest time to wait for the engine's first state.
+const ENGINE_TIME: Duration = Duration::from_secs(3);
+/// Longest time before an agent begins to draw.
+const LONGEST_DELAY: Duration = Duration::from_secs(2);
+/// Agents before this one that are asked for the list of parts.
+const PEERS: usize = 2;
+/// Time for which they are asked before the origin is.
+const PEER_TIME: Duration = Duration::from_millis(800);
+/// Time allowed for a question to one of them.
+const PEER_CALL: Duration = Duration::from_millis(300);
+/// Pause between two rounds of questions.
+const PEER_PAUSE: Duration = Duration::from_millis(40);
 /// Equal lists that must come before one is believed: the origin may hand out a spoilt one.
 const SIGHTINGS: usize = 2;
 
@@ -36,15 +51,19 @@
     Status(StatusCode),
     #[error(transparent)]
     Malformed(#[from] platform::origin::Error),
+    #[error("the agent's answer is malformed: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error("the request is invalid: {0}")]
+    Request(#[from] hyper::http::Error),
     #[error(transparent)]
     Contradictory(#[from] burst::Error),
 }
 
-/// Returns the transfer of this agent; `origin` is kept at the address of the origin.
+/// Returns the transfer of this agent, which draws from `origin`.
 pub(super) fn transfer(
     state: &Rc<State>,
     holdings: Rc<Holdings>,
-    origin: Rc<Cell<SocketAddr>>,
+    origin: Rc<Parts>,
 ) -> (Transfer, Worker) {
     let settings = Settings {
         me: state.me(),
@@ -52,11 +71,16 @@
         origin: Origin::Parts(origin),
         engine: None,
         parallel: PARALLEL,
+        upstream: UPSTREAM,
+        longest_pause: LONGEST_PAUSE,
     };
     let complete = Rc::clone(state);
     Transfer::new(settings, holdings, None, move |pin: &Pin| {
         if let Ok(version) = pin.version.parse() {
-            complete.rollout.borrow_mut().complete(version);
+            complete
+                .rollout
+                .borrow_mut()
+                .complete(Instant::now(), version);
             complete.changed.notify();
         }
     })
@@ -67,24 +91,31 @@
     state: Rc<State>,
     holdings: Rc<Holdings>,
     transfer: Transfer,
-    origin: Rc<Cell<SocketAddr>>,
+    origin: Rc<Parts>,
 ) {
-    let http = Client::new();
+    let http = Client::new().without_reuse();
     let mut wanted = None;
     let mut seen = state.changed.count();
+    wait_for_engine(&state).await;
     loop {
         transfer.set_members(state.members());
+        if !state.is_current() {
+            seen = state.changed.changed(seen).await;
+            continue;
+        }
         if let (Some(model), Some(from)) = (state.model(), state.origin.get()) {
-            origin.set(from.address);
+            origin.address.set(from.address);
             let version = state.wanted();
             if wanted != Some(version)
-                && let Some(found) = manifest(&state, &http, &model, version).await
+                && let Some(found) = find_manifest(&state, &http, &model, version).await
             {
                 wanted = Some(version);
                 let pin = Pin::new(&model, &version.to_string(), found.digest());
-                holdings.add_version(&found);
-                state.digests.borrow_mut().insert(version, found.digest());
+                holdings.add_named(&model, &version.to_string(), &found);
                 adopt_staged(&state, &holdings, &model, &found).await;
+                origin
+                    .not_before
+                    .set(Instant::now() + draw_delay(&state, from.bytes_per_s));
                 transfer.want(Some(Order {
                     pin,
                     plan: Plan::OriginBytes,
@@ -95,8 +126,81 @@
     }
 }
 
-/// Fetches the list of parts until two equal ones came; `None` when another version is wanted meanwhile.
-async fn manifest(state: &State, http: &Client, model: &str, version: u64) -> Option<Version> {
+/// Waits until the engine tells its state, which may start later than the agent.
+///
+/// What is staged in it need not be fetched: agents that all start together would otherwise draw what they have.
+async fn wait_for_engine(state: &State) {
+    let end = Instant::now() + ENGINE_TIME;
+    while state.report.borrow().is_none() && Instant::now() < end {
+        let seen = state.changed.count();
+        let _ = compio::time::timeout_at(end, state.changed.changed(seen)).await;
+    }
+}
+
+/// Gets the list of parts from the agents that come first in the domain, or else from the origin.
+///
+/// `None` when another version is wanted meanwhile. The origin's link is full of parts; a list for each agent would
+/// delay all of them.
+async fn find_manifest(state: &State, http: &Client, model: &str, version: u64) -> Option<Version> {
+    let end = Instant::now() + PEER_TIME;
+    let peers = first_peers(state, model, version);
+    while !peers.is_empty() && Instant::now() < end && state.wanted() == version {
+        for peer in &peers {
+            match peer_manifest(http, *peer, model, version).await {
+                Ok(found) => return Some(found),
+                Err(Error::Status(StatusCode::NOT_FOUND)) => {}
+                Err(error) => {
+                    event!(
+                        event::MANIFEST_FAILED,
+                        pin = format_args!("{model}@{version}"),
+                        from = peer,
+                        error = error
+                    );
+                }
+            }
+        }
+        compio::time::sleep(PEER_PAUSE).await;
+    }
+    origin_manifest(state, http, model, version).await
+}
+
+/// Returns the agents that come before this one in the domain's order for the list of parts.
+fn first_peers(state: &State, model: &str, version: u64) -> Vec<SocketAddr> {
+    let key = Digest::of(format!("{model}/{version}").as_bytes()).short();
+    let members = state.members();
+    let me = state.me();
+    let owners = members.owners(&me.domain, key).into_iter();
+    owners
+        .map(|peer| peer.address)
+        .take_while(|address| *address != me.address)
+        .take(PEERS)
+        .collect()
+}
+
+async fn peer_manifest(
+    http: &Client,
+    peer: SocketAddr,
+    model: &str,
+    version: u64,
+) -> Result<Version, Error> {
+    let request = Request::get(format!("/manifests/{model}/{version}")).body(Body::empty())?;
+    let answer = http.send(peer, request, Instant::now() + PEER_CALL).await?;
+    let status = answer.status();
+    let text = answer.into_body().bytes(MAX_MANIFEST).await?;
+    if status != StatusCode::OK {
+        return Err(Error::Status(status));
+    }
+    let manifest: Manifest = serde_json::from_slice(&text)?;
+    Ok(Version::check(manifest.digest(), manifest)?)
+}
+
+/// Fetches the list of parts from the origin until two equal ones came; `None` when another version is wanted meanwhile.
+async fn origin_manifest(
+    state: &State,
+    http: &Client,
+    model: &str,
+    version: u64,
+) -> Option<Version> {
     let mut sightings: HashMap<Digest, usize> = HashMap::new();
     loop {
         if state.wanted() != version {
@@ -143,6 +247,18 @@
     Ok(Version::check(manifest.digest(), manifest)?)
 }
 
+/// Returns the time after which this agent begins to draw, by its place among the agents.
+fn draw_delay(state: &State, bytes_per_s: u64) -> Duration {
+    let piece = state
+        .facts
+        .borrow()
+        .as_ref()
+        .map_or(0, |facts| facts.piece_bytes);
+    let all = state.members().len() as f64 * f64::from(piece) / bytes_per_s.max(1) as f64;
+    let share = state.rollout.borrow().place().share();
+    Duration::from_secs_f64((all * share).min(LONGEST_DELAY.as_secs_f64()))
+}
+
 /// Takes what is staged in the engine and belongs to `version` into the holdings.
 ///
 /// An engine that is there from the start has the first version staged, and one whose agent restarted may have more.
--- a/bins/agent/src/staging.rs
+++ b/bins/agent/src/staging.rs
@@ -61,6 +61,8 @@
         origin: Origin::Store(store),
         engine: Some(own.backend_address),
         parallel: PARALLEL,
+        upstream: burst::UPSTREAM,
+        longest_pause: burst::LONGEST_PAUSE,
     };
     let complete = Rc::clone(shared);
     Transfer::new(settings, holdings, Some(platform), move |pin: &Pin| {
--- a/bins/agent/src/transfer.rs
+++ b/bins/agent/src/transfer.rs
@@ -14,7 +14,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use burst::{Answer, Grant, Members, Peer, RequestId, Stats, StripeIndex, Version};
 use catalog::Plan;
@@ -41,6 +41,10 @@
     pub engine: Option<SocketAddr>,
     /// Most chunks requested at once.
     pub parallel: usize,
+    /// Most of them that bring chunks into the failure domain.
+    pub upstream: usize,
+    /// Longest time before a failed call to the origin is repeated.
+    pub longest_pause: Duration,
 }
 
 /// Where chunks come from that no agent has.
@@ -48,8 +52,18 @@
 pub enum Origin {
     /// A weight store, which gives ranges of a version's bytes.
     Store(SocketAddr),
-    /// The users' origin, which gives whole parts; its address may change with the configuration.
-    Parts(Rc<Cell<SocketAddr>>),
+    /// The users' origin, which gives whole parts.
+    Parts(Rc<Parts>),
+}
+
+/// An origin of whole parts.
+#[derive(Debug)]
+pub struct Parts {
+    /// Its address, which may change with the configuration.
+    pub address: Cell<SocketAddr>,
+    /// Time from which this agent draws: agents that begin one after the other don't divide the origin's link among all
+    /// first parts, and the first ones spread earlier.
+    pub not_before: Cell<Instant>,
 }
 
 /// Weights that the engine should have.
--- a/bins/agent/src/transfer/fetch.rs
+++ b/bins/agent/src/transfer/fetch.rs
@@ -21,6 +21,9 @@
 /// Largest manifest that is read, in bytes: 16,384 digests as text are 1.1 MB.
 const MAX_MANIFEST: usize = 2 << 20;
 
+/// Longest time between two looks whether this agent may draw.
+const TURN_CHECK: Duration = Duration::from_millis(500);
+
 /// Wait when an answer says to wait but not how long.
 const DEFAULT_WAIT: Duration = Duration::from_millis(500);
 
@@ -32,6 +35,8 @@
     pub(super) settings: Rc<Settings>,
     pub(super) holdings: Rc<Holdings>,
     pub(super) http: Client,
+    /// Client of the origin, whose few connections all agents share.
+    pub(super) origin_http: Client,
     pub(super) pin: Pin,
     pub(super) partials: Partials,
 }
@@ -121,9 +126,10 @@
         let len = manifest.chunk_len(chunk).ok_or(Error::NoChunk(chunk))? as usize;
         let mut partial = Partial::take(&self.partials, chunk);
         if partial.bytes.len() < len {
+            self.wait_for_turn(&progress).await;
             let (origin, request) = self.draw_request(version, chunk, &mut partial.bytes)?;
             let answer = self
-                .http
+                .origin_http
                 .send(origin, request, Instant::now() + PART)
                 .await?;
             progress();
@@ -154,6 +160,24 @@
         Ok(Answer::Bytes(partial.bytes.split().freeze()))
     }
 
+    /// Waits until this agent may draw; the wait counts as progress.
+    async fn wait_for_turn(&self, progress: &impl Fn()) {
+        let Origin::Parts(origin) = &self.settings.origin else {
+            return;
+        };
+        loop {
+            let left = origin
+                .not_before
+                .get()
+                .saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            compio::time::sleep(left.min(TURN_CHECK)).await;
+            progress();
+        }
+    }
+
     /// Returns the request for what is missing of a chunk, and where to send it.
     ///
     /// The users' origin gives whole parts only, so what came of an interrupted draw is dropped.
@@ -176,13 +200,13 @@
                     .body(Body::empty())?;
                 Ok((*address, request))
             }
-            Origin::Parts(address) => {
+            Origin::Parts(origin) => {
                 received.clear();
                 let number = self.pin.version.parse().map_err(|_| Error::Version {
                     text: self.pin.version.clone(),
                 })?;
                 let request = platform::origin::piece(&self.pin.model, number, chunk);
-                Ok((address.get(), request))
+                Ok((origin.address.get(), request))
             }
         }
     }
--- a/bins/agent/src/transfer/holdings.rs
+++ b/bins/agent/src/transfer/holdings.rs
@@ -1,14 +1,15 @@
 //! Verified chunks and what the chunk port needs to serve them.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use burst::{Bucket, Members, Peer, Uploader, Version};
 use bytes::Bytes;
 use weights::{Chunk, Digest, Store};
 
+use crate::Notify;
 use crate::metrics::{Remote, Transfers};
 
 /// Versions whose manifests are served: the current one and the one before, which other agents may still transfer.
@@ -48,12 +49,18 @@
     pub uploader: Uploader,
     store: RefCell<Store>,
     versions: RefCell<Vec<Version>>,
+    /// Digests of manifests by model and version, where operators name versions by number.
+    names: RefCell<BTreeMap<(String, String), Digest>>,
     /// Metrics of what the transfer and the chunk port do.
     pub metrics: Transfers,
     region: String,
     domain: String,
     peers: RefCell<HashMap<SocketAddr, Peer>>,
     traffic: Cell<Traffic>,
+    /// Raised by each chunk that arrives.
+    arrived: Notify,
+    /// Time for which a request waits for a chunk.
+    hold: Duration,
 }
 
 impl Holdings {
@@ -70,11 +77,14 @@
             uploader: Uploader::new(slots),
             store: RefCell::new(Store::new(cache)),
             versions: RefCell::default(),
+            names: RefCell::default(),
             metrics: Transfers::default(),
             region: region.into(),
             domain: domain.into(),
             peers: RefCell::default(),
             traffic: Cell::default(),
+            arrived: Notify::default(),
+            hold: Duration::ZERO,
         }
     }
 
@@ -87,6 +97,12 @@
             .cloned()
     }
 
+    /// Returns the version of `model` that is called `name`, if its manifest is held.
+    pub fn named(&self, model: &str, name: &str) -> Option<Version> {
+        let names = self.names.borrow();
+        self.version(names.get(&(model.into(), name.into()))?)
+    }
+
     /// Tells whether the chunk `digest` is held.
     pub fn contains(&self, digest: &Digest) -> bool {
         self.store.borrow().contains(digest)
@@ -124,6 +140,25 @@
         }
     }
 
+    /// Keeps requests for a chunk that is on its way for up to `time`, so that askers need not ask again and again.
+    pub fn with_hold(mut self, time: Duration) -> Self {
+        self.hold = time;
+        self
+    }
+
+    /// Waits until the chunk `digest` is held, as long as requests are kept, and returns whether it is.
+    pub(crate) async fn wait_for(&self, digest: &Digest) -> bool {
+        let end = Instant::now() + self.hold;
+        while !self.contains(digest) {
+            let seen = self.arrived.count();
+            let arrived = self.arrived.changed(seen);
+            if compio::time::timeout_at(end, arrived).await.is_err() {
+                return self.contains(digest);
+            }
+        }
+        true
+    }
+
     /// Counts into `metrics` from now on.
     pub fn with_metrics(mut self, metrics: Transfers) -> Self {
         self.metrics = metrics;
@@ -142,8 +177,17 @@
         self.uploader.retain_chunks(|chunk| wanted.contains(chunk));
     }
 
+    /// Adds a version that operators call `name`.
+    pub(crate) fn add_named(&self, model: &str, name: &str, version: &Version) {
+        self.add_version(version);
+        let mut names = self.names.borrow_mut();
+        names.insert((model.into(), name.into()), version.digest());
+        names.retain(|_, digest| self.version(digest).is_some());
+    }
+
     pub(crate) fn insert(&self, chunk: Chunk, keep: bool) {
         self.store.borrow_mut().insert(chunk, keep);
+        self.arrived.notify();
     }
 
     pub(crate) fn keep_only(&self, owned: impl Fn(&Digest) -> bool) {
--- a/bins/agent/src/transfer/run.rs
+++ b/bins/agent/src/transfer/run.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use burst::{Action, Downloader, Grant, Members, RequestId, Setup, Source, StripeIndex, Version};
+use burst::{
+    Action, Answer, Downloader, Grant, Members, RequestId, Setup, Source, StripeIndex, Version,
+};
 use compio::runtime::JoinHandle;
 use futures::StreamExt;
 use futures::channel::mpsc::{UnboundedReceiver, UnboundedSender};
@@ -14,7 +16,7 @@
 
 use super::fetch::Fetcher;
 use super::stage::{Stager, room};
-use super::{Holdings, Input, Order, Progress, Settings, Transfer, manifest, permits};
+use super::{Holdings, Input, Order, Origin, Progress, Settings, Transfer, manifest, permits};
 
 /// Longest time between two looks at the downloader.
 const TICK: Duration = Duration::from_millis(250);
@@ -68,6 +70,7 @@
 struct Request {
     chunk: ChunkIndex,
     from: Source,
+    since: Instant,
     _task: JoinHandle<()>,
 }
 
@@ -154,6 +157,9 @@
                     .chunks_mut()
                     .and_then(|chunks| chunks.requests.remove(&request));
                 let corrupted = self.corrupted();
+                if let Some(request) = &done {
+                    log_answer(request, &answer);
+                }
                 self.update(|downloader, now| downloader.answer(request, answer, now));
                 if let Some(request) = done.filter(|_| self.corrupted() > corrupted) {
                     self.log_corrupted(&request);
@@ -194,6 +200,10 @@
                 settings: Rc::clone(&self.settings),
                 holdings: Rc::clone(&self.holdings),
                 http: Client::new(),
+                origin_http: match self.settings.origin {
+                    Origin::Store(_) => Client::new(),
+                    Origin::Parts(_) => Client::new().without_reuse(),
+                },
                 pin: order.pin.clone(),
                 partials: Rc::default(),
             });
@@ -296,6 +306,8 @@
                     holder,
                     plan: order.plan,
                     parallel: self.settings.parallel,
+                    upstream: self.settings.upstream,
+                    longest_pause: self.settings.longest_pause,
                 };
                 Downloader::start(setup, version, &self.members, held, now)
             }
@@ -389,6 +401,7 @@
         let record = Request {
             chunk,
             from,
+            since: Instant::now(),
             _task: task,
         };
         chunks.requests.insert(request, record);
@@ -518,6 +531,22 @@
     }
 }
 
+fn log_answer(request: &Request, answer: &Answer) {
+    let answer = match answer {
+        Answer::Bytes(_) => "bytes",
+        Answer::Holders(_) => "holders",
+        Answer::NotYet(_) => "not-yet",
+        Answer::Failed => "failed",
+    };
+    node::event!(
+        event::CHUNK_ANSWERED,
+        chunk = request.chunk,
+        from = format_args!("{:?}", request.from),
+        answer = answer,
+        ms = request.since.elapsed().as_millis()
+    );
+}
+
 fn send(inputs: &UnboundedSender<Input>, input: Input) {
     // The receiver ends only with the worker, which cancels all tasks.
     let _ = inputs.unbounded_send(input);
--- a/bins/agent/tests/transfer/support.rs
+++ b/bins/agent/tests/transfer/support.rs
@@ -234,6 +234,8 @@
             origin: Origin::Store(world),
             engine: Some(engine_address),
             parallel: 8,
+            upstream: burst::UPSTREAM,
+            longest_pause: burst::LONGEST_PAUSE,
         };
         let platform = objects::Client::new(world, Duration::from_secs(1));
         let complete: Rc<RefCell<Vec<Pin>>> = Rc::default();
--- a/bins/entry/src/ingress/attempt.rs
+++ b/bins/entry/src/ingress/attempt.rs
@@ -50,6 +50,7 @@
                 waiting,
                 pace: 1.0,
                 accepting: true,
+                closes: None,
                 weights: None,
             };
             self.update(|scheduler, now| scheduler.answer_load(now, &place.target, load));
--- a/bins/entry/src/ingress/call.rs
+++ b/bins/entry/src/ingress/call.rs
@@ -120,6 +120,7 @@
             objective: self.objective,
             deadline: self.deadline,
             prompt: self.caller.prompt,
+            output: self.caller.output,
             model: self.caller.model.clone(),
             version: None,
             attempts: self.attempts,
--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -88,6 +88,7 @@
         waiting: load.waiting,
         pace: f64::from(load.pace),
         accepting: load.accepting,
+        closes: load.closes_ms.map(|ms| Duration::from_millis(ms.into())),
         weights: Some(load.weights.into_iter().collect()),
     };
     gateway.update(|scheduler, now| {
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -15,6 +15,8 @@
 const TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest wait of one watch call; every call has a price.
 const WAIT: Duration = Duration::from_secs(25);
+/// Time between two watches of targets, in which changes that come together gather.
+const GATHERING: Duration = Duration::from_millis(200);
 /// Bounds of the pause after a failed call; it doubles with each failure.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 /// Time between two looks for targets that did not register again.
@@ -87,6 +89,7 @@
                     after.is_none(),
                 );
                 after = Some(listing.revision);
+                compio::time::sleep(GATHERING).await;
             }
             Err(Error::HistoryGone { .. }) => after = None,
             Err(error) => {
--- a/crates/burst/examples/decision_cost.rs
+++ b/crates/burst/examples/decision_cost.rs
@@ -22,6 +22,8 @@
         holder: "vm-0/1/0".into(),
         plan: Plan::OriginBytes,
         parallel: 16,
+        upstream: burst::UPSTREAM,
+        longest_pause: burst::LONGEST_PAUSE,
         seed: 1,
     };
     let began = Instant::now();
--- a/crates/burst/src/choice.rs
+++ b/crates/burst/src/choice.rs
@@ -33,7 +33,7 @@
 
 /// Most requests in progress that bring chunks into the domain; with more, the origin's link is divided among so many
 /// chunks that the first one comes late.
-const UPSTREAM: usize = 4;
+pub const UPSTREAM: usize = 4;
 
 /// Draws in progress of all agents together, of which each agent may have its share, at least one. The origin's link is
 /// divided among the draws, and nothing spreads before the first ones end: with 4 draws at each of 15 agents and an
@@ -173,7 +173,7 @@
         let mut chooser = Self {
             plan: setup.plan,
             holder: setup.holder.clone(),
-            upstream_limit: (setup.parallel / 2).clamp(1, UPSTREAM),
+            upstream_limit: (setup.parallel / 2).clamp(1, setup.upstream.max(1)),
             draw_limit: 1,
             seed: setup.seed,
             random,
@@ -185,7 +185,7 @@
             cursor: 0,
             holders: HashMap::new(),
             redirected: Vec::new(),
-            store: Backoff::default(),
+            store: Backoff::new(setup.longest_pause),
         };
         chooser.sort();
         chooser.share_draws();
@@ -212,7 +212,7 @@
 
     /// Takes the next chunk to request off its queue, or adds a request for a permit to `actions`.
     ///
-    /// At most half of the parallel requests, and at most [`UPSTREAM`], bring chunks into the domain, so that a slow
+    /// At most half of the parallel requests, and at most [`Setup::upstream`], bring chunks into the domain, so that a slow
     /// origin doesn't keep the chunks that peers hold waiting.
     pub(crate) fn pick(
         &mut self,
--- a/crates/burst/src/downloader.rs
+++ b/crates/burst/src/downloader.rs
@@ -35,6 +35,10 @@
     pub plan: Plan,
     /// Most requests in progress, duplicates apart.
     pub parallel: usize,
+    /// Most requests in progress that bring chunks into the domain; see [`UPSTREAM`](crate::UPSTREAM).
+    pub upstream: usize,
+    /// Longest time before a failed call to the origin is repeated; see [`LONGEST_PAUSE`](crate::LONGEST_PAUSE).
+    pub longest_pause: Duration,
     /// Seed of the order of chunks that this agent doesn't own; agents should differ.
     pub seed: u64,
 }
@@ -71,7 +75,15 @@
 ///     region: "levis".into(),
 ///     address: ([127, 0, 0, 1], 1).into(),
 /// };
-/// let setup = Setup { me, holder: "vm-1/5/0".into(), plan: catalog::Plan::OriginBytes, parallel: 8, seed: 1 };
+/// let setup = Setup {
+///     me,
+///     holder: "vm-1/5/0".into(),
+///     plan: catalog::Plan::OriginBytes,
+///     parallel: 8,
+///     upstream: burst::UPSTREAM,
+///     longest_pause: burst::LONGEST_PAUSE,
+///     seed: 1,
+/// };
 /// let now = Instant::now();
 /// let (mut downloader, actions) = Downloader::start(setup, version, &Members::default(), |_| false, now);
 /// assert!(matches!(&actions[..], [Action::AskPermit { stripe: 0, .. }]));
--- a/crates/burst/src/draw.rs
+++ b/crates/burst/src/draw.rs
@@ -2,8 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-/// First and longest time before a failed call to the platform or the store is repeated.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(8));
+/// Time before a failed call to the platform or the store is repeated for the first time.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest time before a failed call to the store is repeated, where a transfer may take minutes.
+pub const LONGEST_PAUSE: Duration = Duration::from_secs(8);
 
 /// Answer to a request for a permit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -53,7 +56,7 @@
             Grant::Unavailable | Grant::Lost => Self::Wanted {
                 attempt,
                 read: true,
-                at: Some(now + BACKOFF.0 * 2),
+                at: Some(now + FIRST_PAUSE * 2),
             },
         };
     }
@@ -71,13 +74,22 @@
 }
 
 /// Exponential backoff of the store.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Backoff {
+    longest: Duration,
     failures: u32,
     until: Option<Instant>,
 }
 
 impl Backoff {
+    pub(crate) fn new(longest: Duration) -> Self {
+        Self {
+            longest,
+            failures: 0,
+            until: None,
+        }
+    }
+
     /// Returns when the next attempt is allowed, if not yet at `now`.
     pub(crate) fn blocked(&self, now: Instant) -> Option<Instant> {
         self.until.filter(|until| *until > now)
@@ -89,18 +101,18 @@
         if self.blocked(now).is_some() {
             return;
         }
-        let (first, longest) = BACKOFF;
-        self.until = Some(now + (first * 2u32.pow(self.failures.min(5))).min(longest));
+        let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(5));
+        self.until = Some(now + pause.min(self.longest));
         self.failures += 1;
     }
 
     /// Waits as long as the store asked for.
     pub(crate) fn wait(&mut self, time: Duration, now: Instant) {
-        self.until = Some(now + time.clamp(BACKOFF.0, BACKOFF.1));
+        self.until = Some(now + time.clamp(FIRST_PAUSE.min(self.longest), self.longest));
     }
 
     /// Ends the backoff after a success.
     pub(crate) fn reset(&mut self) {
-        *self = Self::default();
+        *self = Self::new(self.longest);
     }
 }
--- a/crates/burst/src/lib.rs
+++ b/crates/burst/src/lib.rs
@@ -20,8 +20,9 @@
 
 pub use action::{Action, Answer, Complete, RequestId, Source};
 pub use bucket::{Bucket, Ticket};
+pub use choice::UPSTREAM;
 pub use downloader::{Downloader, Setup, Stats};
-pub use draw::Grant;
+pub use draw::{Grant, LONGEST_PAUSE};
 pub use members::{Members, Peer};
 pub use stripes::{MAX_STRIPES, StripeIndex, Stripes};
 pub use uploader::{Asker, MAX_HOLDERS, Response, Slot, Uploader};
--- a/crates/burst/src/peers.rs
+++ b/crates/burst/src/peers.rs
@@ -1,5 +1,6 @@
 //! The peers as one downloader sees them: owners of each stripe and peers to avoid.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -20,6 +21,8 @@
     me: Peer,
     stripes: Stripes,
     first: Vec<Vec<SocketAddr>>,
+    /// The first owners of each stripe in other domains, computed when they are asked for.
+    elsewhere: RefCell<HashMap<String, Vec<Vec<SocketAddr>>>>,
     avoided: HashMap<SocketAddr, Instant>,
 }
 
@@ -41,6 +44,7 @@
             me,
             stripes,
             first: Vec::new(),
+            elsewhere: RefCell::default(),
             avoided: HashMap::new(),
         };
         peers.set_members(members);
@@ -58,9 +62,8 @@
     /// Replaces the members; this agent is one of them in any case.
     pub(crate) fn set_members(&mut self, members: &Members) {
         self.members = Members::new(members.iter().chain([&self.me]).cloned());
-        self.first = (0..self.stripes.count())
-            .map(|stripe| self.top(&self.me.domain, stripe))
-            .collect();
+        self.elsewhere.borrow_mut().clear();
+        self.first = self.owners(&self.me.domain);
     }
 
     /// Returns the number of agents, this one included.
@@ -122,8 +125,12 @@
 
     /// Returns the first usable owner of `stripe` in another domain.
     pub(crate) fn owner_in(&self, domain: &str, stripe: u32, now: Instant) -> Option<SocketAddr> {
-        let mut top = self.top(domain, stripe).into_iter();
-        top.find(|peer| self.usable(*peer, now))
+        let mut elsewhere = self.elsewhere.borrow_mut();
+        if !elsewhere.contains_key(domain) {
+            elsewhere.insert(domain.into(), self.owners(domain));
+        }
+        let first = elsewhere.get(domain)?.get(stripe as usize)?;
+        first.iter().copied().find(|peer| self.usable(*peer, now))
     }
 
     /// Returns the usable peer at place `turn` among all others: first the own domain, then the others in home order.
@@ -140,18 +147,27 @@
         all.get(turn % all.len().max(1)).copied()
     }
 
-    fn top(&self, domain: &str, stripe: u32) -> Vec<SocketAddr> {
-        let key = self.stripes.key(stripe);
-        let mut top = Vec::new();
-        while top.len() < TAKE_OVER {
-            let Some(peer) = self
-                .members
-                .owner(domain, key, |peer| !top.contains(&peer.address))
-            else {
-                break;
-            };
-            top.push(peer.address);
-        }
-        top
+    /// Returns the first owners of each stripe in `domain`.
+    ///
+    /// They follow the rendezvous order, but no agent is first for more than its share of the stripes: the link of the
+    /// one with the most stripes decides when a transfer ends.
+    fn owners(&self, domain: &str) -> Vec<Vec<SocketAddr>> {
+        let stripes = self.stripes.count();
+        let mut load: HashMap<SocketAddr, usize> = HashMap::new();
+        (0..stripes)
+            .map(|stripe| {
+                let order = self.members.owners(domain, self.stripes.key(stripe));
+                let share = (stripes as usize).div_ceil(order.len().max(1));
+                let mut order: Vec<SocketAddr> =
+                    order.into_iter().map(|peer| peer.address).collect();
+                let free = |peer: &SocketAddr| load.get(peer).is_none_or(|load| *load < share);
+                if let Some(first) = order.iter().position(free) {
+                    order[..=first].rotate_right(1);
+                    *load.entry(order[0]).or_default() += 1;
+                }
+                order.truncate(TAKE_OVER);
+                order
+            })
+            .collect()
     }
 }
--- a/crates/burst/tests/burst/support.rs
+++ b/crates/burst/tests/burst/support.rs
@@ -27,6 +27,8 @@
         me,
         plan,
         parallel: 8,
+        upstream: burst::UPSTREAM,
+        longest_pause: burst::LONGEST_PAUSE,
     }
 }
 
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -30,6 +30,13 @@
         self.usual_answer * self.token_ms(slots) / slots + self.usual_prompt / self.prefill
     }
 
+    /// Returns the time that a full engine takes to produce `tokens` tokens of one answer.
+    pub(crate) fn generation(&self, tokens: f64) -> Duration {
+        let slots = f64::from(self.slots.max(1));
+        let token = self.interval_ms() * slots / self.usual_answer.max(1.0);
+        Duration::from_secs_f64((tokens * token).clamp(0.0, 3.6e6) / 1000.0)
+    }
+
     /// Returns the time until a request with `prompt` tokens would get its first token.
     pub(crate) fn first_token(&self, occupancy: Occupancy, prompt: f64) -> Duration {
         let slots = f64::from(self.slots.max(1));
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -22,6 +22,10 @@
 const PLAIN_BACKLOG: f64 = 0.5;
 /// Time to a first token that another failure domain must save to be preferred; bytes between domains have a price.
 const DOMAIN_PENALTY: Duration = Duration::from_millis(25);
+/// Factor on the expected length of an answer: callers' estimates are often too low.
+const OUTPUT_DOUBT: f64 = 1.5;
+/// Time for which a request may still run when its engine stops to take new ones.
+const OVERRUN: Duration = Duration::from_millis(150);
 /// Load that a plain target of another failure domain must save to be preferred.
 const DOMAIN_LOAD: f64 = 0.5;
 /// Time that is added to a target's forecast if all of its requests fail.
@@ -437,6 +441,12 @@
             return None;
         }
         let mut time = engine.first_token(occupancy, f64::from(work.prompt));
+        if let Some(closes) = held.closes_at(now) {
+            let end = now + time + engine.generation(f64::from(work.output) * OUTPUT_DOUBT);
+            if end > closes + OVERRUN {
+                return None;
+            }
+        }
         time += FAILURE_PENALTY.mul_f64(held.health.rate());
         if held.target.domain != self.domain {
             time += DOMAIN_PENALTY;
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -51,6 +51,8 @@
     pub pace: f64,
     /// Whether it takes new work; it doesn't while it changes its weights.
     pub accepting: bool,
+    /// Time until it takes none for a while, where that is known.
+    pub closes: Option<Duration>,
     /// Models that it holds and their versions, where the source of the load knows them.
     pub weights: Option<BTreeMap<String, u64>>,
 }
@@ -146,6 +148,12 @@
         !self.target.draining && !closed
     }
 
+    /// Returns the time at which the target is about to take no work for a while.
+    pub(crate) fn closes_at(&self, now: Instant) -> Option<Instant> {
+        let reported = self.fresh(now)?;
+        reported.load.closes.map(|closes| reported.at + closes)
+    }
+
     /// Returns what occupies the target's engine.
     pub(crate) fn occupancy(&self, now: Instant, engine: &Engine) -> Occupancy {
         let unread: u32 = self
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -25,6 +25,8 @@
     pub deadline: Instant,
     /// Prompt tokens; 0 for requests of plain services.
     pub prompt: u32,
+    /// Tokens that the answer is expected to have.
+    pub output: u32,
     /// Model whose weights the target must hold.
     pub model: Option<String>,
     /// The only version of the weights that may go on with a stream.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -91,6 +91,7 @@
     STAGE_FAILED = 354 Warn "stage-failed";
     CHUNK_CORRUPTED = 355 Warn "chunk-corrupted";
     DRAW_FAILED = 356 Warn "draw-failed";
+    CHUNK_ANSWERED = 357 Debug "chunk-answered";
     ENGINE_STATE = 360 Info "engine-state";
     ORDER_FAILED = 361 Warn "order-failed";
     WEIGHTS_MISSING = 362 Error "weights-missing";
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -24,6 +24,7 @@
 pub struct Client {
     pool: Pool,
     connect_time: Option<Duration>,
+    single_use: bool,
 }
 
 /// A request without a whole answer.
@@ -56,7 +57,8 @@
     peer: SocketAddr,
     deadline: Instant,
     body: Incoming,
-    lease: Option<(Connection, Pool)>,
+    /// The connection, and the pool to which it goes back.
+    lease: Option<(Connection, Option<Pool>)>,
     /// Time for which the other end keeps the connection open once it is idle.
     idle: Option<Duration>,
 }
@@ -73,6 +75,12 @@
         self
     }
 
+    /// Closes each connection after its answer: an idle one would count against the other end's limit.
+    pub fn without_reuse(mut self) -> Self {
+        self.single_use = true;
+        self
+    }
+
     /// Sends `request` to `peer` and returns the head of the answer, at the latest at `deadline`.
     ///
     /// The deadline also holds for the answer's body, until [`Answer::set_deadline`]. A `host` header is added when
@@ -103,7 +111,8 @@
             let sent = connection.sender.try_send_request(request);
             match compio::time::timeout_at(deadline, sent).await {
                 Ok(Ok(response)) => {
-                    let lease = Some((connection, self.pool.clone()));
+                    let pool = (!self.single_use).then(|| self.pool.clone());
+                    let lease = Some((connection, pool));
                     let idle = idle_time(response.headers());
                     return Ok(response.map(|body| Answer {
                         peer,
@@ -211,7 +220,7 @@
     }
 
     fn release(&mut self) {
-        if let Some((connection, pool)) = self.lease.take() {
+        if let Some((connection, Some(pool))) = self.lease.take() {
             pool.put(self.peer, connection, self.idle);
         }
     }
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -6,15 +6,15 @@
 
 mod turn;
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 pub use turn::Place;
 
-/// Share of the bound after which the first turn comes; the weights are on their way until then.
-const FIRST_TURN: f64 = 0.35;
 /// Share of the bound at which the last turn comes; what remains is for an order that has to be repeated.
-const LAST_TURN: f64 = 0.85;
+const LAST_TURN: f64 = 0.9;
+/// Share of the bound in which the parts of a version usually arrive.
+const EXPECTED: f64 = 0.5;
 /// Time from an order until it is taken for lost when the engine shows nothing of it.
 const ORDER_TIME: Duration = Duration::from_millis(700);
 
@@ -27,7 +27,8 @@
     bound: Duration,
     place: Place,
     named: Vec<(VersionNumber, Instant)>,
-    complete: BTreeSet<VersionNumber>,
+    /// Versions whose parts are all there, and since when.
+    complete: BTreeMap<VersionNumber, Instant>,
     held: Option<VersionNumber>,
     busy: bool,
     ordered: Option<(VersionNumber, Instant)>,
@@ -49,7 +50,7 @@
             bound,
             place: Place::default(),
             named: Vec::new(),
-            complete: BTreeSet::new(),
+            complete: BTreeMap::new(),
             held: None,
             busy: false,
             ordered: None,
@@ -61,6 +62,11 @@
         self.place = place;
     }
 
+    /// Returns the engine's place.
+    pub fn place(&self) -> Place {
+        self.place
+    }
+
     /// Takes a version as named at `now`, and returns whether it is newer than those known.
     pub fn name(&mut self, now: Instant, version: VersionNumber) -> bool {
         let newest = self.newest();
@@ -76,9 +82,28 @@
         self.named.last().map(|(version, _)| *version)
     }
 
-    /// Notes that every part of `version` is held and verified.
-    pub fn complete(&mut self, version: VersionNumber) {
-        self.complete.insert(version);
+    /// Returns the version whose parts are to be got now; `None` when no named one is missing.
+    ///
+    /// That is the newest one whose parts can be there before the oldest one that the engine doesn't serve is due. A
+    /// newer one that would come too late waits: the engine loads the older one first.
+    pub fn wanted(&self) -> Option<VersionNumber> {
+        let got = self
+            .held
+            .max(self.complete.last_key_value().map(|(version, _)| *version));
+        let missing = self
+            .named
+            .iter()
+            .filter(|(version, _)| got.is_none_or(|got| got < *version));
+        let (_, oldest) = *missing.clone().next()?;
+        let due = oldest + self.bound.mul_f64(LAST_TURN);
+        let in_time = |at: Instant| at + self.bound.mul_f64(EXPECTED) <= due;
+        let newest = missing.rev().find(|(_, at)| *at == oldest || in_time(*at));
+        newest.map(|(version, _)| *version)
+    }
+
+    /// Notes that every part of `version` is held and verified at `now`.
+    pub fn complete(&mut self, now: Instant, version: VersionNumber) {
+        self.complete.entry(version).or_insert(now);
         while self.complete.len() > 2 {
             self.complete.pop_first();
         }
@@ -124,22 +149,50 @@
         {
             return Step::Wait(Some(at + ORDER_TIME));
         }
-        let newer = |version: &&VersionNumber| self.held.is_none_or(|held| held < **version);
-        let Some(version) = self.complete.iter().rev().find(newer) else {
+        let Some((version, since)) = self.loadable() else {
             return Step::Wait(None);
         };
-        match self.turn() {
+        match self.turn(since) {
             Some(turn) if self.held.is_some() && now < turn => Step::Wait(Some(turn)),
-            _ => Step::Load(*version),
+            _ => Step::Load(version),
         }
     }
 
-    /// Returns the time of the engine's turn for the oldest version that it doesn't serve yet.
-    fn turn(&self) -> Option<Instant> {
-        let newer =
-            |(version, _): &&(VersionNumber, Instant)| self.held.is_none_or(|held| held < *version);
-        let (_, named) = self.named.iter().find(newer)?;
-        let share = FIRST_TURN + (LAST_TURN - FIRST_TURN) * self.place.share();
-        Some(*named + self.bound.mul_f64(share))
+    /// Returns the time from which the engine is expected to serve nothing for a while, if a load lies ahead.
+    pub fn closing(&self, now: Instant) -> Option<Instant> {
+        if self.is_switching() {
+            return Some(now);
+        }
+        self.held?;
+        let (_, named) = *self.due()?;
+        let expected = named + self.bound.mul_f64(EXPECTED);
+        let since = self
+            .loadable()
+            .map_or(expected.max(now), |(_, since)| since);
+        self.turn(since).map(|turn| turn.max(now))
+    }
+
+    /// Returns the newest version that the engine could load, and since when.
+    fn loadable(&self) -> Option<(VersionNumber, Instant)> {
+        let (version, since) = self.complete.last_key_value()?;
+        let newer = self.held.is_none_or(|held| held < *version);
+        newer.then_some((*version, *since))
+    }
+
+    /// Returns the oldest named version that the engine doesn't serve yet.
+    fn due(&self) -> Option<&(VersionNumber, Instant)> {
+        self.named
+            .iter()
+            .find(|(version, _)| self.held.is_none_or(|held| held < *version))
+    }
+
+    /// Returns the time of the engine's turn when it can load since `since`.
+    ///
+    /// The turns of all engines are spread over the time that is left of the bound.
+    fn turn(&self, since: Instant) -> Option<Instant> {
+        let (_, named) = self.due()?;
+        let last = *named + self.bound.mul_f64(LAST_TURN);
+        let window = last.saturating_duration_since(since);
+        Some(since + window.mul_f64(self.place.share()))
     }
 }
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -34,6 +34,8 @@
     pub pace: f32,
     /// Whether the engine takes new work.
     pub accepting: bool,
+    /// Milliseconds until it takes none for a while, where that is known.
+    pub closes_ms: Option<u32>,
     /// Models that the engine holds and their versions.
     pub weights: Vec<(String, u64)>,
     /// Entries that the agent tells its load.
