Move runs away from an engine that is about to load

Parts of weights filled the engines' links in bursts, so that first events came 70 ms later (p50) while a version spread.

Change: the scheduler moves runs that go on 0.2 s after their engine stopped taking new ones to engines with the same weights and room; the entry goes on after the last event. Each move takes an attempt and a repeat of the budget. Parts are sent in pieces that take 5 ms of the link.

--- a/bins/agent/src/chunk_server.rs
+++ b/bins/agent/src/chunk_server.rs
@@ -18,10 +18,6 @@
 use crate::metrics::Remote;
 use crate::transfer::Holdings;
 
-/// Bytes that are sent before the token bucket is asked again. With whole chunks, a slow link would let one transfer
-/// hold up all others for longer than the stall time.
-const PIECE: usize = 64 << 10;
-
 /// Time that chunks in progress get after a stop began.
 ///
 /// At a quarter of the slowest link that a burst is sized for, 2.5 MB/s between regions, a chunk of 4 MB takes 6.4 s.
@@ -150,7 +146,7 @@
                     }
                     return None;
                 }
-                let piece = rest.split_to(rest.len().min(PIECE));
+                let piece = rest.split_to(rest.len().min(holdings.piece));
                 let ticket = holdings.uplink.join(version, piece.len() as u64);
                 while let Err(wait) = ticket.poll(Instant::now()) {
                     compio::time::sleep(wait).await;
--- a/bins/agent/src/rollout/serve.rs
+++ b/bins/agent/src/rollout/serve.rs
@@ -17,6 +17,8 @@
 
 /// Part of the VM's link that parts of weights may take; requests share it.
 const LINK_SHARE: f64 = 0.85;
+/// Time for which the link may be full of parts without a pause: an event of a stream waits as long.
+const BURST: Duration = Duration::from_millis(10);
 /// Bytes a second of one megabit a second.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 /// Size of all parts that are held, in bytes.
@@ -40,6 +42,7 @@
         uplink: rate,
         downlink: rate,
         inter_region: rate,
+        burst: BURST,
     };
     let mut registry = Registry::default();
     let state = State::new(settings);
--- a/bins/agent/src/rollout/weights.rs
+++ b/bins/agent/src/rollout/weights.rs
@@ -15,7 +15,7 @@
 use crate::transfer::{Holdings, Order, Origin, Parts, Settings, Transfer, Worker};
 
 /// Parts requested at once; most of them wait at their owner until it has the part.
-const PARALLEL: usize = 32;
+const PARALLEL: usize = 16;
 /// Parts requested at once that bring parts into the failure domain.
 const UPSTREAM: usize = 12;
 /// Longest time before a failed call to the origin is repeated: a version has seconds to arrive.
--- a/bins/agent/src/staging.rs
+++ b/bins/agent/src/staging.rs
@@ -31,6 +31,7 @@
         uplink: settings.uplink,
         downlink: settings.downlink,
         inter_region: settings.inter_region,
+        burst: Rates::LONG_BURST,
     };
     let holdings = Holdings::new(
         &settings.domain,
--- a/bins/agent/src/transfer.rs
+++ b/bins/agent/src/transfer.rs
@@ -93,7 +93,7 @@
 /// use agent::transfer::{Holdings, Rates, Settings, Transfer};
 ///
 /// # fn example(settings: Settings, platform: objects::Client, order: agent::transfer::Order) {
-/// let rates = Rates { uplink: 100_000_000, downlink: 100_000_000, inter_region: 2_500_000 };
+/// let rates = Rates { uplink: 100_000_000, downlink: 100_000_000, inter_region: 2_500_000, burst: Rates::LONG_BURST };
 /// let holdings = Rc::new(Holdings::new(&settings.me.domain, &settings.me.region, &rates, 64 << 20, 4));
 /// let on_complete = |pin: &weights::Pin| println!("{pin} is staged");
 /// let (transfer, worker) = Transfer::new(settings, holdings, Some(platform), on_complete);
--- a/bins/agent/src/transfer/holdings.rs
+++ b/bins/agent/src/transfer/holdings.rs
@@ -15,6 +15,11 @@
 /// Versions whose manifests are served: the current one and the one before, which other agents may still transfer.
 const VERSIONS: usize = 2;
 
+/// Bounds of the bytes that are sent before the token bucket is asked again. With whole chunks, a slow link would let
+/// one transfer hold up all others for longer than the stall time.
+const MIN_PIECE: usize = 2 << 10;
+const MAX_PIECE: usize = 64 << 10;
+
 /// Limits of the chunk traffic of an agent.
 #[derive(Clone, Debug)]
 pub struct Rates {
@@ -24,6 +29,14 @@
     pub downlink: u64,
     /// Bytes a second received from other regions.
     pub inter_region: u64,
+    /// Time for which a link may be full of parts without a pause; requests that share it wait as long.
+    pub burst: Duration,
+}
+
+impl Rates {
+    /// Longest time for which a link may be full where requests need not be quick: it is long enough to use the whole
+    /// rate.
+    pub const LONG_BURST: Duration = Duration::from_millis(100);
 }
 
 /// Bytes moved since the start.
@@ -47,6 +60,8 @@
     pub inter_region: Bucket,
     /// Upload slots.
     pub uploader: Uploader,
+    /// Bytes that are sent before the bucket is asked again.
+    pub piece: usize,
     store: RefCell<Store>,
     versions: RefCell<Vec<Version>>,
     /// Digests of manifests by model and version, where operators name versions by number.
@@ -68,13 +83,14 @@
     /// kept for others.
     pub fn new(domain: &str, region: &str, rates: &Rates, cache: u64, slots: usize) -> Self {
         let now = Instant::now();
-        // A tenth of a second's bytes: short enough for live requests, long enough to use the whole rate.
-        let bucket = |rate: u64| Bucket::new(rate as f64, rate as f64 / 10.0, now);
+        let burst = rates.burst.as_secs_f64();
+        let bucket = |rate: u64| Bucket::new(rate as f64, rate as f64 * burst, now);
         Self {
             uplink: bucket(rates.uplink),
             downlink: bucket(rates.downlink),
             inter_region: bucket(rates.inter_region),
             uploader: Uploader::new(slots),
+            piece: ((rates.uplink as f64 * burst / 2.0) as usize).clamp(MIN_PIECE, MAX_PIECE),
             store: RefCell::new(Store::new(cache)),
             versions: RefCell::default(),
             names: RefCell::default(),
--- a/bins/agent/tests/transfer/support.rs
+++ b/bins/agent/tests/transfer/support.rs
@@ -219,6 +219,7 @@
             uplink: 200 << 20,
             downlink: 200 << 20,
             inter_region: 200 << 20,
+            burst: Rates::LONG_BURST,
         };
         let holdings = Rc::new(Holdings::new(domain, domain, &rates, 1 << 30, 2));
         let peer = Peer {
--- a/bins/entry/src/ingress/attempt.rs
+++ b/bins/entry/src/ingress/attempt.rs
@@ -32,6 +32,15 @@
         last_event: Option<u64>,
     ) -> Result<Answered, Failure> {
         let place = placed.place();
+        event!(
+            event::REQUEST_PLACED,
+            request = call.caller.id,
+            target = place.target,
+            load = place.load,
+            waited_ms = call.arrived.elapsed().as_millis(),
+            prompt = place.work.prompt,
+            output = place.work.output
+        );
         let request = call.to_target(&place.target, place.work.version, last_event);
         let answer = match self.client.send(place.address, request, limit).await {
             Ok(answer) => answer,
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -29,11 +29,13 @@
 
 /// Scheduler, callers that wait for it, and connections to targets.
 pub struct Gateway {
+    me: Weak<Self>,
     pub(super) settings: Settings,
     pub(super) client: Client,
     pub(super) metrics: Metrics,
     scheduler: RefCell<Scheduler>,
     steps: RefCell<HashMap<RequestId, oneshot::Sender<Decision>>>,
+    moves: RefCell<HashMap<RequestId, oneshot::Sender<Placed>>>,
     in_progress: Rc<Cell<usize>>,
     draining: Cell<bool>,
     refusing: Cell<bool>,
@@ -74,12 +76,14 @@
             bounds.repeat_window,
             1,
         );
-        Rc::new(Self {
+        Rc::new_cyclic(|me| Self {
+            me: me.clone(),
             settings,
             client: Client::new().with_connect_time(CONNECT_TIME),
             metrics: Metrics::new(registry),
             scheduler: RefCell::new(scheduler),
             steps: RefCell::default(),
+            moves: RefCell::default(),
             in_progress: Rc::default(),
             draining: Cell::new(false),
             refusing: Cell::new(false),
@@ -219,6 +223,28 @@
         self.refuse(&call.caller.id, &refusal)
     }
 
+    /// Returns where a run learns that it has to go on elsewhere.
+    pub(super) fn moves(&self, id: RequestId) -> oneshot::Receiver<Placed> {
+        let (sender, receiver) = oneshot::channel();
+        self.moves.borrow_mut().insert(id, sender);
+        receiver
+    }
+
+    /// Gives a run its new place, which is free again at once if the run has ended.
+    fn move_run(&self, request: RequestId, place: Place) {
+        let Some(gateway) = self.me.upgrade() else {
+            return;
+        };
+        let placed = Placed {
+            gateway,
+            place,
+            ended: false,
+        };
+        if let Some(sender) = self.moves.borrow_mut().remove(&request) {
+            let _ = sender.send(placed);
+        }
+    }
+
     async fn wait(self: &Rc<Self>, id: RequestId) -> Result<Placed, Rejection> {
         let (sender, receiver) = oneshot::channel();
         self.steps.borrow_mut().insert(id, sender);
@@ -240,8 +266,10 @@
                 reason,
                 retry_after,
             }),
-            // The sender lives in the gateway until the request has its decision.
-            Err(_) => unreachable!("the request {id} lost its scheduler"),
+            // The sender lives in the gateway until the request has its decision, and waiting requests aren't moved.
+            Ok(Decision::Move { .. }) | Err(_) => {
+                unreachable!("the request {id} lost its scheduler")
+            }
         }
     }
 
@@ -254,9 +282,13 @@
                 return;
             }
             for decision in decisions {
-                let id = match &decision {
-                    Decision::Send(place) => place.request,
-                    Decision::Reject { request, .. } => *request,
+                let id = match decision {
+                    Decision::Send(ref place) => place.request,
+                    Decision::Reject { request, .. } => request,
+                    Decision::Move { request, place } => {
+                        self.move_run(request, place);
+                        continue;
+                    }
                 };
                 let step = self.steps.borrow_mut().remove(&id);
                 if step.is_none_or(|step| step.send(decision).is_err()) {
@@ -288,11 +320,11 @@
     }
 
     /// Notes that the first event arrived.
-    pub(super) fn started(&self) {
+    pub(super) fn started(&self, version: Option<u64>) {
         self.gateway
             .scheduler
             .borrow_mut()
-            .started(self.place.request);
+            .started(self.place.request, version);
     }
 
     /// Ends the attempt and returns what was asked for, to be submitted once more or dropped.
@@ -306,6 +338,7 @@
             return;
         }
         let (id, target) = (self.place.request, &self.place.target);
+        self.gateway.moves.borrow_mut().remove(&id);
         if let Outcome::Failed(failure) = outcome {
             self.gateway.metrics.failed(failure);
             event!(
--- a/bins/entry/src/ingress/stream.rs
+++ b/bins/entry/src/ingress/stream.rs
@@ -9,6 +9,9 @@
 
 use bytes::Bytes;
 use dispatch::{Failure, Outcome, Work};
+use futures::FutureExt;
+use futures::channel::oneshot;
+use futures::future::{Either, select};
 use futures::stream::unfold;
 use node::event;
 use node::http::{Answer, Body, HeaderMap, Response, StatusCode};
@@ -48,6 +51,14 @@
     Other(Response<Bytes>),
 }
 
+/// What happens next to a run.
+enum Step {
+    Events(Bytes),
+    End,
+    Failed(Failure),
+    Moved(Box<Placed>),
+}
+
 /// A stream on its way to the caller; dropping it ends the target's run.
 struct Relay {
     gateway: Rc<Gateway>,
@@ -55,6 +66,8 @@
     run: Option<Run>,
     first: Option<Bytes>,
     ended: bool,
+    /// Where the run learns that it has to go on elsewhere.
+    moved: Option<oneshot::Receiver<Placed>>,
     _guard: InProgress,
 }
 
@@ -84,6 +97,7 @@
         run: Some(opened.run),
         first: Some(opened.first),
         ended: opened.ended,
+        moved: None,
         _guard: guard,
     };
     *response.body_mut() = relay.into_body();
@@ -175,7 +189,7 @@
     };
     match run.next(limit).await {
         Ok(first) => {
-            run.placed.started();
+            run.placed.started(run.version);
             let ended = first.is_none();
             Ok(Attempt::Opened(Box::new(Opened {
                 status: answered.status,
@@ -235,24 +249,59 @@
             return Ok(None);
         }
         loop {
-            let Some(run) = &mut self.run else {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            };
-            let failure = match run.next(limit(&self.call, run)).await {
-                Ok(Some(events)) => return Ok(Some(events)),
-                Ok(None) => {
+            match self.step().await? {
+                Step::Events(events) => return Ok(Some(events)),
+                Step::End => {
                     self.end(Outcome::Answered);
                     return Ok(None);
                 }
-                Err(failure) => failure,
-            };
-            self.resume(failure).await?;
+                Step::Failed(failure) => self.resume(failure).await?,
+                Step::Moved(placed) => self.move_to(*placed).await?,
+            }
+            if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
+                return Ok(Some(first));
+            }
+        }
+    }
+
+    /// Waits for what comes first: events, the end of the run, or its move.
+    async fn step(&mut self) -> io::Result<Step> {
+        let Some(run) = &mut self.run else {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        };
+        let moved = self
+            .moved
+            .get_or_insert_with(|| self.gateway.moves(run.placed.place().request));
+        let limit = limit(&self.call, run);
+        let next = run.next(limit).boxed_local();
+        Ok(match select(next, moved).await {
+            Either::Left((Ok(Some(events)), _)) => Step::Events(events),
+            Either::Left((Ok(None), _)) => Step::End,
+            Either::Left((Err(failure), _)) => Step::Failed(failure),
+            Either::Right((Ok(placed), _)) => Step::Moved(Box::new(placed)),
+            // The sender lives in the gateway until the run ends.
+            Either::Right((Err(_), _)) => Step::Failed(Failure::Broken),
+        })
+    }
+
+    /// Ends the run of a target that is about to change its weights, and goes on at `placed`.
+    async fn move_to(&mut self, placed: Placed) -> io::Result<()> {
+        let Some(run) = self.take_run() else {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        };
+        let last = run.events.last();
+        let target = run.placed.place().target.clone();
+        run.placed.end(Outcome::Abandoned);
+        drop(run.body);
+        match attempt(&self.gateway, &self.call, placed, last).await {
+            Ok(resumed) => self.go_on(&target, last, Some(resumed), "moved"),
+            Err((failure, _)) => self.go_on(&target, last, None, failure.name()),
         }
     }
 
-    /// Goes on at another target, or cuts the answer.
+    /// Goes on at another target after a failure, or cuts the answer.
     async fn resume(&mut self, failure: Failure) -> io::Result<()> {
-        let Some(run) = self.run.take() else {
+        let Some(run) = self.take_run() else {
             return Err(io::ErrorKind::UnexpectedEof.into());
         };
         let (last, version) = (run.events.last(), run.version);
@@ -264,6 +313,22 @@
             Some(Ok(placed)) => attempt(&self.gateway, &self.call, placed, last).await.ok(),
             Some(Err(_)) | None => None,
         };
+        self.go_on(&target, last, resumed, failure.name())
+    }
+
+    fn take_run(&mut self) -> Option<Run> {
+        self.moved = None;
+        self.run.take()
+    }
+
+    /// Takes the run that goes on after the event `last`, or cuts the answer.
+    fn go_on(
+        &mut self,
+        target: &str,
+        last: Option<u64>,
+        resumed: Option<Attempt>,
+        reason: &'static str,
+    ) -> io::Result<()> {
         match resumed {
             Some(Attempt::Opened(opened)) => {
                 event!(
@@ -271,7 +336,8 @@
                     request = self.call.caller.id,
                     from = target,
                     to = opened.run.placed.place().target,
-                    after = last.unwrap_or_default()
+                    after = last.unwrap_or_default(),
+                    reason = reason
                 );
                 self.gateway.metrics.resumed();
                 self.first = Some(opened.first);
@@ -284,17 +350,24 @@
                     event::STREAM_CUT,
                     request = self.call.caller.id,
                     target = target,
-                    failure = failure.name(),
+                    failure = reason,
                     after = last.unwrap_or_default()
                 );
                 self.gateway.metrics.cut();
-                Err(io::Error::other(failure.name()))
+                Err(io::Error::other(reason))
             }
         }
     }
 
     fn end(&mut self, outcome: Outcome) {
-        if let Some(run) = self.run.take() {
+        if let Some(run) = self.take_run() {
+            event!(
+                event::STREAM_ENDED,
+                request = self.call.caller.id,
+                target = run.placed.place().target,
+                ms = self.call.arrived.elapsed().as_millis(),
+                last = run.events.last().unwrap_or_default()
+            );
             run.placed.end(outcome);
         }
     }
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -4,7 +4,9 @@
 
 /// Share of the allowance that is used: the bound is judged in sliding windows over all entries, whose shares of the
 /// traffic differ.
-const USED: f64 = 0.5;
+const USED: f64 = 0.8;
+/// Share of the constant part that can be saved up; the rest comes back over a window.
+const SAVED: f64 = 0.6;
 
 /// Limits repeated requests to a share of the first ones, plus a constant rate.
 ///
@@ -25,9 +27,9 @@
         let share = USED * extra / entries.max(1) as f64;
         Self {
             ratio: USED * ratio,
-            per_s: share / window.as_secs_f64().max(0.001) / 2.0,
-            capacity: share.max(1.0),
-            tokens: share.max(1.0) / 2.0,
+            per_s: share * (1.0 - SAVED) / window.as_secs_f64().max(0.001),
+            capacity: (share * SAVED).max(1.0),
+            tokens: (share * SAVED).max(1.0),
             at: now,
         }
     }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -34,6 +34,8 @@
 const LEAST_TIME: Duration = Duration::from_millis(20);
 /// Attempts that may end without a connection, beside those that were sent.
 const UNCONNECTED: usize = 3;
+/// Time for which runs go on at a target that takes no new work, before they are moved: short ones end by themselves.
+const SETTLING: Duration = Duration::from_millis(200);
 /// Waiting requests that are looked at before the rest waits for the next poll.
 const SCANNED: usize = 64;
 
@@ -47,12 +49,19 @@
     queues: BTreeMap<String, Queue>,
     budgets: HashMap<String, Budget>,
     repeats: Repeats,
-    places: HashMap<RequestId, TargetId>,
+    places: HashMap<RequestId, Placing>,
     next: RequestId,
     rejected: Vec<Decision>,
     random: SmallRng,
 }
 
+/// A request at a target.
+#[derive(Clone, Debug)]
+struct Placing {
+    target: TargetId,
+    work: Work,
+}
+
 /// Bounds of repeated requests.
 #[derive(Clone, Copy, Debug)]
 struct Repeats {
@@ -67,6 +76,13 @@
 pub enum Decision {
     /// Send the request to its place.
     Send(Place),
+    /// End the request's run, and go on after its last event at another place.
+    Move {
+        /// The request as it was placed before.
+        request: RequestId,
+        /// Its new place, under a new number.
+        place: Place,
+    },
     /// Tell the caller that the request did not run.
     Reject {
         /// The request.
@@ -250,19 +266,19 @@
         }
     }
 
-    /// Notes that the first event of a request arrived: its prompt was read.
-    pub fn started(&mut self, id: RequestId) {
+    /// Notes that the first event of a request arrived, made from the weights `version` as far as the answer told.
+    pub fn started(&mut self, id: RequestId, version: Option<u64>) {
         if let Some(held) = self.held(id) {
-            held.started(id);
+            held.started(id, version);
         }
     }
 
     /// Takes the end of an attempt, and returns whether its target was ejected for it.
     pub fn ended(&mut self, now: Instant, id: RequestId, outcome: Outcome) -> bool {
-        let Some(target) = self.places.remove(&id) else {
+        let Some(placing) = self.places.remove(&id) else {
             return false;
         };
-        let Some(held) = self.targets.get_mut(&target) else {
+        let Some(held) = self.targets.get_mut(&placing.target) else {
             return false;
         };
         held.ended(id);
@@ -291,9 +307,53 @@
         for service in services {
             self.poll_service(now, &service, &mut decisions);
         }
+        self.move_runs(now, &mut decisions);
         decisions
     }
 
+    /// Moves runs away from targets that wait for them before they change their weights.
+    ///
+    /// While an engine waits for a few long answers, its other slots serve nothing. A run is moved only to a target that
+    /// has the same weights and room, so that the caller sees a short pause.
+    fn move_runs(&mut self, now: Instant, decisions: &mut Vec<Decision>) {
+        let settled = |held: &&Held| {
+            let since = held.closed_since();
+            since.is_some_and(|since| now.saturating_duration_since(since) >= SETTLING)
+        };
+        let runs: Vec<(RequestId, u64)> = self
+            .targets
+            .values()
+            .filter(settled)
+            .flat_map(|held| held.runs())
+            .filter_map(|(request, run)| Some((request, run.version?)))
+            .collect();
+        for (request, version) in runs {
+            let Some(placing) = self.places.get(&request) else {
+                continue;
+            };
+            if placing.work.attempts == 0 || !placing.work.is_repeatable() {
+                continue;
+            }
+            let mut work = placing.work.clone();
+            work.version = Some(version);
+            work.output /= 2;
+            let Choice::Target(target) = self.choose(now, &work) else {
+                continue;
+            };
+            if !self.budget(now, &work.service).take(now) {
+                continue;
+            }
+            self.next += 1;
+            let id = self.next;
+            if let Some(placing) = self.places.get_mut(&request) {
+                placing.work.attempts = 0;
+            }
+            if let Some(place) = self.place(now, id, work, &target) {
+                decisions.push(Decision::Move { request, place });
+            }
+        }
+    }
+
     fn poll_service(&mut self, now: Instant, service: &str, decisions: &mut Vec<Decision>) {
         let Some(queue) = self.queues.get(service) else {
             return;
@@ -359,7 +419,11 @@
         held.sent(now, request, work.prompt);
         work.attempts = work.attempts.saturating_sub(1);
         work.tried.push(id.into());
-        self.places.insert(request, id.into());
+        let placing = Placing {
+            target: id.into(),
+            work: work.clone(),
+        };
+        self.places.insert(request, placing);
         Some(Place {
             request,
             target: id.into(),
@@ -499,8 +563,8 @@
     }
 
     fn held(&mut self, id: RequestId) -> Option<&mut Held> {
-        let target = self.places.get(&id)?;
-        self.targets.get_mut(target)
+        let placing = self.places.get(&id)?;
+        self.targets.get_mut(&placing.target)
     }
 }
 
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -64,14 +64,22 @@
     pub(crate) health: Health,
     own: BTreeMap<RequestId, Own>,
     load: Option<Reported>,
+    closed: Option<Instant>,
 }
 
 /// A request of this entry on a target.
 #[derive(Clone, Copy, Debug)]
 struct Own {
     prompt: u32,
-    started: bool,
     sent: Instant,
+    started: Option<Started>,
+}
+
+/// A run that gives events.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Started {
+    /// Version of the weights that it began with, where the answer told.
+    pub(crate) version: Option<u64>,
 }
 
 /// A load and the requests of other entries that follow from it.
@@ -89,6 +97,7 @@
             health: Health::default(),
             own: BTreeMap::new(),
             load: None,
+            closed: None,
         }
     }
 
@@ -97,6 +106,7 @@
         if self.target.born != target.born || self.target.address != target.address {
             self.health = Health::default();
             self.load = None;
+            self.closed = None;
         }
         self.target = target;
     }
@@ -108,6 +118,10 @@
         if let Some(weights) = &load.weights {
             self.target.weights.clone_from(weights);
         }
+        self.closed = match load.accepting {
+            true => None,
+            false => self.closed.or(Some(now)),
+        };
         self.load = Some(Reported {
             at: now,
             load,
@@ -118,18 +132,24 @@
     pub(crate) fn sent(&mut self, now: Instant, request: RequestId, prompt: u32) {
         let own = Own {
             prompt,
-            started: false,
             sent: now,
+            started: None,
         };
         self.own.insert(request, own);
     }
 
-    pub(crate) fn started(&mut self, request: RequestId) {
+    pub(crate) fn started(&mut self, request: RequestId, version: Option<u64>) {
         if let Some(own) = self.own.get_mut(&request) {
-            own.started = true;
+            own.started = Some(Started { version });
         }
     }
 
+    /// Returns this entry's runs that give events.
+    pub(crate) fn runs(&self) -> impl Iterator<Item = (RequestId, Started)> {
+        let runs = self.own.iter();
+        runs.filter_map(|(request, own)| Some((*request, own.started?)))
+    }
+
     pub(crate) fn ended(&mut self, request: RequestId) {
         self.own.remove(&request);
     }
@@ -154,12 +174,17 @@
         reported.load.closes.map(|closes| reported.at + closes)
     }
 
+    /// Returns the time since which the target takes no new work, as far as its loads told.
+    pub(crate) fn closed_since(&self) -> Option<Instant> {
+        self.closed
+    }
+
     /// Returns what occupies the target's engine.
     pub(crate) fn occupancy(&self, now: Instant, engine: &Engine) -> Occupancy {
         let unread: u32 = self
             .own
             .values()
-            .filter(|own| !own.started)
+            .filter(|own| own.started.is_none())
             .map(|own| own.prompt)
             .sum();
         let fresh = self.fresh(now);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -61,6 +61,8 @@
     STREAM_RESUMED = 245 Info "stream-resumed";
     STREAM_CUT = 246 Warn "stream-cut";
     STREAM_MALFORMED = 247 Warn "stream-malformed";
+    REQUEST_PLACED = 248 Debug "request-placed";
+    STREAM_ENDED = 249 Debug "stream-ended";
     CONFIG_IN_FORCE = 250 Info "config-in-force";
     VERSION_NAMED = 251 Info "version-named";
     TARGET_REGISTERED = 252 Info "target-registered";
