Versions found at a start count as due; repeats start empty

Change: a version in the first list of a process counts as due until another process, that saw it named, tells its age; agents tell it with their load. A new budget is empty, is shared by 32 until the number of entries is known, and keeps its tokens when that number changes. A request waits at an engine only if it can still be served in time.

--- a/bins/agent/src/rollout/loads.rs
+++ b/bins/agent/src/rollout/loads.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use ::rollout::Rollout;
 use compio::BufResult;
 use compio::net::UdpSocket;
 use futures::FutureExt;
@@ -73,7 +74,7 @@
         let peers: Vec<SocketAddr> = entries.borrow().keys().copied().collect();
         if let Some(load) = load(state, now, closing, peers.len()) {
             let news = told.as_ref().is_none_or(|(at, before)| {
-                *before != load || now.saturating_duration_since(*at) >= REPEATED
+                !is_same(before, &load) || now.saturating_duration_since(*at) >= REPEATED
             });
             if news {
                 send(socket, &peers, &load).await;
@@ -147,10 +148,31 @@
         accepting: !closing && !report.busy && !rollout.is_switching(),
         closes_ms: closes.map(|at| millis(at.saturating_duration_since(now))),
         weights: report.weights.clone().into_iter().collect(),
+        ages: ages(state, &rollout, now),
         entries: u16::try_from(entries).unwrap_or(u16::MAX),
     })
 }
 
+/// Returns the versions that the agent saw named and their ages, for entries that started later.
+fn ages(state: &State, rollout: &Rollout, now: Instant) -> Vec<(String, u64, u32)> {
+    let Some(model) = state.model() else {
+        return Vec::new();
+    };
+    rollout
+        .seen_named(now)
+        .map(|(version, age)| (model.clone(), version, millis(age)))
+        .collect()
+}
+
+/// Tells whether two loads say the same, but for the ages of versions.
+fn is_same(one: &Load, other: &Load) -> bool {
+    let without_ages = |load: &Load| Load {
+        ages: Vec::new(),
+        ..load.clone()
+    };
+    without_ages(one) == without_ages(other)
+}
+
 /// Returns whole tenths of a second in milliseconds, so that a time that comes nearer isn't news each time.
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis() / 100 * 100).unwrap_or(u32::MAX)
--- a/bins/agent/src/rollout/watch.rs
+++ b/bins/agent/src/rollout/watch.rs
@@ -30,6 +30,7 @@
 
 async fn follow_versions(state: &State, client: &Client) {
     let mut after = None;
+    let mut first = true;
     let mut pause = PAUSE.0;
     loop {
         let listing = match after {
@@ -42,7 +43,7 @@
                     event!(event::STORE_BACK, kind = versions::KIND);
                 }
                 pause = PAUSE.0;
-                take_versions(state, &listing);
+                take_versions(state, &listing, std::mem::take(&mut first));
                 after = Some(listing.revision);
             }
             Err(Error::HistoryGone { .. }) => after = None,
@@ -117,14 +118,18 @@
     }
 }
 
-fn take_versions(state: &State, listing: &Listing) {
+/// Takes the named versions; those of the first list were named at an unknown time.
+fn take_versions(state: &State, listing: &Listing, first: bool) {
     for object in &listing.objects {
         match versions::decode(object) {
             Ok(named) if state.model().is_none_or(|model| model == named.model) => {
-                let news = state
-                    .rollout
-                    .borrow_mut()
-                    .name(Instant::now(), named.version);
+                let now = Instant::now();
+                let mut rollout = state.rollout.borrow_mut();
+                let news = match first {
+                    true => rollout.find(now, named.version),
+                    false => rollout.name(now, named.version),
+                };
+                drop(rollout);
                 if news {
                     event!(
                         event::VERSION_NAMED,
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -74,7 +74,6 @@
             bounds.repeat_ratio,
             bounds.repeat_extra,
             bounds.repeat_window,
-            1,
         );
         Rc::new_cyclic(|me| Self {
             me: me.clone(),
--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -83,6 +83,7 @@
 fn take(gateway: &Gateway, load: wire::Load) {
     let entries = usize::from(load.entries);
     let engine = load.engine;
+    let ages = load.ages;
     let load = Load {
         running: load.running,
         waiting: load.waiting,
@@ -93,6 +94,10 @@
     };
     gateway.update(|scheduler, now| {
         scheduler.set_entries(entries);
+        for (model, version, age_ms) in &ages {
+            let age = Duration::from_millis((*age_ms).into());
+            scheduler.version_aged(now, model, *version, age);
+        }
         scheduler.report(now, engine, load);
     });
 }
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -29,8 +29,9 @@
     let configs = follow(&client, config::KIND, |listing, _| {
         take_config(&gateway, &listing);
     });
+    let mut first = true;
     let named = follow(&client, versions::KIND, |listing, _| {
-        take_versions(&gateway, &listing);
+        take_versions(&gateway, &listing, std::mem::take(&mut first));
     });
     let registered = follow_targets(&client, &gateway, &targets);
     let expired = expire(&gateway, &targets);
@@ -125,12 +126,14 @@
     }
 }
 
-fn take_versions(gateway: &Gateway, listing: &Listing) {
+/// Takes the named versions; those of the first list were named at an unknown time.
+fn take_versions(gateway: &Gateway, listing: &Listing, first: bool) {
     for object in &listing.objects {
         match versions::decode(object) {
             Ok(named) => {
-                let news = gateway.update(|scheduler, now| {
-                    scheduler.name_version(now, &named.model, named.version)
+                let news = gateway.update(|scheduler, now| match first {
+                    true => scheduler.find_version(&named.model, named.version),
+                    false => scheduler.name_version(now, &named.model, named.version),
                 });
                 if news {
                     event!(
--- /dev/null
+++ b/bins/entry/tests/ingress/events.rs
@@ -0,0 +1,110 @@
+//! Streams are passed on in whole events.
+
+use entry::ingress::events::{Error, Splitter};
+use proptest::prelude::*;
+use yare::parameterized;
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: {{\"text\": \"part {id}\"}}\n\n")
+}
+
+fn stream(ids: std::ops::RangeInclusive<u64>) -> String {
+    ids.map(event).collect()
+}
+
+// Guards against a part of an event that a caller takes for a whole one when the target breaks off.
+#[test]
+fn push_holds_parts() {
+    let mut splitter = Splitter::default();
+    assert!(splitter.push(b"id: 1\ndata: a\n").unwrap().is_empty());
+    assert!(!splitter.is_empty());
+    assert_eq!(splitter.push(b"\nid").unwrap(), "id: 1\ndata: a\n\n");
+    assert_eq!(splitter.last(), Some(1));
+    assert!(!splitter.is_empty());
+}
+
+// Guards against events that come twice or are left out where a stream goes on at another target.
+#[parameterized(
+    goes_on = { Some(2), 3, Ok(3) },
+    again = { Some(5), 3, Ok(5) },
+    gap = { Some(1), 3, Err(Error::Gap { last: 1, found: 3 }) },
+    fresh = { None, 1, Ok(3) },
+)]
+fn push_order(after: Option<u64>, first: u64, expected: Result<u64, Error>) {
+    let mut splitter = Splitter::after(after);
+    let result = splitter.push(stream(first..=3).as_bytes());
+    assert_eq!(result.map(|_| splitter.last().unwrap()), expected);
+}
+
+// Guards against line ends of other systems, comments and events without an id.
+#[parameterized(
+    carriage_return = { "id: 1\r\ndata: a\r\n\r\n", Some(1) },
+    comment = { ": ping\n\n", None },
+    version_line = { "x-version: 3\nid: 4\ndata: a\n\n", Some(4) },
+    no_space = { "id:9\n\n", Some(9) },
+)]
+fn push_forms(text: &str, last: Option<u64>) {
+    let mut splitter = Splitter::default();
+    assert_eq!(splitter.push(text.as_bytes()).unwrap(), text);
+    assert_eq!(splitter.last(), last);
+    assert!(splitter.is_empty());
+}
+
+// Guards against memory that grows without end when a target never ends its event.
+#[test]
+fn push_endless_event() {
+    let mut splitter = Splitter::default();
+    let result = (0..1_000).find_map(|_| splitter.push(&[b'a'; 1_000]).err());
+    assert_eq!(result, Some(Error::TooLong));
+}
+
+proptest! {
+    // Guards against events that depend on where the network cuts the stream.
+    #[test]
+    fn push_any_cuts(count in 1u64..12, cuts in proptest::collection::vec(1usize..40, 1..60), crlf: bool) {
+        let mut whole = stream(1..=count);
+        if crlf {
+            whole = whole.replace('\n', "\r\n");
+        }
+        let mut splitter = Splitter::default();
+        let mut passed = Vec::new();
+        let mut rest = whole.as_bytes();
+        for cut in cuts.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (piece, tail) = rest.split_at((*cut).min(rest.len()));
+            let events = splitter.push(piece).unwrap();
+            prop_assert!(events.is_empty() || events.ends_with(b"\n"));
+            passed.extend_from_slice(&events);
+            rest = tail;
+        }
+        prop_assert_eq!(passed, whole.as_bytes());
+        prop_assert_eq!(splitter.last(), Some(count));
+    }
+
+    // Guards against events that are lost, doubled or cut when a run ends at any byte and another one goes on.
+    #[test]
+    fn push_resumed_at_any_byte(count in 1u64..10, cut in 0usize..400) {
+        let whole = stream(1..=count);
+        let cut = cut.min(whole.len());
+        let mut first = Splitter::default();
+        let mut passed = first.push(&whole.as_bytes()[..cut]).unwrap().to_vec();
+        let last = first.last();
+        let mut second = Splitter::after(last);
+        let rest = stream(last.unwrap_or(0) + 1..=count);
+        passed.extend_from_slice(&second.push(rest.as_bytes()).unwrap());
+        prop_assert_eq!(passed, whole.as_bytes());
+    }
+
+    // Guards against bytes that no stream holds.
+    #[test]
+    fn push_any_bytes(pieces in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..60), 0..40)) {
+        let mut splitter = Splitter::default();
+        for piece in &pieces {
+            if splitter.push(piece).is_err() {
+                break;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bins/entry/tests/ingress/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the entry on the users' platform.
+
+mod events;
+mod targets;
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -4,17 +4,20 @@
 
 /// Share of the allowance that is used: the bound is judged in sliding windows over all entries, whose shares of the
 /// traffic differ.
-const USED: f64 = 0.8;
+const USED: f64 = 0.75;
 /// Share of the constant part that can be saved up; the rest comes back over a window.
 const SAVED: f64 = 0.6;
 
 /// Limits repeated requests to a share of the first ones, plus a constant rate.
 ///
 /// Every entry keeps a budget of its own. Their sum stays within the bound of the deployment because each gets its own
-/// requests' share, and the constant part is divided by the number of entries.
+/// requests' share, and the constant part is divided by the number of entries. A new budget is empty: entries that all
+/// restart would otherwise spend together what they had spent before.
 #[derive(Clone, Debug)]
 pub struct Budget {
     ratio: f64,
+    extra: f64,
+    window: Duration,
     per_s: f64,
     capacity: f64,
     tokens: f64,
@@ -22,16 +25,27 @@
 }
 
 impl Budget {
-    /// Returns a full budget: `ratio` repeats per request and `extra` repeats per `window`, shared by `entries`.
+    /// Returns an empty budget: `ratio` repeats per request and `extra` repeats per `window`, shared by `entries`.
     pub fn new(ratio: f64, extra: f64, window: Duration, entries: usize, now: Instant) -> Self {
-        let share = USED * extra / entries.max(1) as f64;
-        Self {
+        let mut budget = Self {
             ratio: USED * ratio,
-            per_s: share * (1.0 - SAVED) / window.as_secs_f64().max(0.001),
-            capacity: (share * SAVED).max(1.0),
-            tokens: (share * SAVED).max(1.0),
+            extra,
+            window,
+            per_s: 0.0,
+            capacity: 0.0,
+            tokens: 0.0,
             at: now,
-        }
+        };
+        budget.share(entries);
+        budget
+    }
+
+    /// Divides the constant part by `entries`.
+    pub fn share(&mut self, entries: usize) {
+        let share = USED * self.extra / entries.max(1) as f64;
+        self.per_s = share * (1.0 - SAVED) / self.window.as_secs_f64().max(0.001);
+        self.capacity = (share * SAVED).max(1.0);
+        self.tokens = self.tokens.min(self.capacity);
     }
 
     /// Counts a request that a caller sent.
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -57,8 +57,13 @@
         self.waiting.values().map(Self::patience).min()
     }
 
-    /// Notes that a waiting request got a target at `now`.
-    pub(crate) fn placed(&mut self, now: Instant) {
+    /// Notes that a request got a target at `now`; `waited` tells that it had none when it came.
+    pub(crate) fn placed(&mut self, now: Instant, waited: bool) {
+        if !waited {
+            self.interval = None;
+            self.last = None;
+            return;
+        }
         if let Some(last) = self.last.replace(now) {
             let passed = now.saturating_duration_since(last);
             if passed < RATE_KEPT {
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -34,6 +34,8 @@
 const LEAST_TIME: Duration = Duration::from_millis(20);
 /// Attempts that may end without a connection, beside those that were sent.
 const UNCONNECTED: usize = 3;
+/// Entries among which repeats are shared until their number is known.
+const UNKNOWN_ENTRIES: usize = 32;
 /// Time for which runs go on at a target that takes no new work, before they are moved: short ones end by themselves.
 const SETTLING: Duration = Duration::from_millis(200);
 /// Waiting requests that are looked at before the rest waits for the next poll.
@@ -134,7 +136,7 @@
                 ratio: 0.1,
                 extra: 20.0,
                 window: Duration::from_secs(10),
-                entries: 1,
+                entries: UNKNOWN_ENTRIES,
             },
             places: HashMap::new(),
             next: 0,
@@ -143,13 +145,13 @@
         }
     }
 
-    /// Limits repeats to `ratio` of the requests plus `extra` per `window`, over `entries` entries together.
-    pub fn limit_repeats(&mut self, ratio: f64, extra: f64, window: Duration, entries: usize) {
+    /// Limits repeats to `ratio` of the requests plus `extra` per `window`, over all entries together.
+    pub fn limit_repeats(&mut self, ratio: f64, extra: f64, window: Duration) {
         self.repeats = Repeats {
             ratio,
             extra,
             window,
-            entries,
+            entries: self.repeats.entries,
         };
         self.budgets.clear();
     }
@@ -159,7 +161,9 @@
         let entries = entries.max(1);
         if self.repeats.entries != entries {
             self.repeats.entries = entries;
-            self.budgets.clear();
+            for budget in self.budgets.values_mut() {
+                budget.share(entries);
+            }
         }
     }
 
@@ -178,6 +182,16 @@
         self.versions.name(now, model, version)
     }
 
+    /// Takes `version` of `model`, which was named before this process started, and returns whether it is news.
+    pub fn find_version(&mut self, model: &str, version: u64) -> bool {
+        self.versions.find(model, version)
+    }
+
+    /// Takes what another process saw: that `version` of `model` was named `age` before `now`.
+    pub fn version_aged(&mut self, now: Instant, model: &str, version: u64, age: Duration) {
+        self.versions.aged(now, model, version, age);
+    }
+
     /// Adds a target or takes its newer registration.
     pub fn put_target(&mut self, target: Target) {
         match self.targets.get_mut(&target.id) {
@@ -367,13 +381,14 @@
             else {
                 continue;
             };
+            let waited = work.arrived < now;
             match self.choose(now, &work) {
                 Choice::Target(id) => {
                     if let Some(place) = self.place(now, order.1, work, &id) {
                         decisions.push(Decision::Send(place));
                     }
                     if let Some(queue) = self.queues.get_mut(service) {
-                        queue.placed(now);
+                        queue.placed(now, waited);
                     }
                 }
                 Choice::Busy if Queue::patience(&work) > now => {
@@ -511,6 +526,11 @@
                 return None;
             }
         }
+        // Waiting at an engine makes an answer late without making the engine faster.
+        let waits = occupancy.requests >= f64::from(engine.slots);
+        if waits && now + time > work.objective_at() {
+            return None;
+        }
         time += FAILURE_PENALTY.mul_f64(held.health.rate());
         if held.target.domain != self.domain {
             time += DOMAIN_PENALTY;
--- a/crates/dispatch/src/versions.rs
+++ b/crates/dispatch/src/versions.rs
@@ -7,12 +7,24 @@
 /// target's own queue begins later than it is sent.
 const MARGIN: Duration = Duration::from_millis(800);
 
-/// The newest named version of each model and the times at which versions were named.
+/// The versions that operators named for each model, and for how long they have been named.
+///
+/// An entry that starts finds versions that were named before. Until somebody tells how old such a version is, it
+/// counts as due: an entry that took it for new would let older weights serve past the bound.
 #[derive(Clone, Debug, Default)]
 pub struct Versions {
     /// Time in which a named version must have replaced all older ones.
     bound: Duration,
-    named: BTreeMap<String, Vec<(u64, Instant)>>,
+    named: BTreeMap<String, BTreeMap<u64, Named>>,
+}
+
+/// When a version was named.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Named {
+    /// Before this process knew of it.
+    Before,
+    /// At this time or earlier.
+    At(Instant),
 }
 
 impl Versions {
@@ -26,21 +38,36 @@
 
     /// Takes `version` of `model` as named at `now`, and returns whether it is newer than those known.
     pub fn name(&mut self, now: Instant, model: &str, version: u64) -> bool {
-        let named = self.named.entry(model.into()).or_default();
-        if named.last().is_some_and(|(newest, _)| *newest >= version) {
-            return false;
-        }
-        // An expired bound is implied by that of the last expired version.
-        while named.len() > 1 && named[1].1 + self.bound <= now {
-            named.remove(0);
-        }
-        named.push((version, now));
-        true
+        self.insert(model, version, Named::At(now))
+    }
+
+    /// Takes `version` of `model`, which was named at an unknown time, and returns whether it is newer than those known.
+    pub fn find(&mut self, model: &str, version: u64) -> bool {
+        self.insert(model, version, Named::Before)
+    }
+
+    /// Takes what another process saw: that `version` of `model` was named `age` before `now`.
+    pub fn aged(&mut self, now: Instant, model: &str, version: u64, age: Duration) {
+        let Some(named) = self
+            .named
+            .get_mut(model)
+            .and_then(|named| named.get_mut(&version))
+        else {
+            return;
+        };
+        let Some(at) = now.checked_sub(age) else {
+            return;
+        };
+        *named = match *named {
+            Named::Before => Named::At(at),
+            Named::At(known) => Named::At(known.min(at)),
+        };
     }
 
     /// Returns the newest version of `model`.
     pub fn newest(&self, model: &str) -> Option<u64> {
-        self.named.get(model)?.last().map(|(version, _)| *version)
+        let (version, _) = self.named.get(model)?.last_key_value()?;
+        Some(*version)
     }
 
     /// Returns the oldest version of `model` that may begin a request at `now`; 0 while any may.
@@ -48,8 +75,23 @@
         let Some(named) = self.named.get(model) else {
             return 0;
         };
-        let due = |at: Instant| now + MARGIN >= at + self.bound;
-        let due = named.iter().rev().find(|(_, at)| due(*at));
+        let due = |named: &Named| match *named {
+            Named::Before => true,
+            Named::At(at) => now + MARGIN >= at + self.bound,
+        };
+        let due = named.iter().rev().find(|(_, named)| due(named));
         due.map_or(0, |(version, _)| *version)
     }
+
+    fn insert(&mut self, model: &str, version: u64, named: Named) -> bool {
+        let newest = self.newest(model);
+        if newest.is_some_and(|newest| newest >= version) {
+            return false;
+        }
+        self.named
+            .entry(model.into())
+            .or_default()
+            .insert(version, named);
+        true
+    }
 }
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/budget.rs
@@ -0,0 +1,82 @@
+//! The budget of repeats.
+
+use std::time::{Duration, Instant};
+
+use dispatch::Budget;
+use proptest::prelude::*;
+use yare::parameterized;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+// Guards against entries that all restart and spend the constant part again: on a day that ended with a loss of power,
+// nine entries sent 693 repeats in 10 s where 693 were the bound.
+#[test]
+fn new_is_empty() {
+    let now = Instant::now();
+    let mut budget = Budget::new(0.2, 106.0, WINDOW, 9, now);
+    assert!(!budget.take(now));
+}
+
+// Guards against a budget that refills when the number of entries changes back and forth.
+#[test]
+fn share_adds_nothing() {
+    let now = Instant::now();
+    let mut budget = Budget::new(0.2, 100.0, WINDOW, 1, now);
+    let later = now + WINDOW;
+    let mut taken = 0;
+    for entries in [1, 6, 1, 6, 1, 6] {
+        budget.share(entries);
+        while budget.take(later) {
+            taken += 1;
+        }
+    }
+    assert!(taken <= 60, "{taken} repeats from a constant part of 100");
+}
+
+// Guards against entries that together exceed the bound of the deployment, however their requests are spread over time.
+#[parameterized(
+    few = { 6, 218 },
+    many = { 37, 600 },
+    idle = { 9, 3 },
+)]
+fn take_stays_within_bound(entries: usize, requests_per_s: u64) {
+    let start = Instant::now();
+    let (ratio, extra) = (0.2, 100.0);
+    let mut budgets: Vec<Budget> = (0..entries)
+        .map(|_| Budget::new(ratio, extra, WINDOW, entries, start))
+        .collect();
+    let mut taken = Vec::new();
+    for step in 0..(requests_per_s * 30) {
+        let now = start + Duration::from_secs_f64(step as f64 / requests_per_s as f64);
+        let entry = step as usize % entries;
+        budgets[entry].request(now);
+        while budgets[entry].take(now) {
+            taken.push(now);
+        }
+    }
+    let most = taken
+        .iter()
+        .map(|from| {
+            let window = taken
+                .iter()
+                .filter(|at| **at >= *from && **at < *from + WINDOW);
+            window.count()
+        })
+        .max();
+    let bound = ratio * (requests_per_s * 10) as f64 + extra;
+    assert!(most.unwrap_or(0) as f64 <= bound, "{most:?} of {bound}");
+}
+
+proptest! {
+    // Guards against times out of order that create repeats.
+    #[test]
+    fn take_any_times(times in proptest::collection::vec(0u64..5_000, 1..200)) {
+        let start = Instant::now();
+        let mut budget = Budget::new(0.2, 100.0, WINDOW, 1, start);
+        let mut taken = 0;
+        for at in &times {
+            taken += u32::from(budget.take(start + Duration::from_millis(*at)));
+        }
+        prop_assert!(taken <= 60);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/config.rs
@@ -0,0 +1,85 @@
+//! Routes and tenants.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use dispatch::{Config, Kind, Limits, Route, Tenant};
+use yare::parameterized;
+
+fn route(name: &str, prefix: &str, backends: &[(&str, u32)]) -> Route {
+    Route {
+        name: name.into(),
+        prefix: prefix.into(),
+        kind: Kind::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        gap: None,
+        priority: 1,
+        backends: backends
+            .iter()
+            .map(|(service, weight)| ((*service).to_owned(), *weight))
+            .collect(),
+        attempts: 1,
+        anonymous: false,
+    }
+}
+
+fn config() -> Config {
+    let routes = [
+        ("Desk.example", route("short", "/a/", &[("x", 1)])),
+        ("desk.example", route("long", "/a/b/", &[("y", 1)])),
+        (
+            "other.example",
+            route("other", "/a/", &[("x", 9), ("y", 1)]),
+        ),
+    ];
+    let tenant = Tenant {
+        name: "club".into(),
+        priority: Some(0),
+    };
+    Config::new(
+        3,
+        BTreeMap::new(),
+        Limits::default(),
+        routes.map(|(host, route)| (host.to_owned(), route)),
+        [("key".to_owned(), tenant)],
+    )
+}
+
+// Guards against requests that go to the service of a shorter prefix, of another host or of no route at all.
+#[parameterized(
+    longest = { "desk.example", "/a/b/c", Some("long") },
+    shorter = { "desk.example", "/a/bc", Some("short") },
+    port = { "desk.example:80", "/a/", Some("short") },
+    upper_case = { "DESK.example", "/a/x", Some("short") },
+    no_slash = { "desk.example", "/a", None },
+    path = { "desk.example", "/b/", None },
+    host = { "desk", "/a/", None },
+)]
+fn route_choice(host: &str, path: &str, expected: Option<&str>) {
+    let config = config();
+    let route = config.route(host, path);
+    assert_eq!(route.map(|route| route.name.as_str()), expected);
+}
+
+// Guards against split routes that ignore a service or its weight.
+#[parameterized(
+    first = { 0.0, Some("x") },
+    last_of_first = { 0.89, Some("x") },
+    second = { 0.91, Some("y") },
+    end = { 1.0, Some("y") },
+)]
+fn backend_by_weight(draw: f64, expected: Option<&str>) {
+    let config = config();
+    let route = config.route("other.example", "/a/").unwrap();
+    assert_eq!(route.backend(draw), expected);
+}
+
+// Guards against keys that name no tenant and still pass.
+#[test]
+fn tenant_by_key() {
+    let config = config();
+    assert_eq!(config.tenant("key").unwrap().name, "club");
+    assert!(config.tenant("other").is_none());
+    assert!(config.has_tenants());
+}
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/health.rs
@@ -0,0 +1,61 @@
+//! Targets that fail.
+
+use std::time::{Duration, Instant};
+
+use dispatch::{Failure, Health};
+use yare::parameterized;
+
+use crate::support::ms;
+
+// Guards against targets that fail all requests and keep getting them, and against busy ones that are ejected.
+#[parameterized(
+    not_connected = { Failure::NotConnected, 1, true },
+    broken = { Failure::Broken, 3, true },
+    broken_twice = { Failure::Broken, 2, false },
+    late = { Failure::Late, 3, true },
+    refused = { Failure::Refused, 20, false },
+    misdirected = { Failure::Misdirected, 20, false },
+)]
+fn failure_ejects(failure: Failure, times: usize, ejected: bool) {
+    let now = Instant::now();
+    let mut health = Health::default();
+    for _ in 0..times {
+        health.failure(now, failure);
+    }
+    assert_eq!(health.is_ejected(now), ejected);
+}
+
+// Guards against a service whose requests fail by themselves now and then, as its callers expect, and loses its targets.
+#[test]
+fn failure_errors_now_and_then() {
+    let now = Instant::now();
+    let mut health = Health::default();
+    for step in 0u64..700 {
+        let at = now + ms(30 * step);
+        match step % 7 {
+            0 => {
+                health.failure(at, Failure::Error);
+            }
+            _ => health.success(at),
+        }
+        assert!(!health.is_ejected(at), "after {step} requests");
+    }
+}
+
+// Guards against an ejection that never ends, or that doesn't grow for a target that stays broken.
+#[test]
+fn ejection_ends_and_doubles() {
+    let mut now = Instant::now();
+    let mut health = Health::default();
+    let mut last = Duration::ZERO;
+    for _ in 0..3 {
+        while !health.failure(now, Failure::Broken) {}
+        let start = now;
+        while health.is_ejected(now) {
+            now += ms(10);
+        }
+        assert!(now - start > last);
+        last = now - start;
+    }
+    assert!(last <= Duration::from_secs(4));
+}
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -0,0 +1,11 @@
+//! Tests of the decisions about requests.
+
+mod budget;
+mod config;
+mod health;
+mod load;
+mod moves;
+mod placement;
+mod retry;
+mod support;
+mod versions;
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/retry.rs
@@ -0,0 +1,72 @@
+//! Which requests are sent once more.
+
+use std::time::{Duration, Instant};
+
+use dispatch::{Failure, Kind, Outcome, Scheduler};
+use yare::parameterized;
+
+use crate::support::{call, ms, scheduler, submit, target};
+
+fn with_targets(now: Instant) -> Scheduler {
+    let mut scheduler = scheduler();
+    for id in ["a", "b", "c"] {
+        scheduler.put_target(target(id, "desk", "north"));
+    }
+    // Requests that need no repeat fill the budget.
+    for step in 0..100 {
+        let at = now - ms(2_000) + ms(10 * step);
+        let place = submit(&mut scheduler, at, call(at, Kind::NonIdempotent, 1)).unwrap();
+        scheduler.ended(at, place.request, Outcome::Answered);
+    }
+    scheduler
+}
+
+// Guards against a reservation that runs twice, and against failures that another target would have made up for.
+#[parameterized(
+    broken_idempotent = { Kind::Idempotent, 2, Failure::Broken, true },
+    broken_once_only = { Kind::NonIdempotent, 2, Failure::Broken, false },
+    late_once_only = { Kind::NonIdempotent, 2, Failure::Late, false },
+    refused_once_only = { Kind::NonIdempotent, 2, Failure::Refused, true },
+    refused_last_attempt = { Kind::NonIdempotent, 1, Failure::Refused, false },
+    unsent_last_attempt = { Kind::NonIdempotent, 1, Failure::NotConnected, true },
+    stream = { Kind::Streaming { resumable: true }, 2, Failure::Broken, true },
+    stream_not_resumable = { Kind::Streaming { resumable: false }, 2, Failure::Broken, false },
+    last_attempt = { Kind::Idempotent, 1, Failure::Broken, false },
+)]
+fn retry_allowed(kind: Kind, attempts: u32, failure: Failure, expected: bool) {
+    let now = Instant::now() + Duration::from_secs(10);
+    let mut scheduler = with_targets(now);
+    let place = submit(&mut scheduler, now, call(now, kind, attempts)).unwrap();
+    scheduler.ended(now, place.request, Outcome::Failed(failure));
+    let first = place.target.clone();
+    let again = scheduler.retry(now, place.work, failure);
+    assert_eq!(again.is_some(), expected);
+    if expected {
+        let place = crate::support::places(scheduler.poll(now)).pop().unwrap();
+        assert_ne!(place.target, first);
+    }
+}
+
+// Guards against a request that is sent on when its caller will be gone before the answer.
+#[test]
+fn retry_after_deadline() {
+    let now = Instant::now() + Duration::from_secs(10);
+    let mut scheduler = with_targets(now);
+    let work = call(now, Kind::Idempotent, 2);
+    let late = work.deadline - ms(5);
+    assert!(scheduler.retry(late, work, Failure::Broken).is_none());
+}
+
+// Guards against an outage in which every request is sent to several targets.
+#[test]
+fn retry_ends_with_budget() {
+    let now = Instant::now() + Duration::from_secs(10);
+    let mut scheduler = with_targets(now);
+    let retries = (0..500)
+        .filter(|_| {
+            let work = call(now, Kind::Idempotent, 2);
+            scheduler.retry(now, work, Failure::Broken).is_some()
+        })
+        .count();
+    assert!(retries <= 120, "{retries} retries of 500 failures");
+}
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -0,0 +1,153 @@
+//! A configuration, targets and requests for the tests.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use dispatch::{
+    Config, Decision, Engine, Kind, Limits, Load, Model, Place, Scheduler, Service, Target,
+    Versions, Work,
+};
+
+pub const BOUND: Duration = Duration::from_secs(8);
+pub const OBJECTIVE: Duration = Duration::from_millis(400);
+pub const SLOTS: u32 = 4;
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Returns an engine service that serves 4 requests at once, each for about 1 s.
+pub fn engine() -> Engine {
+    Engine {
+        slots: SLOTS,
+        memory_tokens: 100_000,
+        step_ms: 8.0,
+        request_ms: 0.04,
+        context_ms: 0.02,
+        prefill: 30.0,
+        stride: 6,
+        usual_prompt: 900.0,
+        usual_answer: 100.0,
+        pieces: 96,
+        piece_bytes: 24_576,
+        models: vec![Model {
+            name: "lm".into(),
+            warmup: ms(300),
+        }],
+    }
+}
+
+pub fn config() -> Rc<Config> {
+    let engines = Service {
+        engine: Some(engine()),
+        origin: None,
+    };
+    let services = BTreeMap::from([
+        ("drafts".to_owned(), engines),
+        ("desk".to_owned(), Service::default()),
+    ]);
+    Rc::new(Config::new(1, services, Limits::default(), [], []))
+}
+
+pub fn scheduler() -> Scheduler {
+    let mut scheduler = Scheduler::new("north", Versions::new(BOUND), 7);
+    scheduler.limit_repeats(0.2, 100.0, Duration::from_secs(10));
+    scheduler.set_entries(1);
+    scheduler.set_config(config());
+    scheduler
+}
+
+pub fn target(id: &str, service: &str, domain: &str) -> Target {
+    let port = id
+        .bytes()
+        .fold(1000, |port, byte| port + u16::from(byte) * 7);
+    Target {
+        id: id.into(),
+        service: service.into(),
+        address: address(port),
+        domain: domain.into(),
+        slots: SLOTS,
+        draining: false,
+        cold: Duration::ZERO,
+        weights: BTreeMap::from([("lm".to_owned(), 1)]),
+        born: Some(1),
+    }
+}
+
+pub fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+pub fn draft(now: Instant) -> Work {
+    Work {
+        service: "drafts".into(),
+        kind: Kind::Streaming { resumable: true },
+        priority: 1,
+        arrived: now,
+        objective: OBJECTIVE,
+        deadline: now + Duration::from_secs(6),
+        prompt: 900,
+        output: 100,
+        model: Some("lm".into()),
+        version: None,
+        attempts: 2,
+        tried: Vec::new(),
+    }
+}
+
+pub fn call(now: Instant, kind: Kind, attempts: u32) -> Work {
+    Work {
+        service: "desk".into(),
+        kind,
+        objective: ms(150),
+        deadline: now + ms(800),
+        prompt: 0,
+        output: 0,
+        model: None,
+        attempts,
+        ..draft(now)
+    }
+}
+
+pub fn idle() -> Load {
+    Load {
+        running: 0,
+        waiting: 0,
+        pace: 1.0,
+        accepting: true,
+        closes: None,
+        weights: None,
+    }
+}
+
+/// Returns the places among decisions.
+pub fn places(decisions: Vec<Decision>) -> Vec<Place> {
+    let place = |decision| match decision {
+        Decision::Send(place) => Some(place),
+        Decision::Move { .. } | Decision::Reject { .. } => None,
+    };
+    decisions.into_iter().filter_map(place).collect()
+}
+
+/// Submits requests until the next one would have to wait, and returns those that got a place.
+pub fn fill(scheduler: &mut Scheduler, now: Instant) -> Vec<Place> {
+    let mut placed = Vec::new();
+    loop {
+        let id = scheduler.submit(now, draft(now));
+        match places(scheduler.poll(now)).pop() {
+            Some(place) => placed.push(place),
+            None => {
+                scheduler.cancel(id);
+                return placed;
+            }
+        }
+    }
+}
+
+/// Submits `work` and returns its place, if it gets one at once.
+pub fn submit(scheduler: &mut Scheduler, now: Instant, work: Work) -> Option<Place> {
+    scheduler.submit(now, work);
+    places(scheduler.poll(now)).pop()
+}
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/versions.rs
@@ -0,0 +1,54 @@
+//! Until when older weights may serve.
+
+use std::time::{Duration, Instant};
+
+use dispatch::Versions;
+
+use crate::support::{BOUND, ms};
+
+// Guards against requests that begin on older weights after the bound, and against engines that are cut off early.
+#[test]
+fn oldest_after_bound() {
+    let now = Instant::now();
+    let mut versions = Versions::new(BOUND);
+    assert!(versions.name(now, "lm", 2));
+    assert_eq!(versions.oldest("lm", now + ms(6_000)), 0);
+    assert_eq!(versions.oldest("lm", now + ms(7_500)), 2);
+    assert_eq!(versions.oldest("other", now + ms(9_000)), 0);
+}
+
+// Guards against a bound that starts anew with each version.
+#[test]
+fn oldest_two_versions() {
+    let now = Instant::now();
+    let mut versions = Versions::new(BOUND);
+    versions.name(now, "lm", 2);
+    versions.name(now + ms(4_000), "lm", 3);
+    assert_eq!(versions.oldest("lm", now + BOUND), 2);
+    assert_eq!(versions.oldest("lm", now + ms(4_000) + BOUND), 3);
+    assert!(!versions.name(now + ms(9_000), "lm", 2));
+}
+
+// Guards against an entry that restarts and takes a version for new: a request began on version 1 12.8 s after
+// version 2 was named.
+#[test]
+fn oldest_found_at_start() {
+    let now = Instant::now();
+    let mut versions = Versions::new(BOUND);
+    assert!(versions.find("lm", 2));
+    assert_eq!(versions.oldest("lm", now), 2);
+}
+
+// Guards against an entry that restarts while a version spreads and refuses all engines that haven't loaded it yet.
+#[test]
+fn oldest_found_and_aged() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let mut versions = Versions::new(BOUND);
+    versions.find("lm", 2);
+    versions.aged(now, "lm", 2, ms(3_000));
+    assert_eq!(versions.oldest("lm", now), 0);
+    // Another agent learned of the version earlier; the earliest one is nearest to the truth.
+    versions.aged(now, "lm", 2, ms(7_500));
+    versions.aged(now, "lm", 2, ms(1_000));
+    assert_eq!(versions.oldest("lm", now), 2);
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -26,7 +26,7 @@
 pub struct Rollout {
     bound: Duration,
     place: Place,
-    named: Vec<(VersionNumber, Instant)>,
+    named: Vec<Named>,
     /// Versions whose parts are all there, and since when.
     complete: BTreeMap<VersionNumber, Instant>,
     held: Option<VersionNumber>,
@@ -34,6 +34,15 @@
     ordered: Option<(VersionNumber, Instant)>,
 }
 
+/// A version that operators named.
+#[derive(Clone, Copy, Debug)]
+struct Named {
+    version: VersionNumber,
+    at: Instant,
+    /// Whether this process saw it named; otherwise it was named before, and `at` is a time at which it was due.
+    seen: bool,
+}
+
 /// What the agent should do.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Step {
@@ -69,17 +78,37 @@
 
     /// Takes a version as named at `now`, and returns whether it is newer than those known.
     pub fn name(&mut self, now: Instant, version: VersionNumber) -> bool {
-        let newest = self.newest();
-        if newest.is_some_and(|newest| newest >= version) {
-            return false;
-        }
-        self.named.push((version, now));
-        true
+        self.insert(Named {
+            version,
+            at: now,
+            seen: true,
+        })
+    }
+
+    /// Takes a version that was named at an unknown time before `now`, and returns whether it is newer than those known.
+    ///
+    /// It counts as due: the engine loads it as soon as it can.
+    pub fn find(&mut self, now: Instant, version: VersionNumber) -> bool {
+        self.insert(Named {
+            version,
+            at: now.checked_sub(self.bound).unwrap_or(now),
+            seen: false,
+        })
     }
 
     /// Returns the newest named version.
     pub fn newest(&self) -> Option<VersionNumber> {
-        self.named.last().map(|(version, _)| *version)
+        self.named.last().map(|named| named.version)
+    }
+
+    /// Returns the versions that this process saw named a short time ago, and the time since then.
+    pub fn seen_named(&self, now: Instant) -> impl Iterator<Item = (VersionNumber, Duration)> {
+        let young = self.bound * 2;
+        self.named
+            .iter()
+            .filter(|named| named.seen)
+            .map(move |named| (named.version, now.saturating_duration_since(named.at)))
+            .filter(move |(_, age)| *age < young)
     }
 
     /// Returns the version whose parts are to be got now; `None` when no named one is missing.
@@ -93,12 +122,14 @@
         let missing = self
             .named
             .iter()
-            .filter(|(version, _)| got.is_none_or(|got| got < *version));
-        let (_, oldest) = *missing.clone().next()?;
+            .filter(|named| got.is_none_or(|got| got < named.version));
+        let oldest = missing.clone().next()?.at;
         let due = oldest + self.bound.mul_f64(LAST_TURN);
         let in_time = |at: Instant| at + self.bound.mul_f64(EXPECTED) <= due;
-        let newest = missing.rev().find(|(_, at)| *at == oldest || in_time(*at));
-        newest.map(|(version, _)| *version)
+        let newest = missing
+            .rev()
+            .find(|named| named.at == oldest || in_time(named.at));
+        newest.map(|named| named.version)
     }
 
     /// Notes that every part of `version` is held and verified at `now`.
@@ -114,7 +145,7 @@
         self.held = held;
         self.busy = busy;
         if let Some(held) = held {
-            self.named.retain(|(version, _)| *version >= held);
+            self.named.retain(|named| named.version >= held);
         }
         if self
             .ordered
@@ -164,14 +195,21 @@
             return Some(now);
         }
         self.held?;
-        let (_, named) = *self.due()?;
-        let expected = named + self.bound.mul_f64(EXPECTED);
+        let expected = self.due()?.at + self.bound.mul_f64(EXPECTED);
         let since = self
             .loadable()
             .map_or(expected.max(now), |(_, since)| since);
         self.turn(since).map(|turn| turn.max(now))
     }
 
+    fn insert(&mut self, named: Named) -> bool {
+        let newer = self.newest().is_none_or(|newest| newest < named.version);
+        if newer {
+            self.named.push(named);
+        }
+        newer
+    }
+
     /// Returns the newest version that the engine could load, and since when.
     fn loadable(&self) -> Option<(VersionNumber, Instant)> {
         let (version, since) = self.complete.last_key_value()?;
@@ -180,18 +218,17 @@
     }
 
     /// Returns the oldest named version that the engine doesn't serve yet.
-    fn due(&self) -> Option<&(VersionNumber, Instant)> {
+    fn due(&self) -> Option<&Named> {
         self.named
             .iter()
-            .find(|(version, _)| self.held.is_none_or(|held| held < *version))
+            .find(|named| self.held.is_none_or(|held| held < named.version))
     }
 
     /// Returns the time of the engine's turn when it can load since `since`.
     ///
     /// The turns of all engines are spread over the time that is left of the bound.
     fn turn(&self, since: Instant) -> Option<Instant> {
-        let (_, named) = self.due()?;
-        let last = *named + self.bound.mul_f64(LAST_TURN);
+        let last = self.due()?.at + self.bound.mul_f64(LAST_TURN);
         let window = last.saturating_duration_since(since);
         Some(since + window.mul_f64(self.place.share()))
     }
--- /dev/null
+++ b/crates/rollout/tests/rollout.rs
@@ -0,0 +1,182 @@
+//! When an engine loads which version.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use rollout::{Place, Rollout, Step};
+use yare::parameterized;
+
+const BOUND: Duration = Duration::from_secs(8);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Returns the rollout of an engine that serves version 1, at the place `rank` of `count`.
+fn serving(rank: usize, count: usize) -> Rollout {
+    let names: Vec<String> = (0..count).map(|number| format!("vm-{number}")).collect();
+    let live: Vec<&str> = names.iter().map(String::as_str).collect();
+    let place = |name: &&&str| Place::among(name, &live, 2);
+    let mut places: Vec<Place> = live.iter().map(|name| place(&name)).collect();
+    places.sort_by(|a, b| a.share().total_cmp(&b.share()));
+    let mut rollout = Rollout::new(BOUND);
+    rollout.set_place(places[rank]);
+    rollout.observe(Some(1), false);
+    rollout
+}
+
+// Guards against an empty engine that waits for a turn although it serves nothing.
+#[test]
+fn next_empty_engine_loads_at_once() {
+    let now = Instant::now();
+    let mut rollout = Rollout::new(BOUND);
+    rollout.observe(None, false);
+    rollout.complete(now, 1);
+    assert_eq!(rollout.next(now), Step::Load(1));
+}
+
+// Guards against engines that all load at the same moment, and against one that loads after the bound.
+#[parameterized(
+    first = { 0, 4_000 },
+    middle = { 3, 5_600 },
+    last = { 6, 7_200 },
+)]
+fn next_in_turn(rank: usize, expected_ms: u64) {
+    let now = Instant::now();
+    let mut rollout = serving(rank, 7);
+    rollout.name(now, 2);
+    rollout.complete(now + ms(4_000), 2);
+    let turn = now + ms(expected_ms);
+    let before = turn - ms(10);
+    if before > now + ms(4_000) {
+        assert!(matches!(rollout.next(before), Step::Wait(Some(_))));
+    }
+    assert_eq!(rollout.next(turn + ms(10)), Step::Load(2));
+}
+
+// Guards against parts that come late and an engine that waits for its turn all the same.
+#[test]
+fn next_late_parts_load_at_once() {
+    let now = Instant::now();
+    let mut rollout = serving(3, 7);
+    rollout.name(now, 2);
+    assert_eq!(rollout.next(now + ms(7_500)), Step::Wait(None));
+    rollout.complete(now + ms(7_500), 2);
+    assert_eq!(rollout.next(now + ms(7_500)), Step::Load(2));
+}
+
+// Guards against a second order while the first one is in progress, and against a lost order that is never repeated.
+#[test]
+fn next_after_order() {
+    let now = Instant::now();
+    let mut rollout = serving(0, 7);
+    rollout.name(now, 2);
+    rollout.complete(now, 2);
+    assert_eq!(rollout.next(now), Step::Load(2));
+    rollout.ordered(now, 2);
+    assert!(matches!(rollout.next(now + ms(100)), Step::Wait(Some(_))));
+    assert!(rollout.is_switching());
+    rollout.observe(Some(1), true);
+    assert_eq!(rollout.next(now + ms(3_000)), Step::Wait(None));
+    rollout.observe(Some(1), false);
+    assert_eq!(rollout.next(now + ms(3_000)), Step::Load(2));
+    rollout.observe(Some(2), false);
+    assert_eq!(rollout.next(now + ms(3_000)), Step::Wait(None));
+    assert!(!rollout.is_switching());
+}
+
+// Guards against an engine that restarted, holds nothing and is left empty.
+#[test]
+fn next_after_engine_restart() {
+    let now = Instant::now();
+    let mut rollout = serving(6, 7);
+    rollout.name(now, 2);
+    rollout.complete(now + ms(3_000), 2);
+    rollout.observe(Some(2), false);
+    assert_eq!(rollout.next(now + ms(9_000)), Step::Wait(None));
+    rollout.observe(None, false);
+    assert_eq!(rollout.next(now + ms(9_000)), Step::Load(2));
+}
+
+// Guards against a transfer that a newer version stops although the newer one would come too late: on quiet-1 the
+// second version, 4 s after the first, left no engine that was allowed to serve.
+#[parameterized(
+    soon_after = { 1_000, 3 },
+    long_after = { 4_000, 2 },
+)]
+fn wanted_two_versions(gap_ms: u64, expected: u64) {
+    let now = Instant::now();
+    let mut rollout = serving(0, 7);
+    rollout.name(now, 2);
+    assert_eq!(rollout.wanted(), Some(2));
+    rollout.name(now + ms(gap_ms), 3);
+    assert_eq!(rollout.wanted(), Some(expected));
+    rollout.complete(now + ms(4_200), 2);
+    assert_eq!(rollout.wanted(), Some(3));
+    rollout.complete(now + ms(8_000), 3);
+    assert_eq!(rollout.wanted(), None);
+}
+
+// Guards against an agent that restarts and gives its engine another whole bound.
+#[test]
+fn find_is_due() {
+    let now = Instant::now() + BOUND * 2;
+    let mut rollout = serving(6, 7);
+    rollout.find(now, 2);
+    rollout.complete(now + ms(3_000), 2);
+    assert_eq!(rollout.next(now + ms(3_000)), Step::Load(2));
+    assert_eq!(rollout.seen_named(now).count(), 0);
+}
+
+// Guards against entries that send long answers to an engine that is about to load.
+#[test]
+fn closing_told_ahead() {
+    let now = Instant::now();
+    let mut rollout = serving(6, 7);
+    assert_eq!(rollout.closing(now), None);
+    rollout.name(now, 2);
+    let turn = now + ms(7_200);
+    let told = rollout.closing(now).unwrap();
+    assert!(told <= turn && told > now + ms(6_000));
+    rollout.complete(now + ms(4_000), 2);
+    assert_eq!(rollout.closing(now + ms(4_000)), Some(turn));
+    rollout.ordered(turn, 2);
+    assert_eq!(rollout.closing(turn), Some(turn));
+    rollout.observe(Some(2), false);
+    assert_eq!(rollout.closing(turn + ms(500)), None);
+}
+
+proptest! {
+    // Guards against agents that compute different orders, and against two engines at one place.
+    #[test]
+    fn place_one_order(count in 2usize..60, version in 0u64..100, rotate in 0usize..60) {
+        let names: Vec<String> = (0..count).map(|number| format!("10.0.0.{number}:80")).collect();
+        let mut live: Vec<&str> = names.iter().map(String::as_str).collect();
+        let shares = |live: &[&str]| -> Vec<f64> {
+            names.iter().map(|name| Place::among(name, live, version).share()).collect()
+        };
+        let before = shares(&live);
+        live.rotate_left(rotate % count);
+        prop_assert_eq!(&before, &shares(&live));
+        let mut sorted = before;
+        sorted.sort_by(f64::total_cmp);
+        sorted.dedup();
+        prop_assert_eq!(sorted.len(), count);
+    }
+
+    // Guards against a version that an engine never loads, whatever came in which order.
+    #[test]
+    fn next_always_ends(named in 0u64..6_000, second in 0u64..6_000, first_done in 0u64..9_000, rank in 0usize..7) {
+        let now = Instant::now();
+        let mut rollout = serving(rank, 7);
+        rollout.name(now + ms(named), 2);
+        rollout.name(now + ms(named + second), 3);
+        rollout.complete(now + ms(named + first_done), 2);
+        rollout.complete(now + ms(named + second + first_done), 3);
+        let end = now + ms(named + second) + BOUND + ms(first_done);
+        let Step::Load(version) = rollout.next(end) else {
+            return Err(TestCaseError::fail("nothing to load"));
+        };
+        prop_assert_eq!(version, 3);
+    }
+}
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -38,6 +38,8 @@
     pub closes_ms: Option<u32>,
     /// Models that the engine holds and their versions.
     pub weights: Vec<(String, u64)>,
+    /// Models and versions that the agent saw operators name, and the milliseconds since then.
+    pub ages: Vec<(String, u64, u32)>,
     /// Entries that the agent tells its load.
     pub entries: u16,
 }
