Bound the log, never block on it, and tell a request's story from it

Cause: the log's console appender waits for its reader, and a process under load wrote as many lines as it liked.

Change: lines above 250 a second (100 more for warnings and errors), and those that the reader is too slow for, are left out, counted and told by event 104. carobport-trace takes logs and a request's id and prints its lines, those about its targets and those about its processes in order.

--- /dev/null
+++ b/bins/trace/src/main.rs
@@ -0,0 +1,78 @@
+//! `carobport-trace`: tells the story of a request from the logs of several processes.
+
+use std::io::{self, BufRead, BufReader, Write};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use trace::{Line, Story};
+
+/// Code to exit with when no line names the request.
+const NOT_FOUND: u8 = 3;
+
+/// Tells the story of a request from the logs of several processes
+///
+///
+/// Lines that name the request are marked with a star; times count from the first of them, each by the clock of its VM.
+/// Exit codes: 0 told; 1 a log can't be read; 2 a wrong command line; 3 no line names the request.
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// Milliseconds before and after the request's lines from which lines about its targets and processes are told
+    #[bpaf(argument("MS"), fallback(2000))]
+    around: u64,
+    /// Id of the request
+    #[bpaf(positional("ID"))]
+    request: String,
+    /// Logs; standard input when none is named
+    #[bpaf(positional("LOG"))]
+    logs: Vec<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let options = match node::arguments::parse(&options()) {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
+    let mut lines = Vec::new();
+    let read = match options.logs.is_empty() {
+        true => collect("", io::stdin().lock(), &mut lines),
+        false => options
+            .logs
+            .iter()
+            .try_for_each(|log| open(log, &mut lines)),
+    };
+    if let Err(error) = read {
+        eprintln!("carobport-trace: {error}");
+        return ExitCode::FAILURE;
+    }
+    let story = Story::new(
+        &options.request,
+        &lines,
+        Duration::from_millis(options.around),
+    );
+    // A reader that has seen enough closes the pipe.
+    let _ = write!(io::stdout(), "{story}");
+    match story.is_empty() {
+        true => ExitCode::from(NOT_FOUND),
+        false => ExitCode::SUCCESS,
+    }
+}
+
+fn open(log: &Path, lines: &mut Vec<Line>) -> io::Result<()> {
+    let name = log.file_stem().unwrap_or_default().to_string_lossy();
+    let named =
+        |error: io::Error| io::Error::new(error.kind(), format!("{}: {error}", log.display()));
+    let file = std::fs::File::open(log).map_err(named)?;
+    collect(&name, BufReader::new(file), lines).map_err(named)
+}
+
+fn collect(name: &str, log: impl BufRead, lines: &mut Vec<Line>) -> io::Result<()> {
+    for text in log.split(b'\n') {
+        let text = text?;
+        lines.extend(Line::parse(name, &String::from_utf8_lossy(&text)));
+    }
+    Ok(())
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -37,6 +37,7 @@
     STOPPED = 101 Info "stopped";
     STOP_REQUESTED = 102 Info "stop-requested";
     NO_SIGNAL_HANDLER = 103 Error "no-signal-handler";
+    LINES_LEFT_OUT = 104 Warn "lines-left-out";
     ACCEPT_FAILED = 110 Warn "accept-failed";
     CONNECTION_FAILED = 111 Debug "connection-failed";
     DRAIN_CUT = 112 Warn "drain-cut";
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -1,15 +1,19 @@
 //! The log: numbered events with fields, one a line, on standard output.
 //!
+//! It never blocks: lines above a bound, and those that the reader is too slow for, are left out and counted.
 //! A line is `TIME LEVEL PROCESS NUMBER NAME field=value …`; values with spaces are quoted.
 
 use std::fmt::{self, Display, Write};
+use std::os::fd::AsFd;
 
-use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Config, Logger, Root};
-use log4rs::encode::pattern::PatternEncoder;
 
 use crate::Event;
 
+mod output;
+
+pub use output::{MAX_LINE, MAX_LINES, MAX_URGENT_LINES, Output};
+
 /// Environment variable with the lowest level that is logged; `info` when absent.
 pub const LEVEL_VARIABLE: &str = "CAROBPORT_LOG";
 
@@ -32,10 +36,13 @@
         .and_then(|text| text.parse().ok())
         .unwrap_or(log::LevelFilter::Info);
     let pattern = format!("{{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)}} {{l}} {name} {{m}}{{n}}");
-    let stdout = ConsoleAppender::builder()
-        .target(Target::Stdout)
-        .encoder(Box::new(PatternEncoder::new(&pattern)))
-        .build();
+    let stdout = match std::io::stdout().as_fd().try_clone_to_owned() {
+        Ok(stdout) => Output::new(stdout, &pattern),
+        Err(error) => {
+            eprintln!("{name}: no log, standard output can't be used: {error}");
+            return;
+        }
+    };
     let config = Config::builder()
         .appender(Appender::builder().build("stdout", Box::new(stdout)))
         // tarpc writes a line for each call at the level of our own events.
--- /dev/null
+++ b/crates/node/tests/log.rs
@@ -0,0 +1,88 @@
+//! The log never blocks, and its volume is bounded.
+
+use std::io::Read;
+use std::os::fd::OwnedFd;
+use std::time::{Duration, Instant};
+
+use log::{Level, Record};
+use log4rs::append::Append;
+use node::log::{MAX_LINE, MAX_LINES, MAX_URGENT_LINES, Output};
+
+fn append(output: &Output, level: Level, text: &str) {
+    output
+        .append(
+            &Record::builder()
+                .level(level)
+                .args(format_args!("{text}"))
+                .build(),
+        )
+        .unwrap();
+}
+
+fn output() -> (std::io::PipeReader, Output) {
+    let (reader, writer) = std::io::pipe().unwrap();
+    (reader, Output::new(OwnedFd::from(writer), "{l} {m}{n}"))
+}
+
+/// Closes the output and returns what was written.
+fn read(mut reader: std::io::PipeReader, output: Output) -> String {
+    drop(output);
+    let mut text = String::new();
+    reader.read_to_string(&mut text).unwrap();
+    text
+}
+
+// Guards against a process that stands still because nobody reads its log.
+#[test]
+fn append_reader_stopped() {
+    let (reader, output) = output();
+    let start = Instant::now();
+    let line = "x".repeat(1000);
+    for _ in 0..20_000 {
+        append(&output, Level::Info, &line);
+    }
+    assert!(start.elapsed() < Duration::from_secs(5));
+    let text = read(reader, output);
+    assert!(
+        text.lines()
+            .all(|written| written == format!("INFO {line}"))
+    );
+    assert!(!text.is_empty());
+}
+
+// Guards against a log that takes the time of the requests, and against urgent lines that others crowd out.
+#[test]
+fn append_bounded_urgent_kept() {
+    let (reader, output) = output();
+    for _ in 0..2_000 {
+        append(&output, Level::Info, "often");
+    }
+    append(&output, Level::Warn, "urgent");
+    let text = read(reader, output);
+    assert_eq!(text.matches("often").count(), MAX_LINES as usize);
+    assert_eq!(text.matches("urgent").count(), 1);
+}
+
+// Guards against lines that are missing without a word, and against bounds that never open again.
+#[test]
+fn append_tells_left_out() {
+    let (reader, output) = output();
+    let many = MAX_LINES + MAX_URGENT_LINES + 7;
+    for _ in 0..many {
+        append(&output, Level::Error, "many");
+    }
+    std::thread::sleep(Duration::from_millis(1_050));
+    append(&output, Level::Info, "later");
+    let text = read(reader, output);
+    assert!(text.contains("104 lines-left-out count=7\n"), "{text}");
+    assert!(text.ends_with("INFO later\n"));
+}
+
+// Guards against a line so long that a pipe which is ready doesn't take it whole.
+#[test]
+fn append_long_line_left_out() {
+    let (reader, output) = output();
+    append(&output, Level::Info, &"x".repeat(MAX_LINE));
+    append(&output, Level::Info, "short");
+    assert_eq!(read(reader, output), "INFO short\n");
+}
