One client for the store; refusals and failures name the request

Cause: the old client spoke an object API that only our stand-in had, beside a second client for the platform's store.

Change: the crate objects is gone. A watch whose history is gone lists again.

Measurement: none of its own; tests of platform, standin, agent, catalog and burn.

--- a/bins/agent/src/chunk_server.rs
+++ b/bins/agent/src/chunk_server.rs
@@ -146,7 +146,7 @@
                     }
                     return None;
                 }
-                let piece = rest.split_to(rest.len().min(holdings.piece));
+                let piece = rest.split_to(rest.len().min(holdings.piece.max(1)));
                 let ticket = holdings.uplink.join(version, piece.len() as u64);
                 while let Err(wait) = ticket.poll(Instant::now()) {
                     compio::time::sleep(wait).await;
--- a/bins/agent/src/claims.rs
+++ b/bins/agent/src/claims.rs
@@ -8,7 +8,7 @@
 use claim::{Table, Write};
 use gossip::{Phase, Store};
 use node::event;
-use objects::{Client, Condition, Put};
+use platform::{Client, Condition, Put};
 
 use crate::Shared;
 use crate::shared::random;
@@ -211,7 +211,7 @@
     }
 }
 
-fn failed(error: &objects::Error) -> Step {
+fn failed(error: &platform::Error) -> Step {
     node::event!(event::CLAIMS_FAILED, error = error);
     Step::Failed
 }
--- a/bins/agent/src/number.rs
+++ b/bins/agent/src/number.rs
@@ -9,7 +9,7 @@
 
 use gate::{Backend, Event};
 use node::event;
-use objects::{Client, Condition, Error, Put};
+use platform::{Client, Condition, Error, Put};
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
--- a/bins/agent/src/process.rs
+++ b/bins/agent/src/process.rs
@@ -41,7 +41,7 @@
         chunk = settings.chunk_listen,
         operator = settings.operator_listen,
     );
-    let platform = objects::Client::new(settings.platform, PLATFORM_TIMEOUT);
+    let platform = platform::Client::new(settings.platform, PLATFORM_TIMEOUT);
     let http = Client::new();
     let (shared, actions) = Shared::new(settings, milliseconds());
 
--- a/bins/agent/src/rollout/serve.rs
+++ b/bins/agent/src/rollout/serve.rs
@@ -19,6 +19,8 @@
 const LINK_SHARE: f64 = 0.85;
 /// Time for which the link may be full of parts without a pause: an event of a stream waits as long.
 const BURST: Duration = Duration::from_millis(10);
+/// Time that a piece of a part takes on the link.
+const PIECE: Duration = Duration::from_millis(5);
 /// Bytes a second of one megabit a second.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 /// Size of all parts that are held, in bytes.
@@ -43,6 +45,7 @@
         downlink: rate,
         inter_region: rate,
         burst: BURST,
+        piece: (rate as f64 * PIECE.as_secs_f64()) as usize,
     };
     let mut registry = Registry::default();
     let state = State::new(settings);
--- a/bins/agent/src/staging.rs
+++ b/bins/agent/src/staging.rs
@@ -32,6 +32,7 @@
         downlink: settings.downlink,
         inter_region: settings.inter_region,
         burst: Rates::LONG_BURST,
+        piece: Rates::LARGE_PIECE,
     };
     let holdings = Holdings::new(
         &settings.domain,
@@ -47,7 +48,7 @@
 pub fn transfer(
     shared: &Rc<Shared>,
     holdings: Rc<Holdings>,
-    platform: objects::Client,
+    platform: platform::Client,
     store: SocketAddr,
 ) -> (Transfer, Worker) {
     let own = &shared.settings;
--- a/bins/agent/src/transfer.rs
+++ b/bins/agent/src/transfer.rs
@@ -92,8 +92,8 @@
 /// use std::rc::Rc;
 /// use agent::transfer::{Holdings, Rates, Settings, Transfer};
 ///
-/// # fn example(settings: Settings, platform: objects::Client, order: agent::transfer::Order) {
-/// let rates = Rates { uplink: 100_000_000, downlink: 100_000_000, inter_region: 2_500_000, burst: Rates::LONG_BURST };
+/// # fn example(settings: Settings, platform: platform::Client, order: agent::transfer::Order) {
+/// let rates = Rates { uplink: 100_000_000, downlink: 100_000_000, inter_region: 2_500_000, burst: Rates::LONG_BURST, piece: Rates::LARGE_PIECE };
 /// let holdings = Rc::new(Holdings::new(&settings.me.domain, &settings.me.region, &rates, 64 << 20, 4));
 /// let on_complete = |pin: &weights::Pin| println!("{pin} is staged");
 /// let (transfer, worker) = Transfer::new(settings, holdings, Some(platform), on_complete);
@@ -144,7 +144,7 @@
     pub fn new(
         settings: Settings,
         holdings: Rc<Holdings>,
-        platform: Option<objects::Client>,
+        platform: Option<platform::Client>,
         on_complete: impl Fn(&Pin) + 'static,
     ) -> (Self, Worker) {
         let (inputs, receiver) = unbounded();
--- a/bins/agent/src/transfer/holdings.rs
+++ b/bins/agent/src/transfer/holdings.rs
@@ -15,11 +15,6 @@
 /// Versions whose manifests are served: the current one and the one before, which other agents may still transfer.
 const VERSIONS: usize = 2;
 
-/// Bounds of the bytes that are sent before the token bucket is asked again. With whole chunks, a slow link would let
-/// one transfer hold up all others for longer than the stall time.
-const MIN_PIECE: usize = 2 << 10;
-const MAX_PIECE: usize = 64 << 10;
-
 /// Limits of the chunk traffic of an agent.
 #[derive(Clone, Debug)]
 pub struct Rates {
@@ -31,12 +26,17 @@
     pub inter_region: u64,
     /// Time for which a link may be full of parts without a pause; requests that share it wait as long.
     pub burst: Duration,
+    /// Bytes that are sent before the bucket of the uplink is asked again.
+    pub piece: usize,
 }
 
 impl Rates {
     /// Longest time for which a link may be full where requests need not be quick: it is long enough to use the whole
     /// rate.
     pub const LONG_BURST: Duration = Duration::from_millis(100);
+    /// Bytes of a piece on such a link. With whole chunks, a slow link would let one transfer hold up all others for
+    /// longer than the stall time.
+    pub const LARGE_PIECE: usize = 64 << 10;
 }
 
 /// Bytes moved since the start.
@@ -90,7 +90,7 @@
             downlink: bucket(rates.downlink),
             inter_region: bucket(rates.inter_region),
             uploader: Uploader::new(slots),
-            piece: ((rates.uplink as f64 * burst / 2.0) as usize).clamp(MIN_PIECE, MAX_PIECE),
+            piece: rates.piece,
             store: RefCell::new(Store::new(cache)),
             versions: RefCell::default(),
             names: RefCell::default(),
--- a/bins/agent/src/transfer/permits.rs
+++ b/bins/agent/src/transfer/permits.rs
@@ -3,7 +3,7 @@
 use burst::Grant;
 use burst::permit::{Decision, Draws};
 use node::event;
-use objects::{Client, Condition, Error, Object, Put};
+use platform::{Client, Condition, Error, Object, Put};
 use serde_json::Value;
 
 /// Kind of the permit objects.
--- a/bins/agent/src/transfer/run.rs
+++ b/bins/agent/src/transfer/run.rs
@@ -25,7 +25,7 @@
 pub struct Worker {
     settings: Rc<Settings>,
     holdings: Rc<Holdings>,
-    platform: Option<objects::Client>,
+    platform: Option<platform::Client>,
     on_complete: Box<dyn Fn(&Pin)>,
     handle: Transfer,
     receiver: UnboundedReceiver<Input>,
@@ -78,7 +78,7 @@
     pub(super) fn new(
         settings: Settings,
         holdings: Rc<Holdings>,
-        platform: Option<objects::Client>,
+        platform: Option<platform::Client>,
         on_complete: Box<dyn Fn(&Pin)>,
         handle: &Transfer,
         receiver: UnboundedReceiver<Input>,
--- a/bins/agent/tests/claims.rs
+++ b/bins/agent/tests/claims.rs
@@ -10,10 +10,11 @@
 use compio::runtime::{JoinHandle, spawn};
 use gate::Event;
 use gossip::{Key, Phase, Record, Target, Value, Version};
-use node::http::{
-    Body, Client, Limits, Request, Response, StatusCode, header, json, response, serve,
-};
+use node::http::{Body, Client, Limits, Request, Response, StatusCode, response, serve};
+use platform::Object;
+use platform::wire::{self, Call};
 use serde_json::json;
+use serde_json::value::to_raw_value;
 
 /// The claim table, its revision and how the platform fails.
 #[derive(Default)]
@@ -31,31 +32,35 @@
         }
         let mut held = self.table.borrow_mut();
         let mut status = StatusCode::OK;
-        if request.method() == "PUT" {
-            let seen = request
-                .headers()
-                .get(header::IF_MATCH)
-                .map(|tag| tag.to_str().unwrap().to_owned());
+        let write = match Call::parse(request) {
+            Some(Call::Create { value, .. }) => Some((None, value)),
+            Some(Call::Replace {
+                revision, value, ..
+            }) => Some((revision, value)),
+            _ => None,
+        };
+        if let Some((seen, value)) = write {
             let current = held.as_ref().map(|(revision, _)| *revision);
-            if seen == current.map(|revision| format!("\"{revision}\"")) {
-                let table = serde_json::from_slice(request.body()).unwrap();
+            if seen == current {
+                let table = serde_json::from_str(value.get()).unwrap();
                 *held = Some((current.unwrap_or(6) + 1, table));
                 if self.lose.get() > 0 {
                     self.lose.set(self.lose.get() - 1);
                     return response(StatusCode::INTERNAL_SERVER_ERROR, "");
                 }
             } else {
-                status = StatusCode::PRECONDITION_FAILED;
+                status = StatusCode::CONFLICT;
             }
         }
         let Some((revision, table)) = &*held else {
             return response(StatusCode::NOT_FOUND, "");
         };
-        let mut answer = json(status, table);
-        answer
-            .headers_mut()
-            .insert(header::ETAG, format!("\"{revision}\"").parse().unwrap());
-        answer
+        let object = Object {
+            name: "bookings".into(),
+            revision: *revision,
+            value: to_raw_value(table).unwrap(),
+        };
+        wire::object(status, &object)
     }
 }
 
@@ -109,7 +114,7 @@
     ] {
         shared.view.borrow_mut().merge(record);
     }
-    let client = objects::Client::new(platform, Duration::from_secs(1));
+    let client = platform::Client::new(platform, Duration::from_secs(1));
     let task = spawn(claims::run(Rc::clone(&shared), client));
     (shared, task)
 }
--- a/bins/agent/tests/process/support.rs
+++ b/bins/agent/tests/process/support.rs
@@ -384,10 +384,9 @@
 
     /// Returns the claim table of the service.
     pub async fn claims(&self) -> Value {
-        let body = self
-            .get(self.platform.address, "/objects/claims/desk")
-            .await;
-        serde_json::from_slice(&body).unwrap()
+        let platform = platform::Client::new(self.platform.address, SOON);
+        let object = platform.get("claims", "desk").await.unwrap().unwrap();
+        serde_json::from_str(object.value.get()).unwrap()
     }
 
     /// Returns `/status` of the agent.
--- a/bins/agent/tests/transfer/main.rs
+++ b/bins/agent/tests/transfer/main.rs
@@ -212,7 +212,7 @@
             .objects
             .borrow()
             .values()
-            .all(|(revision, _)| *revision == 1);
+            .all(|object| object.revision == 1);
         assert!(grants);
         assert_eq!(world.drawn.get(), world.size("v1"));
     });
--- a/bins/agent/tests/transfer/support.rs
+++ b/bins/agent/tests/transfer/support.rs
@@ -12,9 +12,9 @@
 use bytes::Bytes;
 use catalog::Plan;
 use compio::runtime::{JoinHandle, spawn};
-use node::http::{
-    Body, Limits, Method, Request, Response, StatusCode, header, json, response, serve,
-};
+use node::http::{Body, Limits, Request, Response, StatusCode, header, json, response, serve};
+use platform::Object;
+use platform::wire::{self, Call};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::registry::Registry;
 use weights::{Digest, Manifest, Pin};
@@ -26,7 +26,7 @@
 pub struct World {
     pub address: Cell<Option<SocketAddr>>,
     pub versions: RefCell<HashMap<String, (Manifest, Vec<u8>)>>,
-    pub objects: RefCell<BTreeMap<String, (u64, Bytes)>>,
+    pub objects: RefCell<BTreeMap<String, Object>>,
     pub drawn: Cell<u64>,
     /// Draws that get 503 before the store works.
     pub store_refuses: Cell<u32>,
@@ -123,8 +123,10 @@
                 json(StatusCode::OK, &self.versions.borrow()[version].0)
             }
             ["weights", _, version, "data"] => self.draw(version, request),
-            ["objects", ..] => self.object(request).await,
-            _ => response(StatusCode::NOT_FOUND, ""),
+            _ => match Call::parse(request) {
+                Some(call) => self.object(call).await,
+                None => response(StatusCode::NOT_FOUND, ""),
+            },
         }
     }
 
@@ -160,40 +162,45 @@
         response(StatusCode::PARTIAL_CONTENT, bytes)
     }
 
-    async fn object(&self, request: &Request<Bytes>) -> Response<Body> {
-        let name = request.uri().path().to_owned();
-        let write = request.method() == Method::PUT;
-        if write && take(&self.writes_refused) {
+    async fn object(&self, call: Call) -> Response<Body> {
+        let (name, write) = match call {
+            Call::Get { name, .. } => (name, None),
+            Call::Create { name, value, .. } => (name, Some((None, value))),
+            Call::Replace {
+                name,
+                revision,
+                value,
+                ..
+            } => (name, Some((revision, value))),
+            Call::List { .. } | Call::Watch { .. } => panic!("no transfer lists objects"),
+        };
+        if write.is_some() && take(&self.writes_refused) {
             return response(StatusCode::SERVICE_UNAVAILABLE, "");
         }
         let held = self.objects.borrow().get(&name).cloned();
-        let revision = held.as_ref().map_or(0, |held| held.0);
-        let tagged = |status, revision: u64, body: Bytes| {
-            let mut answer = response(status, body);
-            answer
-                .headers_mut()
-                .insert(header::ETAG, format!("\"{revision}\"").parse().unwrap());
-            answer
+        let Some((seen, value)) = write else {
+            return match held {
+                Some(object) => wire::object(StatusCode::OK, &object),
+                None => response(StatusCode::NOT_FOUND, ""),
+            };
         };
-        if !write {
-            return held.map_or(response(StatusCode::NOT_FOUND, ""), |held| {
-                tagged(StatusCode::OK, held.0, held.1)
-            });
+        let revision = held.as_ref().map(|held| held.revision);
+        if seen != revision {
+            return match held {
+                Some(object) => wire::object(StatusCode::CONFLICT, &object),
+                None => response(StatusCode::NOT_FOUND, ""),
+            };
         }
-        let matches = match request.headers().get(header::IF_MATCH) {
-            Some(tag) => *tag == format!("\"{revision}\"") && revision > 0,
-            None => revision == 0,
+        let object = Object {
+            name: name.clone(),
+            revision: revision.unwrap_or(0) + 1,
+            value,
         };
-        if !matches {
-            return tagged(StatusCode::PRECONDITION_FAILED, revision, Bytes::new());
-        }
-        self.objects
-            .borrow_mut()
-            .insert(name, (revision + 1, request.body().clone()));
+        self.objects.borrow_mut().insert(name, object.clone());
         if take(&self.writes_lost) {
             return response(StatusCode::BAD_GATEWAY, "");
         }
-        tagged(StatusCode::OK, revision + 1, Bytes::new())
+        wire::object(StatusCode::OK, &object)
     }
 
     /// Starts an agent of `domain`, not yet knowing the members.
@@ -220,6 +227,7 @@
             downlink: 200 << 20,
             inter_region: 200 << 20,
             burst: Rates::LONG_BURST,
+            piece: Rates::LARGE_PIECE,
         };
         let holdings = Rc::new(Holdings::new(domain, domain, &rates, 1 << 30, 2));
         let peer = Peer {
@@ -238,7 +246,7 @@
             upstream: burst::UPSTREAM,
             longest_pause: burst::LONGEST_PAUSE,
         };
-        let platform = objects::Client::new(world, Duration::from_secs(1));
+        let platform = platform::Client::new(world, Duration::from_secs(1));
         let complete: Rc<RefCell<Vec<Pin>>> = Rc::default();
         let on_complete = {
             let complete = Rc::clone(&complete);
--- a/bins/burn/src/fetch.rs
+++ b/bins/burn/src/fetch.rs
@@ -20,7 +20,7 @@
 pub enum Error {
     /// The platform gave no catalogue.
     #[error(transparent)]
-    Platform(#[from] objects::Error),
+    Platform(#[from] platform::Error),
     /// An object of the catalogue is malformed.
     #[error("catalogue entry {name} at revision {revision} can't be read: {error}")]
     Malformed {
@@ -42,7 +42,7 @@
 ///
 /// Fails when the platform doesn't answer or an object of the catalogue is malformed.
 pub async fn classes(platform: SocketAddr) -> Result<Vec<Class>, Error> {
-    let client = objects::Client::new(platform, CALL);
+    let client = platform::Client::new(platform, CALL);
     let mut classes = Vec::new();
     for object in client.list(KIND).await?.objects {
         let stored: Stored =
--- a/bins/burn/tests/command/support.rs
+++ b/bins/burn/tests/command/support.rs
@@ -10,12 +10,15 @@
 use bytes::Bytes;
 use compio::runtime::JoinHandle;
 use node::http::{Limits, Request, StatusCode, json, response};
+use platform::wire::{self, Call};
+use platform::{Listing, Object};
+use serde_json::value::to_raw_value;
 use serde_json::{Value, json};
 
 /// Time in which anything that a test waits for must happen.
 const SOON: Duration = Duration::from_secs(20);
 
-/// Serves `/objects/catalog` as the platform does, and each text in turn at `/metrics`.
+/// Lists the catalogue as the platform does, and serves each text in turn at `/metrics`.
 pub struct Standin {
     pub address: SocketAddr,
     _serving: JoinHandle<()>,
@@ -38,10 +41,12 @@
             async move {
                 match request.uri().path() {
                     "/metrics" => response(StatusCode::OK, texts.borrow_mut().next().unwrap()),
-                    "/objects/catalog" => json(StatusCode::OK, &catalogue()),
                     "/vms" => json(StatusCode::OK, &json!([])),
-                    // A watch of the platform waits; nothing changes here.
-                    _ => std::future::pending().await,
+                    _ => match Call::parse(&request) {
+                        Some(Call::List { .. }) => wire::list(&catalogue()),
+                        // A watch of the platform waits; nothing changes here.
+                        _ => std::future::pending().await,
+                    },
                 }
             }
         };
@@ -75,15 +80,23 @@
     ),
 ];
 
-fn catalogue() -> Value {
+fn catalogue() -> Listing {
     let objects = CATALOGUE.iter().enumerate().map(|(index, (key, rest))| {
         let (kind, name) = key.split_once('/').unwrap();
         let head = format!(r#""kind":"{kind}","name":"{name}","owner":"o","class":"urgent""#);
         let entry: Value = serde_json::from_str(&format!("{{{head},{rest}}}")).unwrap();
         let value = json!({"entry": entry, "author": "ada", "time_ms": 1, "write": "w"});
-        json!({"name": key, "revision": index + 1, "value": value})
+        Object {
+            name: (*key).into(),
+            revision: index as u64 + 1,
+            value: to_raw_value(&value).unwrap(),
+        }
     });
-    json!({"revision": 9, "objects": objects.collect::<Vec<_>>()})
+    Listing {
+        revision: 9,
+        objects: objects.collect(),
+        deleted: Vec::new(),
+    }
 }
 
 impl Entry {
--- a/bins/catalog/src/catalogue.rs
+++ b/bins/catalog/src/catalogue.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use catalog::{Check, Entry, Finding, Revision, Stored};
-use objects::{Listing, Object};
+use platform::{Listing, Object};
 
 use crate::files::{self, Files};
 use crate::force::Revisions;
--- a/bins/catalog/src/main.rs
+++ b/bins/catalog/src/main.rs
@@ -11,7 +11,7 @@
 use carobport_catalog::put::{self, Written};
 use carobport_catalog::{KIND, show, targets};
 use catalog::{Finding, Revision, Stored, difference};
-use objects::Client;
+use platform::Client;
 
 const FAILED: u8 = 1;
 const FINDINGS: u8 = 2;
--- a/bins/catalog/src/put.rs
+++ b/bins/catalog/src/put.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use catalog::{Entry, Revision, Stored};
-use objects::{Client, Condition, Object, Put};
+use platform::{Client, Condition, Object, Put};
 use uuid::Uuid;
 
 use crate::KIND;
@@ -111,10 +111,10 @@
         let reason = match result {
             Ok(Put::Accepted(revision)) => return Ok(Written::Accepted(revision)),
             Ok(Put::Conflict(current)) => format!("the platform holds revision {current:?}"),
-            Err(objects::Error::Refused { reason, .. }) if !lost => {
+            Err(platform::Error::Refused { reason, .. }) if !lost => {
                 return Err(Error::NotWritten { key, reason });
             }
-            Err(error @ objects::Error::Unavailable { .. }) if !lost => error.to_string(),
+            Err(error @ platform::Error::Unavailable { .. }) if !lost => error.to_string(),
             Err(error) => {
                 lost = true;
                 error.to_string()
@@ -142,7 +142,7 @@
     write: &str,
     seen: Option<Revision>,
 ) -> Result<Found, Error> {
-    let not_read = |error: objects::Error| Error::NotWritten {
+    let not_read = |error: platform::Error| Error::NotWritten {
         key: key.into(),
         reason: error.to_string(),
     };
--- a/bins/catalog/tests/malformed.rs
+++ b/bins/catalog/tests/malformed.rs
@@ -3,7 +3,7 @@
 use carobport_catalog::catalogue::Catalogue;
 use carobport_catalog::files::Files;
 use catalog::Stored;
-use objects::{Listing, Object};
+use platform::{Listing, Object};
 use serde_json::{Value, json};
 use yare::parameterized;
 
@@ -59,6 +59,7 @@
     Catalogue::new(&Listing {
         revision: 50,
         objects,
+        deleted: Vec::new(),
     })
 }
 
--- a/bins/catalog/tests/put.rs
+++ b/bins/catalog/tests/put.rs
@@ -10,8 +10,10 @@
 use carobport_catalog::force;
 use carobport_catalog::put::{Error, Written, parse, put};
 use catalog::{Entry, Stored};
-use node::http::{Body, Limits, Request, Response, StatusCode, header, json, response, serve};
-use objects::Client;
+use node::http::{Body, Limits, Request, Response, StatusCode, json, response, serve};
+use platform::wire::{self, Call};
+use platform::{Client, Object};
+use serde_json::value::to_raw_value;
 use yare::parameterized;
 
 /// What the platform does with a write.
@@ -44,14 +46,20 @@
 impl Platform {
     fn write(&self, request: &Request<bytes::Bytes>) -> StatusCode {
         let held = self.object.borrow().as_ref().map(|(revision, _)| *revision);
-        let wanted = request
-            .headers()
-            .get(header::IF_MATCH)
-            .map(|tag| tag.to_str().unwrap().to_owned());
-        if wanted != held.map(|revision| format!("\"{revision}\"")) {
-            return StatusCode::PRECONDITION_FAILED;
+        let (wanted, value) = match Call::parse(request) {
+            Some(Call::Create { value, .. }) => (None, value),
+            Some(Call::Replace {
+                revision, value, ..
+            }) => (revision, value),
+            other => panic!("no write: {other:?}"),
+        };
+        if wanted != held {
+            return match held {
+                Some(_) => StatusCode::CONFLICT,
+                None => StatusCode::NOT_FOUND,
+            };
         }
-        let stored = serde_json::from_slice(request.body()).unwrap();
+        let stored = serde_json::from_str(value.get()).unwrap();
         *self.object.borrow_mut() = Some((held.unwrap_or(40) + 1, stored));
         self.writes.set(self.writes.get() + 1);
         StatusCode::OK
@@ -94,21 +102,21 @@
 
     fn answer(&self, request: &Request<bytes::Bytes>) -> Response<Body> {
         let status = match request.method().as_str() {
-            "PUT" => self.put(request),
+            "PUT" | "POST" => self.put(request),
             _ => StatusCode::OK,
         };
-        let object = self.object.borrow();
-        let mut answer = match &*object {
-            Some((_, stored)) => json(status, stored),
+        match &*self.object.borrow() {
+            Some((revision, stored)) => {
+                let object = Object {
+                    name: "workspace/captains".into(),
+                    revision: *revision,
+                    value: to_raw_value(stored).unwrap(),
+                };
+                wire::object(status, &object)
+            }
             None if request.method() == "GET" => response(StatusCode::NOT_FOUND, ""),
             None => response(status, ""),
-        };
-        if let Some((revision, _)) = &*object {
-            answer
-                .headers_mut()
-                .insert(header::ETAG, format!("\"{revision}\"").parse().unwrap());
         }
-        answer
     }
 }
 
--- a/bins/entry/src/ingress/call.rs
+++ b/bins/entry/src/ingress/call.rs
@@ -113,6 +113,7 @@
     /// Returns what the scheduler needs to know.
     pub(super) fn work(&self) -> Work {
         Work {
+            id: self.caller.id.clone(),
             service: self.service.clone(),
             kind: self.kind,
             priority: self.priority,
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -196,12 +196,21 @@
 
     /// Logs and counts a refusal of the entry's own, and returns its answer.
     pub(super) fn refuse(&self, id: &str, refusal: &Refusal) -> Response<Body> {
+        self.refuse_after(id, refusal, Duration::ZERO)
+    }
+
+    fn refuse_after(&self, id: &str, refusal: &Refusal, age: Duration) -> Response<Body> {
         self.metrics.refused(refusal.reason);
+        let scheduler = self.scheduler.borrow();
         event!(
             event::REQUEST_REFUSED,
             request = id,
             status = refusal.status.as_u16(),
             reason = refusal.reason,
+            age_ms = age.as_millis(),
+            waiting = scheduler.waiting(),
+            in_progress = scheduler.in_progress(),
+            config = scheduler.config().map_or(0, |config| config.version),
             retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis()
         );
         refusal.answer(id)
@@ -219,7 +228,7 @@
             }
             End::MayHaveRun(failure) => Refusal::new(StatusCode::BAD_GATEWAY, failure.name()),
         };
-        self.refuse(&call.caller.id, &refusal)
+        self.refuse_after(&call.caller.id, &refusal, call.arrived.elapsed())
     }
 
     /// Returns where a run learns that it has to go on elsewhere.
@@ -340,12 +349,18 @@
         self.gateway.moves.borrow_mut().remove(&id);
         if let Outcome::Failed(failure) = outcome {
             self.gateway.metrics.failed(failure);
+            let work = &self.place.work;
+            let now = Instant::now();
             event!(
                 event::ATTEMPT_FAILED,
-                request = id,
+                request = work.id,
                 target = target,
                 failure = failure.name(),
-                load = self.place.load
+                load = self.place.load,
+                attempt = work.tried.len(),
+                attempts_left = work.attempts,
+                age_ms = now.saturating_duration_since(work.arrived).as_millis(),
+                left_ms = work.deadline.saturating_duration_since(now).as_millis()
             );
         }
         let ejected = self
--- a/bins/entry/src/peer.rs
+++ b/bins/entry/src/peer.rs
@@ -58,7 +58,7 @@
     state: RefCell<State>,
     /// Whether a peer has answered an exchange, or none is known.
     joined: Cell<bool>,
-    platform: objects::Client,
+    platform: platform::Client,
 }
 
 /// The server of the peer port.
@@ -74,7 +74,7 @@
             shared,
             state: RefCell::new(state),
             joined: Cell::new(false),
-            platform: objects::Client::new(settings.platform, TIMEOUT),
+            platform: platform::Client::new(settings.platform, TIMEOUT),
         })
     }
 
--- a/bins/entry/src/peer/watch.rs
+++ b/bins/entry/src/peer/watch.rs
@@ -6,7 +6,7 @@
 use catalog::Stored;
 use gossip::{Key, Record, Value, Version};
 use node::event;
-use objects::{Listing, Object};
+use platform::{Listing, Object};
 
 use super::Peering;
 
@@ -50,6 +50,7 @@
         };
         match listing {
             Ok(listing) => after = Some(take(peering, &listing)),
+            Err(platform::Error::HistoryGone { .. }) => after = None,
             Err(error) => {
                 node::event!(event::WATCH_FAILED, error = error);
                 compio::time::sleep(PAUSE).await;
--- a/bins/entry/tests/peer.rs
+++ b/bins/entry/tests/peer.rs
@@ -11,6 +11,9 @@
 use entry::shared::Shared;
 use gossip::{Key, Member, Phase, Target, Value};
 use node::http::{Limits, Request, StatusCode, json, serve};
+use platform::wire::{self as form, Call};
+use platform::{Listing, Object};
+use serde_json::value::to_raw_value;
 use wire::{Gate, Reply, Report};
 
 /// Entry VM: its state, its peer port and its tasks.
@@ -22,7 +25,7 @@
 }
 
 /// Objects that the platform lists, and the names of leaving VMs.
-type Platform = Rc<RefCell<(Vec<serde_json::Value>, Vec<&'static str>)>>;
+type Platform = Rc<RefCell<(Vec<Object>, Vec<&'static str>)>>;
 
 fn put(platform: &Platform, revision: u64, rank: u8) {
     let entry = serde_json::json!({
@@ -30,7 +33,11 @@
         "objective": {"answered": 0.99, "within_ms": 2000, "within": 0.95}
     });
     let value = serde_json::json!({"entry": entry, "author": "ops", "time_ms": 0, "write": "w"});
-    let object = serde_json::json!({"name": "class/urgent", "revision": revision, "value": value});
+    let object = Object {
+        name: "class/urgent".into(),
+        revision,
+        value: to_raw_value(&value).unwrap(),
+    };
     platform.borrow_mut().0 = vec![object];
 }
 
@@ -65,26 +72,26 @@
         let handler = move |_: SocketAddr, request: Request<bytes::Bytes>| {
             let platform = Rc::clone(&served);
             async move {
-                let path = request.uri().path().to_owned();
-                if path.starts_with("/watch") {
+                let call = Call::parse(&request);
+                if let Some(Call::Watch { .. }) = call {
                     compio::time::sleep(Duration::from_millis(100)).await;
                 }
                 let (objects, leaving) = &*platform.borrow();
-                let revision = objects
-                    .first()
-                    .map_or(0, |object| object["revision"].as_u64().unwrap());
+                let listing = Listing {
+                    revision: objects.first().map_or(0, |object| object.revision),
+                    objects: objects.clone(),
+                    deleted: Vec::new(),
+                };
                 let vms = leaving.iter().map(
                     |name| serde_json::json!({"name": name, "domain": "a", "state": "leaving"}),
                 );
                 // A platform that ignores the query lists live VMs too.
                 let live = serde_json::json!({"name": "a0", "domain": "a", "state": "live"});
                 let vms = vms.chain([live]);
-                match path.as_str() {
-                    "/vms" => json(StatusCode::OK, &vms.collect::<Vec<_>>()),
-                    _ => json(
-                        StatusCode::OK,
-                        &serde_json::json!({"revision": revision, "objects": objects}),
-                    ),
+                match call {
+                    Some(Call::Watch { .. }) => form::changes(&listing),
+                    Some(_) => form::list(&listing),
+                    None => json(StatusCode::OK, &vms.collect::<Vec<_>>()),
                 }
             }
         };
--- a/bins/load/src/slopes.rs
+++ b/bins/load/src/slopes.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use gossip::{Key, Node, Phase, Record, Target, Value, Version};
-use objects::Condition;
+use platform::Condition;
 use serde::Serialize;
 use serde_json::json;
 use wire::{Client, Gate, REPORT_INTERVAL, Report};
@@ -298,7 +298,7 @@
 
 /// Writes `size` catalogue entries over the window.
 async fn change(running: &Running, size: usize) -> Result<(), Error> {
-    let platform = objects::Client::new(running.deployment.platform_address(), TIMEOUT);
+    let platform = platform::Client::new(running.deployment.platform_address(), TIMEOUT);
     running.restart_window()?;
     let start = Instant::now();
     for index in 0..size {
--- a/bins/load/tests/faults/changes.rs
+++ b/bins/load/tests/faults/changes.rs
@@ -12,18 +12,9 @@
 const IN_FORCE: Duration = Duration::from_secs(6);
 
 async fn stored_revision(deployment: &Deployment, key: &str) -> u64 {
-    let path = "/objects/catalog";
-    let listing = deployment
-        .get(deployment.platform.operator, path)
-        .await
-        .unwrap();
-    let objects = listing["objects"]
-        .as_array()
-        .unwrap_or_else(|| panic!("{listing}"));
-    let object = objects.iter().find(|object| object["name"] == key);
-    object.unwrap_or_else(|| panic!("{key} in {listing}"))["revision"]
-        .as_u64()
-        .unwrap()
+    let platform = platform::Client::new(deployment.platform_address(), IN_FORCE);
+    let object = platform.get("catalog", key).await.unwrap();
+    object.unwrap_or_else(|| panic!("no {key}")).revision
 }
 
 async fn expect_in_force(deployment: &Deployment, revisions: &Revisions, key: &str, revision: u64) {
--- a/bins/standin/src/platform.rs
+++ b/bins/standin/src/platform.rs
@@ -9,9 +9,10 @@
 
 use bytes::Bytes;
 use futures::channel::oneshot;
-use node::http::{Body, Method, Request, Response, StatusCode, cut, header, json, response};
+use node::http::{Body, Method, Request, Response, StatusCode, cut, json, response};
 use node::settings::{Fields, Settings};
-use objects::{Listing, Object, State, Vm};
+use platform::wire::{self, Call};
+use platform::{Listing, Object, State, Vm};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
@@ -147,22 +148,35 @@
     }
 
     async fn route(&self, request: &Request<Bytes>) -> Response<Body> {
-        let path: Option<Vec<String>> = request.uri().path()[1..].split('/').map(decode).collect();
-        let path = path.unwrap_or_default();
-        let path: Vec<&str> = path.iter().map(String::as_str).collect();
-        match (request.method(), &path[..]) {
-            (&Method::GET, ["vms"]) => {
-                self.control.count("vms", 1);
-                self.vms(request.uri().query())
-            }
-            (&Method::GET, ["objects", kind]) => {
+        if request.method() == Method::GET && request.uri().path() == "/vms" {
+            self.control.count("vms", 1);
+            return self.vms(request.uri().query());
+        }
+        match Call::parse(request) {
+            Some(Call::List { kind }) => {
                 self.control.count("list", 1);
-                json(StatusCode::OK, &self.changed(kind, 0))
+                wire::list(&self.changed(&kind, 0))
+            }
+            Some(Call::Watch { kind, after, wait }) => self.watch(&kind, after, wait).await,
+            Some(Call::Get { kind, name }) => self.get(&kind, &name),
+            Some(Call::Create { kind, name, value }) => {
+                let absent = |current: Option<&Object>| current.is_none();
+                self.write((kind, name), value, absent)
             }
-            (&Method::GET, ["objects", kind, name]) => self.get(kind, name),
-            (&Method::PUT, ["objects", kind, name]) => self.put(kind, name, request),
-            (&Method::GET, ["watch", kind]) => self.watch(kind, request).await,
-            _ => response(StatusCode::NOT_FOUND, "no such path"),
+            Some(Call::Replace {
+                kind,
+                name,
+                revision,
+                value,
+            }) => {
+                let as_seen = |current: Option<&Object>| {
+                    let seen =
+                        |revision: u64| current.map(|object| object.revision) == Some(revision);
+                    current.is_some() && revision.is_none_or(seen)
+                };
+                self.write((kind, name), value, as_seen)
+            }
+            None => response(StatusCode::NOT_FOUND, "no such path"),
         }
     }
 
@@ -171,45 +185,39 @@
         let objects = self.objects.borrow();
         let stored = objects.get(&(kind.into(), name.into()));
         match stored.and_then(|stored| self.visible(stored)) {
-            Some(object) => {
-                let value = object.value.get().to_owned();
-                tagged(response(StatusCode::OK, value), object.revision)
-            }
+            Some(object) => wire::object(StatusCode::OK, object),
             None => response(StatusCode::NOT_FOUND, "no such object"),
         }
     }
 
-    fn put(&self, kind: &str, name: &str, request: &Request<Bytes>) -> Response<Body> {
+    /// Writes an object if `condition` holds for the current one.
+    fn write(
+        &self,
+        key: (String, String),
+        value: Box<RawValue>,
+        condition: impl Fn(Option<&Object>) -> bool,
+    ) -> Response<Body> {
         self.control.count("put", 1);
-        if request.body().len() > MAX_VALUE {
+        if value.get().len() > MAX_VALUE {
             return response(StatusCode::PAYLOAD_TOO_LARGE, "the value exceeds 1 MB");
         }
-        let value: Box<RawValue> = match serde_json::from_slice(request.body()) {
-            Ok(value) => value,
-            Err(error) => return response(StatusCode::BAD_REQUEST, error.to_string()),
-        };
-        let key = (kind.to_owned(), name.to_owned());
-        let current = self.objects.borrow().get(&key).map(|s| s.current.revision);
-        if !holds(request, current) {
+        let current = self.objects.borrow().get(&key).map(|s| s.current.clone());
+        if !condition(current.as_ref()) {
             self.control.count("conflicts", 1);
-            let conflict = response(
-                StatusCode::PRECONDITION_FAILED,
-                "the condition doesn't hold",
-            );
             return match current {
-                Some(revision) => tagged(conflict, revision),
-                None => conflict,
+                Some(object) => wire::object(StatusCode::CONFLICT, &object),
+                None => response(StatusCode::NOT_FOUND, "no such object"),
             };
         }
-        let revision = self.store(key, value);
+        let object = self.store(key, value);
         if self.control.change(lose_answer) {
             self.control.count("lost_answers", 1);
             return cut();
         }
-        tagged(response(StatusCode::OK, ""), revision)
+        wire::object(StatusCode::OK, &object)
     }
 
-    fn store(&self, key: (String, String), value: Box<RawValue>) -> u64 {
+    fn store(&self, key: (String, String), value: Box<RawValue>) -> Object {
         let revision = self.revision.get() + 1;
         self.revision.set(revision);
         let mut objects = self.objects.borrow_mut();
@@ -219,32 +227,32 @@
             value,
         };
         let previous = objects.remove(&key).map(|stored| stored.current);
-        objects.insert(key, Stored { current, previous });
+        let stored = Stored {
+            current: current.clone(),
+            previous,
+        };
+        objects.insert(key, stored);
         for watcher in self.watchers.take() {
             // A watcher whose caller is gone needs no notice.
             let _ = watcher.send(());
         }
-        revision
+        current
     }
 
-    async fn watch(&self, kind: &str, request: &Request<Bytes>) -> Response<Body> {
+    async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Response<Body> {
         self.control.count("watch", 1);
-        let query = request.uri().query().unwrap_or_default();
-        let (Some(after), Some(wait)) = (number(query, "after"), number(query, "wait_ms")) else {
-            return response(StatusCode::BAD_REQUEST, "watch needs `after` and `wait_ms`");
-        };
-        let end = Instant::now() + Duration::from_millis(wait).min(MAX_WAIT);
+        let end = Instant::now() + wait.min(MAX_WAIT);
         loop {
             let (sender, receiver) = oneshot::channel();
             self.watchers.borrow_mut().push(sender);
             let changed = self.changed(kind, after);
             if !changed.objects.is_empty() {
-                return json(StatusCode::OK, &changed);
+                return wire::changes(&changed);
             }
             match compio::time::timeout_at(end, receiver).await {
                 Ok(Ok(())) => {}
                 Ok(Err(_)) => return cut(),
-                Err(_) => return json(StatusCode::OK, &self.changed(kind, after)),
+                Err(_) => return wire::changes(&self.changed(kind, after)),
             }
         }
     }
@@ -263,6 +271,7 @@
         Listing {
             revision: self.revision.get().saturating_sub(stale),
             objects: changed,
+            deleted: Vec::new(),
         }
     }
 
@@ -282,42 +291,3 @@
     switches.lose_answers -= u32::from(lose);
     lose
 }
-
-/// Tells whether the conditions of a write hold against the current revision.
-fn holds(request: &Request<Bytes>, current: Option<u64>) -> bool {
-    let headers = request.headers();
-    let matches = headers.get(header::IF_MATCH).is_none_or(|tag| {
-        current.is_some_and(|revision| tag.as_bytes() == format!("\"{revision}\"").as_bytes())
-    });
-    let absent = headers.get(header::IF_NONE_MATCH).is_none() || current.is_none();
-    matches && absent
-}
-
-fn tagged(mut response: Response<Body>, revision: u64) -> Response<Body> {
-    let tag = header::HeaderValue::try_from(format!("\"{revision}\"")).expect("a quoted number");
-    response.headers_mut().insert(header::ETAG, tag);
-    response
-}
-
-fn number(query: &str, name: &str) -> Option<u64> {
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let (_, value) = pairs.into_iter().find(|(key, _)| *key == name)?;
-    value.parse().ok()
-}
-
-/// Decodes a percent-encoded path segment.
-fn decode(segment: &str) -> Option<String> {
-    let mut bytes = Vec::with_capacity(segment.len());
-    let mut rest = segment.as_bytes();
-    while let Some((&first, tail)) = rest.split_first() {
-        rest = tail;
-        if first != b'%' {
-            bytes.push(first);
-            continue;
-        }
-        let (hex, tail) = rest.split_at_checked(2)?;
-        bytes.push(u8::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok()?);
-        rest = tail;
-    }
-    String::from_utf8(bytes).ok()
-}
--- a/bins/standin/tests/platform.rs
+++ b/bins/standin/tests/platform.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use objects::{Client, Condition, Error, Put, State};
+use platform::{Client, Condition, Error, Put, State};
 use serde_json::json;
 use support::Process;
 
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -11,6 +11,8 @@
 /// What a request asks for and what was tried for it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Work {
+    /// Id that the caller gave the request; logs name it.
+    pub id: String,
     /// Service that is to serve it.
     pub service: String,
     /// What may be repeated.
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -82,6 +82,7 @@
 
 pub fn draft(now: Instant) -> Work {
     Work {
+        id: "9c41".into(),
         service: "drafts".into(),
         kind: Kind::Streaming { resumable: true },
         priority: 1,
