Write the log to standard output itself, not to a copy of its descriptor

Cause: on the users' bench no line of a process appeared: the output wrote to a duplicate of standard output.

Change: the output borrows standard output.

--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -4,7 +4,6 @@
 //! A line is `TIME LEVEL PROCESS NUMBER NAME field=value …`; values with spaces are quoted.
 
 use std::fmt::{self, Display, Write};
-use std::os::fd::AsFd;
 
 use log4rs::config::{Appender, Config, Logger, Root};
 
@@ -36,13 +35,7 @@
         .and_then(|text| text.parse().ok())
         .unwrap_or(log::LevelFilter::Info);
     let pattern = format!("{{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)}} {{l}} {name} {{m}}{{n}}");
-    let stdout = match std::io::stdout().as_fd().try_clone_to_owned() {
-        Ok(stdout) => Output::new(stdout, &pattern),
-        Err(error) => {
-            eprintln!("{name}: no log, standard output can't be used: {error}");
-            return;
-        }
-    };
+    let stdout = Output::new(std::io::stdout(), &pattern);
     let config = Config::builder()
         .appender(Appender::builder().build("stdout", Box::new(stdout)))
         // tarpc writes a line for each call at the level of our own events.
--- a/crates/node/src/log/output.rs
+++ b/crates/node/src/log/output.rs
@@ -1,7 +1,7 @@
 //! The log's destination: it never blocks, and its volume is bounded.
 
 use std::fmt;
-use std::os::fd::OwnedFd;
+use std::os::fd::AsFd;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -26,8 +26,8 @@
 /// Writes lines to a file, and leaves out those above the bounds and those that the reader is too slow for.
 ///
 /// What was left out is counted, and a line tells the count once lines can be written again.
-pub struct Output {
-    file: OwnedFd,
+pub struct Output<F> {
+    file: F,
     encoder: PatternEncoder,
     state: Mutex<State>,
 }
@@ -39,9 +39,9 @@
     left_out: u64,
 }
 
-impl Output {
+impl<F: AsFd> Output<F> {
     /// Returns an output to `file` whose lines have the form `pattern`.
-    pub fn new(file: OwnedFd, pattern: &str) -> Self {
+    pub fn new(file: F, pattern: &str) -> Self {
         let state = State {
             window: Instant::now(),
             lines: 0,
@@ -89,7 +89,7 @@
     }
 }
 
-impl Append for Output {
+impl<F: AsFd + Send + Sync + 'static> Append for Output<F> {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
         // A panic while the lock was held leaves counters that are still usable.
         let mut state = self.state.lock().unwrap_or_else(|error| error.into_inner());
@@ -123,7 +123,7 @@
     }
 }
 
-impl fmt::Debug for Output {
+impl<F> fmt::Debug for Output<F> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Output").finish_non_exhaustive()
     }
--- a/crates/node/tests/log.rs
+++ b/crates/node/tests/log.rs
@@ -1,14 +1,13 @@
 //! The log never blocks, and its volume is bounded.
 
-use std::io::Read;
-use std::os::fd::OwnedFd;
+use std::io::{PipeReader, PipeWriter, Read};
 use std::time::{Duration, Instant};
 
 use log::{Level, Record};
 use log4rs::append::Append;
 use node::log::{MAX_LINE, MAX_LINES, MAX_URGENT_LINES, Output};
 
-fn append(output: &Output, level: Level, text: &str) {
+fn append(output: &Output<PipeWriter>, level: Level, text: &str) {
     output
         .append(
             &Record::builder()
@@ -19,13 +18,13 @@
         .unwrap();
 }
 
-fn output() -> (std::io::PipeReader, Output) {
+fn output() -> (PipeReader, Output<PipeWriter>) {
     let (reader, writer) = std::io::pipe().unwrap();
-    (reader, Output::new(OwnedFd::from(writer), "{l} {m}{n}"))
+    (reader, Output::new(writer, "{l} {m}{n}"))
 }
 
 /// Closes the output and returns what was written.
-fn read(mut reader: std::io::PipeReader, output: Output) -> String {
+fn read(mut reader: PipeReader, output: Output<PipeWriter>) -> String {
     drop(output);
     let mut text = String::new();
     reader.read_to_string(&mut text).unwrap();
