Notice a silent store soon, and tell agents of named versions from entries

The agents' watches of versions had just been sent and waited 28 s, so no engine took version 3 before 46 s, and from 33 s on every generation was refused. The entries' watches of 25 s ended in time by chance.

Change: the configuration is watched for 1.8 s at a time; when that fails or works again, the long watches of the other kinds end. Entries tell agents the named versions and their ages with each subscription, and at once when there is news.

--- a/bins/agent/src/lib.rs
+++ b/bins/agent/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod claims;
 pub mod engine;
 pub mod metrics;
-pub mod notify;
 pub mod number;
 pub mod operator;
 pub mod process;
@@ -22,7 +21,7 @@
 pub mod turn;
 
 pub use metrics::Metrics;
-pub use notify::Notify;
+pub use node::Notify;
 pub use schedule::Schedule;
 pub use settings::{Interface, Settings};
 pub use shared::Shared;
--- a/bins/agent/src/rollout/loads.rs
+++ b/bins/agent/src/rollout/loads.rs
@@ -12,7 +12,7 @@
 use futures::future::{Either, select};
 use node::event;
 use platform::engine::Report;
-use wire::{Datagram, Load, MAX_DATAGRAM};
+use wire::{Datagram, Load, MAX_DATAGRAM, Named};
 
 use super::state::State;
 
@@ -27,21 +27,26 @@
 pub(super) async fn run(state: Rc<State>, socket: UdpSocket) {
     let entries = std::cell::RefCell::new(BTreeMap::new());
     let tell = tell(&state, &socket, &entries);
-    let receive = receive(&socket, &entries);
+    let receive = receive(&state, &socket, &entries);
     futures::join!(tell, receive);
 }
 
 type Entries = std::cell::RefCell<BTreeMap<SocketAddr, Instant>>;
 
-async fn receive(socket: &UdpSocket, entries: &Entries) {
+async fn receive(state: &State, socket: &UdpSocket, entries: &Entries) {
     let mut buffer = Vec::with_capacity(MAX_DATAGRAM);
     loop {
         let BufResult(received, mut filled) = socket.recv_from(buffer).await;
         match received {
             Ok((length, peer)) => {
                 filled.truncate(length);
-                if let Ok(Datagram::Subscribe) = Datagram::decode(&filled) {
-                    entries.borrow_mut().insert(peer, Instant::now());
+                match Datagram::decode(&filled) {
+                    Ok(Datagram::Subscribe(named)) => {
+                        entries.borrow_mut().insert(peer, Instant::now());
+                        state.take_named(&named);
+                    }
+                    Ok(Datagram::Load(_)) => {}
+                    Err(error) => event!(event::DATAGRAM_FAILED, peer = peer, error = error),
                 }
             }
             Err(error) => {
@@ -148,29 +153,33 @@
         accepting: !closing && !report.busy && !rollout.is_switching(),
         closes_ms: closes.map(|at| millis(at.saturating_duration_since(now))),
         weights: report.weights.clone().into_iter().collect(),
-        ages: ages(state, &rollout, now),
+        named: named(state, &rollout, now),
         entries: u16::try_from(entries).unwrap_or(u16::MAX),
     })
 }
 
-/// Returns the versions that the agent saw named and their ages, for entries that started later.
-fn ages(state: &State, rollout: &Rollout, now: Instant) -> Vec<(String, u64, u32)> {
+/// Returns the versions that the agent saw named, for entries that started later.
+fn named(state: &State, rollout: &Rollout, now: Instant) -> Vec<Named> {
     let Some(model) = state.model() else {
         return Vec::new();
     };
     rollout
         .seen_named(now)
-        .map(|(version, age)| (model.clone(), version, millis(age)))
+        .map(|(version, age)| Named {
+            model: model.clone(),
+            version,
+            age_ms: Some(millis(age)),
+        })
         .collect()
 }
 
-/// Tells whether two loads say the same, but for the ages of versions.
+/// Tells whether two loads say the same, but for the versions that were named.
 fn is_same(one: &Load, other: &Load) -> bool {
-    let without_ages = |load: &Load| Load {
-        ages: Vec::new(),
+    let without_named = |load: &Load| Load {
+        named: Vec::new(),
         ..load.clone()
     };
-    without_ages(one) == without_ages(other)
+    without_named(one) == without_named(other)
 }
 
 /// Returns whole tenths of a second in milliseconds, so that a time that comes nearer isn't news each time.
--- a/bins/agent/src/rollout/state.rs
+++ b/bins/agent/src/rollout/state.rs
@@ -7,6 +7,7 @@
 
 use burst::{Members, Peer};
 use dispatch::{Engine as Facts, Origin, Target};
+use node::event;
 use platform::engine::Report;
 use rollout::{Place, Rollout};
 
@@ -70,6 +71,33 @@
             .unwrap_or(FIRST_VERSION)
     }
 
+    /// Takes versions that an entry learned of.
+    pub(super) fn take_named(&self, named: &[wire::Named]) {
+        let now = Instant::now();
+        for named in named {
+            if self.model().is_none_or(|model| model == named.model) {
+                let age = named.age_ms.map(|ms| Duration::from_millis(ms.into()));
+                self.name(now, &named.model, named.version, age);
+            }
+        }
+    }
+
+    /// Takes a version that was named `age` ago, or at an unknown time.
+    pub(super) fn name(&self, now: Instant, model: &str, version: u64, age: Option<Duration>) {
+        let mut rollout = self.rollout.borrow_mut();
+        let at = age.and_then(|age| now.checked_sub(age));
+        let news = match at {
+            Some(at) => rollout.name(at, version),
+            None => rollout.find(now, version),
+        };
+        drop(rollout);
+        if news {
+            event!(event::VERSION_NAMED, model = model, version = version);
+            self.update_place();
+            self.changed.notify();
+        }
+    }
+
     /// Tells whether the targets were read since the newest version was named.
     pub(super) fn is_current(&self) -> bool {
         self.read_for.get() == Some(self.rollout.borrow().newest())
--- a/bins/agent/src/rollout/watch.rs
+++ b/bins/agent/src/rollout/watch.rs
@@ -16,7 +16,7 @@
 /// Time allowed for a call of the store, beside the wait of a watch.
 const TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest wait of one watch call.
-const WAIT: Duration = Duration::from_secs(28);
+const WAIT: Duration = Duration::from_secs(20);
 /// Time between two readings before the own engine is registered.
 const UNREGISTERED: Duration = Duration::from_millis(500);
 /// Bounds of the pause after a failed call; it doubles with each failure.
@@ -123,22 +123,8 @@
     for object in &listing.objects {
         match versions::decode(object) {
             Ok(named) if state.model().is_none_or(|model| model == named.model) => {
-                let now = Instant::now();
-                let mut rollout = state.rollout.borrow_mut();
-                let news = match first {
-                    true => rollout.find(now, named.version),
-                    false => rollout.name(now, named.version),
-                };
-                drop(rollout);
-                if news {
-                    event!(
-                        event::VERSION_NAMED,
-                        model = named.model,
-                        version = named.version
-                    );
-                    state.update_place();
-                    state.changed.notify();
-                }
+                let age = (!first).then_some(Duration::ZERO);
+                state.name(Instant::now(), &named.model, named.version, age);
             }
             Ok(_) => {}
             Err(error) => event!(event::OBJECT_MALFORMED, error = error),
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -37,6 +37,7 @@
     steps: RefCell<HashMap<RequestId, oneshot::Sender<Decision>>>,
     moves: RefCell<HashMap<RequestId, oneshot::Sender<Placed>>>,
     in_progress: Rc<Cell<usize>>,
+    versions_named: Cell<u64>,
     draining: Cell<bool>,
     refusing: Cell<bool>,
 }
@@ -84,6 +85,7 @@
             steps: RefCell::default(),
             moves: RefCell::default(),
             in_progress: Rc::default(),
+            versions_named: Cell::default(),
             draining: Cell::new(false),
             refusing: Cell::new(false),
         })
@@ -134,6 +136,16 @@
         read(&self.scheduler.borrow())
     }
 
+    /// Returns the number of versions that this process learned of.
+    pub(super) fn versions_named(&self) -> u64 {
+        self.versions_named.get()
+    }
+
+    /// Counts a version that was named.
+    pub(super) fn count_version(&self) {
+        self.versions_named.set(self.versions_named.get() + 1);
+    }
+
     /// Polls the scheduler while requests wait; never returns.
     pub async fn keep_time(self: Rc<Self>) {
         loop {
--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -3,18 +3,20 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compio::BufResult;
 use compio::net::UdpSocket;
 use dispatch::Load;
 use node::event;
-use wire::{Datagram, MAX_DATAGRAM};
+use wire::{Datagram, MAX_DATAGRAM, Named};
 
 use super::gateway::Gateway;
 
 /// Time between two subscriptions; agents forget an entry after three.
 const SUBSCRIPTION: Duration = Duration::from_secs(1);
+/// Time between two looks whether a version was named.
+const NEWS_CHECK: Duration = Duration::from_millis(50);
 /// Pause after the port failed.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -24,21 +26,44 @@
 }
 
 async fn subscribe(gateway: &Gateway, socket: &UdpSocket) {
-    let Ok(text) = Datagram::Subscribe.encode() else {
-        return;
-    };
     let port = gateway.settings.load_listen.port();
     loop {
+        let seen = gateway.versions_named();
+        let text = match Datagram::Subscribe(named(gateway)).encode() {
+            Ok(text) => text,
+            Err(error) => {
+                event!(event::DATAGRAM_FAILED, peer = "all", error = error);
+                Vec::new()
+            }
+        };
         for agent in agents(gateway, port) {
             let BufResult(sent, _) = socket.send_to(text.clone(), agent).await;
             if let Err(error) = sent {
                 event!(event::DATAGRAM_FAILED, peer = agent, error = error);
             }
         }
-        compio::time::sleep(SUBSCRIPTION).await;
+        let end = Instant::now() + SUBSCRIPTION;
+        while gateway.versions_named() == seen && Instant::now() < end {
+            compio::time::sleep(NEWS_CHECK).await;
+        }
     }
 }
 
+/// Returns the newest versions that operators named: agents learn of them from the entries too, which may reach the store
+/// when they don't.
+fn named(gateway: &Gateway) -> Vec<Named> {
+    gateway.view(|scheduler| {
+        let newest = scheduler.versions().newest_of_all(Instant::now());
+        newest
+            .map(|(model, version, age)| Named {
+                model: model.to_owned(),
+                version,
+                age_ms: age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
+            })
+            .collect()
+    })
+}
+
 /// Returns the addresses of the agents: those of the VMs whose targets are engines.
 fn agents(gateway: &Gateway, port: u16) -> BTreeSet<SocketAddr> {
     gateway.view(|scheduler| {
@@ -66,7 +91,7 @@
                 filled.truncate(length);
                 match Datagram::decode(&filled) {
                     Ok(Datagram::Load(load)) => take(gateway, load),
-                    Ok(Datagram::Subscribe) => {}
+                    Ok(Datagram::Subscribe(_)) => {}
                     Err(error) => event!(event::DATAGRAM_FAILED, peer = peer, error = error),
                 }
             }
@@ -83,7 +108,7 @@
 fn take(gateway: &Gateway, load: wire::Load) {
     let entries = usize::from(load.entries);
     let engine = load.engine;
-    let ages = load.ages;
+    let named = load.named;
     let load = Load {
         running: load.running,
         waiting: load.waiting,
@@ -94,9 +119,16 @@
     };
     gateway.update(|scheduler, now| {
         scheduler.set_entries(entries);
-        for (model, version, age_ms) in &ages {
-            let age = Duration::from_millis((*age_ms).into());
-            scheduler.version_aged(now, model, *version, age);
+        for Named {
+            model,
+            version,
+            age_ms,
+        } in &named
+        {
+            if let Some(ms) = age_ms {
+                let age = Duration::from_millis((*ms).into());
+                scheduler.version_aged(now, model, *version, age);
+            }
         }
         scheduler.report(now, engine, load);
     });
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -2,17 +2,22 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use node::event;
+use futures::future::{Either, select};
+use node::{Notify, event};
 use platform::{Client, Error, Listing, Object, config, target, versions};
 
 use super::gateway::Gateway;
 use super::targets::{Change, Registry};
 
 /// Time allowed for a call of the store, beside the wait of a watch.
-const TIMEOUT: Duration = Duration::from_secs(1);
+const TIMEOUT: Duration = Duration::from_millis(800);
+/// Wait of one watch of the configuration. A store that falls silent is noticed within this time and the one before: the
+/// deployment's bounds hold again 3 s after its return.
+const SHORT_WAIT: Duration = Duration::from_millis(1800);
 /// Longest wait of one watch call; every call has a price.
 const WAIT: Duration = Duration::from_secs(25);
 /// Time between two watches of targets, in which changes that come together gather.
@@ -26,26 +31,82 @@
 pub(super) async fn run(gateway: Rc<Gateway>) {
     let client = Client::new(gateway.settings.platform, TIMEOUT);
     let targets = Rc::new(RefCell::new(Registry::default()));
-    let configs = follow(&client, config::KIND, |listing, _| {
-        take_config(&gateway, &listing);
-    });
+    let pulse = Notify::default();
+    let configs = follow_config(&client, &gateway, &pulse);
     let mut first = true;
-    let named = follow(&client, versions::KIND, |listing, _| {
+    let named = follow(&client, versions::KIND, &pulse, |listing, _| {
         take_versions(&gateway, &listing, std::mem::take(&mut first));
     });
-    let registered = follow_targets(&client, &gateway, &targets);
+    let registered = follow_targets(&client, &gateway, &targets, &pulse);
     let expired = expire(&gateway, &targets);
     futures::join!(configs, named, registered, expired);
 }
 
-/// Lists a kind and then watches it; `take` gets each list, and whether it holds all objects.
-async fn follow(client: &Client, kind: &'static str, mut take: impl FnMut(Listing, bool)) {
+/// Follows the configuration by short watches, which tell soon when the store falls silent: then, and when it is back,
+/// `pulse` ends the long watches of the other kinds, which would wait for an answer that doesn't come.
+async fn follow_config(client: &Client, gateway: &Gateway, pulse: &Notify) {
     let mut after = None;
     let mut pause = PAUSE.0;
     loop {
         let listing = match after {
+            Some(revision) => client.watch(config::KIND, revision, SHORT_WAIT).await,
+            None => client.list(config::KIND).await,
+        };
+        match listing {
+            Ok(listing) => {
+                if pause > PAUSE.0 {
+                    event!(event::STORE_BACK, kind = config::KIND);
+                    pulse.notify();
+                }
+                pause = PAUSE.0;
+                after = Some(listing.revision);
+                take_config(gateway, &listing);
+            }
+            Err(Error::HistoryGone { .. }) => after = None,
+            Err(error) => {
+                if pause == PAUSE.0 {
+                    event!(event::STORE_LOST, kind = config::KIND, error = error);
+                    pulse.notify();
+                }
+                compio::time::sleep(pause).await;
+                pause = (pause * 2).min(PAUSE.1);
+            }
+        }
+    }
+}
+
+/// Watches or lists a kind; `None` when `pulse` ended the call.
+async fn read(
+    client: &Client,
+    kind: &str,
+    after: Option<u64>,
+    pulse: &Notify,
+) -> Option<Result<Listing, Error>> {
+    let call = async {
+        match after {
             Some(revision) => client.watch(kind, revision, WAIT).await,
             None => client.list(kind).await,
+        }
+    };
+    let beat = pulse.changed(pulse.count());
+    match select(pin!(call), pin!(beat)).await {
+        Either::Left((listing, _)) => Some(listing),
+        Either::Right(_) => None,
+    }
+}
+
+/// Lists a kind and then watches it; `take` gets each list, and whether it holds all objects.
+async fn follow(
+    client: &Client,
+    kind: &'static str,
+    pulse: &Notify,
+    mut take: impl FnMut(Listing, bool),
+) {
+    let mut after = None;
+    let mut pause = PAUSE.0;
+    loop {
+        let Some(listing) = read(client, kind, after, pulse).await else {
+            continue;
         };
         match listing {
             Ok(listing) => {
@@ -70,13 +131,18 @@
 }
 
 /// Follows the registrations of targets.
-async fn follow_targets(client: &Client, gateway: &Gateway, targets: &RefCell<Registry>) {
+async fn follow_targets(
+    client: &Client,
+    gateway: &Gateway,
+    targets: &RefCell<Registry>,
+    pulse: &Notify,
+) {
     let mut after = None;
     let mut pause = PAUSE.0;
     loop {
-        let listing = match after {
-            Some(revision) => client.watch(target::KIND, revision, WAIT).await,
-            None => client.list(target::KIND).await,
+        let Some(listing) = read(client, target::KIND, after, pulse).await else {
+            targets.borrow_mut().failed(Instant::now());
+            continue;
         };
         let now = Instant::now();
         match listing {
@@ -136,6 +202,7 @@
                     false => scheduler.name_version(now, &named.model, named.version),
                 });
                 if news {
+                    gateway.count_version();
                     event!(
                         event::VERSION_NAMED,
                         model = named.model,
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -192,6 +192,11 @@
         self.versions.aged(now, model, version, age);
     }
 
+    /// Returns the versions that operators named.
+    pub fn versions(&self) -> &Versions {
+        &self.versions
+    }
+
     /// Adds a target or takes its newer registration.
     pub fn put_target(&mut self, target: Target) {
         match self.targets.get_mut(&target.id) {
--- a/crates/dispatch/src/versions.rs
+++ b/crates/dispatch/src/versions.rs
@@ -64,6 +64,21 @@
         };
     }
 
+    /// Returns the newest version of each model, and the time since it was named as far as that is known.
+    pub fn newest_of_all(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&str, u64, Option<Duration>)> {
+        self.named.iter().filter_map(move |(model, named)| {
+            let (version, named) = named.last_key_value()?;
+            let age = match *named {
+                Named::Before => None,
+                Named::At(at) => Some(now.saturating_duration_since(at)),
+            };
+            Some((model.as_str(), *version, age))
+        })
+    }
+
     /// Returns the newest version of `model`.
     pub fn newest(&self, model: &str) -> Option<u64> {
         let (version, _) = self.named.get(model)?.last_key_value()?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod event;
 pub mod http;
 pub mod log;
+mod notify;
 pub mod operator;
 mod port;
 mod runtime;
@@ -17,6 +18,7 @@
 pub mod time;
 
 pub use event::Event;
+pub use notify::Notify;
 pub use port::{bind, connect, listen, shut_down};
 pub use runtime::{block_on, run};
 pub use service::serve;
--- a/bins/agent/src/notify.rs
+++ b/crates/node/src/notify.rs
@@ -9,7 +9,7 @@
 /// A change that happens while a task is busy isn't lost: the task passes the count it saw last.
 ///
 /// ```
-/// let notify = agent::Notify::default();
+/// let notify = node::Notify::default();
 /// let seen = notify.count();
 /// notify.notify();
 /// assert_eq!(futures::executor::block_on(notify.changed(seen)), seen + 1);
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -14,12 +14,24 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub enum Datagram {
-    /// The sender wants to be told the load.
-    Subscribe,
+    /// The sender wants to be told the load, and tells which versions operators named.
+    Subscribe(Vec<Named>),
     /// The load of the receiver's engine.
     Load(Load),
 }
 
+/// A version of weights that operators named.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Named {
+    /// The model.
+    pub model: String,
+    /// Number of the version.
+    pub version: u64,
+    /// Milliseconds since it was named; absent when the sender does not know.
+    pub age_ms: Option<u32>,
+}
+
 /// Load of an engine at a moment.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -38,8 +50,8 @@
     pub closes_ms: Option<u32>,
     /// Models that the engine holds and their versions.
     pub weights: Vec<(String, u64)>,
-    /// Models and versions that the agent saw operators name, and the milliseconds since then.
-    pub ages: Vec<(String, u64, u32)>,
+    /// Versions that the agent saw operators name.
+    pub named: Vec<Named>,
     /// Entries that the agent tells its load.
     pub entries: u16,
 }
@@ -54,8 +66,8 @@
     /// ```
     /// use wire::Datagram;
     ///
-    /// let bytes = Datagram::Subscribe.encode().unwrap();
-    /// assert_eq!(Datagram::decode(&bytes).unwrap(), Datagram::Subscribe);
+    /// let bytes = Datagram::Subscribe(Vec::new()).encode().unwrap();
+    /// assert_eq!(Datagram::decode(&bytes).unwrap(), Datagram::Subscribe(Vec::new()));
     /// ```
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let bytes = postcard::to_stdvec(self)?;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,7 +10,7 @@
 mod report;
 pub mod transport;
 
-pub use datagram::{Datagram, Load, MAX_DATAGRAM};
+pub use datagram::{Datagram, Load, MAX_DATAGRAM, Named};
 pub use gossip::{Delta, Digest};
 pub use message::{Gate, REPORT_INTERVAL, Reply, Report};
 pub use peer::{Peer, PeerClient, PeerRequest, PeerResponse};
