agent: stop a transfer before the next one; SIGHUP no longer ends a process

Cause: on the grown Régie the list of parts of version 3 took 3 to 5 s, because 88 agents still drew version 2 over the origin's whole link. The time that parts take was a fixed share of the bound. SIGHUP kept its default action. The pace of watches was a constant.

Change: a transfer stops before the list of parts of another version is read; the time of a transfer is estimated from the links; while the store is away the targets that were read before have to do. SIGHUP is logged. Watches of the configuration last 0.6 of the contact bound, and registrations gather for 0.5 s.

--- a/bins/agent/src/rollout/serve.rs
+++ b/bins/agent/src/rollout/serve.rs
@@ -15,14 +15,10 @@
 use crate::metrics::Transfers;
 use crate::transfer::{Holdings, Parts, Rates};
 
-/// Part of the VM's link that parts of weights may take; requests share it.
-const LINK_SHARE: f64 = 0.85;
 /// Time for which the link may be full of parts without a pause: an event of a stream waits as long.
 const BURST: Duration = Duration::from_millis(10);
 /// Time that a piece of a part takes on the link.
 const PIECE: Duration = Duration::from_millis(5);
-/// Bytes a second of one megabit a second.
-const BYTES_PER_MBIT: f64 = 125_000.0;
 /// Size of all parts that are held, in bytes.
 const CACHE: u64 = 48 << 20;
 /// Uploads at once; more would only share the same link.
@@ -39,7 +35,7 @@
     let chunks = node::listen(settings.chunk_listen)?;
     let operators = node::listen(settings.operator_listen)?;
     let load_port = node::bind(settings.load_listen)?;
-    let rate = (settings.link_mbps * BYTES_PER_MBIT * LINK_SHARE) as u64;
+    let rate = settings.link_rate();
     let rates = Rates {
         uplink: rate,
         downlink: rate,
@@ -72,6 +68,7 @@
         healthy: || true,
     };
     let _tasks = [
+        spawn(node::signal::hangups()),
         spawn(watch::run(Rc::clone(&state))),
         spawn(loads::run(Rc::clone(&state), load_port)),
         spawn(worker.run()),
--- a/bins/agent/src/rollout/settings.rs
+++ b/bins/agent/src/rollout/settings.rs
@@ -6,6 +6,11 @@
 
 use node::settings::Fields;
 
+/// Part of the VM's link that parts of weights may take; requests share it.
+const LINK_SHARE: f64 = 0.85;
+/// Bytes a second of one megabit a second.
+const BYTES_PER_MBIT: f64 = 125_000.0;
+
 /// Everything that the agent reads from its settings file there.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -35,6 +40,13 @@
     pub grace: Duration,
 }
 
+impl Settings {
+    /// Returns the bytes a second that parts of weights may take of the VM's link.
+    pub fn link_rate(&self) -> u64 {
+        (self.link_mbps * BYTES_PER_MBIT * LINK_SHARE) as u64
+    }
+}
+
 impl node::settings::Settings for Settings {
     fn read(fields: &mut Fields<'_>) -> Option<Self> {
         let address = "an address such as \"10.0.0.1:8080\"";
--- a/bins/agent/src/rollout/state.rs
+++ b/bins/agent/src/rollout/state.rs
@@ -18,6 +18,11 @@
 /// Version that engines hold before any is named.
 pub(super) const FIRST_VERSION: u64 = 1;
 
+/// Time that all parts take to reach every agent, as a multiple of the time that the slowest link needs for one copy.
+const SPREADING: f64 = 1.3;
+/// Time until the first part is on its way.
+const START: Duration = Duration::from_millis(500);
+
 /// What the agent knows of its engine, the other agents and the versions.
 pub(super) struct State {
     pub(super) settings: Settings,
@@ -62,6 +67,19 @@
             .map(|model| model.name.clone())
     }
 
+    /// Estimates how long the parts of a version take, from the rates of the origin's link and of the own one.
+    pub(super) fn estimate(&self) {
+        let facts = self.facts.borrow();
+        let (Some(facts), Some(origin)) = (facts.as_ref(), self.origin.get()) else {
+            return;
+        };
+        let bytes = f64::from(facts.pieces) * f64::from(facts.piece_bytes);
+        let rate = self.settings.link_rate().min(origin.bytes_per_s).max(1);
+        let seconds = bytes / rate as f64 * SPREADING + START.as_secs_f64();
+        let expected = Duration::from_secs_f64(seconds.min(3600.0));
+        self.rollout.borrow_mut().set_expected(expected);
+    }
+
     /// Returns the version whose parts the agent should have.
     pub(super) fn wanted(&self) -> u64 {
         let rollout = self.rollout.borrow();
@@ -103,6 +121,11 @@
         self.read_for.get() == Some(self.rollout.borrow().newest())
     }
 
+    /// Tells whether the targets were read at all.
+    pub(super) fn has_read(&self) -> bool {
+        self.read_for.get().is_some()
+    }
+
     /// Tells whether the own engine is among the registered targets.
     pub(super) fn is_registered(&self) -> bool {
         let targets = self.targets.borrow();
--- a/bins/agent/src/rollout/watch.rs
+++ b/bins/agent/src/rollout/watch.rs
@@ -112,6 +112,7 @@
             let facts = service.and_then(|service| service.engine.clone());
             state.origin.set(config.origin());
             state.facts.replace(facts);
+            state.estimate();
             state.changed.notify();
         }
         Err(error) => event!(event::OBJECT_MALFORMED, error = error),
--- a/bins/agent/src/rollout/weights.rs
+++ b/bins/agent/src/rollout/weights.rs
@@ -26,6 +26,8 @@
 const MAX_MANIFEST: usize = 2 << 20;
 /// Pause after a list of parts could not be read.
 const PAUSE: Duration = Duration::from_millis(100);
+/// Longest time to wait until the targets were read again.
+const TARGETS_TIME: Duration = Duration::from_millis(600);
 /// Longest time to wait for the engine's first state.
 const ENGINE_TIME: Duration = Duration::from_secs(3);
 /// Longest time before an agent begins to draw.
@@ -94,38 +96,58 @@
     origin: Rc<Parts>,
 ) {
     let http = Client::new().without_reuse();
-    let mut wanted = None;
+    let mut begun = None;
     let mut seen = state.changed.count();
     wait_for_engine(&state).await;
     loop {
-        transfer.set_members(state.members());
-        if !state.is_current() {
-            seen = state.changed.changed(seen).await;
-            continue;
-        }
-        if let (Some(model), Some(from)) = (state.model(), state.origin.get()) {
-            origin.address.set(from.address);
-            let version = state.wanted();
-            if wanted != Some(version)
-                && let Some(found) = find_manifest(&state, &http, &model, version).await
-            {
-                wanted = Some(version);
-                let pin = Pin::new(&model, &version.to_string(), found.digest());
-                holdings.add_named(&model, &version.to_string(), &found);
-                adopt_staged(&state, &holdings, &model, &found).await;
-                origin
-                    .not_before
-                    .set(Instant::now() + draw_delay(&state, from.bytes_per_s));
-                transfer.want(Some(Order {
-                    pin,
-                    plan: Plan::OriginBytes,
-                }));
+        if state.has_read() {
+            transfer.set_members(state.members());
+            if begun != Some(state.wanted()) {
+                // Parts of another version would take the origin's link from the list of parts.
+                transfer.want(None);
+                begun = begin(&state, &holdings, &transfer, &origin, &http).await;
             }
         }
         seen = state.changed.changed(seen).await;
     }
 }
 
+/// Begins the transfer of the wanted version, and returns its number; `None` when another one is wanted meanwhile.
+async fn begin(
+    state: &State,
+    holdings: &Holdings,
+    transfer: &Transfer,
+    origin: &Parts,
+    http: &Client,
+) -> Option<u64> {
+    wait_for_targets(state).await;
+    transfer.set_members(state.members());
+    let (model, from) = (state.model()?, state.origin.get()?);
+    origin.address.set(from.address);
+    let version = state.wanted();
+    let found = find_manifest(state, http, &model, version).await?;
+    holdings.add_named(&model, &version.to_string(), &found);
+    adopt_staged(state, holdings, &model, &found).await;
+    origin
+        .not_before
+        .set(Instant::now() + draw_delay(state, from.bytes_per_s));
+    transfer.want(Some(Order {
+        pin: Pin::new(&model, &version.to_string(), found.digest()),
+        plan: Plan::OriginBytes,
+    }));
+    Some(version)
+}
+
+/// Waits until the targets were read since the newest version was named, but not for long: while the store is away, those
+/// that were read before have to do.
+async fn wait_for_targets(state: &State) {
+    let end = Instant::now() + TARGETS_TIME;
+    while !state.is_current() && Instant::now() < end {
+        let seen = state.changed.count();
+        let _ = compio::time::timeout_at(end, state.changed.changed(seen)).await;
+    }
+}
+
 /// Waits until the engine tells its state, which may start later than the agent.
 ///
 /// What is staged in it need not be fetched: agents that all start together would otherwise draw what they have.
--- a/bins/entry/src/ingress/serve.rs
+++ b/bins/entry/src/ingress/serve.rs
@@ -44,6 +44,7 @@
         healthy: move || healthy.is_ready(),
     };
     let _tasks = [
+        compio::runtime::spawn(node::signal::hangups()),
         compio::runtime::spawn(Rc::clone(&gateway).keep_time()),
         compio::runtime::spawn(store::run(Rc::clone(&gateway))),
         compio::runtime::spawn(loads::run(Rc::clone(&gateway), loads)),
--- a/bins/entry/src/ingress/settings.rs
+++ b/bins/entry/src/ingress/settings.rs
@@ -31,6 +31,8 @@
 pub struct Bounds {
     /// Time from the signal to stop until the process is killed.
     pub grace: Duration,
+    /// Time after the store's return in which the deployment's bounds hold again.
+    pub contact: Duration,
     /// Time in which a named version of weights must have replaced all older ones.
     pub version: Duration,
     /// Repeats allowed per request.
@@ -69,12 +71,14 @@
     fn read(fields: &mut Fields<'_>) -> Option<Self> {
         let number = "a number from 0";
         let grace = fields.required::<f64>("grace_s", number);
+        let contact = fields.millis("contact_ms", 100..=3_600_000, None);
         let version = fields.millis("version_ms", 0..=3_600_000, None);
         let ratio = fields.required("repeat_ratio", number);
         let extra = fields.required("repeat_extra", number);
         let window = fields.required::<f64>("repeat_window_s", number);
         Some(Self {
             grace: seconds(grace?),
+            contact: contact?,
             version: version?,
             repeat_ratio: ratio?,
             repeat_extra: extra?,
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -15,13 +15,13 @@
 
 /// Time allowed for a call of the store, beside the wait of a watch.
 const TIMEOUT: Duration = Duration::from_millis(800);
-/// Wait of one watch of the configuration. A store that falls silent is noticed within this time and the one before: the
-/// deployment's bounds hold again 3 s after its return.
-const SHORT_WAIT: Duration = Duration::from_millis(1800);
+/// Wait of one watch of the configuration, as a share of the time after the store's return in which the deployment's
+/// bounds hold again: a call that a silent store never answers must end within it.
+const SHORT_WAIT: f64 = 0.6;
 /// Longest wait of one watch call; every call has a price.
 const WAIT: Duration = Duration::from_secs(25);
 /// Time between two watches of targets, in which changes that come together gather.
-const GATHERING: Duration = Duration::from_millis(200);
+const GATHERING: Duration = Duration::from_millis(500);
 /// Bounds of the pause after a failed call; it doubles with each failure.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 /// Time between two looks for targets that did not register again.
@@ -45,11 +45,12 @@
 /// Follows the configuration by short watches, which tell soon when the store falls silent: then, and when it is back,
 /// `pulse` ends the long watches of the other kinds, which would wait for an answer that doesn't come.
 async fn follow_config(client: &Client, gateway: &Gateway, pulse: &Notify) {
+    let wait = gateway.settings.bounds.contact.mul_f64(SHORT_WAIT);
     let mut after = None;
     let mut pause = PAUSE.0;
     loop {
         let listing = match after {
-            Some(revision) => client.watch(config::KIND, revision, SHORT_WAIT).await,
+            Some(revision) => client.watch(config::KIND, revision, wait).await,
             None => client.list(config::KIND).await,
         };
         match listing {
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -13,8 +13,10 @@
 
 /// Share of the bound at which the last turn comes; what remains is for an order that has to be repeated.
 const LAST_TURN: f64 = 0.9;
-/// Share of the bound in which the parts of a version usually arrive.
+/// Share of the bound in which the parts of a version arrive while no better estimate is known.
 const EXPECTED: f64 = 0.5;
+/// Share of the bound that must be left for the turns, if an older version is to be passed over for a newer one.
+const TURNS: f64 = 0.15;
 /// Time from an order until it is taken for lost when the engine shows nothing of it.
 const ORDER_TIME: Duration = Duration::from_millis(700);
 
@@ -25,6 +27,8 @@
 #[derive(Clone, Debug)]
 pub struct Rollout {
     bound: Duration,
+    /// Time in which the parts of a version are expected to arrive.
+    expected: Duration,
     place: Place,
     named: Vec<Named>,
     /// Versions whose parts are all there, and since when.
@@ -57,6 +61,7 @@
     pub fn new(bound: Duration) -> Self {
         Self {
             bound,
+            expected: bound.mul_f64(EXPECTED),
             place: Place::default(),
             named: Vec::new(),
             complete: BTreeMap::new(),
@@ -66,6 +71,11 @@
         }
     }
 
+    /// Sets the time in which the parts of a version are expected to arrive.
+    pub fn set_expected(&mut self, time: Duration) {
+        self.expected = time;
+    }
+
     /// Sets the engine's place among those that load one after the other.
     pub fn set_place(&mut self, place: Place) {
         self.place = place;
@@ -124,8 +134,8 @@
             .iter()
             .filter(|named| got.is_none_or(|got| got < named.version));
         let oldest = missing.clone().next()?.at;
-        let due = oldest + self.bound.mul_f64(LAST_TURN);
-        let in_time = |at: Instant| at + self.bound.mul_f64(EXPECTED) <= due;
+        let due = oldest + self.bound.mul_f64(LAST_TURN - TURNS);
+        let in_time = |at: Instant| at + self.expected <= due;
         let newest = missing
             .rev()
             .find(|named| named.at == oldest || in_time(named.at));
@@ -195,7 +205,7 @@
             return Some(now);
         }
         self.held?;
-        let expected = self.due()?.at + self.bound.mul_f64(EXPECTED);
+        let expected = self.due()?.at + self.expected;
         let since = self
             .loadable()
             .map_or(expected.max(now), |(_, since)| since);
