Read the interface, times in seconds and requests in progress in one place

Cause: the entry and the agent each had the enum of interfaces with its reading, both gateways of the entry had the same guard, and settings of the users' platform took a number out of bounds for the nearest bound without a word. Change: node::settings::Interface, Fields::seconds, and entry's in_progress hold them once; ratios, rates and times have ranges, and a value outside is a finding. The agent's grace_s is gone: nothing used it. Test: parse_seconds and parse_interface; the process tests of the platform pass.

--- a/bins/agent/src/rollout/settings.rs
+++ b/bins/agent/src/rollout/settings.rs
@@ -36,8 +36,6 @@
     pub link_mbps: f64,
     /// Time in which a named version of weights must have replaced all older ones.
     pub version: Duration,
-    /// Time from the signal to stop until the process is killed.
-    pub grace: Duration,
 }
 
 impl Settings {
@@ -50,7 +48,6 @@
 impl node::settings::Settings for Settings {
     fn read(fields: &mut Fields<'_>) -> Option<Self> {
         let address = "an address such as \"10.0.0.1:8080\"";
-        let number = "a number from 0";
         let name = fields.text("name");
         let domain = fields.text("domain");
         let regions = fields.required("regions", "an object of regions by failure domain");
@@ -60,9 +57,8 @@
         let operator_listen = fields.required("operator_listen", address);
         let load_listen = fields.required("load_listen", address);
         let platform = fields.required("platform", address);
-        let link_mbps = fields.required("link_mbps", number);
+        let link_mbps = fields.number("link_mbps", 0.1..=1e6, None);
         let version = fields.millis("version_ms", 0..=3_600_000, None);
-        let grace = fields.required::<f64>("grace_s", number);
         Some(Self {
             name: name?,
             domain: domain?,
@@ -75,7 +71,6 @@
             platform: platform?,
             link_mbps: link_mbps?,
             version: version?,
-            grace: Duration::from_secs_f64(grace?.clamp(0.0, 3600.0)),
         })
     }
 }
--- a/bins/agent/src/settings.rs
+++ b/bins/agent/src/settings.rs
@@ -63,29 +63,8 @@
     pub activate_timeout: Duration,
 }
 
-/// Settings by the interface that the agent serves, which the field `interface` names.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Interface {
-    /// carobport's own interface: `own`, or no such field.
-    Own(Settings),
-    /// The interface of the users' platform: `platform`.
-    Platform(rollout::Settings),
-}
-
-impl node::settings::Settings for Interface {
-    fn read(fields: &mut Fields<'_>) -> Option<Self> {
-        let allowed = "\"own\" or \"platform\"";
-        let interface: String = fields.optional("interface", allowed, "own".into())?;
-        match interface.as_str() {
-            "own" => Settings::read(fields).map(Self::Own),
-            "platform" => rollout::Settings::read(fields).map(Self::Platform),
-            _ => {
-                fields.finding("interface", allowed);
-                None
-            }
-        }
-    }
-}
+/// Settings by the interface that the agent serves.
+pub type Interface = node::settings::Interface<Settings, rollout::Settings>;
 
 impl node::settings::Settings for Settings {
     fn read(fields: &mut Fields<'_>) -> Option<Self> {
--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -17,6 +17,7 @@
 };
 
 use crate::call::Call;
+use crate::in_progress::InProgress;
 use crate::metrics::{Labels, Metrics};
 use crate::passing::Passing;
 use crate::shared::{Change, Shared};
@@ -48,9 +49,6 @@
     refusing: Cell<bool>,
 }
 
-/// A caller that is being served; dropping it counts down.
-pub(crate) struct InProgress(Rc<Cell<usize>>);
-
 /// What a request's handler holds from submission to outcome.
 ///
 /// Dropping it, for example because the caller closed its connection, takes a waiting request out of the queue.
@@ -292,19 +290,6 @@
     }
 }
 
-impl InProgress {
-    fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(Rc::clone(count))
-    }
-}
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 impl Ticket {
     /// Follows the router's actions until the request has its answer or outcome.
     async fn serve(mut self, call: &Call, started: Instant, guard: InProgress) -> Response<Body> {
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -17,6 +17,7 @@
 use super::Settings;
 use super::call::{Call, Refusal};
 use super::metrics::Metrics;
+use crate::in_progress::InProgress;
 
 /// Time in which a connection to a target must come about.
 const CONNECT_TIME: Duration = Duration::from_millis(300);
@@ -42,9 +43,6 @@
     refusing: Cell<bool>,
 }
 
-/// A caller that is being served; dropping it counts down.
-pub(super) struct InProgress(Rc<Cell<usize>>);
-
 /// A request that waits for a target; dropping it takes it out of the queue.
 struct Waiting<'a> {
     gateway: &'a Gateway,
@@ -393,16 +391,3 @@
         }
     }
 }
-
-impl InProgress {
-    fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(Rc::clone(count))
-    }
-}
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
--- a/bins/entry/src/ingress/settings.rs
+++ b/bins/entry/src/ingress/settings.rs
@@ -66,26 +66,21 @@
 
 impl node::settings::Settings for Bounds {
     fn read(fields: &mut Fields<'_>) -> Option<Self> {
-        let number = "a number from 0";
-        let grace = fields.required::<f64>("grace_s", number);
+        let grace = fields.seconds("grace_s", 0.0..=3600.0);
         let contact = fields.millis("contact_ms", 100..=3_600_000, None);
         let version = fields.millis("version_ms", 0..=3_600_000, None);
-        let ratio = fields.required("repeat_ratio", number);
-        let extra = fields.required("repeat_extra", number);
-        let window = fields.required::<f64>("repeat_window_s", number);
+        let ratio = fields.number("repeat_ratio", 0.0..=100.0, None);
+        let extra = fields.number("repeat_extra", 0.0..=1e6, None);
+        let window = fields.seconds("repeat_window_s", 0.001..=3600.0);
         Some(Self {
-            grace: seconds(grace?),
+            grace: grace?,
             contact: contact?,
             version: version?,
             repeats: Repeats {
                 ratio: ratio?,
                 extra: extra?,
-                window: seconds(window?),
+                window: window?,
             },
         })
     }
 }
-
-fn seconds(number: f64) -> Duration {
-    Duration::from_secs_f64(number.clamp(0.0, 3600.0))
-}
--- a/bins/entry/src/ingress/stream.rs
+++ b/bins/entry/src/ingress/stream.rs
@@ -18,7 +18,8 @@
 
 use super::call::Call;
 use super::events::Splitter;
-use super::gateway::{End, Gateway, InProgress, Placed};
+use super::gateway::{End, Gateway, Placed};
+use crate::in_progress::InProgress;
 
 /// Multiple of the objective in which the first event must come while another target is left.
 const FIRST_EVENT: u32 = 3;
--- a/bins/entry/src/lib.rs
+++ b/bins/entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod call;
 mod gateway;
+mod in_progress;
 pub mod ingress;
 mod metrics;
 mod passing;
--- a/bins/entry/src/passing.rs
+++ b/bins/entry/src/passing.rs
@@ -11,7 +11,8 @@
 use route::{Answering, Request};
 
 use crate::answer;
-use crate::gateway::{Gateway, InProgress};
+use crate::gateway::Gateway;
+use crate::in_progress::InProgress;
 use crate::metrics::Labels;
 
 /// An answer that is being passed on.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -27,6 +27,7 @@
 //! ```
 
 mod fields;
+mod interface;
 
 use std::fmt;
 use std::path::Path;
@@ -35,6 +36,7 @@
 use serde_json::Value;
 
 pub use fields::Fields;
+pub use interface::Interface;
 
 /// Exit code of a process whose settings have findings.
 pub const EXIT_CODE: u8 = 2;
--- a/crates/node/src/settings/fields.rs
+++ b/crates/node/src/settings/fields.rs
@@ -89,6 +89,11 @@
         self.number(name, range, default).map(Duration::from_millis)
     }
 
+    /// Reads a required time in seconds within `range`.
+    pub fn seconds(&mut self, name: &'static str, range: RangeInclusive<f64>) -> Option<Duration> {
+        self.number(name, range, None).map(Duration::from_secs_f64)
+    }
+
     /// Reads a required object.
     pub fn object<T: Settings>(&mut self, name: &'static str) -> Option<T> {
         match self.take(name) {
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -1,8 +1,11 @@
 //! Findings about settings.
 
-use node::settings::{Fields, Finding, Settings, load, parse};
+use std::time::Duration;
+
+use node::settings::{Fields, Finding, Interface, Settings, load, parse};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use yare::parameterized;
 
 #[derive(Debug, PartialEq)]
 struct Port {
@@ -38,6 +41,15 @@
     }
 }
 
+#[derive(Debug, PartialEq)]
+struct Stop(Duration);
+
+impl Settings for Stop {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        fields.seconds("grace_s", 0.0..=60.0).map(Self)
+    }
+}
+
 // Guards against a report that stops at the first finding, so that an operator needs a start per mistake.
 #[test]
 fn parse_all_findings_at_once() {
@@ -69,6 +81,32 @@
     assert_eq!((port.slots, port.peers.len()), (8, 1));
 }
 
+// Guards against a time outside its bounds that is taken for the nearest one without a word.
+#[parameterized(
+    negative = { "-0.5", None },
+    least = { "0", Some(0) },
+    fraction = { "1.5", Some(1500) },
+    too_long = { "60.5", None },
+    text = { "\"5\"", None },
+)]
+fn parse_seconds(number: &str, expected: Option<u64>) {
+    let read = parse::<Stop>(&format!(r#"{{"grace_s": {number}}}"#));
+    let expected = expected.map(|ms| Stop(Duration::from_millis(ms)));
+    assert_eq!(read.ok(), expected);
+}
+
+// Guards against settings that are read for another interface than the one they name.
+#[parameterized(
+    absent = { r#"{"grace_s": 1}"#, Some(Interface::Own(Stop(Duration::from_secs(1)))) },
+    own = { r#"{"interface": "own", "grace_s": 1}"#, Some(Interface::Own(Stop(Duration::from_secs(1)))) },
+    platform = { r#"{"interface": "platform", "peers": []}"#,
+        Some(Interface::Platform(Port { slots: 8, peers: Vec::new() })) },
+    unknown = { r#"{"interface": "other", "grace_s": 1}"#, None },
+)]
+fn parse_interface(text: &str, expected: Option<Interface<Stop, Port>>) {
+    assert_eq!(parse(text).ok(), expected);
+}
+
 // Guards against a missing or broken file that is reported without its name.
 #[test]
 fn load_missing_names_file() {
