agent: load a version only while all its parts are held

Cause: a part that the cache had dropped was left out when the parts were staged in the engine. The engine then loaded what lay there of the version before: in the test part 2 was that of version 1. Change: all parts are taken before the engine is closed to requests; when one is missing, event 362 says so and nothing is staged or ordered. The size of the cache is a setting, 48 MB if it isn't named.

--- a/bins/agent/src/rollout/serve.rs
+++ b/bins/agent/src/rollout/serve.rs
@@ -19,8 +19,6 @@
 const BURST: Duration = Duration::from_millis(10);
 /// Time that a piece of a part takes on the link.
 const PIECE: Duration = Duration::from_millis(5);
-/// Size of all parts that are held, in bytes.
-const CACHE: u64 = 48 << 20;
 /// Uploads at once; more would only share the same link.
 const UPLOADS: usize = 2;
 /// Time for which a request for a part that is on its way waits.
@@ -35,7 +33,7 @@
     let chunks = node::listen(settings.chunk_listen)?;
     let operators = node::listen(settings.operator_listen)?;
     let load_port = node::bind(settings.load_listen)?;
-    let rate = settings.link_rate();
+    let (rate, cache) = (settings.link_rate(), settings.chunk_cache);
     let rates = Rates {
         uplink: rate,
         downlink: rate,
@@ -48,7 +46,7 @@
     let me = state.me();
     let transfers = Transfers::default();
     transfers.register(&mut registry);
-    let holdings = Holdings::new(&me.domain, &me.region, &rates, CACHE, UPLOADS);
+    let holdings = Holdings::new(&me.domain, &me.region, &rates, cache, UPLOADS);
     let holdings = Rc::new(holdings.with_metrics(transfers).with_hold(HOLD));
     let origin = Rc::new(Parts {
         // Set to the origin's address before anything is drawn.
--- a/bins/agent/src/rollout/settings.rs
+++ b/bins/agent/src/rollout/settings.rs
@@ -11,6 +11,11 @@
 /// Bytes a second of one megabit a second.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 
+/// Largest cache of parts, in bytes.
+const MAX_CACHE: u64 = 1 << 40;
+/// Three quarters of the memory allowed for control on a node, in bytes.
+const DEFAULT_CACHE: u64 = 48 << 20;
+
 /// Everything that the agent reads from its settings file there.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -34,6 +39,9 @@
     pub platform: SocketAddr,
     /// Rate of the VM's link, in megabits a second.
     pub link_mbps: f64,
+    /// Bytes of parts kept besides those that this agent hands out to others: a version with more of them can't be
+    /// loaded.
+    pub chunk_cache: u64,
     /// Time in which a named version of weights must have replaced all older ones.
     pub version: Duration,
 }
@@ -58,6 +66,7 @@
         let load_listen = fields.required("load_listen", address);
         let platform = fields.required("platform", address);
         let link_mbps = fields.number("link_mbps", 0.1..=1e6, None);
+        let chunk_cache = fields.number("chunk_cache", 0..=MAX_CACHE, Some(DEFAULT_CACHE));
         let version = fields.millis("version_ms", 0..=3_600_000, None);
         Some(Self {
             name: name?,
@@ -70,6 +79,7 @@
             load_listen: load_listen?,
             platform: platform?,
             link_mbps: link_mbps?,
+            chunk_cache: chunk_cache?,
             version: version?,
         })
     }
--- a/bins/agent/src/rollout/switch.rs
+++ b/bins/agent/src/rollout/switch.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use burst::Version;
+use bytes::Bytes;
 use node::event;
 use platform::engine::Accepted;
 use rollout::Step;
@@ -39,7 +40,8 @@
     let Some(model) = state.model() else {
         return;
     };
-    let Some(version) = holdings.named(&model, &number.to_string()) else {
+    let version = holdings.named(&model, &number.to_string());
+    let Some(parts) = version.and_then(|version| parts(holdings, &version)) else {
         event!(event::WEIGHTS_MISSING, version = number);
         compio::time::sleep(PAUSE).await;
         return;
@@ -47,7 +49,7 @@
     state.closing.set(true);
     state.changed.notify();
     let closed = Instant::now() + CLOSING;
-    let result = stage(state, holdings, &model, &version).await;
+    let result = stage(state, &model, parts).await;
     compio::time::sleep(closed.saturating_duration_since(Instant::now())).await;
     let result = match result {
         Ok(()) => state.engine.start(&model, number).await,
@@ -80,17 +82,17 @@
     state.changed.notify();
 }
 
+/// Returns all parts of `version`; `None` when one isn't held any more. The engine would load what was staged in its place
+/// before, which belongs to another version.
+fn parts(holdings: &Holdings, version: &Version) -> Option<Vec<Bytes>> {
+    let digests = (0..version.chunks()).map(|chunk| version.chunk(chunk));
+    digests.map(|digest| holdings.chunk(&digest)).collect()
+}
+
 /// Puts every part into the engine, just before the order: what lies there for long may turn bad.
-async fn stage(
-    state: &State,
-    holdings: &Holdings,
-    model: &str,
-    version: &Version,
-) -> Result<(), Error> {
-    for chunk in 0..version.chunks() {
-        if let Some(bytes) = holdings.chunk(&version.chunk(chunk)) {
-            state.engine.stage(model, chunk, bytes).await?;
-        }
+async fn stage(state: &State, model: &str, parts: Vec<Bytes>) -> Result<(), Error> {
+    for (chunk, bytes) in (0..).zip(parts) {
+        state.engine.stage(model, chunk, bytes).await?;
     }
     Ok(())
 }
