wire: one port for datagrams, and subscriptions that fit into one

Cause: entry and agent each had the loop that reads datagrams. An entry whose subscription did not fit sent empty datagrams, so that no agent told its load: with 60 models the test got 0 bytes. Change: wire::Port sends and receives on both sides, and sends nothing that can't be encoded; an entry tells 8 versions in a datagram. Test: subscribe_with_many_models failed before.

--- a/bins/agent/src/rollout/loads.rs
+++ b/bins/agent/src/rollout/loads.rs
@@ -1,18 +1,17 @@
 //! Asks the engine for its state and tells entries.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use ::rollout::Rollout;
-use compio::BufResult;
-use compio::net::UdpSocket;
 use futures::FutureExt;
 use futures::future::{Either, select};
 use node::event;
 use platform::engine::Report;
-use wire::{Datagram, Load, MAX_DATAGRAM, Named};
+use wire::{Datagram, Load, Named, Port};
 
 use super::state::State;
 
@@ -24,42 +23,25 @@
 const FORGOTTEN: Duration = Duration::from_millis(3500);
 
 /// Asks and tells; never returns.
-pub(super) async fn run(state: Rc<State>, socket: UdpSocket) {
-    let entries = std::cell::RefCell::new(BTreeMap::new());
-    let tell = tell(&state, &socket, &entries);
-    let receive = receive(&state, &socket, &entries);
+pub(super) async fn run(state: Rc<State>, port: Port) {
+    let entries = RefCell::new(BTreeMap::new());
+    let tell = tell(&state, &port, &entries);
+    let receive = receive(&state, &port, &entries);
     futures::join!(tell, receive);
 }
 
-type Entries = std::cell::RefCell<BTreeMap<SocketAddr, Instant>>;
+type Entries = RefCell<BTreeMap<SocketAddr, Instant>>;
 
-async fn receive(state: &State, socket: &UdpSocket, entries: &Entries) {
-    let mut buffer = Vec::with_capacity(MAX_DATAGRAM);
+async fn receive(state: &State, port: &Port, entries: &Entries) {
     loop {
-        let BufResult(received, mut filled) = socket.recv_from(buffer).await;
-        match received {
-            Ok((length, peer)) => {
-                filled.truncate(length);
-                match Datagram::decode(&filled) {
-                    Ok(Datagram::Subscribe(named)) => {
-                        entries.borrow_mut().insert(peer, Instant::now());
-                        state.take_named(&named);
-                    }
-                    Ok(Datagram::Load(_)) => {}
-                    Err(error) => event!(event::DATAGRAM_FAILED, peer = peer, error = error),
-                }
-            }
-            Err(error) => {
-                event!(event::DATAGRAM_FAILED, peer = "any", error = error);
-                compio::time::sleep(INTERVAL).await;
-            }
+        if let (entry, Datagram::Subscribe(named)) = port.receive().await {
+            entries.borrow_mut().insert(entry, Instant::now());
+            state.take_named(&named);
         }
-        filled.clear();
-        buffer = filled;
     }
 }
 
-async fn tell(state: &State, socket: &UdpSocket, entries: &Entries) {
+async fn tell(state: &State, port: &Port, entries: &Entries) {
     let mut told: Option<(Instant, Load)> = None;
     loop {
         let closing = state.closing.get();
@@ -82,7 +64,7 @@
                 !is_same(before, &load) || now.saturating_duration_since(*at) >= REPEATED
             });
             if news {
-                send(socket, &peers, &load).await;
+                port.send(&Datagram::Load(load.clone()), &peers).await;
                 told = Some((now, load));
             }
         }
@@ -186,19 +168,3 @@
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis() / 100 * 100).unwrap_or(u32::MAX)
 }
-
-async fn send(socket: &UdpSocket, peers: &[SocketAddr], load: &Load) {
-    let text = match Datagram::Load(load.clone()).encode() {
-        Ok(text) => text,
-        Err(error) => {
-            event!(event::DATAGRAM_FAILED, peer = "all", error = error);
-            return;
-        }
-    };
-    for peer in peers {
-        let BufResult(sent, _) = socket.send_to(text.clone(), *peer).await;
-        if let Err(error) = sent {
-            event!(event::DATAGRAM_FAILED, peer = peer, error = error);
-        }
-    }
-}
--- a/bins/agent/src/rollout/serve.rs
+++ b/bins/agent/src/rollout/serve.rs
@@ -8,6 +8,7 @@
 use compio::runtime::spawn;
 use node::operator::{self, Operator};
 use prometheus_client::registry::Registry;
+use wire::Port;
 
 use super::state::State;
 use super::{Settings, loads, switch, watch, weights};
@@ -32,7 +33,7 @@
 pub async fn serve(settings: Settings, stop: impl Future<Output = ()>) -> io::Result<()> {
     let chunks = node::listen(settings.chunk_listen)?;
     let operators = node::listen(settings.operator_listen)?;
-    let load_port = node::bind(settings.load_listen)?;
+    let load_port = Port::bind(settings.load_listen)?;
     let (rate, cache) = (settings.link_rate(), settings.chunk_cache);
     let rates = Rates {
         uplink: rate,
--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -5,11 +5,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use compio::BufResult;
-use compio::net::UdpSocket;
 use dispatch::Load;
-use node::event;
-use wire::{Datagram, MAX_DATAGRAM, Named};
+use wire::{Datagram, Named, Port};
 
 use super::gateway::Gateway;
 
@@ -17,30 +14,20 @@
 const SUBSCRIPTION: Duration = Duration::from_secs(1);
 /// Time between two looks whether a version was named.
 const NEWS_CHECK: Duration = Duration::from_millis(50);
-/// Pause after the port failed.
-const PAUSE: Duration = Duration::from_millis(100);
+/// Versions in one datagram; more of them are told in further ones.
+const NAMED: usize = 8;
 
 /// Subscribes at all agents and takes what they tell; never returns.
-pub(super) async fn run(gateway: Rc<Gateway>, socket: UdpSocket) {
-    futures::join!(subscribe(&gateway, &socket), receive(&gateway, &socket));
+pub(super) async fn run(gateway: Rc<Gateway>, port: Port) {
+    futures::join!(subscribe(&gateway, &port), receive(&gateway, &port));
 }
 
-async fn subscribe(gateway: &Gateway, socket: &UdpSocket) {
-    let port = gateway.settings.load_listen.port();
+async fn subscribe(gateway: &Gateway, port: &Port) {
     loop {
         let seen = gateway.versions_named();
-        let text = match Datagram::Subscribe(named(gateway)).encode() {
-            Ok(text) => text,
-            Err(error) => {
-                event!(event::DATAGRAM_FAILED, peer = "all", error = error);
-                Vec::new()
-            }
-        };
-        for agent in agents(gateway, port) {
-            let BufResult(sent, _) = socket.send_to(text.clone(), agent).await;
-            if let Err(error) = sent {
-                event!(event::DATAGRAM_FAILED, peer = agent, error = error);
-            }
+        let agents = agents(gateway);
+        for subscription in subscriptions(&named(gateway)) {
+            port.send(&subscription, &agents).await;
         }
         let end = Instant::now() + SUBSCRIPTION;
         while gateway.versions_named() == seen && Instant::now() < end {
@@ -49,6 +36,16 @@
     }
 }
 
+/// Returns one subscription, or several where one can't tell all versions.
+fn subscriptions(named: &[Named]) -> Vec<Datagram> {
+    let parts = named.chunks(NAMED).map(<[Named]>::to_vec);
+    let mut subscriptions: Vec<Datagram> = parts.map(Datagram::Subscribe).collect();
+    if subscriptions.is_empty() {
+        subscriptions.push(Datagram::Subscribe(Vec::new()));
+    }
+    subscriptions
+}
+
 /// Returns the newest versions that operators named: agents learn of them from the entries too, which may reach the store
 /// when they don't.
 fn named(gateway: &Gateway) -> Vec<Named> {
@@ -65,43 +62,30 @@
 }
 
 /// Returns the addresses of the agents: those of the VMs whose targets are engines.
-fn agents(gateway: &Gateway, port: u16) -> BTreeSet<SocketAddr> {
+fn agents(gateway: &Gateway) -> Vec<SocketAddr> {
+    let port = gateway.settings.load_listen.port();
     gateway.view(|scheduler| {
         let Some(config) = scheduler.config() else {
-            return BTreeSet::new();
+            return Vec::new();
         };
         let is_engine = |service: &str| {
             let service = config.services.get(service);
             service.is_some_and(|service| service.engine.is_some())
         };
-        scheduler
+        let agents: BTreeSet<SocketAddr> = scheduler
             .targets()
             .filter(|target| is_engine(&target.service))
             .map(|target| SocketAddr::new(target.address.ip(), port))
-            .collect()
+            .collect();
+        agents.into_iter().collect()
     })
 }
 
-async fn receive(gateway: &Gateway, socket: &UdpSocket) {
-    let mut buffer = Vec::with_capacity(MAX_DATAGRAM);
+async fn receive(gateway: &Gateway, port: &Port) {
     loop {
-        let BufResult(received, mut filled) = socket.recv_from(buffer).await;
-        match received {
-            Ok((length, peer)) => {
-                filled.truncate(length);
-                match Datagram::decode(&filled) {
-                    Ok(Datagram::Load(load)) => take(gateway, load),
-                    Ok(Datagram::Subscribe(_)) => {}
-                    Err(error) => event!(event::DATAGRAM_FAILED, peer = peer, error = error),
-                }
-            }
-            Err(error) => {
-                event!(event::DATAGRAM_FAILED, peer = "any", error = error);
-                compio::time::sleep(PAUSE).await;
-            }
+        if let (_, Datagram::Load(load)) = port.receive().await {
+            take(gateway, load);
         }
-        filled.clear();
-        buffer = filled;
     }
 }
 
--- a/bins/entry/src/ingress/serve.rs
+++ b/bins/entry/src/ingress/serve.rs
@@ -9,6 +9,7 @@
 use node::http::{self, Limits, Request, StatusCode, response};
 use node::operator::{self, Operator};
 use prometheus_client::registry::Registry;
+use wire::Port;
 
 use super::gateway::Gateway;
 use super::{Settings, loads, store};
@@ -34,7 +35,7 @@
     let callers = node::listen(settings.caller_listen)?;
     let ready = node::listen(settings.ready_listen)?;
     let operators = node::listen(settings.operator_listen)?;
-    let loads = node::bind(settings.load_listen)?;
+    let loads = Port::bind(settings.load_listen)?;
     let mut registry = Registry::default();
     let gateway = Gateway::new(settings, &mut registry);
     let (status, healthy) = (Rc::clone(&gateway), Rc::clone(&gateway));
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,12 +1,14 @@
 //! What the system's own processes say to each other.
 //!
 //! Control messages are calls of the tarpc service [`Peer`] on an entry's peer port. Requests and chunks travel over
-//! HTTP with the header names of [`header`].
+//! HTTP with the header names of [`header`]. On the users' platform, agents tell entries the load of their engines in a
+//! [`Datagram`] from [`Port`] to [`Port`].
 
 mod datagram;
 pub mod header;
 mod message;
 mod peer;
+mod port;
 mod report;
 pub mod transport;
 
@@ -14,4 +16,5 @@
 pub use gossip::{Delta, Digest};
 pub use message::{Gate, REPORT_INTERVAL, Reply, Report};
 pub use peer::{Peer, PeerClient, PeerRequest, PeerResponse};
+pub use port::Port;
 pub use transport::{Client, connect, serve};
