Follow the store in one place

Cause: the entry had three loops that list a kind and then watch it, and the agent a fourth, with their pauses. They differed by accident: the loop of targets logged every failure and never the return. Change: platform::Follower reads on and logs the first failure and the return; node::Backoff gives the pauses, also of the agent's other loops. Who is told, and how long a watch waits, stays with the entry and the agent.

--- a/bins/agent/src/rollout/watch.rs
+++ b/bins/agent/src/rollout/watch.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use futures::future::join;
-use node::event;
-use platform::{Client, Error, Listing, config, target, versions};
+use node::{Backoff, event};
+use platform::{Client, Follower, Listing, config, target, versions};
 
 use super::state::State;
 
@@ -25,61 +25,45 @@
 /// Follows all kinds that the agent needs; never returns.
 pub(super) async fn run(state: Rc<State>) {
     let client = Client::new(state.settings.platform, TIMEOUT);
-    join(follow_versions(&state, &client), refresh(&state, &client)).await;
+    let backoff = Backoff::new(PAUSE.0, PAUSE.1);
+    let named = Follower::new(&client, versions::KIND, backoff);
+    join(
+        follow_versions(&state, named),
+        refresh(&state, &client, backoff),
+    )
+    .await;
 }
 
-async fn follow_versions(state: &State, client: &Client) {
-    let mut after = None;
+async fn follow_versions(state: &State, mut follower: Follower) {
     let mut first = true;
-    let mut pause = PAUSE.0;
     loop {
-        let listing = match after {
-            Some(revision) => client.watch(versions::KIND, revision, WAIT).await,
-            None => client.list(versions::KIND).await,
-        };
-        match listing {
-            Ok(listing) => {
-                if pause > PAUSE.0 {
-                    event!(event::STORE_BACK, kind = versions::KIND);
-                }
-                pause = PAUSE.0;
-                take_versions(state, &listing, std::mem::take(&mut first));
-                after = Some(listing.revision);
-            }
-            Err(Error::HistoryGone { .. }) => after = None,
-            Err(error) => {
-                pause = failed(versions::KIND, &error, pause).await;
-            }
+        match follower.next(WAIT).await {
+            Ok(update) => take_versions(state, &update.listing, std::mem::take(&mut first)),
+            Err(failed) => compio::time::sleep(failed.pause).await,
         }
     }
 }
 
 /// Reads the configuration and the targets at the start and after a version was named.
-async fn refresh(state: &State, client: &Client) {
+async fn refresh(state: &State, client: &Client, mut backoff: Backoff) {
     let mut first = true;
-    let mut pause = PAUSE.0;
     loop {
         let newest = state.rollout.borrow().newest();
         if !first && state.is_current() && state.is_registered() {
             state.changed.changed(state.changed.count()).await;
             continue;
         }
-        let read = async {
-            let (configs, targets) = match first {
-                true => join(client.list(config::KIND), client.list(target::KIND)).await,
-                false => {
-                    join(
-                        client.list_stale(config::KIND),
-                        client.list_stale(target::KIND),
-                    )
-                    .await
-                }
-            };
-            Ok::<_, Error>((configs?, targets?))
+        let list = async |kind| match first {
+            true => client.list(kind).await,
+            false => client.list_stale(kind).await,
         };
-        match read.await {
+        let (configs, targets) = join(list(config::KIND), list(target::KIND)).await;
+        match configs.and_then(|configs| Ok((configs, targets?))) {
             Ok((configs, targets)) => {
-                pause = PAUSE.0;
+                if backoff.is_failing() {
+                    event!(event::STORE_BACK, kind = target::KIND);
+                }
+                backoff.succeed();
                 take_config(state, &configs);
                 take_targets(state, newest, &targets);
                 first = state.model().is_none();
@@ -87,20 +71,16 @@
                     compio::time::sleep(UNREGISTERED).await;
                 }
             }
-            Err(error) => pause = failed(target::KIND, &error, pause).await,
+            Err(error) => {
+                if !backoff.is_failing() {
+                    event!(event::STORE_LOST, kind = target::KIND, error = error);
+                }
+                compio::time::sleep(backoff.fail()).await;
+            }
         }
     }
 }
 
-/// Logs the first failure of a series, waits, and returns the next pause.
-async fn failed(kind: &str, error: &Error, pause: Duration) -> Duration {
-    if pause == PAUSE.0 {
-        event!(event::STORE_LOST, kind = kind, error = error);
-    }
-    compio::time::sleep(pause).await;
-    (pause * 2).min(PAUSE.1)
-}
-
 fn take_config(state: &State, listing: &Listing) {
     let named = |object: &&platform::Object| object.name == config::NAME;
     let Some(object) = listing.objects.iter().find(named) else {
--- a/bins/agent/src/transfer/stage.rs
+++ b/bins/agent/src/transfer/stage.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
-use node::event;
 use node::http::{Body, Client, Request};
+use node::{Backoff, event};
 use weights::{ChunkIndex, Pin};
 
 use super::Input;
@@ -104,7 +104,7 @@
 
     /// Sends a part of the version until the engine takes it.
     async fn put(&self, part: &str, bytes: Bytes) {
-        let mut pause = BACKOFF.0;
+        let mut backoff = Backoff::new(BACKOFF.0, BACKOFF.1);
         while let Err(error) = self.try_put(part, bytes.clone()).await {
             node::event!(
                 event::STAGE_FAILED,
@@ -112,8 +112,7 @@
                 chunk = part,
                 error = error
             );
-            compio::time::sleep(pause).await;
-            pause = (pause * 2).min(BACKOFF.1);
+            compio::time::sleep(backoff.fail()).await;
         }
     }
 
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use futures::future::{Either, select};
-use node::{Notify, event};
-use platform::{Client, Error, Listing, Object, config, target, versions};
+use node::{Backoff, Notify, event};
+use platform::{Client, Failed, Follower, Listing, Object, Update, config, target, versions};
 
 use super::gateway::Gateway;
 use super::targets::{Change, Registry};
@@ -30,146 +30,79 @@
 /// Follows all kinds that the ingress needs; never returns.
 pub(super) async fn run(gateway: Rc<Gateway>) {
     let client = Client::new(gateway.settings.platform, TIMEOUT);
-    let targets = Rc::new(RefCell::new(Registry::default()));
+    let follower = |kind| Follower::new(&client, kind, Backoff::new(PAUSE.0, PAUSE.1));
+    let targets = RefCell::new(Registry::default());
     let pulse = Notify::default();
-    let configs = follow_config(&client, &gateway, &pulse);
-    let mut first = true;
-    let named = follow(&client, versions::KIND, &pulse, |listing, _| {
-        take_versions(&gateway, &listing, std::mem::take(&mut first));
-    });
-    let registered = follow_targets(&client, &gateway, &targets, &pulse);
+    let configs = follow_config(follower(config::KIND), &gateway, &pulse);
+    let named = follow_versions(follower(versions::KIND), &gateway, &pulse);
+    let registered = follow_targets(follower(target::KIND), &gateway, &targets, &pulse);
     let expired = expire(&gateway, &targets);
     futures::join!(configs, named, registered, expired);
 }
 
 /// Follows the configuration by short watches, which tell soon when the store falls silent: then, and when it is back,
 /// `pulse` ends the long watches of the other kinds, which would wait for an answer that doesn't come.
-async fn follow_config(client: &Client, gateway: &Gateway, pulse: &Notify) {
+async fn follow_config(mut follower: Follower, gateway: &Gateway, pulse: &Notify) {
     let wait = gateway.settings.bounds.contact.mul_f64(SHORT_WAIT);
-    let mut after = None;
-    let mut pause = PAUSE.0;
     loop {
-        let listing = match after {
-            Some(revision) => client.watch(config::KIND, revision, wait).await,
-            None => client.list(config::KIND).await,
-        };
-        match listing {
-            Ok(listing) => {
-                if pause > PAUSE.0 {
-                    event!(event::STORE_BACK, kind = config::KIND);
-                    pulse.notify();
-                }
-                pause = PAUSE.0;
-                after = Some(listing.revision);
-                take_config(gateway, &listing);
-            }
-            Err(Error::HistoryGone { .. }) => after = None,
-            Err(error) => {
-                if pause == PAUSE.0 {
-                    event!(event::STORE_LOST, kind = config::KIND, error = error);
-                    pulse.notify();
-                }
-                compio::time::sleep(pause).await;
-                pause = (pause * 2).min(PAUSE.1);
-            }
+        let failing = follower.is_failing();
+        let read = follower.next(wait).await;
+        if follower.is_failing() != failing {
+            pulse.notify();
         }
-    }
-}
-
-/// Watches or lists a kind; `None` when `pulse` ended the call.
-async fn read(
-    client: &Client,
-    kind: &str,
-    after: Option<u64>,
-    pulse: &Notify,
-) -> Option<Result<Listing, Error>> {
-    let call = async {
-        match after {
-            Some(revision) => client.watch(kind, revision, WAIT).await,
-            None => client.list(kind).await,
+        match read {
+            Ok(update) => take_config(gateway, &update.listing),
+            Err(failed) => compio::time::sleep(failed.pause).await,
         }
-    };
-    let beat = pulse.changed(pulse.count());
-    match select(pin!(call), pin!(beat)).await {
-        Either::Left((listing, _)) => Some(listing),
-        Either::Right(_) => None,
     }
 }
 
-/// Lists a kind and then watches it; `take` gets each list, and whether it holds all objects.
-async fn follow(
-    client: &Client,
-    kind: &'static str,
-    pulse: &Notify,
-    mut take: impl FnMut(Listing, bool),
-) {
-    let mut after = None;
-    let mut pause = PAUSE.0;
+/// Follows the versions that operators name.
+async fn follow_versions(mut follower: Follower, gateway: &Gateway, pulse: &Notify) {
+    let mut first = true;
     loop {
-        let Some(listing) = read(client, kind, after, pulse).await else {
-            continue;
-        };
-        match listing {
-            Ok(listing) => {
-                if pause > PAUSE.0 {
-                    event!(event::STORE_BACK, kind = kind);
-                }
-                pause = PAUSE.0;
-                let whole = after.is_none();
-                after = Some(listing.revision);
-                take(listing, whole);
-            }
-            Err(Error::HistoryGone { .. }) => after = None,
-            Err(error) => {
-                if pause == PAUSE.0 {
-                    event!(event::STORE_LOST, kind = kind, error = error);
-                }
-                compio::time::sleep(pause).await;
-                pause = (pause * 2).min(PAUSE.1);
-            }
+        match read(&mut follower, pulse).await {
+            Some(Ok(update)) => take_versions(gateway, &update.listing, std::mem::take(&mut first)),
+            Some(Err(failed)) => compio::time::sleep(failed.pause).await,
+            None => {}
         }
     }
 }
 
 /// Follows the registrations of targets.
 async fn follow_targets(
-    client: &Client,
+    mut follower: Follower,
     gateway: &Gateway,
     targets: &RefCell<Registry>,
     pulse: &Notify,
 ) {
-    let mut after = None;
-    let mut pause = PAUSE.0;
     loop {
-        let Some(listing) = read(client, target::KIND, after, pulse).await else {
-            targets.borrow_mut().failed(Instant::now());
-            continue;
-        };
+        let read = read(&mut follower, pulse).await;
         let now = Instant::now();
-        match listing {
-            Ok(listing) => {
-                pause = PAUSE.0;
+        match read {
+            Some(Ok(update)) => {
                 targets.borrow_mut().answered(now);
-                take_targets(
-                    gateway,
-                    &mut targets.borrow_mut(),
-                    &listing,
-                    after.is_none(),
-                );
-                after = Some(listing.revision);
+                take_targets(gateway, &mut targets.borrow_mut(), &update);
                 compio::time::sleep(GATHERING).await;
             }
-            Err(Error::HistoryGone { .. }) => after = None,
-            Err(error) => {
+            Some(Err(failed)) => {
                 targets.borrow_mut().failed(now);
-                event!(event::STORE_LOST, kind = target::KIND, error = error);
-                compio::time::sleep(pause).await;
-                pause = (pause * 2).min(PAUSE.1);
+                compio::time::sleep(failed.pause).await;
             }
+            None => targets.borrow_mut().failed(now),
         }
     }
 }
 
+/// Reads on; `None` when `pulse` ended the call.
+async fn read(follower: &mut Follower, pulse: &Notify) -> Option<Result<Update, Failed>> {
+    let beat = pulse.changed(pulse.count());
+    match select(pin!(follower.next(WAIT)), pin!(beat)).await {
+        Either::Left((read, _)) => Some(read),
+        Either::Right(_) => None,
+    }
+}
+
 fn take_config(gateway: &Gateway, listing: &Listing) {
     let Some(object) = listing
         .objects
@@ -216,13 +149,14 @@
     }
 }
 
-fn take_targets(gateway: &Gateway, targets: &mut Registry, listing: &Listing, whole: bool) {
+fn take_targets(gateway: &Gateway, targets: &mut Registry, update: &Update) {
     let now = Instant::now();
+    let listing = &update.listing;
     for object in &listing.objects {
         take_target(gateway, targets, object);
     }
     let mut removed = listing.deleted.clone();
-    if whole {
+    if update.whole {
         let listed: BTreeSet<&str> = listing
             .objects
             .iter()
