ingress: form the end of a request without an answer in one place

Cause: plain and streamed requests each built the end of a request that got no further place, in four places, so the two could tell callers different things about the same failure.

Change: End and Rejection have a file of their own, and Gateway::submit_again sends a request once more or forms its end.

--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod call;
+mod end;
 pub mod events;
 mod gateway;
 mod loads;
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -6,16 +6,17 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use dispatch::{Decision, Failure, Outcome, Place, Reason, RequestId, Scheduler, Versions, Work};
+use dispatch::{Decision, Failure, Outcome, Place, RequestId, Scheduler, Versions, Work};
 use futures::channel::oneshot;
 use node::event;
 use node::http::header::{self, HeaderValue};
-use node::http::{Body, Client, Request, Response, StatusCode};
+use node::http::{Body, Client, Request, Response};
 use prometheus_client::registry::Registry;
 use rand::RngExt;
 
 use super::Settings;
 use super::call::{Call, Refusal};
+use super::end::{End, Rejection};
 use super::metrics::Metrics;
 use crate::in_progress::InProgress;
 
@@ -56,13 +57,6 @@
     ended: bool,
 }
 
-/// A request that got no place; it did not run in the attempt that this ends.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Rejection {
-    pub(super) reason: Reason,
-    pub(super) retry_after: Duration,
-}
-
 impl Gateway {
     /// Returns a gateway without configuration or targets.
     pub fn new(settings: Settings, registry: &mut Registry) -> Rc<Self> {
@@ -175,9 +169,31 @@
     }
 
     /// Submits `work` and waits for its place.
-    pub(super) async fn submit(self: &Rc<Self>, work: Work) -> Result<Placed, Rejection> {
+    pub(super) async fn submit(self: &Rc<Self>, work: Work) -> Result<Placed, End> {
         let id = self.scheduler.borrow_mut().submit(Instant::now(), work);
-        self.wait(id).await
+        self.wait(id).await.map_err(End::NotRun)
+    }
+
+    /// Submits the work of `call` once more after `failure`; `ran` is the last failure after which it may have run.
+    pub(super) async fn submit_again(
+        self: &Rc<Self>,
+        call: &Call,
+        work: Work,
+        failure: Failure,
+        ran: &mut Option<Failure>,
+    ) -> Result<Placed, End> {
+        if !failure.is_not_run() {
+            *ran = Some(failure);
+        }
+        let rejection = match self.retry(work, failure).await {
+            Some(Ok(placed)) => return Ok(placed),
+            Some(Err(rejection)) => rejection,
+            None => Rejection {
+                reason: failure.name(),
+                retry_after: self.retry_after(call.deadline),
+            },
+        };
+        Err(End::after(*ran, rejection))
     }
 
     /// Submits a request once more after an attempt failed; `None` when it may not be sent again.
@@ -194,7 +210,7 @@
     }
 
     /// Returns a time after which a caller whose request did not run may come back.
-    pub(super) fn retry_after(&self, deadline: Instant) -> Duration {
+    fn retry_after(&self, deadline: Instant) -> Duration {
         self.scheduler
             .borrow_mut()
             .retry_after(Instant::now(), deadline)
@@ -223,18 +239,8 @@
     }
 
     /// Returns the final answer to a request that no target answered.
-    pub(super) fn give_up(&self, call: &Call, end: &End) -> Response<Body> {
-        let refusal = match *end {
-            End::NotRun {
-                reason,
-                retry_after,
-            } => Refusal::unavailable(reason, retry_after),
-            End::MayHaveRun(Failure::Late) => {
-                Refusal::new(StatusCode::GATEWAY_TIMEOUT, Failure::Late.name())
-            }
-            End::MayHaveRun(failure) => Refusal::new(StatusCode::BAD_GATEWAY, failure.name()),
-        };
-        self.refuse_after(&call.caller.id, &refusal, call.arrived.elapsed())
+    pub(super) fn give_up(&self, call: &Call, end: End) -> Response<Body> {
+        self.refuse_after(&call.caller.id, &end.refusal(), call.arrived.elapsed())
     }
 
     /// Returns where a run learns that it has to go on elsewhere.
@@ -277,7 +283,7 @@
                 retry_after,
                 ..
             }) => Err(Rejection {
-                reason,
+                reason: reason.name(),
                 retry_after,
             }),
             // The sender lives in the gateway until the request has its decision, and waiting requests aren't moved.
@@ -316,18 +322,6 @@
     }
 }
 
-/// How a request ended that no target answered.
-#[derive(Clone, Copy, Debug)]
-pub(super) enum End {
-    /// No attempt ran it.
-    NotRun {
-        reason: &'static str,
-        retry_after: Duration,
-    },
-    /// An attempt may have run it.
-    MayHaveRun(Failure),
-}
-
 impl Placed {
     pub(super) fn place(&self) -> &Place {
         &self.place
--- a/bins/entry/src/ingress/plain.rs
+++ b/bins/entry/src/ingress/plain.rs
@@ -8,7 +8,8 @@
 use node::http::{Body, Response, StatusCode};
 
 use super::call::Call;
-use super::gateway::{End, Gateway, Placed};
+use super::end::End;
+use super::gateway::{Gateway, Placed};
 
 /// Multiple of the objective after which another target is tried while one is left.
 const PATIENCE: u32 = 2;
@@ -29,16 +30,7 @@
     loop {
         let placed = match next {
             Ok(placed) => placed,
-            Err(rejection) => {
-                let end = match ran {
-                    Some(failure) => End::MayHaveRun(failure),
-                    None => End::NotRun {
-                        reason: rejection.reason.name(),
-                        retry_after: rejection.retry_after,
-                    },
-                };
-                return finish(gateway, call, kept, end);
-            }
+            Err(end) => return finish(gateway, call, kept, end),
         };
         let failure = match exchange(gateway, call, &placed).await {
             Ok(whole) if !whole.failed || !placed.place().work.is_repeatable() => {
@@ -52,23 +44,8 @@
             }
             Err(failure) => failure,
         };
-        if !failure.is_not_run() {
-            ran = Some(failure);
-        }
         let work = placed.end(Outcome::Failed(failure));
-        next = match gateway.retry(work, failure).await {
-            Some(next) => next,
-            None => {
-                let end = match ran {
-                    Some(failure) => End::MayHaveRun(failure),
-                    None => End::NotRun {
-                        reason: failure.name(),
-                        retry_after: gateway.retry_after(call.deadline),
-                    },
-                };
-                return finish(gateway, call, kept, end);
-            }
-        };
+        next = gateway.submit_again(call, work, failure, &mut ran).await;
     }
 }
 
@@ -84,7 +61,7 @@
             gateway.metrics.answered(call.arrived.elapsed());
             response.map(Body::from)
         }
-        None => gateway.give_up(call, &end),
+        None => gateway.give_up(call, end),
     }
 }
 
--- a/bins/entry/src/ingress/stream.rs
+++ b/bins/entry/src/ingress/stream.rs
@@ -17,8 +17,9 @@
 use node::http::{Answer, Body, HeaderMap, Response, StatusCode};
 
 use super::call::Call;
+use super::end::End;
 use super::events::Splitter;
-use super::gateway::{End, Gateway, Placed};
+use super::gateway::{Gateway, Placed};
 use crate::in_progress::InProgress;
 
 /// Multiple of the objective in which the first event must come while another target is left.
@@ -86,7 +87,7 @@
     let opened = match (opened, kept) {
         (Ok(opened), _) => opened,
         (Err(_), Some(response)) => return response.map(Body::from),
-        (Err(end), None) => return gateway.give_up(&call, &end),
+        (Err(end), None) => return gateway.give_up(&call, end),
     };
     gateway.metrics.answered(call.arrived.elapsed());
     let mut response = Response::new(Body::empty());
@@ -116,13 +117,7 @@
     let mut ran = None;
     let mut next = gateway.submit(work).await;
     loop {
-        let placed = next.map_err(|rejection| match ran {
-            Some(failure) => End::MayHaveRun(failure),
-            None => End::NotRun {
-                reason: rejection.reason.name(),
-                retry_after: rejection.retry_after,
-            },
-        })?;
+        let placed = next?;
         let (failure, work) = match attempt(gateway, call, placed, last_event).await {
             Ok(Attempt::Opened(opened)) => return Ok(*opened),
             Ok(Attempt::Other(response)) => {
@@ -131,21 +126,7 @@
             }
             Err(failed) => failed,
         };
-        if !failure.is_not_run() {
-            ran = Some(failure);
-        }
-        next = match gateway.retry(work, failure).await {
-            Some(next) => next,
-            None => {
-                return Err(match ran {
-                    Some(failure) => End::MayHaveRun(failure),
-                    None => End::NotRun {
-                        reason: failure.name(),
-                        retry_after: gateway.retry_after(call.deadline),
-                    },
-                });
-            }
-        };
+        next = gateway.submit_again(call, work, failure, &mut ran).await;
     }
 }
 
