Give addresses to tests with processes from one crate

Cause: four copies of a function that tried out a port and gave it back; a port could be taken by another test, or by an outgoing connection, before its process bound it, and then the test failed without a fault in the product.

Change: the crate loopback takes the IP address from the process id and gives each port once.

--- a/bins/agent/tests/process/main.rs
+++ b/bins/agent/tests/process/main.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use gossip::{Phase, Value as Content};
+use loopback::free;
 use serde_json::json;
-use support::{Process, free, until, with_world};
+use support::{Process, until, with_world};
 use uuid::Uuid;
 use yare::parameterized;
 
--- a/bins/agent/tests/process/support.rs
+++ b/bins/agent/tests/process/support.rs
@@ -6,12 +6,12 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compio::runtime::{JoinHandle, spawn};
 use gossip::{Key, Record, Value as Content, Version};
+use loopback::free;
 use node::http::{Answer, Body, Client, Error, Request, Response};
 use serde_json::{Value, json};
 use tarpc::context::Context;
@@ -482,17 +482,6 @@
     }
 }
 
-/// Returns an address on loopback that no other test uses: the IP address follows from the process id, each port is given
-/// once.
-///
-/// A port that was only tried out could be taken by another test run before its process binds it.
-pub fn free() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(10_000);
-    let [_, high, middle, low] = std::process::id().to_be_bytes();
-    let port = NEXT.fetch_add(1, Ordering::Relaxed);
-    SocketAddr::from(([127, 220 + high % 16, middle, low], port))
-}
-
 fn file(name: &str, settings: &Value) -> PathBuf {
     let test = std::thread::current().name().unwrap().replace("::", "-");
     let path = Path::new(env!("CARGO_TARGET_TMPDIR"))
--- a/bins/burn/tests/command/support.rs
+++ b/bins/burn/tests/command/support.rs
@@ -107,9 +107,9 @@
             binary.exists(),
             "build the entry first: cargo build --workspace --bins"
         );
-        let (callers, operators) = (free_port(), free_port());
+        let (callers, operators) = (loopback::free(), loopback::free());
         let settings = json!({"name": "e0", "domain": "levis", "region": "quebec", "caller_listen": callers,
-            "peer_listen": free_port(), "operator_listen": operators, "platform": platform});
+            "peer_listen": loopback::free(), "operator_listen": operators, "platform": platform});
         let file = path("json");
         std::fs::write(&file, settings.to_string()).unwrap();
         let mut command = Command::new(binary);
@@ -142,12 +142,6 @@
     )
 }
 
-/// Returns an address where nothing listens now.
-pub fn free_port() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 /// Returns the path of a file of this test.
 pub fn path(kind: &str) -> String {
     let test = std::thread::current().name().unwrap().replace("::", "-");
--- a/bins/entry/tests/entry/shutdown.rs
+++ b/bins/entry/tests/entry/shutdown.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Command, Stdio};
 use std::rc::Rc;
 use std::time::Duration;
@@ -70,7 +70,7 @@
 /// Guards against a process that ignores SIGTERM, ends before the balancer has noticed, or fails on an orderly stop.
 #[test]
 fn process_stops_on_sigterm() {
-    let ports: Vec<SocketAddr> = (0..3).map(|_| free_port()).collect();
+    let ports: Vec<SocketAddr> = (0..3).map(|_| loopback::free()).collect();
     let directory = std::env::temp_dir().join(format!("carobport-entry-{}", std::process::id()));
     std::fs::create_dir_all(&directory).unwrap();
     let file = directory.join("settings.json");
@@ -110,13 +110,6 @@
     assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
 }
 
-fn free_port() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-}
-
 fn status(address: SocketAddr) -> Option<String> {
     let mut stream = TcpStream::connect(address).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
