Agents learn of the configuration from entries; read a long answer on while it comes

Each of 29 agents of a region read it from the store whenever a version was named or its engine was not registered yet, and every call that took longer than 0.8 s was given up half-read and asked again.

Change: a subscription carries what an agent needs of the configuration; the agent reads it from the store only while no entry tells it.

Ruled out: the store's rates (no call got 429).

--- a/bins/agent/src/rollout/loads.rs
+++ b/bins/agent/src/rollout/loads.rs
@@ -34,9 +34,13 @@
 
 async fn receive(state: &State, port: &Port, entries: &Entries) {
     loop {
-        if let (entry, Datagram::Subscribe(named)) = port.receive().await {
-            entries.borrow_mut().insert(entry, Instant::now());
-            state.take_named(&named);
+        if let (entry, Datagram::Subscribe(subscription)) = port.receive().await {
+            let now = Instant::now();
+            entries.borrow_mut().insert(entry, now);
+            if let Some(source) = subscription.source {
+                state.take_source(now, source, true);
+            }
+            state.take_named(&subscription.named);
         }
     }
 }
--- a/bins/agent/src/rollout/state.rs
+++ b/bins/agent/src/rollout/state.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use burst::{Members, Peer};
-use dispatch::{Engine as Facts, Origin, Target};
+use dispatch::{Origin, Source, Target};
 use node::event;
 use platform::engine::Report;
 use rollout::{Place, Rollout};
@@ -22,6 +22,8 @@
 const SPREADING: f64 = 1.3;
 /// Time until the first part is on its way.
 const START: Duration = Duration::from_millis(500);
+/// Time for which what an entry told of the configuration needs no second look; entries tell every second.
+const TOLD: Duration = Duration::from_secs(5);
 
 /// What the agent knows of its engine, the other agents and the versions.
 pub(super) struct State {
@@ -32,8 +34,10 @@
     pub(super) rollout: RefCell<Rollout>,
     /// The engine's state, and when it told it.
     pub(super) report: RefCell<Option<(Instant, Report)>>,
-    pub(super) origin: Cell<Option<Origin>>,
-    pub(super) facts: RefCell<Option<Facts>>,
+    /// Where the engine gets its weights, by the newest configuration that was read or told.
+    source: RefCell<Option<Source>>,
+    /// When an entry last told it.
+    told: Cell<Option<Instant>>,
     targets: RefCell<BTreeMap<String, Target>>,
     /// Newest version when the targets were last read; `None` before the first time.
     read_for: Cell<Option<Option<u64>>>,
@@ -49,8 +53,8 @@
             settings,
             changed: Notify::default(),
             report: RefCell::default(),
-            origin: Cell::default(),
-            facts: RefCell::default(),
+            source: RefCell::default(),
+            told: Cell::default(),
             targets: RefCell::default(),
             read_for: Cell::new(None),
             closing: Cell::new(false),
@@ -59,21 +63,51 @@
 
     /// Returns the model that the engine serves.
     pub(super) fn model(&self) -> Option<String> {
-        let facts = self.facts.borrow();
-        facts
-            .as_ref()?
-            .models
-            .first()
-            .map(|model| model.name.clone())
+        let source = self.source.borrow();
+        source.as_ref().map(|source| source.model.clone())
+    }
+
+    /// Returns where weights come from.
+    pub(super) fn origin(&self) -> Option<Origin> {
+        self.source.borrow().as_ref()?.origin
+    }
+
+    /// Returns the bytes of a part.
+    pub(super) fn piece_bytes(&self) -> u32 {
+        let source = self.source.borrow();
+        source.as_ref().map_or(0, |source| source.piece_bytes)
+    }
+
+    /// Tells whether an entry told what the agent needs of the configuration a short time ago.
+    pub(super) fn is_told(&self, now: Instant) -> bool {
+        let told = self.told.get();
+        told.is_some_and(|at| now.saturating_duration_since(at) < TOLD)
+    }
+
+    /// Takes what a configuration says, unless a newer one is known; `told` if an entry said so.
+    pub(super) fn take_source(&self, now: Instant, source: Source, told: bool) {
+        if told {
+            self.told.set(Some(now));
+        }
+        let known = self.source.borrow().clone();
+        if known.as_ref().is_some_and(|known| known.config > source.config) {
+            return;
+        }
+        let news = known.as_ref() != Some(&source);
+        self.source.replace(Some(source));
+        if news {
+            self.estimate();
+            self.changed.notify();
+        }
     }
 
     /// Estimates how long the parts of a version take, from the rates of the origin's link and of the own one.
-    pub(super) fn estimate(&self) {
-        let facts = self.facts.borrow();
-        let (Some(facts), Some(origin)) = (facts.as_ref(), self.origin.get()) else {
+    fn estimate(&self) {
+        let source = self.source.borrow();
+        let Some((source, origin)) = source.as_ref().and_then(|it| Some((it, it.origin?))) else {
             return;
         };
-        let bytes = f64::from(facts.pieces) * f64::from(facts.piece_bytes);
+        let bytes = f64::from(source.pieces) * f64::from(source.piece_bytes);
         let rate = self.settings.link_rate().min(origin.bytes_per_s).max(1);
         let seconds = bytes / rate as f64 * SPREADING + START.as_secs_f64();
         let expected = Duration::from_secs_f64(seconds.min(3600.0));
--- a/bins/agent/src/rollout/watch.rs
+++ b/bins/agent/src/rollout/watch.rs
@@ -1,7 +1,8 @@
 //! What operators name and which targets live, from the platform's store.
 //!
 //! Every call of the store has a price, and a watch returns with every change. Only the named versions are watched; the
-//! configuration and the registered targets are read at the start and again whenever a version is named.
+//! registered targets are read at the start and again whenever a version is named. Entries tell what the agent needs of
+//! the configuration, which may be large; it is read from the store only while none does.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -9,7 +10,7 @@
 
 use futures::future::join;
 use node::{Backoff, event};
-use platform::{Client, Follower, Listing, config, target, versions};
+use platform::{Client, Error, Follower, Listing, config, target, versions};
 
 use super::state::State;
 
@@ -19,6 +20,8 @@
 const WAIT: Duration = Duration::from_secs(20);
 /// Time between two readings before the own engine is registered.
 const UNREGISTERED: Duration = Duration::from_millis(500);
+/// Time after the start in which an entry should have told what the agent needs of the configuration.
+const ENTRY_TIME: Duration = Duration::from_millis(2500);
 /// Bounds of the pause after a failed call; it doubles with each failure.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(1));
 
@@ -44,8 +47,9 @@
     }
 }
 
-/// Reads the configuration and the targets at the start and after a version was named.
+/// Reads the targets, and the configuration where no entry tells it, at the start and after a version was named.
 async fn refresh(state: &State, client: &Client, mut backoff: Backoff) {
+    let started = Instant::now();
     let mut first = true;
     loop {
         let newest = state.rollout.borrow().newest();
@@ -53,18 +57,15 @@
             state.changed.changed(state.changed.count()).await;
             continue;
         }
-        let list = async |kind| match first {
-            true => client.list(kind).await,
-            false => client.list_stale(kind).await,
-        };
-        let (configs, targets) = join(list(config::KIND), list(target::KIND)).await;
-        match configs.and_then(|configs| Ok((configs, targets?))) {
+        match read(state, client, started, first).await {
             Ok((configs, targets)) => {
                 if backoff.is_failing() {
                     event!(event::STORE_BACK, kind = target::KIND);
                 }
                 backoff.succeed();
-                take_config(state, &configs);
+                if let Some(configs) = configs {
+                    take_config(state, &configs);
+                }
                 take_targets(state, newest, &targets);
                 first = state.model().is_none();
                 if first || !state.is_registered() {
@@ -81,6 +82,28 @@
     }
 }
 
+/// Returns the objects of the configuration, unless an entry tells it or should do so soon, and those of the targets.
+///
+/// The `first` lists are the store's present ones; later ones may be seconds old, which costs less.
+async fn read(
+    state: &State,
+    client: &Client,
+    started: Instant,
+    first: bool,
+) -> Result<(Option<Listing>, Listing), Error> {
+    let list = async |kind| match first {
+        true => client.list(kind).await,
+        false => client.list_stale(kind).await,
+    };
+    let now = Instant::now();
+    let early = now.saturating_duration_since(started) < ENTRY_TIME;
+    let configs = match early || state.is_told(now) {
+        true => None,
+        false => Some(list(config::KIND).await?),
+    };
+    Ok((configs, list(target::KIND).await?))
+}
+
 fn take_config(state: &State, listing: &Listing) {
     let named = |object: &&platform::Object| object.name == config::NAME;
     let Some(object) = listing.objects.iter().find(named) else {
@@ -88,12 +111,9 @@
     };
     match config::decode(object) {
         Ok(config) => {
-            let service = config.services.get(&state.settings.service);
-            let facts = service.and_then(|service| service.engine.clone());
-            state.origin.set(config.origin());
-            state.facts.replace(facts);
-            state.estimate();
-            state.changed.notify();
+            if let Some(source) = config.source(&state.settings.service) {
+                state.take_source(Instant::now(), source, false);
+            }
         }
         Err(error) => event!(event::OBJECT_MALFORMED, error = error),
     }
--- a/bins/agent/src/rollout/weights.rs
+++ b/bins/agent/src/rollout/weights.rs
@@ -122,7 +122,7 @@
 ) -> Option<u64> {
     wait_for_targets(state).await;
     transfer.set_members(state.members());
-    let (model, from) = (state.model()?, state.origin.get()?);
+    let (model, from) = (state.model()?, state.origin()?);
     origin.address.set(from.address);
     let version = state.wanted();
     let found = find_manifest(state, http, &model, version).await?;
@@ -228,7 +228,7 @@
         if state.wanted() != version {
             return None;
         }
-        let origin = state.origin.get()?;
+        let origin = state.origin()?;
         match fetch_manifest(http, origin.address, model, version).await {
             Ok(found) => {
                 let count = sightings.entry(found.digest()).or_default();
@@ -271,12 +271,8 @@
 
 /// Returns the time after which this agent begins to draw, by its place among the agents.
 fn draw_delay(state: &State, bytes_per_s: u64) -> Duration {
-    let piece = state
-        .facts
-        .borrow()
-        .as_ref()
-        .map_or(0, |facts| facts.piece_bytes);
-    let all = state.members().len() as f64 * f64::from(piece) / bytes_per_s.max(1) as f64;
+    let bytes = state.members().len() as f64 * f64::from(state.piece_bytes());
+    let all = bytes / bytes_per_s.max(1) as f64;
     let share = state.rollout.borrow().place().share();
     Duration::from_secs_f64((all * share).min(LONGEST_DELAY.as_secs_f64()))
 }
--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -1,12 +1,12 @@
 //! The load of engines, told by the agents beside them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use dispatch::Load;
-use wire::{Datagram, Named, Port};
+use dispatch::{Load, Source};
+use wire::{Datagram, Named, Port, Subscription};
 
 use super::gateway::Gateway;
 
@@ -25,9 +25,12 @@
 async fn subscribe(gateway: &Gateway, port: &Port) {
     loop {
         let seen = gateway.versions_named();
-        let agents = agents(gateway);
-        for subscription in subscriptions(&named(gateway)) {
-            port.send(&subscription, &agents).await;
+        let named = named(gateway);
+        for (service, agents) in agents(gateway) {
+            let source = gateway.view(|scheduler| scheduler.config()?.source(&service));
+            for subscription in subscriptions(&named, source.as_ref()) {
+                port.send(&subscription, &agents).await;
+            }
         }
         let end = Instant::now() + SUBSCRIPTION;
         while gateway.versions_named() == seen && Instant::now() < end {
@@ -37,13 +40,17 @@
 }
 
 /// Returns one subscription, or several where one can't tell all versions.
-fn subscriptions(named: &[Named]) -> Vec<Datagram> {
-    let parts = named.chunks(NAMED).map(<[Named]>::to_vec);
-    let mut subscriptions: Vec<Datagram> = parts.map(Datagram::Subscribe).collect();
-    if subscriptions.is_empty() {
-        subscriptions.push(Datagram::Subscribe(Vec::new()));
+fn subscriptions(named: &[Named], source: Option<&Source>) -> Vec<Datagram> {
+    let subscription = |named: &[Named]| {
+        Datagram::Subscribe(Subscription {
+            named: named.to_vec(),
+            source: source.cloned(),
+        })
+    };
+    match named.is_empty() {
+        true => vec![subscription(&[])],
+        false => named.chunks(NAMED).map(subscription).collect(),
     }
-    subscriptions
 }
 
 /// Returns the newest versions that operators named: agents learn of them from the entries too, which may reach the store
@@ -61,24 +68,27 @@
     })
 }
 
-/// Returns the addresses of the agents: those of the VMs whose targets are engines.
-fn agents(gateway: &Gateway) -> Vec<SocketAddr> {
+/// Returns the addresses of the agents by service: those of the VMs whose targets are engines.
+fn agents(gateway: &Gateway) -> BTreeMap<String, Vec<SocketAddr>> {
     let port = gateway.settings.load_listen.port();
+    let mut agents: BTreeMap<String, BTreeSet<SocketAddr>> = BTreeMap::new();
     gateway.view(|scheduler| {
         let Some(config) = scheduler.config() else {
-            return Vec::new();
+            return;
         };
-        let is_engine = |service: &str| {
-            let service = config.services.get(service);
-            service.is_some_and(|service| service.engine.is_some())
-        };
-        let agents: BTreeSet<SocketAddr> = scheduler
-            .targets()
-            .filter(|target| is_engine(&target.service))
-            .map(|target| SocketAddr::new(target.address.ip(), port))
-            .collect();
-        agents.into_iter().collect()
-    })
+        for target in scheduler.targets() {
+            let service = config.services.get(&target.service);
+            if service.is_some_and(|service| service.engine.is_some()) {
+                let agent = SocketAddr::new(target.address.ip(), port);
+                let agents = agents.entry(target.service.clone()).or_default();
+                agents.insert(agent);
+            }
+        }
+    });
+    let lists = agents.into_iter();
+    lists
+        .map(|(service, agents)| (service, agents.into_iter().collect()))
+        .collect()
 }
 
 async fn receive(gateway: &Gateway, port: &Port) {
--- a/crates/dispatch/src/config.rs
+++ b/crates/dispatch/src/config.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// One version of the configuration, in the form that requests are evaluated against.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Config {
@@ -107,6 +109,7 @@
 
 /// Where weights come from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Origin {
     /// Address of the service.
     pub address: SocketAddr,
@@ -114,6 +117,22 @@
     pub bytes_per_s: u64,
 }
 
+/// What the agents of a service's engines need to know of the configuration.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Source {
+    /// Version of the configuration.
+    pub config: u64,
+    /// Model that the engines load.
+    pub model: String,
+    /// Parts of a version of its weights.
+    pub pieces: u32,
+    /// Bytes of a part.
+    pub piece_bytes: u32,
+    /// Where the weights come from, if the configuration names such a service.
+    pub origin: Option<Origin>,
+}
+
 /// Owner of API keys.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Tenant {
@@ -191,9 +210,16 @@
         self.routes.values().map(Vec::len).sum()
     }
 
-    /// Returns the service that hands out weights.
-    pub fn origin(&self) -> Option<Origin> {
-        self.services.values().find_map(|service| service.origin)
+    /// Returns where the engines of `service` get their weights; `None` when it has no engines that load a model.
+    pub fn source(&self, service: &str) -> Option<Source> {
+        let engine = self.services.get(service)?.engine.as_ref()?;
+        Some(Source {
+            config: self.version,
+            model: engine.models.first()?.name.clone(),
+            pieces: engine.pieces,
+            piece_bytes: engine.piece_bytes,
+            origin: self.services.values().find_map(|service| service.origin),
+        })
     }
 }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,7 +16,7 @@
 mod work;
 
 pub use budget::{Budget, Repeats};
-pub use config::{Config, Engine, Kind, Limits, Model, Origin, Route, Service, Tenant};
+pub use config::{Config, Engine, Kind, Limits, Model, Origin, Route, Service, Source, Tenant};
 pub use health::{Failure, Health};
 pub use scheduler::{Decision, Outcome, Place, Scheduler};
 pub use target::{Load, Target, TargetId};
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -189,14 +189,36 @@
     pub async fn bytes(mut self, limit: usize) -> Result<Bytes, Error> {
         let mut whole = BytesMut::new();
         while let Some(piece) = self.next().await? {
-            if whole.len() + piece.len() > limit {
-                return Err(self.fail(&format_args!("the body exceeds {limit} bytes")));
-            }
-            whole.extend_from_slice(&piece);
+            self.append(&mut whole, &piece, limit)?;
         }
         Ok(whole.freeze())
     }
 
+    /// Returns the whole rest of the body, of at most `limit` bytes, if no piece takes longer than `stall` to come.
+    ///
+    /// A long body on a busy link takes longer than any call should take to begin its answer. Giving it up half-read and
+    /// asking again would only fill the link further. The deadline of the request no longer holds; `longest` does.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Unknown`] when the body is cut or too long, stalls or takes longer than `longest`.
+    pub async fn steady_bytes(
+        mut self,
+        limit: usize,
+        stall: Duration,
+        longest: Duration,
+    ) -> Result<Bytes, Error> {
+        let end = Instant::now() + longest;
+        let mut whole = BytesMut::new();
+        loop {
+            self.set_deadline(end.min(Instant::now() + stall));
+            let Some(piece) = self.next().await? else {
+                return Ok(whole.freeze());
+            };
+            self.append(&mut whole, &piece, limit)?;
+        }
+    }
+
     /// Tells whether the body is known to have been read to its end.
     pub fn is_end(&self) -> bool {
         self.body.is_end_stream()
@@ -219,6 +241,14 @@
         }))
     }
 
+    fn append(&mut self, whole: &mut BytesMut, piece: &Bytes, limit: usize) -> Result<(), Error> {
+        if whole.len() + piece.len() > limit {
+            return Err(self.fail(&format_args!("the body exceeds {limit} bytes")));
+        }
+        whole.extend_from_slice(piece);
+        Ok(())
+    }
+
     fn release(&mut self) {
         if let Some((connection, Some(pool))) = self.lease.take() {
             pool.put(self.peer, connection, self.idle);
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -1,10 +1,14 @@
-//! What agents tell entries of their engines' load.
+//! What agents tell entries of their engines' load, and entries tell agents of what operators wrote.
 //!
 //! An entry sends [`Datagram::Subscribe`] to an agent every second; for a few seconds after each, the agent sends
 //! [`Datagram::Load`] whenever its engine's load has changed. A lost datagram is made up for by the next one.
+//!
+//! A subscription carries what the agent needs of the configuration. If all agents read the configuration from the store
+//! themselves, a large one would fill the links between regions just when a new version of the weights needs them.
 
 use std::net::SocketAddr;
 
+use dispatch::Source;
 use serde::{Deserialize, Serialize};
 
 /// Largest encoded datagram, in bytes.
@@ -14,12 +18,22 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub enum Datagram {
-    /// The sender wants to be told the load, and tells which versions operators named.
-    Subscribe(Vec<Named>),
+    /// The sender wants to be told the load.
+    Subscribe(Subscription),
     /// The load of the receiver's engine.
     Load(Load),
 }
 
+/// What an entry tells an agent with each subscription.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Subscription {
+    /// Versions that operators named.
+    pub named: Vec<Named>,
+    /// Where the agent's engine gets its weights, by the configuration that the entry has in force.
+    pub source: Option<Source>,
+}
+
 /// A version of weights that operators named.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -64,10 +78,11 @@
     /// Fails when it is longer than [`MAX_DATAGRAM`].
     ///
     /// ```
-    /// use wire::Datagram;
+    /// use wire::{Datagram, Subscription};
     ///
-    /// let bytes = Datagram::Subscribe(Vec::new()).encode().unwrap();
-    /// assert_eq!(Datagram::decode(&bytes).unwrap(), Datagram::Subscribe(Vec::new()));
+    /// let subscribe = Datagram::Subscribe(Subscription::default());
+    /// let bytes = subscribe.encode().unwrap();
+    /// assert_eq!(Datagram::decode(&bytes).unwrap(), subscribe);
     /// ```
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let bytes = postcard::to_stdvec(self)?;
