rollout: tell entries of a load when its parts will be there

Cause: an engine's agent told entries that it would close for a load at a time counted from the version's naming.

Change: the time follows the share of the parts that is missing.

Test: closing_waits_for_parts.

--- a/bins/agent/src/rollout/weights.rs
+++ b/bins/agent/src/rollout/weights.rs
@@ -103,6 +103,10 @@
                 begun = begin(&state, &holdings, &transfer, &origin, &http).await;
             }
         }
+        state
+            .rollout
+            .borrow_mut()
+            .set_missing(transfer.progress().missing_share());
         let changed = state.changed.changed(seen);
         if let Ok(count) = compio::time::timeout(TICK, changed).await {
             seen = count;
--- a/bins/agent/src/transfer.rs
+++ b/bins/agent/src/transfer.rs
@@ -86,6 +86,16 @@
     pub stats: Stats,
 }
 
+impl Progress {
+    /// Returns the share of the chunks that are missing; 1 while nothing is known of them.
+    pub fn missing_share(&self) -> f64 {
+        match self.chunks {
+            0 => 1.0,
+            chunks => f64::from(self.missing) / f64::from(chunks),
+        }
+    }
+}
+
 /// Handle of the transfer task; clones address the same task.
 ///
 /// ```no_run
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -31,6 +31,8 @@
     bound: Duration,
     /// Time in which the parts of a version are expected to arrive.
     expected: Duration,
+    /// Share of the parts of the wanted version that are missing.
+    missing: f64,
     place: Place,
     named: Vec<Named>,
     /// Versions whose parts are all there, and since when.
@@ -64,6 +66,7 @@
         Self {
             bound,
             expected: bound.mul_f64(EXPECTED),
+            missing: 1.0,
             place: Place::default(),
             named: Vec::new(),
             complete: BTreeMap::new(),
@@ -78,6 +81,11 @@
         self.expected = time;
     }
 
+    /// Sets the share of the parts of the wanted version that are missing, from 0 to 1.
+    pub fn set_missing(&mut self, share: f64) {
+        self.missing = share.clamp(0.0, 1.0);
+    }
+
     /// Sets the engine's place among those that load one after the other.
     pub fn set_place(&mut self, place: Place) {
         self.place = place;
@@ -215,10 +223,9 @@
             return Some(now);
         }
         self.held?;
-        let expected = self.due()?.at + self.expected;
-        let since = self
-            .loadable()
-            .map_or(expected.max(now), |(_, since)| since);
+        // Parts that come later than usual postpone the load; an engine that stopped to take work before would idle.
+        let expected = now + self.expected.mul_f64(self.missing);
+        let since = self.loadable().map_or(expected, |(_, since)| since);
         self.turn(since).map(|turn| turn.max(now))
     }
 
--- a/crates/rollout/tests/rollout.rs
+++ b/crates/rollout/tests/rollout.rs
@@ -153,6 +153,22 @@
     assert_eq!(rollout.seen_named(now).count(), 0);
 }
 
+// Guards against engines that tell entries of a load that does not come: while the origin was down for 6 s, entries sent
+// them nothing, and half of the requests were refused before any engine had to stop.
+#[test]
+fn closing_waits_for_parts() {
+    let now = Instant::now();
+    let mut rollout = serving(0, 7);
+    rollout.set_expected(ms(4_000));
+    rollout.name(now, 2);
+    for passed in [0, 2_000, 7_000] {
+        let now = now + ms(passed);
+        assert_eq!(rollout.closing(now), Some(now + ms(4_000)));
+    }
+    rollout.set_missing(0.25);
+    assert_eq!(rollout.closing(now), Some(now + ms(1_000)));
+}
+
 // Guards against entries that send long answers to an engine that is about to load.
 #[test]
 fn closing_told_ahead() {
