Agents learn of named versions from entries; targets gather as the drain bound allows

Change: an agent follows the versions only while no entry that reaches the store tells them, and accepts a list of targets that is seconds old. Entries gather changes of targets for 0.4 of the time in which requests must stop to go to a leaving target (was 0.5 s), and subscribe at once at agents of new targets, which before waited up to a second for the configuration.

--- a/bins/agent/src/rollout/state.rs
+++ b/bins/agent/src/rollout/state.rs
@@ -36,7 +36,7 @@
     pub(super) report: RefCell<Option<(Instant, Report)>>,
     /// Where the engine gets its weights, by the newest configuration that was read or told.
     source: RefCell<Option<Source>>,
-    /// When an entry last told it.
+    /// When an entry that reaches the store last told it.
     told: Cell<Option<Instant>>,
     targets: RefCell<BTreeMap<String, Target>>,
     /// Newest version when the targets were last read; `None` before the first time.
@@ -78,13 +78,13 @@
         source.as_ref().map_or(0, |source| source.piece_bytes)
     }
 
-    /// Tells whether an entry told what the agent needs of the configuration a short time ago.
+    /// Tells whether an entry that reaches the store told the versions and the configuration a short time ago.
     pub(super) fn is_told(&self, now: Instant) -> bool {
         let told = self.told.get();
         told.is_some_and(|at| now.saturating_duration_since(at) < TOLD)
     }
 
-    /// Takes what a configuration says, unless a newer one is known; `told` if an entry said so.
+    /// Takes what a configuration says, unless a newer one is known; `told` if an entry that reaches the store said so.
     pub(super) fn take_source(&self, now: Instant, source: Source, told: bool) {
         if told {
             self.told.set(Some(now));
--- a/bins/agent/src/rollout/watch.rs
+++ b/bins/agent/src/rollout/watch.rs
@@ -1,8 +1,8 @@
 //! What operators name and which targets live, from the platform's store.
 //!
-//! Every call of the store has a price, and a watch returns with every change. Only the named versions are watched; the
-//! registered targets are read at the start and again whenever a version is named. Entries tell what the agent needs of
-//! the configuration, which may be large; it is read from the store only while none does.
+//! Every call of the store has a price, and a watch returns with every change. The registered targets are read at the
+//! start and again whenever a version is named. Entries tell which versions are named and what the agent needs of the
+//! configuration, which may be large; both are read from the store only while no entry does.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -17,10 +17,12 @@
 /// Time allowed for a call of the store, beside the wait of a watch.
 const TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest wait of one watch call.
-const WAIT: Duration = Duration::from_secs(20);
+const WAIT: Duration = Duration::from_secs(29);
+/// Time between two looks whether entries still tell what is in the store.
+const TOLD_CHECK: Duration = Duration::from_millis(500);
 /// Time between two readings before the own engine is registered.
 const UNREGISTERED: Duration = Duration::from_millis(500);
-/// Time after the start in which an entry should have told what the agent needs of the configuration.
+/// Time after the start in which an entry should have told what the agent needs of the store.
 const ENTRY_TIME: Duration = Duration::from_millis(2500);
 /// Bounds of the pause after a failed call; it doubles with each failure.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(1));
@@ -37,9 +39,17 @@
     .await;
 }
 
+/// Follows the versions while no entry tells them.
 async fn follow_versions(state: &State, mut follower: Follower) {
+    compio::time::sleep(ENTRY_TIME).await;
     let mut first = true;
     loop {
+        if state.is_told(Instant::now()) {
+            // What is read next may have been named at any time since.
+            first = true;
+            compio::time::sleep(TOLD_CHECK).await;
+            continue;
+        }
         match follower.next(WAIT).await {
             Ok(update) => take_versions(state, &update.listing, std::mem::take(&mut first)),
             Err(failed) => compio::time::sleep(failed.pause).await,
@@ -57,7 +67,7 @@
             state.changed.changed(state.changed.count()).await;
             continue;
         }
-        match read(state, client, started, first).await {
+        match read(state, client, started).await {
             Ok((configs, targets)) => {
                 if backoff.is_failing() {
                     event!(event::STORE_BACK, kind = target::KIND);
@@ -84,24 +94,19 @@
 
 /// Returns the objects of the configuration, unless an entry tells it or should do so soon, and those of the targets.
 ///
-/// The `first` lists are the store's present ones; later ones may be seconds old, which costs less.
+/// The list of targets may be seconds old, which costs less.
 async fn read(
     state: &State,
     client: &Client,
     started: Instant,
-    first: bool,
 ) -> Result<(Option<Listing>, Listing), Error> {
-    let list = async |kind| match first {
-        true => client.list(kind).await,
-        false => client.list_stale(kind).await,
-    };
     let now = Instant::now();
     let early = now.saturating_duration_since(started) < ENTRY_TIME;
     let configs = match early || state.is_told(now) {
         true => None,
-        false => Some(list(config::KIND).await?),
+        false => Some(client.list(config::KIND).await?),
     };
-    Ok((configs, list(target::KIND).await?))
+    Ok((configs, client.list_stale(target::KIND).await?))
 }
 
 fn take_config(state: &State, listing: &Listing) {
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -39,7 +39,10 @@
     steps: RefCell<HashMap<RequestId, oneshot::Sender<Decision>>>,
     moves: RefCell<HashMap<RequestId, oneshot::Sender<Placed>>>,
     in_progress: Rc<Cell<usize>>,
-    versions_named: Cell<u64>,
+    /// Number of versions and targets that this process learned of.
+    news: Cell<u64>,
+    /// Whether the last read of the configuration was answered.
+    in_touch: Cell<bool>,
     draining: Cell<bool>,
     refusing: Cell<bool>,
 }
@@ -73,7 +76,8 @@
             steps: RefCell::default(),
             moves: RefCell::default(),
             in_progress: Rc::default(),
-            versions_named: Cell::default(),
+            news: Cell::default(),
+            in_touch: Cell::new(false),
             draining: Cell::new(false),
             refusing: Cell::new(false),
         })
@@ -124,14 +128,24 @@
         read(&self.scheduler.borrow())
     }
 
-    /// Returns the number of versions that this process learned of.
-    pub(super) fn versions_named(&self) -> u64 {
-        self.versions_named.get()
+    /// Returns the number of versions and targets that this process learned of.
+    pub(super) fn news(&self) -> u64 {
+        self.news.get()
     }
 
-    /// Counts a version that was named.
-    pub(super) fn count_version(&self) {
-        self.versions_named.set(self.versions_named.get() + 1);
+    /// Counts a version that was named, or a target that registered.
+    pub(super) fn count_news(&self) {
+        self.news.set(self.news.get() + 1);
+    }
+
+    /// Tells whether the store answers.
+    pub(super) fn is_in_touch(&self) -> bool {
+        self.in_touch.get()
+    }
+
+    /// Notes whether the store answers.
+    pub(super) fn set_in_touch(&self, in_touch: bool) {
+        self.in_touch.set(in_touch);
     }
 
     /// Polls the scheduler while requests wait; never returns.
--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -12,7 +12,7 @@
 
 /// Time between two subscriptions; agents forget an entry after three.
 const SUBSCRIPTION: Duration = Duration::from_secs(1);
-/// Time between two looks whether a version was named.
+/// Time between two looks whether a version was named or a target registered.
 const NEWS_CHECK: Duration = Duration::from_millis(50);
 /// Versions in one datagram; more of them are told in further ones.
 const NAMED: usize = 8;
@@ -24,27 +24,28 @@
 
 async fn subscribe(gateway: &Gateway, port: &Port) {
     loop {
-        let seen = gateway.versions_named();
+        let seen = gateway.news();
         let named = named(gateway);
         for (service, agents) in agents(gateway) {
             let source = gateway.view(|scheduler| scheduler.config()?.source(&service));
-            for subscription in subscriptions(&named, source.as_ref()) {
+            for subscription in subscriptions(&named, source.as_ref(), gateway.is_in_touch()) {
                 port.send(&subscription, &agents).await;
             }
         }
         let end = Instant::now() + SUBSCRIPTION;
-        while gateway.versions_named() == seen && Instant::now() < end {
+        while gateway.news() == seen && Instant::now() < end {
             compio::time::sleep(NEWS_CHECK).await;
         }
     }
 }
 
 /// Returns one subscription, or several where one can't tell all versions.
-fn subscriptions(named: &[Named], source: Option<&Source>) -> Vec<Datagram> {
+fn subscriptions(named: &[Named], source: Option<&Source>, in_touch: bool) -> Vec<Datagram> {
     let subscription = |named: &[Named]| {
         Datagram::Subscribe(Subscription {
             named: named.to_vec(),
             source: source.cloned(),
+            in_touch,
         })
     };
     match named.is_empty() {
--- a/bins/entry/src/ingress/settings.rs
+++ b/bins/entry/src/ingress/settings.rs
@@ -34,6 +34,8 @@
     pub grace: Duration,
     /// Time after the store's return in which the deployment's bounds hold again.
     pub contact: Duration,
+    /// Time after which no more requests go to a target that leaves.
+    pub drain: Duration,
     /// Time in which a named version of weights must have replaced all older ones.
     pub version: Duration,
     /// Repeated requests over all entries.
@@ -68,6 +70,7 @@
     fn read(fields: &mut Fields<'_>) -> Option<Self> {
         let grace = fields.seconds("grace_s", 0.0..=3600.0);
         let contact = fields.millis("contact_ms", 100..=3_600_000, None);
+        let drain = fields.millis("drain_ms", 0..=3_600_000, None);
         let version = fields.millis("version_ms", 0..=3_600_000, None);
         let ratio = fields.number("repeat_ratio", 0.0..=100.0, None);
         let extra = fields.number("repeat_extra", 0.0..=1e6, None);
@@ -75,6 +78,7 @@
         Some(Self {
             grace: grace?,
             contact: contact?,
+            drain: drain?,
             version: version?,
             repeats: Repeats {
                 ratio: ratio?,
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -19,9 +19,10 @@
 /// bounds hold again: a call that a silent store never answers must end within it.
 const SHORT_WAIT: f64 = 0.6;
 /// Longest wait of one watch call; every call has a price.
-const WAIT: Duration = Duration::from_secs(25);
-/// Time between two watches of targets, in which changes that come together gather.
-const GATHERING: Duration = Duration::from_millis(500);
+const WAIT: Duration = Duration::from_secs(29);
+/// Time between two watches of targets, in which changes that come together gather, as a share of the time in which
+/// requests must stop to go to a target that leaves.
+const GATHERING: f64 = 0.4;
 /// Bounds of the pause after a failed call; it doubles with each failure.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 /// Time between two looks for targets that did not register again.
@@ -47,6 +48,7 @@
     loop {
         let failing = follower.is_failing();
         let read = follower.next(wait).await;
+        gateway.set_in_touch(!follower.is_failing());
         if follower.is_failing() != failing {
             pulse.notify();
         }
@@ -76,6 +78,7 @@
     targets: &RefCell<Registry>,
     pulse: &Notify,
 ) {
+    let gathering = gateway.settings.bounds.drain.mul_f64(GATHERING);
     loop {
         let read = read(&mut follower, pulse).await;
         let now = Instant::now();
@@ -83,7 +86,7 @@
             Some(Ok(update)) => {
                 targets.borrow_mut().answered(now);
                 take_targets(gateway, &mut targets.borrow_mut(), &update);
-                compio::time::sleep(GATHERING).await;
+                compio::time::sleep(gathering).await;
             }
             Some(Err(failed)) => {
                 targets.borrow_mut().failed(now);
@@ -136,7 +139,7 @@
                     false => scheduler.name_version(now, &named.model, named.version),
                 });
                 if news {
-                    gateway.count_version();
+                    gateway.count_news();
                     event!(
                         event::VERSION_NAMED,
                         model = named.model,
@@ -184,7 +187,9 @@
                 draining = target.draining,
                 weights = format_args!("{:?}", target.weights)
             );
-            targets.put(&target.id);
+            if targets.put(&target.id) {
+                gateway.count_news();
+            }
             gateway.update(|scheduler, _| scheduler.put_target(target));
         }
         Err(error) => {
--- a/bins/entry/src/ingress/targets.rs
+++ b/bins/entry/src/ingress/targets.rs
@@ -45,12 +45,10 @@
         }
     }
 
-    /// Notes a registration.
-    pub fn put(&mut self, id: &str) {
+    /// Notes a registration, and returns whether the target is new.
+    pub fn put(&mut self, id: &str) -> bool {
         self.missing.remove(id);
-        if !self.present.contains(id) {
-            self.present.insert(id.into());
-        }
+        !self.present.contains(id) && self.present.insert(id.into())
     }
 
     /// Notes that a registration was removed, and returns what that says.
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -32,6 +32,8 @@
     pub named: Vec<Named>,
     /// Where the agent's engine gets its weights, by the configuration that the entry has in force.
     pub source: Option<Source>,
+    /// Whether the entry reaches the store, so that the agent need not ask it for the versions and the configuration.
+    pub in_touch: bool,
 }
 
 /// A version of weights that operators named.
