Entries that start between two versions learn when the older one was named

An engine frozen until 32.7 s still held version 1; version 2 was named at 19.7 and version 3 at 28.7 s. An entry that was restarted after 28.7 s found only version 3, learned from agents that it was young, and let version 1 begin requests until that one was due, 15.3 s after version 2 was named.

Change: processes tell each other the newest version that is due and all after it, not only the newest or the young ones, and insert older ones that they did not know.

Tests: oldest_after_start_between_versions and name_older_later; the functions before ignored a version that is older than the newest.

--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -54,12 +54,12 @@
     }
 }
 
-/// Returns the newest versions that operators named: agents learn of them from the entries too, which may reach the store
+/// Returns the versions that operators named and that count yet: agents learn of them from the entries too, which may reach the store
 /// when they don't.
 fn named(gateway: &Gateway) -> Vec<Named> {
     gateway.view(|scheduler| {
-        let newest = scheduler.versions().newest_of_all(Instant::now());
-        newest
+        let named = scheduler.versions().in_force(Instant::now());
+        named
             .map(|(model, version, age)| Named {
                 model: model.to_owned(),
                 version,
--- a/crates/dispatch/src/versions.rs
+++ b/crates/dispatch/src/versions.rs
@@ -47,35 +47,35 @@
     }
 
     /// Takes what another process saw: that `version` of `model` was named `age` before `now`.
+    ///
+    /// It may be older than those known: an entry that starts finds only the newest one, but the one before decides which
+    /// targets may serve until the newest one is due.
     pub fn aged(&mut self, now: Instant, model: &str, version: u64, age: Duration) {
-        let Some(named) = self
-            .named
-            .get_mut(model)
-            .and_then(|named| named.get_mut(&version))
-        else {
+        let Some(at) = now.checked_sub(age) else {
             return;
         };
-        let Some(at) = now.checked_sub(age) else {
+        let Some(versions) = self.named.get_mut(model) else {
             return;
         };
+        let named = versions.entry(version).or_insert(Named::At(at));
         *named = match *named {
             Named::Before => Named::At(at),
             Named::At(known) => Named::At(known.min(at)),
         };
     }
 
-    /// Returns the newest version of each model, and the time since it was named as far as that is known.
-    pub fn newest_of_all(
-        &self,
-        now: Instant,
-    ) -> impl Iterator<Item = (&str, u64, Option<Duration>)> {
-        self.named.iter().filter_map(move |(model, named)| {
-            let (version, named) = named.last_key_value()?;
-            let age = match *named {
-                Named::Before => None,
-                Named::At(at) => Some(now.saturating_duration_since(at)),
-            };
-            Some((model.as_str(), *version, age))
+    /// Returns the versions of each model that may begin requests now or later, the oldest first, and the time since each
+    /// was named as far as that is known.
+    pub fn in_force(&self, now: Instant) -> impl Iterator<Item = (&str, u64, Option<Duration>)> {
+        self.named.iter().flat_map(move |(model, named)| {
+            let newer = named.range(self.oldest(model, now)..);
+            newer.map(move |(version, named)| {
+                let age = match *named {
+                    Named::Before => None,
+                    Named::At(at) => Some(now.saturating_duration_since(at)),
+                };
+                (model.as_str(), *version, age)
+            })
         })
     }
 
--- a/crates/dispatch/tests/dispatch/versions.rs
+++ b/crates/dispatch/tests/dispatch/versions.rs
@@ -52,3 +52,22 @@
     versions.aged(now, "lm", 2, ms(1_000));
     assert_eq!(versions.oldest("lm", now), 2);
 }
+
+// Guards against an entry that starts between two versions and knows only the newer one: it let an engine that had been
+// frozen begin requests on version 1, 15.3 s after version 2 was named.
+#[test]
+fn oldest_after_start_between_versions() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let mut versions = Versions::new(BOUND);
+    versions.find("lm", 3);
+    versions.aged(now, "lm", 2, BOUND + ms(1_000));
+    versions.aged(now, "lm", 3, ms(3_000));
+    assert_eq!(versions.oldest("lm", now), 2);
+    let told: Vec<_> = versions.in_force(now).collect();
+    let expected = [
+        ("lm", 2, Some(BOUND + ms(1_000))),
+        ("lm", 3, Some(ms(3_000))),
+    ];
+    assert_eq!(told, expected);
+    assert_eq!(versions.in_force(now + BOUND).count(), 1);
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -100,8 +100,8 @@
     ///
     /// Of a version that was found before, this tells the time.
     pub fn name(&mut self, now: Instant, version: VersionNumber) -> bool {
-        let found = self.named.iter_mut().find(|named| !named.seen);
-        if let Some(found) = found.filter(|found| found.version == version) {
+        let mut unseen = self.named.iter_mut().filter(|named| !named.seen);
+        if let Some(found) = unseen.find(|named| named.version == version) {
             found.at = now;
             found.seen = true;
         }
@@ -128,14 +128,12 @@
         self.named.last().map(|named| named.version)
     }
 
-    /// Returns the versions that this process saw named a short time ago, and the time since then.
+    /// Returns the versions from the engine's own on whose time this process knows, and the time since each was named.
     pub fn seen_named(&self, now: Instant) -> impl Iterator<Item = (VersionNumber, Duration)> {
-        let young = self.bound * 2;
         self.named
             .iter()
             .filter(|named| named.seen)
             .map(move |named| (named.version, now.saturating_duration_since(named.at)))
-            .filter(move |(_, age)| *age < young)
     }
 
     /// Returns the version whose parts are to be got now; `None` when no named one is missing.
@@ -229,10 +227,16 @@
         self.turn(since).map(|turn| turn.max(now))
     }
 
+    /// Inserts a version that isn't known, and returns whether it is the newest one.
     fn insert(&mut self, named: Named) -> bool {
         let newer = self.newest().is_none_or(|newest| newest < named.version);
-        if newer {
-            self.named.push(named);
+        let place = self
+            .named
+            .partition_point(|known| known.version < named.version);
+        let known = self.named.get(place);
+        let counts = self.held.is_none_or(|held| held <= named.version);
+        if counts && known.is_none_or(|known| known.version != named.version) {
+            self.named.insert(place, named);
         }
         newer
     }
--- a/crates/rollout/tests/rollout.rs
+++ b/crates/rollout/tests/rollout.rs
@@ -221,3 +221,20 @@
         prop_assert_eq!(version, 3);
     }
 }
+
+// Guards against an agent that learns of an older version after the newest one and gives its engine the bound of the
+// newest, although the older one is due before.
+#[test]
+fn name_older_later() {
+    let now = Instant::now() + BOUND;
+    let mut rollout = serving(6, 7);
+    assert!(rollout.name(now, 3));
+    assert!(!rollout.name(now - ms(6_000), 2));
+    rollout.complete(now, 3);
+    assert_eq!(rollout.next(now), Step::Wait(Some(now + ms(1_200))));
+    let told: Vec<u64> = rollout
+        .seen_named(now)
+        .map(|(version, _)| version)
+        .collect();
+    assert_eq!(told, [2, 3]);
+}
