Follow the operators' limits on what callers may send

Cause: the entry held callers to fixed limits (16 KB of headers, 4 MB of body, 120 s of idle time); the configuration's limits were decoded and not used.

Change: node::http::serve_with asks for the limits with each request, and for the idle time with each connection. The idle time and the time of a request's body are two limits now.

--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use dispatch::{Decision, Failure, Outcome, Place, RequestId, Scheduler, Versions, Work};
+use dispatch::{Config, Decision, Failure, Outcome, Place, RequestId, Scheduler, Versions, Work};
 use futures::channel::oneshot;
 use node::event;
 use node::http::header::{self, HeaderValue};
@@ -88,6 +88,11 @@
         self.scheduler.borrow().config().is_some() && !self.draining.get()
     }
 
+    /// Returns the configuration in force.
+    pub(super) fn config(&self) -> Option<Rc<Config>> {
+        self.scheduler.borrow().config().cloned()
+    }
+
     /// Returns the number of callers that are being served.
     pub fn in_progress(&self) -> usize {
         self.in_progress.get()
@@ -163,7 +168,7 @@
     pub async fn handle(self: Rc<Self>, request: Request<Bytes>) -> Response<Body> {
         let guard = InProgress::new(&self.in_progress);
         let now = Instant::now();
-        let config = self.scheduler.borrow().config().cloned();
+        let config = self.config();
         let draw = rand::rng().random();
         let mut answer = match Call::admit(request, config.as_deref(), now, draw) {
             Ok(_) if self.refusing.get() => {
--- a/bins/entry/src/ingress/serve.rs
+++ b/bins/entry/src/ingress/serve.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use dispatch::Config;
 use node::event;
 use node::http::{self, Limits, Request, StatusCode, response};
 use node::operator::{self, Operator};
@@ -23,7 +24,7 @@
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 /// Time for the last bytes of answers to reach callers.
 const FLUSH: Duration = Duration::from_millis(300);
-/// Time for which idle connections of callers stay open at least.
+/// Time for which idle connections of callers stay open, and in which a body must arrive, while no configuration says.
 const IDLE_TIME: Duration = Duration::from_secs(120);
 
 /// Serves callers until `stop` resolves and the requests in progress are finished.
@@ -52,15 +53,31 @@
         compio::runtime::spawn(serve_ready(ready, Rc::clone(&gateway))),
         compio::runtime::spawn(operator::serve(operators, operator, std::future::pending())),
     ];
-    let limits = Limits {
+    let handler = |_, request| Rc::clone(&gateway).handle(request);
+    let limits = || limits(gateway.config().as_deref());
+    http::serve_with(callers, limits, handler, drain(&gateway, stop)).await;
+    Ok(())
+}
+
+/// Returns the limits of the callers' port under `config`.
+fn limits(config: Option<&Config>) -> Limits {
+    let ports_own = Limits {
         receive: IDLE_TIME,
+        idle: IDLE_TIME,
         drain: FLUSH,
         linger: FLUSH,
         ..Limits::default()
     };
-    let handler = |_, request| Rc::clone(&gateway).handle(request);
-    http::serve(callers, limits, handler, drain(&gateway, stop)).await;
-    Ok(())
+    let Some(config) = config else {
+        return ports_own;
+    };
+    Limits {
+        header: config.limits.header_bytes,
+        body: config.limits.body_bytes,
+        // A connection waits for the next request from the end of the last one on, so its time covers both.
+        idle: config.limits.idle_time.max(config.limits.header_time),
+        ..ports_own
+    }
 }
 
 async fn serve_ready(listener: compio::net::TcpListener, gateway: Rc<Gateway>) {
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -9,7 +9,7 @@
 pub use body::{Body, Sender};
 pub use client::{Answer, Client, Error};
 pub use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
-pub use server::{Headers, Limits, serve};
+pub use server::{Headers, Limits, serve, serve_with};
 
 /// Returns a response with `status` and `body`.
 pub fn response(status: StatusCode, body: impl Into<Body>) -> Response<Body> {
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -24,6 +24,9 @@
 /// Wait after a failed accept, for example when no file descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Least bytes of a head that the HTTP library can be limited to.
+const LEAST_HEAD: usize = 8 << 10;
+
 /// Mark of a response that ends the connection instead of being sent.
 #[derive(Clone, Debug)]
 #[derive(thiserror::Error)]
@@ -44,8 +47,10 @@
     pub headers: usize,
     /// Most bytes of a request's body; above it the answer is 413.
     pub body: usize,
-    /// Time in which a request's headers must arrive, and the same again for its body; the answer to a late body is 408.
+    /// Time in which a request's body must arrive; the answer to a late one is 408.
     pub receive: Duration,
+    /// Time in which a request's headers must arrive on a connection that waits for them; then it is closed.
+    pub idle: Duration,
     /// Time that requests in progress get to finish after a shutdown began.
     pub drain: Duration,
     /// Time after a shutdown began in which idle connections stay open and their requests are still answered.
@@ -60,13 +65,15 @@
 }
 
 impl Default for Limits {
-    /// Returns 16 KB in 100 headers, 4 MB of body, 10 s to receive, 60 s to drain, no linger and 4,096 connections.
+    /// Returns 16 KB in 100 headers, 4 MB of body, 10 s for each of headers and body, 60 s to drain, no linger and 4,096
+    /// connections.
     fn default() -> Self {
         Self {
             header: 16 << 10,
             headers: 100,
             body: 4 << 20,
             receive: Duration::from_secs(10),
+            idle: Duration::from_secs(10),
             drain: Duration::from_secs(60),
             linger: Duration::ZERO,
             connections: 4096,
@@ -87,13 +94,28 @@
 ) where
     H: Fn(SocketAddr, Request<Bytes>) -> F + Clone,
     F: Future<Output = Response<Body>>,
+{
+    serve_with(listener, || limits.clone(), handler, shutdown).await;
+}
+
+/// Serves as [`serve`] does, by limits that may change.
+///
+/// Each request is held to the limits of its arrival, and each connection to the idle time of its start.
+pub async fn serve_with<H, F>(
+    listener: TcpListener,
+    limits: impl Fn() -> Limits,
+    handler: H,
+    shutdown: impl Future<Output = ()>,
+) where
+    H: Fn(SocketAddr, Request<Bytes>) -> F + Clone,
+    F: Future<Output = Response<Body>>,
 {
     let (stop, stopped) = futures::channel::oneshot::channel::<()>();
     let stopped = stopped.map(|_| ()).shared();
     let mut shutdown = pin!(shutdown.fuse());
     let mut connections = FuturesUnordered::new();
     while !shutdown.is_terminated() {
-        let full = connections.len() >= limits.connections;
+        let full = connections.len() >= limits().connections;
         let mut accept = pin!(accept(&listener, full).fuse());
         loop {
             select_biased! {
@@ -112,7 +134,7 @@
     }
     drop(listener);
     drop(stop);
-    drain(connections, limits.drain).await;
+    drain(connections, limits().drain).await;
 }
 
 async fn drain<F: Future>(mut connections: FuturesUnordered<F>, time: Duration) {
@@ -140,7 +162,7 @@
 async fn connection<H, F>(
     stream: TcpStream,
     peer: SocketAddr,
-    limits: &Limits,
+    limits: &impl Fn() -> Limits,
     handler: H,
     stopped: Shared<impl Future<Output = ()>>,
 ) where
@@ -153,7 +175,8 @@
     let service = service_fn(|request| {
         let (handler, stopping) = (&handler, &stopping);
         async move {
-            let response = match receive(request, limits).await {
+            let limits = limits();
+            let response = match receive(request, &limits).await {
                 Ok(request) => handler(peer, request).await,
                 Err(status) => refusal(status, (limits.refusal_headers)(status)),
             };
@@ -164,18 +187,19 @@
             }
         }
     });
+    let first = limits();
     let connection = http1::Builder::new()
         .timer(CompioTimer)
-        .header_read_timeout(limits.receive)
+        .header_read_timeout(first.idle)
         // Between the limit and its double, the port itself refuses the head and names the outcome.
-        .max_header_size(2 * limits.header)
-        .max_headers(2 * limits.headers)
+        .max_header_size((2 * first.header).max(LEAST_HEAD))
+        .max_headers(2 * first.headers)
         .serve_connection(Stream::new(stream), service);
     let mut connection = pin!(connection);
     let result = match select(connection.as_mut(), stopped).await {
         Either::Left((result, _)) => result,
         Either::Right(_) => {
-            let lingering = compio::time::timeout(limits.linger, connection.as_mut());
+            let lingering = compio::time::timeout(limits().linger, connection.as_mut());
             match lingering.await {
                 Ok(result) => result,
                 Err(_) => {
--- a/crates/node/tests/http.rs
+++ b/crates/node/tests/http.rs
@@ -15,6 +15,7 @@
     Limits {
         body: 1000,
         receive: Duration::from_millis(150),
+        idle: Duration::from_millis(150),
         drain: Duration::from_secs(2),
         ..Limits::default()
     }
