dispatch: under overload, new requests before returned ones, and no queue at the engines

Callers who came back after a refusal, late already, took places by arrival; and each placed request waited at its engine behind up to two others after up to 0.16 s here, so that the first event took 350 ms in the median of an objective of 300 or 400.

Change: within a rank, requests that can still be in time go before those whose caller has waited for the whole objective before. While others wait at the entry, a request is sent only to a free slot; the entry knows at once of the slots that its own requests leave.

Tests, each failed with its change turned off: overload_new_before_returned, submit_no_backlog_while_others_wait.

--- a/bins/entry/src/ingress/call.rs
+++ b/bins/entry/src/ingress/call.rs
@@ -22,6 +22,8 @@
     pub(super) objective: Duration,
     pub(super) gap: Duration,
     pub(super) arrived: Instant,
+    /// Time for which the caller had waited before.
+    waited: Duration,
     pub(super) deadline: Instant,
     attempts: u32,
     priority: u8,
@@ -91,6 +93,8 @@
             objective: route.objective,
             gap: route.gap.unwrap_or(route.objective),
             arrived: now,
+            // Callers wait for the route's time in all; one that comes back has less of it left.
+            waited: route.timeout.saturating_sub(wait),
             deadline: now + wait.min(route.timeout),
             attempts: route.attempts,
             priority: tenant
@@ -118,6 +122,7 @@
             kind: self.kind,
             priority: self.priority,
             arrived: self.arrived,
+            waited: self.waited,
             objective: self.objective,
             deadline: self.deadline,
             prompt: self.caller.prompt,
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -12,8 +12,16 @@
 /// Time without a placement after which the mean of earlier ones says nothing.
 const RATE_KEPT: Duration = Duration::from_secs(2);
 
-/// Order of waiting requests: rank first, then arrival.
-type Order = (u8, RequestId);
+/// Order of waiting requests: rank first, then those that can still be in time, then arrival.
+///
+/// Under lasting overload callers who were refused come back all the time. If they went before new ones by arrival, each
+/// place would serve a request that is late already and make another one late.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct Order {
+    rank: u8,
+    overdue: bool,
+    pub(crate) request: RequestId,
+}
 
 /// Waiting requests, the most urgent first.
 #[derive(Debug, Default)]
@@ -30,7 +38,7 @@
     }
 
     pub(crate) fn push(&mut self, id: RequestId, work: Work) {
-        self.waiting.insert((work.priority, id), work);
+        self.waiting.insert(Order::of(id, &work), work);
     }
 
     pub(crate) fn remove(&mut self, order: Order) -> Option<Work> {
@@ -39,7 +47,11 @@
 
     /// Removes the request `id`, and returns whether it was waiting.
     pub(crate) fn cancel(&mut self, id: RequestId) -> bool {
-        let order = self.waiting.keys().find(|(_, other)| *other == id).copied();
+        let order = self
+            .waiting
+            .keys()
+            .find(|order| order.request == id)
+            .copied();
         order.is_some_and(|order| self.waiting.remove(&order).is_some())
     }
 
@@ -74,15 +86,28 @@
         }
     }
 
-    /// Returns the forecast of the time that a request of rank `priority` would wait behind those ahead of it.
-    pub(crate) fn wait(&self, now: Instant, priority: u8) -> Option<Duration> {
+    /// Returns the forecast of the time that `work` would wait behind those ahead of it.
+    pub(crate) fn wait(&self, now: Instant, work: &Work) -> Option<Duration> {
         let fresh = self
             .last
             .is_some_and(|last| now.saturating_duration_since(last) < RATE_KEPT);
         let interval = self.interval.filter(|_| fresh)?;
-        let ahead = self.waiting.range(..=(priority, RequestId::MAX)).count();
+        let ahead = self
+            .waiting
+            .range(..Order::of(RequestId::MAX, work))
+            .count();
         Some(Duration::from_secs_f64(
             (interval * ahead as f64).min(3600.0),
         ))
     }
 }
+
+impl Order {
+    fn of(request: RequestId, work: &Work) -> Self {
+        Self {
+            rank: work.priority,
+            overdue: work.is_overdue(),
+            request,
+        }
+    }
+}
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -17,7 +17,7 @@
 use crate::target::{Held, Load, Target, TargetId};
 use crate::versions::Versions;
 use crate::work::{Reason, RequestId, Work};
-use choice::Choice;
+use choice::{Backlog, Choice};
 
 /// Least time that must be left for another attempt.
 const LEAST_TIME: Duration = Duration::from_millis(20);
@@ -327,7 +327,7 @@
             let mut work = placing.work.clone();
             work.version = Some(version);
             work.output /= 2;
-            let Choice::Target(target) = self.choose(now, &work) else {
+            let Choice::Target(target) = self.choose(now, &work, Backlog::None) else {
                 continue;
             };
             if !self.budget(now, &work.service).take(now) {
@@ -358,9 +358,14 @@
                 continue;
             };
             let waited = work.arrived < now;
-            match self.choose(now, &work) {
+            let others = self.queues.get(service).map_or(0, Queue::len);
+            let backlog = match others {
+                0 => Backlog::Allowed,
+                _ => Backlog::None,
+            };
+            match self.choose(now, &work, backlog) {
                 Choice::Target(id) => {
-                    if let Some(place) = self.place(now, order.1, work, &id) {
+                    if let Some(place) = self.place(now, order.request, work, &id) {
                         decisions.push(Decision::Send(place));
                     }
                     if let Some(queue) = self.queues.get_mut(service) {
@@ -369,16 +374,18 @@
                 }
                 Choice::Busy if Queue::patience(&work) > now => {
                     if let Some(queue) = self.queues.get_mut(service) {
-                        queue.push(order.1, work);
+                        queue.push(order.request, work);
                     }
                 }
-                Choice::Busy => decisions.push(self.reject(now, order.1, &work, Reason::Overload)),
+                Choice::Busy => {
+                    decisions.push(self.reject(now, order.request, &work, Reason::Overload))
+                }
                 Choice::Nobody => {
                     let reason = match work.tried.is_empty() {
                         true => Reason::NoTarget,
                         false => Reason::Refused,
                     };
-                    decisions.push(self.reject(now, order.1, &work, reason));
+                    decisions.push(self.reject(now, order.request, &work, reason));
                 }
             }
         }
@@ -388,7 +395,7 @@
         self.next += 1;
         let id = self.next;
         let queue = self.queues.entry(work.service.clone()).or_default();
-        let wait = queue.wait(now, work.priority);
+        let wait = queue.wait(now, &work);
         if queue.len() > 0 && wait.is_some_and(|wait| now + wait > Queue::patience(&work)) {
             let rejected = self.reject(now, id, &work, Reason::Overload);
             self.rejected.push(rejected);
--- a/crates/dispatch/src/scheduler/choice.rs
+++ b/crates/dispatch/src/scheduler/choice.rs
@@ -29,6 +29,16 @@
 /// ones then.
 const UNKNOWN_SHARERS: usize = 4;
 
+/// Whether a request may wait at an engine that is full.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Backlog {
+    /// It may: the first freed slot is taken at once, whichever entry's request ended.
+    Allowed,
+    /// It may not: while others wait here, the slots that this entry's requests leave go to the most urgent of them. A
+    /// queue at the engine would only make all of them late.
+    None,
+}
+
 /// Result of a search for a target.
 pub(super) enum Choice {
     Target(TargetId),
@@ -43,7 +53,7 @@
     ///
     /// Ejected targets are passed over unless they are more than half of those that could serve: then the failures say
     /// little about single targets.
-    pub(super) fn choose(&mut self, now: Instant, work: &Work) -> Choice {
+    pub(super) fn choose(&mut self, now: Instant, work: &Work, backlog: Backlog) -> Choice {
         let engine = self
             .config
             .as_ref()
@@ -69,7 +79,7 @@
         let mut best: Option<(f64, &Held)> = None;
         for held in usable {
             let cost = match &engine {
-                Some(engine) => self.engine_cost(now, held, engine, work),
+                Some(engine) => self.engine_cost(now, held, (engine, backlog), work),
                 None => self.plain_cost(now, held),
             };
             let Some(cost) = cost else { continue };
@@ -105,9 +115,18 @@
     }
 
     /// Returns the forecast of the time to the first token in milliseconds, or `None` without room.
-    fn engine_cost(&self, now: Instant, held: &Held, engine: &Engine, work: &Work) -> Option<f64> {
+    fn engine_cost(
+        &self,
+        now: Instant,
+        held: &Held,
+        (engine, backlog): (&Engine, Backlog),
+        work: &Work,
+    ) -> Option<f64> {
         let occupancy = held.occupancy(now, engine);
-        let places = engine.slots + backlog(engine, work);
+        let places = match backlog {
+            Backlog::Allowed => engine.slots + queue_places(engine, work),
+            Backlog::None => engine.slots,
+        };
         let sharers = self.entries.unwrap_or(UNKNOWN_SHARERS);
         if occupancy.requests >= f64::from(places) || !held.has_share(now, places, sharers) {
             return None;
@@ -147,7 +166,7 @@
 }
 
 /// Returns the number of requests that may wait at an engine and still be served in time.
-fn backlog(engine: &Engine, work: &Work) -> u32 {
+fn queue_places(engine: &Engine, work: &Work) -> u32 {
     let time = work.objective.as_secs_f64() * 1000.0 * BACKLOG_SHARE;
     let fitting = time / engine.interval_ms().max(0.001);
     ENGINE_BACKLOG.min(fitting as u32)
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -21,6 +21,8 @@
     pub priority: u8,
     /// Time of arrival at the entry.
     pub arrived: Instant,
+    /// Time for which the caller had waited before, in earlier attempts.
+    pub waited: Duration,
     /// Time from arrival within which the first byte counts as in time.
     pub objective: Duration,
     /// Time at which the caller gives up or the route's time is over.
@@ -70,6 +72,11 @@
         self.arrived + self.objective
     }
 
+    /// Tells whether the answer comes too late to be in time, whatever is done: the caller came back after refusals.
+    pub fn is_overdue(&self) -> bool {
+        self.waited >= self.objective
+    }
+
     /// Tells whether a target may run the request again after it may have run.
     pub fn is_repeatable(&self) -> bool {
         match self.kind {
--- a/crates/dispatch/tests/dispatch/load.rs
+++ b/crates/dispatch/tests/dispatch/load.rs
@@ -1,6 +1,6 @@
 //! Replays of load patterns: what waits, what is refused and when.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use dispatch::{Decision, Load, Outcome, RequestId, Scheduler, Work};
@@ -20,18 +20,21 @@
 }
 
 /// Engines that serve each request for `service` and tell their load every 100 ms, and callers that arrive at `rate` a
-/// second for `time`.
+/// second for `time`. Those who are refused once come back when they were told to if `return_once` is set.
 fn replay(
     scheduler: &mut Scheduler,
     rate: impl Fn(Duration) -> f64,
     time: Duration,
     service: Duration,
+    return_once: bool,
 ) -> Result {
     let start = Instant::now();
     let mut result = Result::default();
     let mut arrivals = 0.0;
     let mut arrived: BTreeMap<RequestId, Instant> = BTreeMap::new();
     let mut running: Vec<(Instant, RequestId, String)> = Vec::new();
+    let mut returning: Vec<(Instant, Instant)> = Vec::new();
+    let mut returned: BTreeSet<RequestId> = BTreeSet::new();
     let mut now = start;
     let mut reported = start;
     while now < start + time {
@@ -41,6 +44,18 @@
             let id = scheduler.submit(now, draft(now));
             arrived.insert(id, now);
         }
+        let (due, later): (Vec<_>, Vec<_>) = returning.into_iter().partition(|(at, _)| *at <= now);
+        returning = later;
+        for (_, first) in due {
+            let work = Work {
+                waited: now - first,
+                deadline: draft(first).deadline,
+                ..draft(now)
+            };
+            let id = scheduler.submit(now, work);
+            arrived.insert(id, now);
+            returned.insert(id);
+        }
         let (done, rest): (Vec<_>, Vec<_>) = running.into_iter().partition(|(end, ..)| *end <= now);
         running = rest;
         for (_, id, _) in done {
@@ -52,15 +67,23 @@
                     let ahead = place.load.saturating_sub(SLOTS - 1);
                     let wait = service.mul_f64(f64::from(ahead) / f64::from(SLOTS));
                     let first = now + wait + ms(80);
-                    match first <= arrived[&place.request] + OBJECTIVE {
+                    let in_time = first <= arrived[&place.request] + OBJECTIVE;
+                    match in_time && !returned.contains(&place.request) {
                         true => result.in_time += 1,
                         false => result.late += 1,
                     }
                     running.push((now + wait + service, place.request, place.target));
                 }
-                Decision::Reject { request, .. } => {
+                Decision::Reject {
+                    request,
+                    retry_after,
+                    ..
+                } => {
                     result.refused += 1;
                     result.held = result.held.max(now - arrived[&request]);
+                    if return_once && !returned.contains(&request) {
+                        returning.push((now + retry_after, arrived[&request]));
+                    }
                 }
                 Decision::Move { .. } => unreachable!("no engine closes"),
             }
@@ -106,7 +129,13 @@
         4_000..7_000 => 95.0,
         _ => 40.0,
     };
-    let result = replay(&mut scheduler, rate, Duration::from_secs(12), ms(1_000));
+    let result = replay(
+        &mut scheduler,
+        rate,
+        Duration::from_secs(12),
+        ms(1_000),
+        false,
+    );
     let asked = result.in_time + result.late + result.refused;
     assert!(result.late * 20 <= asked, "{result:?}");
     assert!(result.refused * 3 <= asked, "{result:?}");
@@ -117,17 +146,87 @@
 #[test]
 fn overload_keeps_serving() {
     let mut scheduler = with_engines(7);
-    let result = replay(&mut scheduler, |_| 56.0, Duration::from_secs(10), ms(1_000));
+    let result = replay(
+        &mut scheduler,
+        |_| 56.0,
+        Duration::from_secs(10),
+        ms(1_000),
+        false,
+    );
     let capacity = 7 * SLOTS as usize * 9;
     assert!(result.in_time * 10 >= capacity * 8, "{result:?}");
     assert!(result.held <= OBJECTIVE, "{result:?}");
 }
 
+// Guards against places that go to callers who come back too late to be served in time, while new ones who could be wait
+// and become late as well: with demand above capacity by two fifths, two in five answers were late.
+#[test]
+fn overload_new_before_returned() {
+    let mut scheduler = with_engines(7);
+    let time = Duration::from_secs(20);
+    let result = replay(&mut scheduler, |_| 56.0, time, ms(1_000), true);
+    let capacity = 7 * SLOTS as usize * 19;
+    assert!(result.in_time * 10 >= capacity * 8, "{result:?}");
+    assert!(result.held <= OBJECTIVE, "{result:?}");
+}
+
+// Guards against a queue at the engines beside the one here: under lasting overload, answers came after 350 ms of an
+// objective of 300 or 400 ms in the median, though each was placed within 160 ms.
+#[test]
+fn submit_no_backlog_while_others_wait() {
+    let now = Instant::now();
+    let mut scheduler = with_engines(1);
+    for _ in 0..SLOTS {
+        scheduler.submit(now, draft(now));
+        assert_eq!(scheduler.poll(now).len(), 1);
+    }
+    // Within 2 s the engine's own queue would serve both in time.
+    let patient = Work {
+        objective: Duration::from_secs(2),
+        ..draft(now)
+    };
+    for _ in 0..2 {
+        scheduler.submit(now, patient.clone());
+    }
+    assert!(scheduler.poll(now).is_empty());
+    assert_eq!(scheduler.waiting(), 2);
+    let mut scheduler = with_engines(1);
+    for _ in 0..=SLOTS {
+        scheduler.submit(now, patient.clone());
+        assert_eq!(scheduler.poll(now).len(), 1);
+    }
+}
+
+// Guards against callers who come back and are turned away although there are places.
+#[test]
+fn burst_returned_are_served() {
+    let mut scheduler = with_engines(14);
+    let rate = |at: Duration| match at.as_millis() {
+        2_000..4_000 => 80.0,
+        _ => 35.0,
+    };
+    let result = replay(
+        &mut scheduler,
+        rate,
+        Duration::from_secs(9),
+        ms(1_000),
+        true,
+    );
+    let refused_twice = result.refused.saturating_sub(result.late);
+    assert!(result.late * 2 >= refused_twice, "{result:?}");
+}
+
 // Guards against refusals while engines are idle.
 #[test]
 fn calm_refuses_nobody() {
     let mut scheduler = with_engines(14);
-    let result = replay(&mut scheduler, |_| 40.0, Duration::from_secs(5), ms(1_000));
+    let result = replay(
+        &mut scheduler,
+        |_| 40.0,
+        Duration::from_secs(5),
+        ms(1_000),
+        false,
+    );
     assert_eq!((result.refused, result.late), (0, 0), "{result:?}");
 }
 
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -91,6 +91,7 @@
         kind: Kind::Streaming { resumable: true },
         priority: 1,
         arrived: now,
+        waited: Duration::ZERO,
         objective: OBJECTIVE,
         deadline: now + Duration::from_secs(6),
         prompt: 900,
