Transfers: read members anew while parts are missing; don't wait for an owner without end

Change: an agent reads the targets again every 2 s while parts are missing, and brings a stripe in itself when its owner has had nothing of it for 3 to 4 s.

Ruled out: draws (none failed after 31 s) and peers avoided for not knowing the version (no such answer after 28 s).

Test: completes_different_views failed with the owner's time turned off.

--- a/bins/agent/src/rollout/state.rs
+++ b/bins/agent/src/rollout/state.rs
@@ -163,6 +163,11 @@
         self.read_for.get().is_some()
     }
 
+    /// Tells whether parts of a version are missing that the origin could give.
+    pub(super) fn lacks_parts(&self) -> bool {
+        self.origin().is_some() && self.rollout.borrow().lacks_parts()
+    }
+
     /// Tells whether the own engine is among the registered targets.
     pub(super) fn is_registered(&self) -> bool {
         let targets = self.targets.borrow();
--- a/bins/agent/src/rollout/watch.rs
+++ b/bins/agent/src/rollout/watch.rs
@@ -20,6 +20,9 @@
 const WAIT: Duration = Duration::from_secs(29);
 /// Time between two looks whether entries still tell what is in the store.
 const TOLD_CHECK: Duration = Duration::from_millis(500);
+/// Time between two readings of the targets while parts are missing. Agents that saw different targets may take each other
+/// for the owner of a part.
+const MEMBERS_TIME: Duration = Duration::from_secs(2);
 /// Time between two readings before the own engine is registered.
 const UNREGISTERED: Duration = Duration::from_millis(500);
 /// Time after the start in which an entry should have told what the agent needs of the store.
@@ -57,14 +60,18 @@
     }
 }
 
-/// Reads the targets, and the configuration where no entry tells it, at the start and after a version was named.
+/// Reads the targets, and the configuration where no entry tells it, at the start, after a version was named, and while
+/// parts of it are missing.
 async fn refresh(state: &State, client: &Client, mut backoff: Backoff) {
     let started = Instant::now();
+    let mut read_at = started;
     let mut first = true;
     loop {
         let newest = state.rollout.borrow().newest();
-        if !first && state.is_current() && state.is_registered() {
-            state.changed.changed(state.changed.count()).await;
+        let old = read_at.elapsed() >= MEMBERS_TIME && state.lacks_parts();
+        if !first && !old && state.is_current() && state.is_registered() {
+            let changed = state.changed.changed(state.changed.count());
+            let _ = compio::time::timeout(MEMBERS_TIME, changed).await;
             continue;
         }
         match read(state, client, started).await {
@@ -73,6 +80,7 @@
                     event!(event::STORE_BACK, kind = target::KIND);
                 }
                 backoff.succeed();
+                read_at = Instant::now();
                 if let Some(configs) = configs {
                     take_config(state, &configs);
                 }
--- a/crates/burst/src/choice.rs
+++ b/crates/burst/src/choice.rs
@@ -50,6 +50,12 @@
 /// moments of each other, but one that restarted may bring in an older version first.
 const UNKNOWN_TIME: Duration = Duration::from_millis(1500);
 
+/// Time without a chunk of a stripe after which an agent brings it in itself. Agents that see different members may take
+/// each other for the owner, and would wait for each other without end.
+const OWNER_TIME: Duration = Duration::from_secs(3);
+/// Most time that an agent waits beyond it, by its own seed, so that one draw can serve several agents.
+const OWNER_SPREAD: Duration = Duration::from_secs(1);
+
 /// Domains that draw for themselves with [`Plan::TimeToReplicas`]; the fourth permit is left for a failure.
 const DRAWING_DOMAINS: usize = 3;
 
@@ -133,6 +139,8 @@
     turn: usize,
     /// "Not yet" answers since the last chunk.
     misses: u32,
+    /// Time of the first of them.
+    missed: Option<Instant>,
 }
 
 enum Choice {
@@ -168,6 +176,7 @@
             probed: false,
             turn: 0,
             misses: 0,
+            missed: None,
         };
         let mut lanes: Vec<Lane> = (0..stripes.count()).map(lane).collect();
         for chunk in missing {
@@ -276,6 +285,7 @@
         let lane = self.lane(chunk);
         lane.pending.retain(|pending| *pending != chunk);
         lane.misses = 0;
+        lane.missed = None;
         if matches!(kind, Kind::Draw(_)) {
             self.store.reset();
         }
@@ -315,6 +325,7 @@
             Kind::Owner | Kind::Upstream => {
                 let longest = MISS_SPACING * self.stripes.count();
                 let lane = self.lane(chunk);
+                lane.missed.get_or_insert(now);
                 let backoff = MISS_PAUSE * 2u32.pow(lane.misses.min(10));
                 // Parallel requests that miss at the same time count once.
                 lane.misses += u32::from(lane.wait.is_none_or(|wait| wait <= now));
@@ -419,13 +430,20 @@
             return self.draw_direct(stripe, now);
         }
         match self.peers.owner(stripe, now) {
-            Owner::Peer(peer) => Choice::Ask(peer, Kind::Owner),
+            Owner::Peer(peer) if !self.owner_is_late(stripe, now) => Choice::Ask(peer, Kind::Owner),
             Owner::Nobody => self.pause(stripe, now + NOBODY_PAUSE),
-            Owner::Own if busy.upstream >= self.upstream_limit => Choice::Blocked,
-            Owner::Own => self.bring_in(stripe, busy.draws, now, actions),
+            _ if busy.upstream >= self.upstream_limit => Choice::Blocked,
+            Owner::Own | Owner::Peer(_) => self.bring_in(stripe, busy.draws, now, actions),
         }
     }
 
+    /// Tells whether the owner of a stripe has had nothing of it for too long.
+    fn owner_is_late(&self, stripe: StripeIndex, now: Instant) -> bool {
+        let spread = OWNER_SPREAD.mul_f64((self.seed % 1000) as f64 / 1000.0);
+        let missed = self.lanes[stripe as usize].missed;
+        missed.is_some_and(|since| now >= since + OWNER_TIME + spread)
+    }
+
     fn next_holder(&mut self, chunk: ChunkIndex, now: Instant) -> Option<SocketAddr> {
         let holders = self.holders.get_mut(&chunk)?;
         while let Some(holder) = holders.left.pop() {
--- a/crates/burst/tests/burst/fleet.rs
+++ b/crates/burst/tests/burst/fleet.rs
@@ -116,6 +116,27 @@
         prop_assert!(fleet.is_complete());
     }
 
+    // Guards against agents that wait for each other because they see different members: while five of 20 agents left, the
+    // others read the list of targets before or after, and eight chunks came to nobody.
+    #[test]
+    fn completes_different_views(
+        plan in plans(),
+        choices in prop::collection::vec(any::<usize>(), 64),
+        views in prop::collection::vec(prop::collection::vec(0..9usize, 3..9), 9),
+    ) {
+        let mut fleet = Fleet::new(&["a", "bb", "ccc"], 3, plan);
+        for (number, view) in views.iter().enumerate() {
+            fleet.show_members(number, view);
+        }
+        for number in 0..60_000 {
+            fleet.step(choices[number % choices.len()], Fault::None);
+            if fleet.is_complete() {
+                break;
+            }
+        }
+        prop_assert!(fleet.is_complete());
+    }
+
     // Guards against more copies from the origin than the plan needs when nothing fails.
     #[test]
     fn draws_by_plan(plan in plans(), choices in prop::collection::vec(any::<usize>(), 64)) {
--- a/crates/burst/tests/burst/support.rs
+++ b/crates/burst/tests/burst/support.rs
@@ -114,6 +114,17 @@
         self.agents[number] = None;
     }
 
+    /// Lets an agent see only the members of the given places, and itself.
+    pub fn show_members(&mut self, number: usize, places: &[usize]) {
+        let seen = places
+            .iter()
+            .filter_map(|place| self.agents[*place].as_ref());
+        let members = Members::new(seen.map(|agent| agent.peer.clone()));
+        self.event(number, |downloader, now| {
+            downloader.set_members(&members, now)
+        });
+    }
+
     /// Lets an agent bring in another version; the others aren't told.
     pub fn lead_elsewhere(&mut self, number: usize) {
         self.elsewhere.insert(number);
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -86,6 +86,11 @@
         self.missing = share.clamp(0.0, 1.0);
     }
 
+    /// Tells whether parts of the wanted version are missing.
+    pub fn lacks_parts(&self) -> bool {
+        self.missing > 0.0
+    }
+
     /// Sets the engine's place among those that load one after the other.
     pub fn set_place(&mut self, place: Place) {
         self.place = place;
