--- a/bins/agent/src/rollout/loads.rs
+++ b/bins/agent/src/rollout/loads.rs
@@ -38,7 +38,7 @@
             let now = Instant::now();
             entries.borrow_mut().insert(entry, now);
             if let Some(source) = subscription.source {
-                state.take_source(now, source, subscription.in_touch);
+                state.set_source(now, source, subscription.in_touch);
             }
             state.take_named(&subscription.named);
         }
--- a/bins/agent/src/rollout/state.rs
+++ b/bins/agent/src/rollout/state.rs
@@ -22,8 +22,8 @@
 const SPREADING: f64 = 1.3;
 /// Time until the first part is on its way.
 const START: Duration = Duration::from_millis(500);
-/// Time for which what an entry told of the configuration needs no second look; entries tell every second.
-const TOLD: Duration = Duration::from_secs(5);
+/// Age up to which what an entry sent makes reading the store needless; entries send it every second.
+const ENTRY_INFO_MAX_AGE: Duration = Duration::from_secs(5);
 
 /// What the agent knows of its engine, the other agents and the versions.
 pub(super) struct State {
@@ -36,8 +36,8 @@
     pub(super) report: RefCell<Option<(Instant, Report)>>,
     /// Where the engine gets its weights, by the newest configuration that was read or told.
     source: RefCell<Option<Source>>,
-    /// When an entry that reaches the store last told it.
-    told: Cell<Option<Instant>>,
+    /// When an entry that reaches the store last sent it.
+    entry_info_at: Cell<Option<Instant>>,
     targets: RefCell<BTreeMap<String, Target>>,
     /// Newest version when the targets were last read; `None` before the first time.
     read_for: Cell<Option<Option<u64>>>,
@@ -54,7 +54,7 @@
             changed: Notify::default(),
             report: RefCell::default(),
             source: RefCell::default(),
-            told: Cell::default(),
+            entry_info_at: Cell::default(),
             targets: RefCell::default(),
             read_for: Cell::new(None),
             closing: Cell::new(false),
@@ -78,16 +78,16 @@
         source.as_ref().map_or(0, |source| source.piece_bytes)
     }
 
-    /// Tells whether an entry that reaches the store told the versions and the configuration a short time ago.
-    pub(super) fn is_told(&self, now: Instant) -> bool {
-        let told = self.told.get();
-        told.is_some_and(|at| now.saturating_duration_since(at) < TOLD)
+    /// Tells whether an entry that reaches the store sent the versions and the configuration a short time ago.
+    pub(super) fn has_entry_info(&self, now: Instant) -> bool {
+        let last = self.entry_info_at.get();
+        last.is_some_and(|at| now.saturating_duration_since(at) < ENTRY_INFO_MAX_AGE)
     }
 
-    /// Takes what a configuration says, unless a newer one is known; `told` if an entry that reaches the store said so.
-    pub(super) fn take_source(&self, now: Instant, source: Source, told: bool) {
-        if told {
-            self.told.set(Some(now));
+    /// Takes what a configuration says, unless a newer one is known; `from_entry` if an entry that reaches the store sent it.
+    pub(super) fn set_source(&self, now: Instant, source: Source, from_entry: bool) {
+        if from_entry {
+            self.entry_info_at.set(Some(now));
         }
         let known = self.source.borrow().clone();
         if known
--- a/bins/agent/src/rollout/watch.rs
+++ b/bins/agent/src/rollout/watch.rs
@@ -18,15 +18,15 @@
 const TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest wait of one watch call.
 const WAIT: Duration = Duration::from_secs(29);
-/// Time between two looks whether entries still tell what is in the store.
-const TOLD_CHECK: Duration = Duration::from_millis(500);
+/// Time between two checks whether entries still send what is in the store.
+const ENTRY_INFO_CHECK: Duration = Duration::from_millis(500);
 /// Time between two readings of the targets while parts are missing. Agents that saw different targets may take each other
 /// for the owner of a part.
 const MEMBERS_TIME: Duration = Duration::from_secs(2);
 /// Time between two readings before the own engine is registered.
 const UNREGISTERED: Duration = Duration::from_millis(500);
-/// Time after the start in which an entry should have told what the agent needs of the store.
-const ENTRY_TIME: Duration = Duration::from_millis(2500);
+/// Time after the start in which an entry should have sent what the agent needs of the store.
+const ENTRY_INFO_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Bounds of the pause after a failed call; it doubles with each failure.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(1));
 
@@ -44,13 +44,13 @@
 
 /// Follows the versions while no entry tells them.
 async fn follow_versions(state: &State, mut follower: Follower) {
-    compio::time::sleep(ENTRY_TIME).await;
+    compio::time::sleep(ENTRY_INFO_TIMEOUT).await;
     let mut first = true;
     loop {
-        if state.is_told(Instant::now()) {
+        if state.has_entry_info(Instant::now()) {
             // What is read next may have been named at any time since.
             first = true;
-            compio::time::sleep(TOLD_CHECK).await;
+            compio::time::sleep(ENTRY_INFO_CHECK).await;
             continue;
         }
         match follower.next(WAIT).await {
@@ -109,8 +109,8 @@
     started: Instant,
 ) -> Result<(Option<Listing>, Listing), Error> {
     let now = Instant::now();
-    let early = now.saturating_duration_since(started) < ENTRY_TIME;
-    let configs = match early || state.is_told(now) {
+    let early = now.saturating_duration_since(started) < ENTRY_INFO_TIMEOUT;
+    let configs = match early || state.has_entry_info(now) {
         true => None,
         false => Some(client.list(config::KIND).await?),
     };
@@ -125,7 +125,7 @@
     match config::decode(object) {
         Ok(config) => {
             if let Some(source) = config.source(&state.settings.service) {
-                state.take_source(Instant::now(), source, false);
+                state.set_source(Instant::now(), source, false);
             }
         }
         Err(error) => event!(event::OBJECT_MALFORMED, error = error),
--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -54,8 +54,8 @@
     }
 }
 
-/// Returns the versions that operators named and that count yet: agents learn of them from the entries too, which may reach the store
-/// when they don't.
+/// Returns the versions that operators named and that may begin requests now or later: agents learn of them from the
+/// entries, which may reach the store when they don't.
 fn named(gateway: &Gateway) -> Vec<Named> {
     gateway.view(|scheduler| {
         let named = scheduler.versions().in_force(Instant::now());
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -88,8 +88,14 @@
                 targets.borrow_mut().answered(now);
                 let news = gateway.news();
                 take_targets(gateway, &mut targets.borrow_mut(), &update);
-                let moving = gateway.news() != news || !update.listing.deleted.is_empty();
-                compio::time::sleep(if moving { GATHERING } else { gathering }).await;
+                let membership_changed =
+                    gateway.news() != news || !update.listing.deleted.is_empty();
+                compio::time::sleep(if membership_changed {
+                    GATHERING
+                } else {
+                    gathering
+                })
+                .await;
             }
             Some(Err(failed)) => {
                 targets.borrow_mut().failed(now);
--- a/crates/burst/src/choice.rs
+++ b/crates/burst/src/choice.rs
@@ -48,13 +48,13 @@
 
 /// Time for which an owner may not know the version before the next one takes over. Agents learn of a version within
 /// moments of each other, but one that restarted may bring in an older version first.
-const UNKNOWN_TIME: Duration = Duration::from_millis(1500);
+const UNAWARE_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Time without a chunk of a stripe after which an agent brings it in itself. Agents that see different members may take
 /// each other for the owner, and would wait for each other without end.
-const OWNER_TIME: Duration = Duration::from_secs(3);
+const OWNER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Most time that an agent waits beyond it, by its own seed, so that one draw can serve several agents.
-const OWNER_SPREAD: Duration = Duration::from_secs(1);
+const OWNER_JITTER: Duration = Duration::from_secs(1);
 
 /// Domains that draw for themselves with [`Plan::TimeToReplicas`]; the fourth permit is left for a failure.
 const DRAWING_DOMAINS: usize = 3;
@@ -117,7 +117,7 @@
     /// Stripes of chunks that were redirected just now; they are looked at first.
     redirected: Vec<StripeIndex>,
     /// Peers that don't transfer the version, and since when that is known.
-    unknowing: HashMap<SocketAddr, Instant>,
+    unaware: HashMap<SocketAddr, Instant>,
     store: Backoff,
 }
 
@@ -200,7 +200,7 @@
             cursor: 0,
             holders: HashMap::new(),
             redirected: Vec::new(),
-            unknowing: HashMap::new(),
+            unaware: HashMap::new(),
             store: Backoff::new(setup.longest_pause),
         };
         chooser.sort();
@@ -354,9 +354,9 @@
     ) {
         self.not_yet(chunk, kind, time, now);
         let Source::Peer(peer) = from else { return };
-        let since = *self.unknowing.entry(peer).or_insert(now);
-        if now.saturating_duration_since(since) >= UNKNOWN_TIME {
-            self.unknowing.remove(&peer);
+        let since = *self.unaware.entry(peer).or_insert(now);
+        if now.saturating_duration_since(since) >= UNAWARE_TIMEOUT {
+            self.unaware.remove(&peer);
             self.peers.avoid(peer, now);
         }
     }
@@ -439,9 +439,9 @@
 
     /// Tells whether the owner of a stripe has had nothing of it for too long.
     fn owner_is_late(&self, stripe: StripeIndex, now: Instant) -> bool {
-        let spread = OWNER_SPREAD.mul_f64((self.seed % 1000) as f64 / 1000.0);
+        let spread = OWNER_JITTER.mul_f64((self.seed % 1000) as f64 / 1000.0);
         let missed = self.lanes[stripe as usize].missed;
-        missed.is_some_and(|since| now >= since + OWNER_TIME + spread)
+        missed.is_some_and(|since| now >= since + OWNER_TIMEOUT + spread)
     }
 
     fn next_holder(&mut self, chunk: ChunkIndex, now: Instant) -> Option<SocketAddr> {
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -38,7 +38,7 @@
     ejections: u32,
     until: Option<Instant>,
     /// Whether no request succeeded since the last ejection.
-    unproved: bool,
+    probing: bool,
 }
 
 impl Failure {
@@ -74,20 +74,20 @@
     /// Tells whether one request at a time should show first that the target works again.
     ///
     /// Without this, all requests that come until the first one fails would go to a target that still doesn't work.
-    pub fn is_unproved(&self) -> bool {
-        self.unproved
+    pub fn is_probing(&self) -> bool {
+        self.probing
     }
 
     /// Notes that the target works, as far as the start of an answer shows.
-    pub fn proved(&mut self) {
-        self.unproved = false;
+    pub fn end_probe(&mut self) {
+        self.probing = false;
     }
 
     /// Counts a success.
     pub fn success(&mut self, now: Instant) {
         self.rate *= 1.0 - NEWEST;
         self.streak = 0;
-        self.unproved = false;
+        self.probing = false;
         if self.until.is_some_and(|until| until + FORGIVEN < now) {
             self.ejections = 0;
         }
@@ -107,7 +107,7 @@
             let time = EJECTION.0 * 2u32.pow(self.ejections.min(8));
             self.until = Some(now + time.min(EJECTION.1));
             self.ejections += 1;
-            self.unproved = true;
+            self.probing = true;
             self.streak = EJECTION_STREAK - 1;
             return true;
         }
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -16,7 +16,7 @@
 const STALE: Duration = Duration::from_secs(2);
 /// Time for which a target gets no requests after it said that it isn't the one that is registered, or holds other weights;
 /// news of it end that.
-const MISDIRECTED: Duration = Duration::from_millis(800);
+const MISDIRECTED_PAUSE: Duration = Duration::from_millis(800);
 /// Time that a request takes to show in its target's load.
 const IN_TRANSIT: Duration = Duration::from_millis(8);
 
@@ -129,7 +129,7 @@
 
     /// Notes that the target refused a request because it isn't what it is taken for.
     pub(crate) fn misdirected(&mut self, now: Instant) {
-        self.outdated = Some(now + MISDIRECTED);
+        self.outdated = Some(now + MISDIRECTED_PAUSE);
     }
 
     /// Takes a load; `draw`, from 0 to 1, decides about the fraction of this entry's share of what it leaves free.
@@ -168,7 +168,7 @@
     }
 
     pub(crate) fn started(&mut self, request: RequestId, version: Option<u64>) {
-        self.health.proved();
+        self.health.end_probe();
         if let Some(own) = self.own.get_mut(&request) {
             own.started = Some(Started { version });
         }
@@ -218,7 +218,7 @@
 
     /// Tells whether another request may be sent, as far as earlier failures say.
     pub(crate) fn is_sound(&self, now: Instant) -> bool {
-        !self.health.is_ejected(now) && (!self.health.is_unproved() || self.own.is_empty())
+        !self.health.is_ejected(now) && (!self.health.is_probing() || self.own.is_empty())
     }
 
     /// Returns the time at which the target is about to take no work for a while.
