--- a/crates/dispatch/tests/dispatch/placement.rs
+++ b/crates/dispatch/tests/dispatch/placement.rs
@@ -3,13 +3,25 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use dispatch::{Decision, Failure, Kind, Load, Outcome, Reason};
+use dispatch::{Decision, Failure, Kind, Load, Outcome, Reason, Scheduler};
 use yare::parameterized;
 
 use crate::support::{
     BOUND, SLOTS, call, draft, fill, idle, ms, places, scheduler, submit, target,
 };
 
+/// Returns a scheduler whose target `a` could not be connected to just now, and two others in another domain.
+fn with_failed_target(now: Instant) -> Scheduler {
+    let mut scheduler = scheduler();
+    scheduler.put_target(target("a", "desk", "north"));
+    let place = submit(&mut scheduler, now, call(now, Kind::Idempotent, 2)).unwrap();
+    scheduler.ended(now, place.request, Outcome::Failed(Failure::NotConnected));
+    for id in ["b", "c"] {
+        scheduler.put_target(target(id, "desk", "south"));
+    }
+    scheduler
+}
+
 // Guards against bytes between failure domains that nobody needs to pay for.
 #[test]
 fn choose_own_domain() {
@@ -153,13 +165,7 @@
 )]
 fn choose_after_restart(born: Option<u64>, expected: &str) {
     let now = Instant::now();
-    let mut scheduler = scheduler();
-    scheduler.put_target(target("a", "desk", "north"));
-    let place = submit(&mut scheduler, now, call(now, Kind::Idempotent, 2)).unwrap();
-    scheduler.ended(now, place.request, Outcome::Failed(Failure::NotConnected));
-    for id in ["b", "c"] {
-        scheduler.put_target(target(id, "desk", "south"));
-    }
+    let mut scheduler = with_failed_target(now);
     let mut again = target("a", "desk", "north");
     again.born = born;
     scheduler.put_target(again);
@@ -175,13 +181,7 @@
 #[test]
 fn choose_after_ejection_one_at_a_time() {
     let mut now = Instant::now();
-    let mut scheduler = scheduler();
-    scheduler.put_target(target("a", "desk", "north"));
-    let place = submit(&mut scheduler, now, call(now, Kind::Idempotent, 2)).unwrap();
-    scheduler.ended(now, place.request, Outcome::Failed(Failure::NotConnected));
-    for id in ["b", "c"] {
-        scheduler.put_target(target(id, "desk", "south"));
-    }
+    let mut scheduler = with_failed_target(now);
     now += Duration::from_secs(1);
     let probe = submit(&mut scheduler, now, call(now, Kind::Idempotent, 2)).unwrap();
     assert_eq!(probe.target, "a");
