dispatch: stop sending to older weights 1.5 s before their bound

The margin was 800 ms.

Change: the margin is 1.5 s. It is a bound on the wait, not a proof of it: an engine that makes a request wait longer still breaks the rule. The entry would have to end such requests; that is not built.

--- a/crates/dispatch/src/versions.rs
+++ b/crates/dispatch/src/versions.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-/// Time before the bound at which requests stop going to targets with older weights: a request that waits in the
-/// target's own queue begins later than it is sent.
-const MARGIN: Duration = Duration::from_millis(800);
+/// Time before the bound at which requests stop going to targets with older weights: a request that waits in the queue of
+/// an overloaded target begins more than a second after it is sent.
+const MARGIN: Duration = Duration::from_millis(1500);
 
 /// The versions that operators named for each model, and for how long they have been named.
 ///
--- a/crates/dispatch/tests/dispatch/versions.rs
+++ b/crates/dispatch/tests/dispatch/versions.rs
@@ -17,6 +17,16 @@
     assert_eq!(versions.oldest("other", now + ms(9_000)), 0);
 }
 
+// Guards against a request that begins after the bound because it waited in its target's queue: sent 1,064 ms before the
+// bound, it waited 1,042 ms and began at the bound.
+#[test]
+fn oldest_before_bound() {
+    let now = Instant::now();
+    let mut versions = Versions::new(BOUND);
+    versions.name(now, "lm", 2);
+    assert_eq!(versions.oldest("lm", now + BOUND - ms(1_064)), 2);
+}
+
 // Guards against a bound that starts anew with each version.
 #[test]
 fn oldest_two_versions() {
