ingress: tell an answer that its caller left from one that the entry cut

Cause: the incident's record can't tell why two streams ended: the entry wrote no line when a caller's connection ended under it, and none when an answer began on weights that were due. Change: event 258 caller-left, event 259 outdated-answer, age and time left in 246 stream-cut, two counters. Result: no decision changed.

--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -17,6 +17,7 @@
 mod store;
 mod stream;
 mod targets;
+mod unfinished;
 
 pub use gateway::Gateway;
 pub use serve::serve;
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -18,6 +18,7 @@
 use super::call::{Call, Refusal};
 use super::end::{End, Rejection};
 use super::metrics::Metrics;
+use super::unfinished::Unfinished;
 use crate::in_progress::InProgress;
 
 /// Time in which a connection to a target must come about.
@@ -57,6 +58,7 @@
 pub(super) struct Placed {
     gateway: Rc<Gateway>,
     place: Place,
+    since: Instant,
     ended: bool,
 }
 
@@ -175,7 +177,12 @@
                 self.refuse("", &Refusal::unavailable("stopping", ELSEWHERE))
             }
             Ok(call) if call.is_stream() => super::stream::serve(&self, call, guard).await,
-            Ok(call) => super::plain::serve(&self, &call).await,
+            Ok(call) => {
+                let mut unfinished = Unfinished::new(&self, &call);
+                let answer = super::plain::serve(&self, &call).await;
+                unfinished.finish();
+                answer
+            }
             Err((id, refusal)) => self.refuse(&id, &refusal),
         };
         if self.draining.get() {
@@ -262,6 +269,32 @@
         self.refuse_after(&call.caller.id, &end.refusal(), call.arrived.elapsed())
     }
 
+    /// Logs and counts an answer whose first event came from weights that were too old to begin it by then.
+    pub(super) fn check_version(&self, call: &Call, placed: &Placed, version: Option<u64>) {
+        let (Some(version), Some(model)) = (version, &call.caller.model) else {
+            return;
+        };
+        let now = Instant::now();
+        let place = placed.place();
+        let scheduler = self.scheduler.borrow();
+        let due = scheduler.versions().due(model, now);
+        if version >= due {
+            return;
+        }
+        let target = scheduler.target(&place.target);
+        let known = target.and_then(|target| target.weights.get(model).copied());
+        self.metrics.outdated();
+        event!(
+            event::OUTDATED_ANSWER,
+            request = call.caller.id,
+            target = place.target,
+            version = version,
+            known = known.unwrap_or_default(),
+            due = due,
+            placed_ms = now.saturating_duration_since(placed.since).as_millis()
+        );
+    }
+
     /// Returns where a run learns that it has to go on elsewhere.
     pub(super) fn moves(&self, id: RequestId) -> oneshot::Receiver<Placed> {
         let (sender, receiver) = oneshot::channel();
@@ -274,11 +307,7 @@
         let Some(gateway) = self.me.upgrade() else {
             return;
         };
-        let placed = Placed {
-            gateway,
-            place,
-            ended: false,
-        };
+        let placed = Placed::new(gateway, place);
         if let Some(sender) = self.moves.borrow_mut().remove(&request) {
             let _ = sender.send(placed);
         }
@@ -292,11 +321,7 @@
         let decision = receiver.await;
         drop(waiting);
         match decision {
-            Ok(Decision::Send(place)) => Ok(Placed {
-                gateway: Rc::clone(self),
-                place,
-                ended: false,
-            }),
+            Ok(Decision::Send(place)) => Ok(Placed::new(Rc::clone(self), place)),
             Ok(Decision::Reject {
                 reason,
                 retry_after,
@@ -342,6 +367,15 @@
 }
 
 impl Placed {
+    fn new(gateway: Rc<Gateway>, place: Place) -> Self {
+        Self {
+            gateway,
+            place,
+            since: Instant::now(),
+            ended: false,
+        }
+    }
+
     pub(super) fn place(&self) -> &Place {
         &self.place
     }
--- a/bins/entry/src/ingress/metrics.rs
+++ b/bins/entry/src/ingress/metrics.rs
@@ -22,6 +22,8 @@
     first_byte: Histogram,
     resumed: Counter,
     cut: Counter,
+    callers_left: Counter,
+    outdated: Counter,
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -38,6 +40,8 @@
             first_byte: Histogram::new(FIRST_BYTE_BOUNDS),
             resumed: Counter::default(),
             cut: Counter::default(),
+            callers_left: Counter::default(),
+            outdated: Counter::default(),
         };
         let registry = registry.sub_registry_with_prefix("carobport_ingress");
         registry.register(
@@ -66,6 +70,16 @@
             "Streams that ended before their last event",
             metrics.cut.clone(),
         );
+        registry.register(
+            "callers_left",
+            "Requests whose caller left before the answer had ended",
+            metrics.callers_left.clone(),
+        );
+        registry.register(
+            "outdated_answers",
+            "Answers from weights that were too old to begin a request when the first event came",
+            metrics.outdated.clone(),
+        );
         metrics
     }
 
@@ -89,4 +103,12 @@
     pub(super) fn cut(&self) {
         self.cut.inc();
     }
+
+    pub(super) fn caller_left(&self) {
+        self.callers_left.inc();
+    }
+
+    pub(super) fn outdated(&self) {
+        self.outdated.inc();
+    }
 }
--- a/bins/entry/src/ingress/stream.rs
+++ b/bins/entry/src/ingress/stream.rs
@@ -20,6 +20,7 @@
 use super::end::End;
 use super::events::Splitter;
 use super::gateway::{Gateway, Placed};
+use super::unfinished::Unfinished;
 use crate::in_progress::InProgress;
 
 /// Multiple of the objective in which the first event must come while another target is left.
@@ -68,6 +69,7 @@
     run: Option<Run>,
     first: Option<Bytes>,
     ended: bool,
+    unfinished: Unfinished,
     /// Where the run learns that it has to go on elsewhere.
     moved: Option<oneshot::Receiver<Placed>>,
     _guard: InProgress,
@@ -75,6 +77,7 @@
 
 /// Serves a request whose answer is a stream.
 pub(super) async fn serve(gateway: &Rc<Gateway>, call: Call, guard: InProgress) -> Response<Body> {
+    let mut unfinished = Unfinished::new(gateway, &call);
     let mut kept = None;
     let opened = open(
         gateway,
@@ -86,9 +89,15 @@
     .await;
     let opened = match (opened, kept) {
         (Ok(opened), _) => opened,
-        (Err(_), Some(response)) => return response.map(Body::from),
-        (Err(end), None) => return gateway.give_up(&call, end),
+        (Err(end), kept) => {
+            unfinished.finish();
+            return match kept {
+                Some(response) => response.map(Body::from),
+                None => gateway.give_up(&call, end),
+            };
+        }
     };
+    unfinished.answered_by(&opened.run.placed.place().target);
     gateway.metrics.answered(call.arrived.elapsed());
     let mut response = Response::new(Body::empty());
     *response.status_mut() = opened.status;
@@ -99,6 +108,7 @@
         run: Some(opened.run),
         first: Some(opened.first),
         ended: opened.ended,
+        unfinished,
         moved: None,
         _guard: guard,
     };
@@ -172,6 +182,7 @@
     match run.next(limit).await {
         Ok(first) => {
             run.placed.started(run.version);
+            gateway.check_version(call, &run.placed, run.version);
             let ended = first.is_none();
             Ok(Attempt::Opened(Box::new(Opened {
                 status: answered.status,
@@ -221,8 +232,21 @@
         }))
     }
 
-    /// Returns the next events for the caller, from another target where one fails.
+    /// Returns the next events for the caller, and notes how far the answer is.
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
+        let next = self.advance().await;
+        match &next {
+            Ok(Some(_)) => {
+                let last = self.run.as_ref().and_then(|run| run.events.last());
+                self.unfinished.passed(last);
+            }
+            Ok(None) | Err(_) => self.unfinished.finish(),
+        }
+        next
+    }
+
+    /// Returns the next events for the caller, from another target where one fails.
+    async fn advance(&mut self) -> io::Result<Option<Bytes>> {
         if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
             return Ok(Some(first));
         }
@@ -322,18 +346,24 @@
                     reason = reason
                 );
                 self.gateway.metrics.resumed();
+                let target = &opened.run.placed.place().target;
+                self.unfinished.answered_by(target);
                 self.first = Some(opened.first);
                 self.ended = opened.ended;
                 self.run = Some(opened.run);
                 Ok(())
             }
             Some(Attempt::Other(_)) | None => {
+                let now = Instant::now();
+                let left = self.call.deadline.saturating_duration_since(now);
                 event!(
                     event::STREAM_CUT,
                     request = self.call.caller.id,
                     target = target,
                     failure = reason,
-                    after = last.unwrap_or_default()
+                    after = last.unwrap_or_default(),
+                    age_ms = self.call.arrived.elapsed().as_millis(),
+                    left_ms = left.as_millis()
                 );
                 self.gateway.metrics.cut();
                 Err(io::Error::other(reason))
--- a/crates/dispatch/src/versions.rs
+++ b/crates/dispatch/src/versions.rs
@@ -85,14 +85,20 @@
         Some(*version)
     }
 
-    /// Returns the oldest version of `model` that may begin a request at `now`; 0 while any may.
+    /// Returns the oldest version of `model` whose targets may be sent a request at `now`; 0 while any may.
     pub fn oldest(&self, model: &str, now: Instant) -> u64 {
+        self.due(model, now + MARGIN)
+    }
+
+    /// Returns the newest version of `model` whose bound has passed at `now`: an older one may not begin a request; 0
+    /// while any may.
+    pub fn due(&self, model: &str, now: Instant) -> u64 {
         let Some(named) = self.named.get(model) else {
             return 0;
         };
         let due = |named: &Named| match *named {
             Named::Before => true,
-            Named::At(at) => now + MARGIN >= at + self.bound,
+            Named::At(at) => now >= at + self.bound,
         };
         let due = named.iter().rev().find(|(_, named)| due(named));
         due.map_or(0, |(version, _)| *version)
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -73,6 +73,8 @@
     STORE_LOST = 255 Warn "store-lost";
     STORE_BACK = 256 Info "store-back";
     DATAGRAM_FAILED = 257 Debug "datagram-failed";
+    CALLER_LEFT = 258 Info "caller-left";
+    OUTDATED_ANSWER = 259 Warn "outdated-answer";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
