ingress: end an attempt only once another one has begun

Cause: break before make. The entry ended an attempt that was silent (3 times the objective before the first event, 4 times the pause within a stream, twice the objective of a plain answer) or whose engine was about to load, and only then looked for another target. Under overload none has room, the chosen one refuses, and the answer is lost. Change: a second attempt begins beside the first one when a target has room at once (dispatch::place_beside); the first answer ends the other (hedge). A run that is silent or has to move goes on until its successor has given events; what both gave is passed on once. A target is noted as late without losing the attempt. A resumed stream tries further targets while attempts are left. Event 260 target-late. Why it works: nothing that could still answer is ended unless its answer is already being replaced.

--- a/bins/entry/src/ingress/attempt.rs
+++ b/bins/entry/src/ingress/attempt.rs
@@ -8,7 +8,8 @@
 use platform::answer::Head;
 
 use super::call::Call;
-use super::gateway::{Gateway, Placed};
+use super::gateway::Gateway;
+use super::placed::Placed;
 
 /// A target's own answer, of which the body is still to come.
 pub(super) struct Answered {
--- a/bins/entry/src/ingress/events.rs
+++ b/bins/entry/src/ingress/events.rs
@@ -75,6 +75,15 @@
         }
     }
 
+    /// Leaves out the events up to `last`: those of `given`, whole events that were given out before, and those to come.
+    pub fn skip_to(&mut self, last: Option<u64>, given: &Bytes) -> Bytes {
+        let mut others = Self::after(last);
+        // The events given out follow each other; without the first of them no event is missing.
+        let rest = others.push(given).unwrap_or_else(|_| given.clone());
+        self.last = self.last.max(last);
+        rest
+    }
+
     /// Returns the length of the first event, with the blank line that ends it.
     fn next_end(&mut self) -> Option<usize> {
         let bytes = &self.buffer[..];
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -18,6 +18,7 @@
 use super::call::{Call, Refusal};
 use super::end::{End, Rejection};
 use super::metrics::Metrics;
+use super::placed::Placed;
 use super::unfinished::Unfinished;
 use crate::in_progress::InProgress;
 
@@ -54,14 +55,6 @@
     id: RequestId,
 }
 
-/// A request's place on a target; dropping it frees the place as if the caller had left.
-pub(super) struct Placed {
-    gateway: Rc<Gateway>,
-    place: Place,
-    since: Instant,
-    ended: bool,
-}
-
 impl Gateway {
     /// Returns a gateway without configuration or targets.
     pub fn new(settings: Settings, registry: &mut Registry) -> Rc<Self> {
@@ -291,7 +284,7 @@
             version = version,
             known = known.unwrap_or_default(),
             due = due,
-            placed_ms = now.saturating_duration_since(placed.since).as_millis()
+            placed_ms = placed.age(now).as_millis()
         );
     }
 
@@ -302,13 +295,31 @@
         receiver
     }
 
+    /// Forgets where the ended run `id` would learn of a move.
+    pub(super) fn forget_run(&self, id: RequestId) {
+        self.moves.borrow_mut().remove(&id);
+    }
+
+    /// Returns a second place for `work`, whose attempt goes on, if a target has room at once.
+    pub(super) fn place_beside(self: &Rc<Self>, work: Work) -> Option<Placed> {
+        let place = self.update(|scheduler, now| scheduler.place_beside(now, work))?;
+        Some(Placed::new(Rc::clone(self), place))
+    }
+
+    /// Notes that the first event of a request arrived.
+    pub(super) fn started(&self, id: RequestId, version: Option<u64>) {
+        self.scheduler.borrow_mut().started(id, version);
+    }
+
     /// Gives a run its new place, which is free again at once if the run has ended.
     fn move_run(&self, request: RequestId, place: Place) {
         let Some(gateway) = self.me.upgrade() else {
             return;
         };
         let placed = Placed::new(gateway, place);
-        if let Some(sender) = self.moves.borrow_mut().remove(&request) {
+        // A run that has ended drops its new place, which takes its own entry out of the map.
+        let sender = self.moves.borrow_mut().remove(&request);
+        if let Some(sender) = sender {
             let _ = sender.send(placed);
         }
     }
@@ -366,71 +377,6 @@
     }
 }
 
-impl Placed {
-    fn new(gateway: Rc<Gateway>, place: Place) -> Self {
-        Self {
-            gateway,
-            place,
-            since: Instant::now(),
-            ended: false,
-        }
-    }
-
-    pub(super) fn place(&self) -> &Place {
-        &self.place
-    }
-
-    /// Notes that the first event arrived.
-    pub(super) fn started(&self, version: Option<u64>) {
-        self.gateway
-            .scheduler
-            .borrow_mut()
-            .started(self.place.request, version);
-    }
-
-    /// Ends the attempt and returns what was asked for, to be submitted once more or dropped.
-    pub(super) fn end(mut self, outcome: Outcome) -> Work {
-        self.finish(outcome);
-        self.place.work.clone()
-    }
-
-    fn finish(&mut self, outcome: Outcome) {
-        if std::mem::replace(&mut self.ended, true) {
-            return;
-        }
-        let (id, target) = (self.place.request, &self.place.target);
-        self.gateway.moves.borrow_mut().remove(&id);
-        if let Outcome::Failed(failure) = outcome {
-            self.gateway.metrics.failed(failure);
-            let work = &self.place.work;
-            let now = Instant::now();
-            event!(
-                event::ATTEMPT_FAILED,
-                request = work.id,
-                target = target,
-                failure = failure.name(),
-                load = self.place.load,
-                attempt = work.tried.len(),
-                attempts_left = work.attempts,
-                age_ms = now.saturating_duration_since(work.arrived).as_millis(),
-                left_ms = work.deadline.saturating_duration_since(now).as_millis()
-            );
-        }
-        let ejected = self
-            .gateway
-            .update(|scheduler, now| scheduler.ended(now, id, outcome));
-        if ejected {
-            event!(event::TARGET_EJECTED, target = target);
-        }
-    }
-}
-
-impl Drop for Placed {
-    fn drop(&mut self) {
-        self.finish(Outcome::Abandoned);
-    }
-}
-
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         if self.gateway.steps.borrow_mut().remove(&self.id).is_some() {
--- a/bins/entry/src/ingress/plain.rs
+++ b/bins/entry/src/ingress/plain.rs
@@ -1,50 +1,52 @@
 //! Requests whose answers are passed on whole.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Instant;
 
 use bytes::Bytes;
-use dispatch::{Failure, Outcome};
+use dispatch::Failure;
 use node::http::{Body, Response, StatusCode};
 
 use super::call::Call;
 use super::end::End;
-use super::gateway::{Gateway, Placed};
+use super::gateway::Gateway;
+use super::hedge;
+use super::placed::Placed;
 
-/// Multiple of the objective after which another target is tried while one is left.
+/// Multiple of the objective after which a second target is tried beside one that has not answered.
 const PATIENCE: u32 = 2;
 /// Largest answer, in bytes; it is held in memory until it is whole.
 const MAX_ANSWER: usize = 8 << 20;
 
-/// A target's whole answer.
-struct Whole {
-    response: Response<Bytes>,
-    failed: bool,
-}
-
 /// Serves a request whose answer is passed on once it is whole.
 pub(super) async fn serve(gateway: &Rc<Gateway>, call: &Call) -> Response<Body> {
     let mut ran = None;
-    let mut kept = None;
+    // The last failure that a target answered with.
+    let kept = Cell::new(None);
     let mut next = gateway.submit(call.work()).await;
     loop {
         let placed = match next {
             Ok(placed) => placed,
-            Err(end) => return finish(gateway, call, kept, end),
+            Err(end) => return finish(gateway, call, kept.take(), end),
         };
-        let failure = match exchange(gateway, call, &placed).await {
-            Ok(whole) if !whole.failed || !placed.place().work.is_repeatable() => {
-                placed.end(Outcome::Answered);
-                gateway.metrics.answered(call.arrived.elapsed());
-                return whole.response.map(Body::from);
+        let exchange = async |placed: &Placed| {
+            let response = exchange(gateway, call, placed).await?;
+            if is_failure(response.status()) && placed.place().work.is_repeatable() {
+                kept.set(Some(response));
+                return Err(Failure::Error);
             }
-            Ok(whole) => {
-                kept = Some(whole.response);
-                Failure::Error
+            Ok(response)
+        };
+        let patience = call.objective * PATIENCE;
+        let (failure, work) = match hedge::attempt(placed, patience, exchange).await {
+            Ok((placed, response)) => {
+                placed.answered();
+                gateway.metrics.answered(call.arrived.elapsed());
+                return response.map(Body::from);
             }
-            Err(failure) => failure,
+            Err(failed) => failed,
         };
-        let work = placed.end(Outcome::Failed(failure));
         next = gateway.submit_again(call, work, failure, &mut ran).await;
     }
 }
@@ -66,29 +68,22 @@
 }
 
 /// Makes one attempt and reads the whole answer.
-async fn exchange(gateway: &Gateway, call: &Call, placed: &Placed) -> Result<Whole, Failure> {
-    let work = &placed.place().work;
-    let mut limit = call.deadline;
-    if work.is_repeatable() && work.attempts > 0 {
-        limit = limit.min(Instant::now() + call.objective * PATIENCE);
-    }
+async fn exchange(
+    gateway: &Gateway,
+    call: &Call,
+    placed: &Placed,
+) -> Result<Response<Bytes>, Failure> {
+    let limit = call.deadline;
     let answered = gateway.attempt(call, placed, limit, None).await?;
-    let body =
-        answered
-            .body
-            .bytes(MAX_ANSWER)
-            .await
-            .map_err(|_| match Instant::now() >= limit {
-                true => Failure::Late,
-                false => Failure::Broken,
-            })?;
+    let broken = |_| match Instant::now() >= limit {
+        true => Failure::Late,
+        false => Failure::Broken,
+    };
+    let body = answered.body.bytes(MAX_ANSWER).await.map_err(broken)?;
     let mut response = Response::new(body);
     *response.status_mut() = answered.status;
     *response.headers_mut() = platform::answer::pass(&answered.headers);
-    Ok(Whole {
-        failed: is_failure(answered.status),
-        response,
-    })
+    Ok(response)
 }
 
 /// Tells whether another target may do better.
--- a/bins/entry/src/ingress/stream.rs
+++ b/bins/entry/src/ingress/stream.rs
@@ -1,57 +1,52 @@
 //! Requests whose answers are series of events.
 //!
 //! Only whole events are passed on. When a target fails within a stream that may be resumed, another one with the same
-//! weights goes on after the last event, and the caller sees one answer.
+//! weights goes on after the last event, and the caller sees one answer. A run that is only silent, or whose engine is
+//! about to load other weights, goes on until another one gives events: there may be no other one.
 
+use std::future::pending;
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use dispatch::{Failure, Outcome, Work};
-use futures::FutureExt;
 use futures::channel::oneshot;
-use futures::future::{Either, select};
+use futures::future::LocalBoxFuture;
 use futures::stream::unfold;
+use futures::{FutureExt, select_biased};
 use node::event;
-use node::http::{Answer, Body, HeaderMap, Response, StatusCode};
+use node::http::{Body, Response};
 
 use super::call::Call;
 use super::end::End;
-use super::events::Splitter;
-use super::gateway::{Gateway, Placed};
+use super::gateway::Gateway;
+use super::hedge::{self, Failed, LOOK_AGAIN};
+use super::placed::Placed;
+use super::run::{self, Beginning, Opened, Run};
 use super::unfinished::Unfinished;
 use crate::in_progress::InProgress;
 
-/// Multiple of the objective in which the first event must come while another target is left.
+/// Multiple of the objective after which a second target is tried beside one that gave no event.
 const FIRST_EVENT: u32 = 3;
-/// Multiple of the longest pause in time after which a target counts as stalled while another one is left.
+/// Multiple of the longest pause in time after which another target is tried beside one that is silent.
 const STALLED: u32 = 4;
-/// Longest answer of a target that isn't a stream, in bytes.
-const MAX_ANSWER: usize = 1 << 20;
 
-/// A stream whose first events have arrived.
-struct Opened {
-    status: StatusCode,
-    headers: HeaderMap,
-    run: Run,
-    first: Bytes,
-    ended: bool,
-}
-
-/// One target's run of a stream.
-struct Run {
-    placed: Placed,
-    body: Answer,
-    events: Splitter,
-    version: Option<u64>,
+/// Where a stream goes on.
+struct Successor {
+    /// The first events of the target that goes on.
+    opening: LocalBoxFuture<'static, Result<(Placed, Beginning), Failed>>,
+    cause: Cause,
 }
 
-/// What one attempt at a stream gave.
-enum Attempt {
-    Opened(Box<Opened>),
-    /// The target answered with something else than a stream.
-    Other(Response<Bytes>),
+/// Why a stream is to go on elsewhere.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Cause {
+    /// Its engine is about to load other weights.
+    Moved,
+    /// Its target is silent.
+    Stalled,
 }
 
 /// What happens next to a run.
@@ -59,19 +54,29 @@
     Events(Bytes),
     End,
     Failed(Failure),
-    Moved(Box<Placed>),
+    /// The run has to go on at another place.
+    Moved(Placed),
+    /// No events came for a time after which another target may do better.
+    Stalled,
+    /// The successor gave its first events, or failed.
+    Succeeded(Result<(Placed, Beginning), Failed>),
 }
 
 /// A stream on its way to the caller; dropping it ends the target's run.
 struct Relay {
     gateway: Rc<Gateway>,
-    call: Call,
-    run: Option<Run>,
-    first: Option<Bytes>,
+    call: Rc<Call>,
+    run: Run,
+    /// What is left to do if the run fails.
+    work: Work,
+    first: Bytes,
     ended: bool,
-    unfinished: Unfinished,
+    /// When to look for another target if no events come before.
+    look: Instant,
     /// Where the run learns that it has to go on elsewhere.
     moved: Option<oneshot::Receiver<Placed>>,
+    successor: Option<Successor>,
+    unfinished: Unfinished,
     _guard: InProgress,
 }
 
@@ -79,17 +84,10 @@
 pub(super) async fn serve(gateway: &Rc<Gateway>, call: Call, guard: InProgress) -> Response<Body> {
     let mut unfinished = Unfinished::new(gateway, &call);
     let mut kept = None;
-    let opened = open(
-        gateway,
-        &call,
-        call.work(),
-        call.caller.last_event,
-        &mut kept,
-    )
-    .await;
-    let opened = match (opened, kept) {
-        (Ok(opened), _) => opened,
-        (Err(end), kept) => {
+    let last = call.caller.last_event;
+    let (placed, opened) = match open(gateway, &call, call.work(), last, &mut kept).await {
+        Ok(opened) => opened,
+        Err(end) => {
             unfinished.finish();
             return match kept {
                 Some(response) => response.map(Body::from),
@@ -97,21 +95,12 @@
             };
         }
     };
-    unfinished.answered_by(&opened.run.placed.place().target);
+    unfinished.answered_by(&placed.place().target);
     gateway.metrics.answered(call.arrived.elapsed());
     let mut response = Response::new(Body::empty());
     *response.status_mut() = opened.status;
-    *response.headers_mut() = platform::answer::pass(&opened.headers);
-    let relay = Relay {
-        gateway: Rc::clone(gateway),
-        call,
-        run: Some(opened.run),
-        first: Some(opened.first),
-        ended: opened.ended,
-        unfinished,
-        moved: None,
-        _guard: guard,
-    };
+    response.headers_mut().clone_from(&opened.headers);
+    let relay = Relay::new(gateway, call, placed, opened, unfinished, guard);
     *response.body_mut() = relay.into_body();
     response
 }
@@ -123,14 +112,16 @@
     work: Work,
     last_event: Option<u64>,
     kept: &mut Option<Response<Bytes>>,
-) -> Result<Opened, End> {
+) -> Result<(Placed, Opened), End> {
     let mut ran = None;
     let mut next = gateway.submit(work).await;
     loop {
-        let placed = next?;
-        let (failure, work) = match attempt(gateway, call, placed, last_event).await {
-            Ok(Attempt::Opened(opened)) => return Ok(*opened),
-            Ok(Attempt::Other(response)) => {
+        let begin = async |placed: &Placed| run::begin(gateway, call, placed, last_event).await;
+        let patience = call.objective * FIRST_EVENT;
+        let (failure, work) = match hedge::attempt(next?, patience, begin).await {
+            Ok((placed, Beginning::Stream(opened))) => return Ok((placed, *opened)),
+            Ok((placed, Beginning::Other(response))) => {
+                placed.fail(Failure::Error);
                 *kept = Some(response);
                 return Err(End::MayHaveRun(Failure::Error));
             }
@@ -140,87 +131,34 @@
     }
 }
 
-/// Makes one attempt and waits for the first whole event.
-async fn attempt(
-    gateway: &Rc<Gateway>,
-    call: &Call,
-    placed: Placed,
-    last_event: Option<u64>,
-) -> Result<Attempt, (Failure, Work)> {
-    let mut limit = call.deadline;
-    let work = &placed.place().work;
-    if work.attempts > 0 && work.is_repeatable() {
-        limit = limit.min(Instant::now() + call.objective * FIRST_EVENT);
-    }
-    let wanted = work.version;
-    let fail = |placed: Placed, failure| (failure, placed.end(Outcome::Failed(failure)));
-    let answered = match gateway.attempt(call, &placed, limit, last_event).await {
-        Ok(answered) => answered,
-        Err(failure) => return Err(fail(placed, failure)),
-    };
-    if !answered.status.is_success() {
-        return match answered.body.bytes(MAX_ANSWER).await {
-            Ok(body) => {
-                let mut response = Response::new(body);
-                *response.status_mut() = answered.status;
-                *response.headers_mut() = platform::answer::pass(&answered.headers);
-                placed.end(Outcome::Failed(Failure::Error));
-                Ok(Attempt::Other(response))
-            }
-            Err(_) => Err(fail(placed, Failure::Broken)),
-        };
-    }
-    if wanted.is_some() && answered.head.version.is_some() && answered.head.version != wanted {
-        return Err(fail(placed, Failure::Misdirected));
-    }
-    let mut run = Run {
-        placed,
-        body: answered.body,
-        events: Splitter::after(last_event),
-        version: answered.head.version,
-    };
-    match run.next(limit).await {
-        Ok(first) => {
-            run.placed.started(run.version);
-            gateway.check_version(call, &run.placed, run.version);
-            let ended = first.is_none();
-            Ok(Attempt::Opened(Box::new(Opened {
-                status: answered.status,
-                headers: answered.headers,
-                first: first.unwrap_or_default(),
-                ended,
-                run,
-            })))
-        }
-        Err(failure) => Err(fail(run.placed, failure)),
-    }
-}
-
-impl Run {
-    /// Returns the next whole events, or `None` at the end of the stream.
-    async fn next(&mut self, limit: Instant) -> Result<Option<Bytes>, Failure> {
-        self.body.set_deadline(limit);
-        loop {
-            match self.body.next().await {
-                Ok(Some(piece)) => match self.events.push(&piece) {
-                    Ok(events) if events.is_empty() => {}
-                    Ok(events) => return Ok(Some(events)),
-                    Err(error) => {
-                        let target = &self.placed.place().target;
-                        event!(event::STREAM_MALFORMED, target = target, error = error);
-                        return Err(Failure::Broken);
-                    }
-                },
-                Ok(None) if self.events.is_empty() => return Ok(None),
-                Ok(None) => return Err(Failure::Broken),
-                Err(_) if Instant::now() >= limit => return Err(Failure::Late),
-                Err(_) => return Err(Failure::Broken),
-            }
+impl Relay {
+    fn new(
+        gateway: &Rc<Gateway>,
+        call: Call,
+        placed: Placed,
+        opened: Opened,
+        unfinished: Unfinished,
+        guard: InProgress,
+    ) -> Self {
+        let moved = gateway.moves(placed.place().request);
+        Self {
+            gateway: Rc::clone(gateway),
+            look: Instant::now() + stall_time(&call),
+            call: Rc::new(call),
+            work: placed.place().work.clone(),
+            run: Run {
+                placed,
+                feed: opened.feed,
+            },
+            first: opened.first,
+            ended: opened.ended,
+            moved: Some(moved),
+            successor: None,
+            unfinished,
+            _guard: guard,
         }
     }
-}
 
-impl Relay {
     fn into_body(self) -> Body {
         Body::stream(unfold(Some(self), |relay| async {
             let mut relay = relay?;
@@ -236,10 +174,7 @@
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
         let next = self.advance().await;
         match &next {
-            Ok(Some(_)) => {
-                let last = self.run.as_ref().and_then(|run| run.events.last());
-                self.unfinished.passed(last);
-            }
+            Ok(Some(_)) => self.unfinished.passed(self.run.feed.last()),
             Ok(None) | Err(_) => self.unfinished.finish(),
         }
         next
@@ -247,150 +182,234 @@
 
     /// Returns the next events for the caller, from another target where one fails.
     async fn advance(&mut self) -> io::Result<Option<Bytes>> {
-        if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
-            return Ok(Some(first));
-        }
-        if self.ended {
-            self.end(Outcome::Answered);
-            return Ok(None);
-        }
         loop {
-            match self.step().await? {
-                Step::Events(events) => return Ok(Some(events)),
-                Step::End => {
-                    self.end(Outcome::Answered);
-                    return Ok(None);
+            if !self.first.is_empty() {
+                return Ok(Some(std::mem::take(&mut self.first)));
+            }
+            if self.ended {
+                self.end();
+                return Ok(None);
+            }
+            match self.step().await {
+                Step::Events(events) => {
+                    self.heard();
+                    return Ok(Some(events));
                 }
+                Step::End => self.ended = true,
                 Step::Failed(failure) => self.resume(failure).await?,
-                Step::Moved(placed) => self.move_to(*placed).await?,
-            }
-            if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
-                return Ok(Some(first));
+                Step::Moved(placed) => {
+                    self.moved = None;
+                    self.succeed(placed, Cause::Moved);
+                }
+                Step::Stalled => self.look_beside(),
+                Step::Succeeded(result) => self.take_over(result),
             }
         }
     }
 
-    /// Waits for what comes first: events, the end of the run, or its move.
-    async fn step(&mut self) -> io::Result<Step> {
-        let Some(run) = &mut self.run else {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        };
-        let moved = self
-            .moved
-            .get_or_insert_with(|| self.gateway.moves(run.placed.place().request));
-        let limit = limit(&self.call, run);
-        let next = run.next(limit).boxed_local();
-        Ok(match select(next, moved).await {
-            Either::Left((Ok(Some(events)), _)) => Step::Events(events),
-            Either::Left((Ok(None), _)) => Step::End,
-            Either::Left((Err(failure), _)) => Step::Failed(failure),
-            Either::Right((Ok(placed), _)) => Step::Moved(Box::new(placed)),
-            // The sender lives in the gateway until the run ends.
-            Either::Right((Err(_), _)) => Step::Failed(Failure::Broken),
-        })
+    /// Waits for what comes first.
+    async fn step(&mut self) -> Step {
+        let look = (self.successor.is_none() && self.work.may_repeat()).then_some(self.look);
+        let deadline = self.call.deadline;
+        let target = &self.run.placed.place().target;
+        let mut next = pin!(self.run.feed.next(deadline, target).fuse());
+        let mut moved = pin!(received(&mut self.moved).fuse());
+        let mut opened = pin!(opened(&mut self.successor).fuse());
+        let mut silent = pin!(silent_at(look).fuse());
+        select_biased! {
+            events = next => match events {
+                Ok(Some(events)) => Step::Events(events),
+                Ok(None) => Step::End,
+                Err(failure) => Step::Failed(failure),
+            },
+            result = opened => Step::Succeeded(result),
+            placed = moved => Step::Moved(placed),
+            () = silent => Step::Stalled,
+        }
     }
 
-    /// Ends the run of a target that is about to change its weights, and goes on at `placed`.
-    async fn move_to(&mut self, placed: Placed) -> io::Result<()> {
-        let Some(run) = self.take_run() else {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        };
-        let last = run.events.last();
-        let target = run.placed.place().target.clone();
-        run.placed.end(Outcome::Abandoned);
-        drop(run.body);
-        match attempt(&self.gateway, &self.call, placed, last).await {
-            Ok(resumed) => self.go_on(&target, last, Some(resumed), "moved"),
-            Err((failure, _)) => self.go_on(&target, last, None, failure.name()),
+    /// Notes that events came: a successor of a silent run isn't needed any more.
+    fn heard(&mut self) {
+        self.look = Instant::now() + stall_time(&self.call);
+        self.successor = self
+            .successor
+            .take()
+            .filter(|successor| successor.cause == Cause::Moved);
+    }
+
+    /// Looks for another target beside one that is silent.
+    fn look_beside(&mut self) {
+        let silence = self.run.feed.heard.elapsed();
+        self.look = Instant::now() + LOOK_AGAIN;
+        if let Some(placed) = self.run.placed.beside(self.resumable_work(), silence) {
+            self.succeed(placed, Cause::Stalled);
         }
     }
 
-    /// Goes on at another target after a failure, or cuts the answer.
-    async fn resume(&mut self, failure: Failure) -> io::Result<()> {
-        let Some(run) = self.take_run() else {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        };
-        let (last, version) = (run.events.last(), run.version);
-        let target = run.placed.place().target.clone();
-        let mut work = run.placed.end(Outcome::Failed(failure));
-        drop(run.body);
-        work.version = version;
-        let resumed = match self.gateway.retry(work, failure).await {
-            Some(Ok(placed)) => attempt(&self.gateway, &self.call, placed, last).await.ok(),
-            Some(Err(_)) | None => None,
+    /// Lets another target begin after the last event, while the run goes on.
+    fn succeed(&mut self, placed: Placed, cause: Cause) {
+        self.work = placed.place().work.clone();
+        let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
+        let last = self.run.feed.last();
+        let opening = async move {
+            match run::begin(&gateway, &call, &placed, last).await {
+                Ok(beginning) => Ok((placed, beginning)),
+                Err(failure) => Err((failure, placed.end(Outcome::Failed(failure)))),
+            }
         };
-        self.go_on(&target, last, resumed, failure.name())
+        self.successor = Some(Successor {
+            opening: opening.boxed_local(),
+            cause,
+        });
     }
 
-    fn take_run(&mut self) -> Option<Run> {
-        self.moved = None;
-        self.run.take()
+    /// Goes on with the successor's run if it gives events, else with the present one.
+    fn take_over(&mut self, result: Result<(Placed, Beginning), Failed>) {
+        let cause = self.successor.take().map(|successor| successor.cause);
+        self.look = Instant::now() + stall_time(&self.call);
+        match result {
+            Ok((placed, Beginning::Stream(opened))) => {
+                let reason = match cause {
+                    Some(Cause::Moved) => "moved",
+                    Some(Cause::Stalled) | None => Failure::Late.name(),
+                };
+                self.go_on(placed, *opened, reason);
+            }
+            Ok((placed, Beginning::Other(_))) => placed.fail(Failure::Error),
+            Err(_) => {}
+        }
     }
 
-    /// Takes the run that goes on after the event `last`, or cuts the answer.
-    fn go_on(
-        &mut self,
-        target: &str,
-        last: Option<u64>,
-        resumed: Option<Attempt>,
-        reason: &'static str,
-    ) -> io::Result<()> {
-        match resumed {
-            Some(Attempt::Opened(opened)) => {
-                event!(
-                    event::STREAM_RESUMED,
-                    request = self.call.caller.id,
-                    from = target,
-                    to = opened.run.placed.place().target,
-                    after = last.unwrap_or_default(),
-                    reason = reason
-                );
-                self.gateway.metrics.resumed();
-                let target = &opened.run.placed.place().target;
-                self.unfinished.answered_by(target);
-                self.first = Some(opened.first);
-                self.ended = opened.ended;
-                self.run = Some(opened.run);
+    /// Goes on at another target after the run failed, or cuts the answer.
+    async fn resume(&mut self, failure: Failure) -> io::Result<()> {
+        self.run.placed.fail(failure);
+        self.moved = None;
+        let succeeded = match self.successor.take() {
+            Some(successor) => Some(successor.opening.await),
+            None => None,
+        };
+        let next = match succeeded {
+            Some(Ok((placed, Beginning::Stream(opened)))) => Some((placed, *opened)),
+            Some(Ok((placed, Beginning::Other(_)))) => {
+                placed.fail(Failure::Error);
+                None
+            }
+            Some(Err((failure, work))) => self.open_again(work, failure).await,
+            None => self.open_again(self.resumable_work(), failure).await,
+        };
+        match next {
+            Some((placed, opened)) => {
+                self.go_on(placed, opened, failure.name());
                 Ok(())
             }
-            Some(Attempt::Other(_)) | None => {
-                let now = Instant::now();
-                let left = self.call.deadline.saturating_duration_since(now);
-                event!(
-                    event::STREAM_CUT,
-                    request = self.call.caller.id,
-                    target = target,
-                    failure = reason,
-                    after = last.unwrap_or_default(),
-                    age_ms = self.call.arrived.elapsed().as_millis(),
-                    left_ms = left.as_millis()
-                );
-                self.gateway.metrics.cut();
-                Err(io::Error::other(reason))
+            None => Err(self.cut(failure.name())),
+        }
+    }
+
+    /// Tries targets until one goes on after the last event.
+    async fn open_again(&self, mut work: Work, mut failure: Failure) -> Option<(Placed, Opened)> {
+        let last = self.run.feed.last();
+        let begin =
+            async |placed: &Placed| run::begin(&self.gateway, &self.call, placed, last).await;
+        loop {
+            let placed = self.gateway.retry(work, failure).await?.ok()?;
+            match hedge::attempt(placed, stall_time(&self.call), begin).await {
+                Ok((placed, Beginning::Stream(opened))) => return Some((placed, *opened)),
+                Ok((placed, Beginning::Other(_))) => {
+                    placed.fail(Failure::Error);
+                    return None;
+                }
+                Err(failed) => (failure, work) = failed,
             }
         }
     }
 
-    fn end(&mut self, outcome: Outcome) {
-        if let Some(run) = self.take_run() {
-            event!(
-                event::STREAM_ENDED,
-                request = self.call.caller.id,
-                target = run.placed.place().target,
-                ms = self.call.arrived.elapsed().as_millis(),
-                last = run.events.last().unwrap_or_default()
-            );
-            run.placed.end(outcome);
+    /// Returns what is left to do for a target with the same weights.
+    fn resumable_work(&self) -> Work {
+        Work {
+            version: self.run.feed.version,
+            ..self.work.clone()
         }
     }
+
+    /// Takes the run that goes on; events that the present one gave meanwhile are left out.
+    fn go_on(&mut self, placed: Placed, mut opened: Opened, reason: &'static str) {
+        let last = self.run.feed.last();
+        opened.skip_to(last);
+        let target = &placed.place().target;
+        event!(
+            event::STREAM_RESUMED,
+            request = self.call.caller.id,
+            from = self.run.placed.place().target,
+            to = target,
+            after = last.unwrap_or_default(),
+            reason = reason
+        );
+        self.gateway.metrics.resumed();
+        self.unfinished.answered_by(target);
+        self.moved = Some(self.gateway.moves(placed.place().request));
+        self.work = placed.place().work.clone();
+        self.first = opened.first;
+        self.ended = opened.ended;
+        self.look = Instant::now() + stall_time(&self.call);
+        // The run before ends here, as one that its caller gave up if it didn't fail.
+        self.run = Run {
+            placed,
+            feed: opened.feed,
+        };
+    }
+
+    /// Logs that the answer ends before its last event.
+    fn cut(&mut self, reason: &'static str) -> io::Error {
+        let now = Instant::now();
+        let call = &self.call;
+        event!(
+            event::STREAM_CUT,
+            request = call.caller.id,
+            target = self.run.placed.place().target,
+            failure = reason,
+            after = self.run.feed.last().unwrap_or_default(),
+            age_ms = now.saturating_duration_since(call.arrived).as_millis(),
+            left_ms = call.deadline.saturating_duration_since(now).as_millis()
+        );
+        self.gateway.metrics.cut();
+        io::Error::other(reason)
+    }
+
+    fn end(&mut self) {
+        event!(
+            event::STREAM_ENDED,
+            request = self.call.caller.id,
+            target = self.run.placed.place().target,
+            ms = self.call.arrived.elapsed().as_millis(),
+            last = self.run.feed.last().unwrap_or_default()
+        );
+        self.run.placed.answered();
+    }
+}
+
+/// Returns the new place of a run that has to go on elsewhere.
+async fn received(moved: &mut Option<oneshot::Receiver<Placed>>) -> Placed {
+    if let Some(receiver) = moved
+        && let Ok(placed) = receiver.await
+    {
+        return placed;
+    }
+    pending().await
+}
+
+/// Returns the first events of the successor, or its failure.
+async fn opened(successor: &mut Option<Successor>) -> Result<(Placed, Beginning), Failed> {
+    match successor {
+        Some(successor) => (&mut successor.opening).await,
+        None => pending().await,
+    }
 }
 
-/// Returns the time by which the next event must come.
-fn limit(call: &Call, run: &Run) -> Instant {
-    let work = &run.placed.place().work;
-    match work.attempts > 0 && work.is_repeatable() {
-        true => call.deadline.min(Instant::now() + stall_time(call)),
-        false => call.deadline,
+async fn silent_at(look: Option<Instant>) {
+    match look {
+        Some(look) => compio::time::sleep_until(look).await,
+        None => pending().await,
     }
 }
 
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -242,6 +242,30 @@
         Some(self.enqueue(now, work))
     }
 
+    /// Returns a second place for `work`, whose attempt goes on, or `None` when no target has room at once.
+    ///
+    /// As for a retry, its kind must allow repeats, and an attempt, some time and a repeat of the budget must be left.
+    pub fn place_beside(&mut self, now: Instant, work: Work) -> Option<Place> {
+        if !work.may_repeat() || now + LEAST_TIME >= work.deadline {
+            return None;
+        }
+        let Choice::Target(target) = self.choose(now, &work, Backlog::None) else {
+            return None;
+        };
+        if !self.budget(now, &work.service).take(now) {
+            return None;
+        }
+        self.next += 1;
+        self.place(now, self.next, work, &target)
+    }
+
+    /// Notes that the target of a request is silent for too long while its attempt goes on, and returns whether the
+    /// target was ejected for it.
+    pub fn late(&mut self, now: Instant, id: RequestId) -> bool {
+        let held = self.held(id);
+        held.is_some_and(|held| held.health.failure(now, Failure::Late))
+    }
+
     /// Forgets a waiting request whose caller left.
     pub fn cancel(&mut self, id: RequestId) {
         for queue in self.queues.values_mut() {
@@ -321,26 +345,16 @@
             let Some(placing) = self.places.get(&request) else {
                 continue;
             };
-            if placing.work.attempts == 0 || !placing.work.is_repeatable() {
-                continue;
-            }
             let mut work = placing.work.clone();
             work.version = Some(version);
             work.output /= 2;
-            let Choice::Target(target) = self.choose(now, &work, Backlog::None) else {
+            let Some(place) = self.place_beside(now, work) else {
                 continue;
             };
-            if !self.budget(now, &work.service).take(now) {
-                continue;
-            }
-            self.next += 1;
-            let id = self.next;
             if let Some(placing) = self.places.get_mut(&request) {
                 placing.work.attempts = 0;
             }
-            if let Some(place) = self.place(now, id, work, &target) {
-                decisions.push(Decision::Move { request, place });
-            }
+            decisions.push(Decision::Move { request, place });
         }
     }
 
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -77,6 +77,11 @@
         self.waited >= self.objective
     }
 
+    /// Tells whether the request may be sent to another target although it may have run.
+    pub fn may_repeat(&self) -> bool {
+        self.attempts > 0 && self.is_repeatable()
+    }
+
     /// Tells whether a target may run the request again after it may have run.
     pub fn is_repeatable(&self) -> bool {
         match self.kind {
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/beside.rs
@@ -0,0 +1,78 @@
+//! Second attempts beside one that is late.
+
+use std::time::Instant;
+
+use dispatch::{Kind, Load, Outcome, Work};
+
+use crate::support::{SLOTS, call, draft, fill_budget, idle, ms, scheduler, submit, target};
+
+// Guards against a second attempt where the request already is, and against one that forgets that the first one counts.
+#[test]
+fn place_beside_elsewhere() {
+    let now = Instant::now();
+    let mut scheduler = scheduler();
+    scheduler.put_target(target("a", "drafts", "north"));
+    fill_budget(&mut scheduler, now);
+    let place = submit(&mut scheduler, now, draft(now)).unwrap();
+    assert_eq!(scheduler.place_beside(now, place.work.clone()), None);
+    scheduler.put_target(target("b", "drafts", "south"));
+    let beside = scheduler.place_beside(now, place.work).unwrap();
+    assert_eq!(beside.target, "b");
+    assert_eq!(beside.work.tried, ["a", "b"]);
+    assert_eq!(beside.work.attempts, 0);
+    assert_eq!(scheduler.place_beside(now, beside.work), None);
+}
+
+// Guards against a second attempt that waits at a full target: it would only lengthen the queue there.
+#[test]
+fn place_beside_needs_room() {
+    let now = Instant::now();
+    let mut scheduler = scheduler();
+    scheduler.put_target(target("a", "drafts", "north"));
+    fill_budget(&mut scheduler, now);
+    let place = submit(&mut scheduler, now, draft(now)).unwrap();
+    scheduler.put_target(target("b", "drafts", "south"));
+    let full = Load {
+        running: SLOTS,
+        ..idle()
+    };
+    scheduler.answer_load(now, "b", full);
+    assert_eq!(scheduler.place_beside(now, place.work.clone()), None);
+    scheduler.answer_load(now + ms(10), "b", idle());
+    assert!(scheduler.place_beside(now + ms(10), place.work).is_some());
+}
+
+// Guards against a reservation that runs twice because its target is slow.
+#[test]
+fn place_beside_not_repeatable() {
+    let now = Instant::now();
+    let mut scheduler = scheduler();
+    for id in ["a", "b"] {
+        scheduler.put_target(target(id, "desk", "north"));
+    }
+    let work = call(now, Kind::NonIdempotent, 2);
+    let place = submit(&mut scheduler, now, work).unwrap();
+    assert_eq!(scheduler.place_beside(now, place.work), None);
+}
+
+// Guards against a silent target that gets requests on and on because none of its attempts ends.
+#[test]
+fn late_ejects() {
+    let now = Instant::now();
+    let mut scheduler = scheduler();
+    scheduler.put_target(target("a", "drafts", "north"));
+    let work = Work {
+        attempts: 1,
+        ..draft(now)
+    };
+    let places: Vec<_> = (0..3)
+        .map(|_| submit(&mut scheduler, now, work.clone()).unwrap())
+        .collect();
+    let ejected: Vec<bool> = places
+        .iter()
+        .map(|place| scheduler.late(now, place.request))
+        .collect();
+    assert_eq!(ejected, [false, false, true]);
+    assert_eq!(scheduler.in_progress(), 3);
+    assert!(!scheduler.ended(now, places[0].request, Outcome::Answered));
+}
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions about requests.
 
+mod beside;
 mod budget;
 mod config;
 mod health;
--- a/crates/dispatch/tests/dispatch/moves.rs
+++ b/crates/dispatch/tests/dispatch/moves.rs
@@ -2,9 +2,9 @@
 
 use std::time::Instant;
 
-use dispatch::{Decision, Load, Outcome, Scheduler};
+use dispatch::{Decision, Load, Scheduler};
 
-use crate::support::{SLOTS, draft, idle, ms, scheduler, submit, target};
+use crate::support::{SLOTS, draft, fill_budget, idle, ms, scheduler, submit, target};
 
 fn closing() -> Load {
     Load {
@@ -19,10 +19,7 @@
     let mut scheduler = scheduler();
     scheduler.put_target(target("a", "drafts", "north"));
     let start = now - ms(1_000);
-    for _ in 0..100 {
-        let place = submit(&mut scheduler, start, draft(start)).unwrap();
-        scheduler.ended(start, place.request, Outcome::Answered);
-    }
+    fill_budget(&mut scheduler, start);
     let place = submit(&mut scheduler, start, draft(start)).unwrap();
     scheduler.started(place.request, version);
     scheduler.answer_load(now, "a", closing());
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use dispatch::{
-    Config, Decision, Engine, Kind, Limits, Load, Model, Place, Repeats, Scheduler, Service,
-    Target, Versions, Work,
+    Config, Decision, Engine, Kind, Limits, Load, Model, Outcome, Place, Repeats, Scheduler,
+    Service, Target, Versions, Work,
 };
 
 pub const BOUND: Duration = Duration::from_secs(8);
@@ -152,6 +152,14 @@
     }
 }
 
+/// Serves requests that give the budget repeats.
+pub fn fill_budget(scheduler: &mut Scheduler, now: Instant) {
+    for _ in 0..100 {
+        let place = submit(scheduler, now, draft(now)).unwrap();
+        scheduler.ended(now, place.request, Outcome::Answered);
+    }
+}
+
 /// Submits `work` and returns its place, if it gets one at once.
 pub fn submit(scheduler: &mut Scheduler, now: Instant, work: Work) -> Option<Place> {
     scheduler.submit(now, work);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -75,6 +75,7 @@
     DATAGRAM_FAILED = 257 Debug "datagram-failed";
     CALLER_LEFT = 258 Info "caller-left";
     OUTDATED_ANSWER = 259 Warn "outdated-answer";
+    TARGET_LATE = 260 Info "target-late";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
