dispatch: take a version from agents also where none was known before

Cause: Versions::aged ignored what agents told of a model of which the entry itself had heard no version. An entry whose own watch of the versions hung (it may for 29 s) sent requests to older weights as long, although its agents knew better. Why it works: each agent tells every entry each version that it saw named, at the latest every 0.8 s. Tests: aged_without_own_watch and version_due_told_by_agent; with the early return put back the first fails.

--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use dispatch::{Load, Source};
+use node::event;
 use wire::{Datagram, Named, Port, Subscription};
 
 use super::gateway::Gateway;
@@ -112,19 +113,29 @@
         closes: load.closes_ms.map(|ms| Duration::from_millis(ms.into())),
         weights: Some(load.weights.into_iter().collect()),
     };
+    for named in &named {
+        take_named(gateway, named);
+    }
     gateway.update(|scheduler, now| {
         scheduler.set_entries(entries);
-        for Named {
-            model,
-            version,
-            age_ms,
-        } in &named
-        {
-            if let Some(ms) = age_ms {
-                let age = Duration::from_millis((*ms).into());
-                scheduler.version_aged(now, model, *version, age);
-            }
-        }
         scheduler.report(now, engine, load);
     });
 }
+
+/// Takes a version that an agent saw named: this entry may hear nothing of the store.
+fn take_named(gateway: &Gateway, named: &Named) {
+    let Some(ms) = named.age_ms else {
+        return;
+    };
+    let age = Duration::from_millis(ms.into());
+    let (model, version) = (&named.model, named.version);
+    if gateway.update(|scheduler, now| scheduler.version_aged(now, model, version, age)) {
+        gateway.count_news();
+        event!(
+            event::VERSION_NAMED,
+            model = model,
+            version = version,
+            age_ms = ms
+        );
+    }
+}
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -152,7 +152,8 @@
                     event!(
                         event::VERSION_NAMED,
                         model = named.model,
-                        version = named.version
+                        version = named.version,
+                        age_ms = if first { "unknown" } else { "0" }
                     );
                 }
             }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -153,9 +153,9 @@
         self.versions.find(model, version)
     }
 
-    /// Takes what another process saw: that `version` of `model` was named `age` before `now`.
-    pub fn version_aged(&mut self, now: Instant, model: &str, version: u64, age: Duration) {
-        self.versions.aged(now, model, version, age);
+    /// Takes what another process saw: that `version` of `model` was named `age` before `now`; returns whether it is news.
+    pub fn version_aged(&mut self, now: Instant, model: &str, version: u64, age: Duration) -> bool {
+        self.versions.aged(now, model, version, age)
     }
 
     /// Returns the versions that operators named.
--- a/crates/dispatch/src/versions.rs
+++ b/crates/dispatch/src/versions.rs
@@ -49,19 +49,20 @@
     /// Takes what another process saw: that `version` of `model` was named `age` before `now`.
     ///
     /// It may be older than those known: an entry that starts finds only the newest one, but the one before decides which
-    /// targets may serve until the newest one is due.
-    pub fn aged(&mut self, now: Instant, model: &str, version: u64, age: Duration) {
+    /// targets may serve until the newest one is due. It may also be the first one: this process may hear nothing of the
+    /// store. Returns whether the version was unknown.
+    pub fn aged(&mut self, now: Instant, model: &str, version: u64, age: Duration) -> bool {
         let Some(at) = now.checked_sub(age) else {
-            return;
-        };
-        let Some(versions) = self.named.get_mut(model) else {
-            return;
+            return false;
         };
+        let versions = self.named.entry(model.into()).or_default();
+        let news = !versions.contains_key(&version);
         let named = versions.entry(version).or_insert(Named::At(at));
         *named = match *named {
             Named::Before => Named::At(at),
             Named::At(known) => Named::At(known.min(at)),
         };
+        news
     }
 
     /// Returns the versions of each model that may begin requests now or later, the oldest first, and the time since each
--- a/crates/dispatch/tests/dispatch/versions.rs
+++ b/crates/dispatch/tests/dispatch/versions.rs
@@ -49,6 +49,18 @@
     assert_eq!(versions.oldest("lm", now), 2);
 }
 
+// Guards against an entry that ignores what agents tell because it heard of no version itself, as when its watch of the
+// store is cut: it would send requests to older weights for as long as the watch hangs.
+#[test]
+fn aged_without_own_watch() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let mut versions = Versions::new(BOUND);
+    assert!(versions.aged(now, "lm", 2, BOUND));
+    assert_eq!(versions.oldest("lm", now), 2);
+    assert!(!versions.aged(now, "lm", 2, ms(100)));
+    assert_eq!(versions.newest("lm"), Some(2));
+}
+
 // Guards against an entry that restarts while a version spreads and refuses all engines that haven't loaded it yet.
 #[test]
 fn oldest_found_and_aged() {
