dispatch: end requests that have not begun before their target's weights are due

Cause: the entry stops sending to older weights 1.5 s before the bound, but an engine may keep a request waiting for longer. Only an attempt that could be repeated left after three times the objective; a second attempt, or one on a route with a single attempt, waited until its deadline. Change: Scheduler::outdated names the streams that have not begun 0.3 s before the bound on weights that will be too old; the entry ends them with the failure outdated (504, or another target). Why it works: it depends on what the request has done and not on how long engines usually take. A target that goes on after its connection ended may still break the rule.

--- a/bins/entry/src/ingress/end.rs
+++ b/bins/entry/src/ingress/end.rs
@@ -39,8 +39,8 @@
             Self::NotRun(rejection) => {
                 Refusal::unavailable(rejection.reason, rejection.retry_after)
             }
-            Self::MayHaveRun(Failure::Late) => {
-                Refusal::new(StatusCode::GATEWAY_TIMEOUT, Failure::Late.name())
+            Self::MayHaveRun(failure @ (Failure::Late | Failure::Outdated)) => {
+                Refusal::new(StatusCode::GATEWAY_TIMEOUT, failure.name())
             }
             Self::MayHaveRun(failure) => Refusal::new(StatusCode::BAD_GATEWAY, failure.name()),
         }
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -40,6 +40,8 @@
     scheduler: RefCell<Scheduler>,
     steps: RefCell<HashMap<RequestId, oneshot::Sender<Decision>>>,
     moves: RefCell<HashMap<RequestId, oneshot::Sender<Placed>>>,
+    /// Where requests learn that they must not begin any more where they are.
+    outdated: RefCell<HashMap<RequestId, oneshot::Sender<()>>>,
     in_progress: Rc<Cell<usize>>,
     /// Number of versions and targets that this process learned of.
     news: Cell<u64>,
@@ -70,6 +72,7 @@
             scheduler: RefCell::new(scheduler),
             steps: RefCell::default(),
             moves: RefCell::default(),
+            outdated: RefCell::default(),
             in_progress: Rc::default(),
             news: Cell::default(),
             in_touch: Cell::new(false),
@@ -148,14 +151,29 @@
         self.in_touch.set(in_touch);
     }
 
-    /// Polls the scheduler while requests wait; never returns.
+    /// Polls the scheduler while requests wait, and ends requests that must not begin where they are; never returns.
     pub async fn keep_time(self: Rc<Self>) {
+        let mut checked = Instant::now();
         loop {
             let waiting = self.scheduler.borrow().waiting() > 0;
             compio::time::sleep(if waiting { TICK } else { IDLE_TICK }).await;
             if waiting {
                 self.pump();
             }
+            let now = Instant::now();
+            if now.saturating_duration_since(checked) >= IDLE_TICK {
+                checked = now;
+                self.end_outdated(now);
+            }
+        }
+    }
+
+    fn end_outdated(&self, now: Instant) {
+        let outdated = self.scheduler.borrow().outdated(now);
+        for id in outdated {
+            let sender = self.outdated.borrow_mut().remove(&id);
+            // An attempt that has ended meanwhile needs no word.
+            let _ = sender.map(|sender| sender.send(()));
         }
     }
 
@@ -295,9 +313,17 @@
         receiver
     }
 
-    /// Forgets where the ended run `id` would learn of a move.
-    pub(super) fn forget_run(&self, id: RequestId) {
+    /// Resolves when the request must not begin any more where it is.
+    pub(super) fn outdated(&self, id: RequestId) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        self.outdated.borrow_mut().insert(id, sender);
+        receiver
+    }
+
+    /// Forgets where the ended attempt `id` would learn that it has to move or to end.
+    pub(super) fn forget(&self, id: RequestId) {
         self.moves.borrow_mut().remove(&id);
+        self.outdated.borrow_mut().remove(&id);
     }
 
     /// Returns a second place for `work`, whose attempt goes on, if a target has room at once.
--- a/bins/entry/src/ingress/placed.rs
+++ b/bins/entry/src/ingress/placed.rs
@@ -93,7 +93,7 @@
             return;
         }
         let (id, target) = (self.place.request, &self.place.target);
-        self.gateway.forget_run(id);
+        self.gateway.forget(id);
         if let Outcome::Failed(failure) = outcome {
             self.log_failure(failure);
         }
--- a/bins/entry/src/ingress/run.rs
+++ b/bins/entry/src/ingress/run.rs
@@ -1,10 +1,12 @@
 //! One target's run of a stream.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Instant;
 
 use bytes::Bytes;
 use dispatch::Failure;
+use futures::future::{Either, select};
 use node::event;
 use node::http::{Answer, HeaderMap, Response, StatusCode};
 
@@ -48,7 +50,7 @@
     pub(super) feed: Feed,
 }
 
-/// Sends a request to its place and waits for the first whole event.
+/// Sends a request to its place and waits for the first whole event, as long as the target's weights may begin it.
 ///
 /// # Errors
 ///
@@ -58,6 +60,20 @@
     call: &Call,
     placed: &Placed,
     last_event: Option<u64>,
+) -> Result<Beginning, Failure> {
+    let outdated = gateway.outdated(placed.place().request);
+    let beginning = pin!(exchange(gateway, call, placed, last_event));
+    match select(beginning, outdated).await {
+        Either::Left((beginning, _)) => beginning,
+        Either::Right(_) => Err(Failure::Outdated),
+    }
+}
+
+async fn exchange(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    placed: &Placed,
+    last_event: Option<u64>,
 ) -> Result<Beginning, Failure> {
     let limit = call.deadline;
     let place = placed.place();
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -26,6 +26,8 @@
     Broken,
     /// The answer did not come in time.
     Late,
+    /// The answer had not begun when the target's weights became too old to begin it.
+    Outdated,
     /// The target answered with a server error of its own.
     Error,
 }
@@ -50,6 +52,7 @@
             Self::Misdirected => "misdirected",
             Self::Broken => "broken",
             Self::Late => "late",
+            Self::Outdated => "outdated",
             Self::Error => "error",
         }
     }
@@ -97,7 +100,7 @@
     pub fn failure(&mut self, now: Instant, failure: Failure) -> bool {
         match failure {
             // The target is busy or changed its weights; its load tells whether it takes work.
-            Failure::Refused | Failure::Misdirected => return false,
+            Failure::Refused | Failure::Misdirected | Failure::Outdated => return false,
             Failure::NotConnected => self.streak = EJECTION_STREAK,
             Failure::Broken | Failure::Late | Failure::Error => self.streak += 1,
         }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -11,7 +11,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::budget::{Budget, Repeats};
-use crate::config::Config;
+use crate::config::{Config, Kind};
 use crate::health::Failure;
 use crate::queue::Queue;
 use crate::target::{Held, Load, Target, TargetId};
@@ -27,6 +27,9 @@
 const UNKNOWN_REPEATERS: usize = 32;
 /// Time for which runs go on at a target that takes no new work, before they are moved: short ones end by themselves.
 const SETTLING: Duration = Duration::from_millis(200);
+/// Time before the bound of a version at which requests that have not begun on older weights are ended: their targets
+/// must learn of it in time.
+const LAST_BEGIN: Duration = Duration::from_millis(300);
 /// Waiting requests that are looked at before the rest waits for the next poll.
 const SCANNED: usize = 64;
 
@@ -53,6 +56,10 @@
 struct Placing {
     target: TargetId,
     work: Work,
+    /// Version of the weights that the target held when the request was sent.
+    weights: Option<u64>,
+    /// Whether its first event arrived.
+    started: bool,
 }
 
 /// What the owner of the scheduler must do.
@@ -277,11 +284,38 @@
 
     /// Notes that the first event of a request arrived, made from the weights `version` as far as the answer told.
     pub fn started(&mut self, id: RequestId, version: Option<u64>) {
-        if let Some(held) = self.held(id) {
+        let Some(placing) = self.places.get_mut(&id) else {
+            return;
+        };
+        placing.started = true;
+        if let Some(held) = self.targets.get_mut(&placing.target) {
             held.started(id, version);
         }
     }
 
+    /// Returns the streams that have not begun at targets whose weights must not begin them any more.
+    ///
+    /// A target keeps a request in its queue, or reads other prompts first, for longer than can be foreseen. Of an answer
+    /// that comes whole nothing shows whether it has begun.
+    pub fn outdated(&self, now: Instant) -> Vec<RequestId> {
+        let outdated = |placing: &Placing| {
+            let model = placing.work.model.as_ref()?;
+            let held = match self.targets.get(&placing.target) {
+                Some(held) => held.target.weights.get(model).copied(),
+                None => placing.weights,
+            };
+            Some(held? < self.versions.due(model, now + LAST_BEGIN))
+        };
+        let waiting = |placing: &Placing| {
+            !placing.started && matches!(placing.work.kind, Kind::Streaming { .. })
+        };
+        self.places
+            .iter()
+            .filter(|(_, placing)| waiting(placing) && outdated(placing).unwrap_or(false))
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
     /// Takes the end of an attempt, and returns whether its target was ejected for it.
     pub fn ended(&mut self, now: Instant, id: RequestId, outcome: Outcome) -> bool {
         let Some(placing) = self.places.remove(&id) else {
@@ -431,9 +465,12 @@
         held.sent(now, request, work.prompt);
         work.attempts = work.attempts.saturating_sub(1);
         work.tried.push(id.into());
+        let weights = work.model.as_ref();
         let placing = Placing {
             target: id.into(),
+            weights: weights.and_then(|model| held.target.weights.get(model).copied()),
             work: work.clone(),
+            started: false,
         };
         self.places.insert(request, placing);
         Some(Place {
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/outdated.rs
@@ -0,0 +1,73 @@
+//! Requests that must not begin any more on their target's weights.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use dispatch::{Kind, Load, RequestId, Scheduler, Work};
+
+use crate::support::{BOUND, draft, idle, ms, scheduler, submit, target};
+
+/// Time that the caller of each request waits.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Returns a scheduler with a request at the engine "a" on version 1, while version 2 is named at `now`.
+fn with_request(now: Instant, kind: Kind) -> (Scheduler, RequestId) {
+    let mut scheduler = scheduler();
+    scheduler.put_target(target("a", "drafts", "north"));
+    scheduler.name_version(now, "lm", 2);
+    let work = Work {
+        kind,
+        deadline: now + PATIENCE,
+        ..draft(now)
+    };
+    let place = submit(&mut scheduler, now, work).unwrap();
+    (scheduler, place.request)
+}
+
+// Guards against a request that waits in its engine's queue until the bound has passed and begins on older weights then.
+#[test]
+fn outdated_before_bound() {
+    let now = Instant::now();
+    let (scheduler, request) = with_request(now, Kind::Streaming { resumable: true });
+    assert!(scheduler.outdated(now + BOUND - ms(1_000)).is_empty());
+    assert_eq!(scheduler.outdated(now + BOUND - ms(200)), [request]);
+}
+
+// Guards against one whose engine left the registrations: it still serves what it holds.
+#[test]
+fn outdated_at_removed_target() {
+    let now = Instant::now();
+    let (mut scheduler, request) = with_request(now, Kind::Streaming { resumable: false });
+    scheduler.remove_target("a");
+    assert_eq!(scheduler.outdated(now + BOUND), [request]);
+}
+
+// Guards against an answer that is ended although it began in time.
+#[test]
+fn outdated_not_begun() {
+    let now = Instant::now();
+    let (mut scheduler, request) = with_request(now, Kind::Streaming { resumable: true });
+    scheduler.started(request, Some(1));
+    assert!(scheduler.outdated(now + BOUND).is_empty());
+}
+
+// Guards against an answer that is ended although only its end would show that it began.
+#[test]
+fn outdated_not_whole_answers() {
+    let now = Instant::now();
+    let (scheduler, _) = with_request(now, Kind::Idempotent);
+    assert!(scheduler.outdated(now + BOUND).is_empty());
+}
+
+// Guards against a request that is ended although its engine has loaded the new weights meanwhile.
+#[test]
+fn outdated_not_after_load() {
+    let now = Instant::now();
+    let (mut scheduler, _) = with_request(now, Kind::Streaming { resumable: true });
+    let loaded = Load {
+        weights: Some(BTreeMap::from([("lm".to_owned(), 2)])),
+        ..idle()
+    };
+    scheduler.answer_load(now + ms(4_000), "a", loaded);
+    assert!(scheduler.outdated(now + BOUND).is_empty());
+}
