ingress: free the place of a caller that left before its request knew of it

Callers were refused as overload while targets had room: a target counted one request too many for each such caller, for as long as the entry ran. Found while looking for attempts that end without a line in the log. Cause: the scheduler's decision waits in a channel until the request's task runs. A caller whose connection ended in between dropped the decision with its place; only requests that still waited in the queue were taken out. Change: a waiting request that is dropped frees a place that lies in its channel. Test: place_freed_when_caller_leaves_before_it_knows; it failed before with 1 request in progress instead of 0.

--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -51,10 +51,11 @@
     refusing: Cell<bool>,
 }
 
-/// A request that waits for a target; dropping it takes it out of the queue.
+/// A request that waits for a target; dropping it takes it out of the queue, or frees the place that it got meanwhile.
 struct Waiting<'a> {
     gateway: &'a Gateway,
     id: RequestId,
+    decision: oneshot::Receiver<Decision>,
 }
 
 impl Gateway {
@@ -353,11 +354,13 @@
     async fn wait(self: &Rc<Self>, id: RequestId) -> Result<Placed, Rejection> {
         let (sender, receiver) = oneshot::channel();
         self.steps.borrow_mut().insert(id, sender);
-        let waiting = Waiting { gateway: self, id };
+        let mut waiting = Waiting {
+            gateway: self,
+            id,
+            decision: receiver,
+        };
         self.pump();
-        let decision = receiver.await;
-        drop(waiting);
-        match decision {
+        match (&mut waiting.decision).await {
             Ok(Decision::Send(place)) => Ok(Placed::new(Rc::clone(self), place)),
             Ok(Decision::Reject {
                 reason,
@@ -407,6 +410,10 @@
     fn drop(&mut self) {
         if self.gateway.steps.borrow_mut().remove(&self.id).is_some() {
             self.gateway.scheduler.borrow_mut().cancel(self.id);
+        } else if let Ok(Some(Decision::Send(place))) = self.decision.try_recv() {
+            let abandoned = Outcome::Abandoned;
+            self.gateway
+                .update(|scheduler, now| scheduler.ended(now, place.request, abandoned));
         }
     }
 }
--- /dev/null
+++ b/bins/entry/tests/ingress/places.rs
@@ -0,0 +1,104 @@
+//! Places on targets whose callers leave.
+
+use std::collections::BTreeMap;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dispatch::{Config, Kind, Limits, Repeats, Route, Service, Target};
+use entry::ingress::{Bounds, Gateway, Settings};
+use futures::FutureExt;
+use node::http::{Body, Request, Response};
+use prometheus_client::registry::Registry;
+
+/// Requests that a target with one slot takes: one that runs and one that waits there.
+const PLACES: usize = 2;
+
+fn gateway() -> Rc<Gateway> {
+    let address = loopback::free();
+    let settings = Settings {
+        name: "entry-1".into(),
+        domain: "north".into(),
+        caller_listen: address,
+        ready_listen: address,
+        operator_listen: address,
+        load_listen: address,
+        platform: address,
+        bounds: Bounds {
+            grace: Duration::from_secs(8),
+            contact: Duration::from_secs(3),
+            drain: Duration::from_secs(1),
+            version: Duration::from_secs(8),
+            repeats: Repeats {
+                ratio: 0.2,
+                extra: 100.0,
+                window: Duration::from_secs(10),
+            },
+        },
+    };
+    let route = Route {
+        name: "desk".into(),
+        prefix: "/".into(),
+        kind: Kind::Idempotent,
+        timeout: Duration::from_secs(3),
+        objective: Duration::from_secs(1),
+        gap: None,
+        priority: 1,
+        backends: vec![("desk".into(), 1)],
+        attempts: 1,
+        anonymous: true,
+    };
+    let services = BTreeMap::from([("desk".to_owned(), Service::default())]);
+    let routes = [("desk.example".to_owned(), route)];
+    let config = Config::new(1, services, Limits::default(), routes, []);
+    let target = Target {
+        id: "t-1".into(),
+        service: "desk".into(),
+        address,
+        domain: "north".into(),
+        slots: 1,
+        draining: false,
+        cold: Duration::ZERO,
+        weights: BTreeMap::new(),
+        born: None,
+    };
+    let gateway = Gateway::new(settings, &mut Registry::default());
+    gateway.update(|scheduler, _| {
+        scheduler.set_config(Rc::new(config));
+        scheduler.put_target(target);
+    });
+    gateway
+}
+
+type Handling = Pin<Box<dyn Future<Output = Response<Body>>>>;
+
+/// Begins a request, which gets a place at once or waits for one.
+fn begin(gateway: &Rc<Gateway>, id: usize) -> Handling {
+    let request = Request::get("/x")
+        .header("host", "desk.example")
+        .header("x-attempt-id", id.to_string())
+        .body(Bytes::new())
+        .unwrap();
+    let mut handling = Rc::clone(gateway).handle(request).boxed_local();
+    assert!((&mut handling).now_or_never().is_none());
+    handling
+}
+
+// Guards against a place that is never freed: the caller left after its request had got the place and before the request
+// knew. Each such caller left a target with one slot less, for as long as the entry ran.
+#[test]
+fn place_freed_when_caller_leaves_before_it_knows() {
+    node::run("test", async {
+        let gateway = gateway();
+        let mut running: Vec<Handling> = (0..PLACES).map(|id| begin(&gateway, id)).collect();
+        let waiting = begin(&gateway, PLACES);
+        assert_eq!(gateway.view(|scheduler| scheduler.waiting()), 1);
+        running.pop();
+        assert_eq!(gateway.view(|scheduler| scheduler.in_progress()), PLACES);
+        drop(waiting);
+        drop(running);
+        assert_eq!(gateway.view(|scheduler| scheduler.in_progress()), 0);
+    })
+    .unwrap();
+}
