Transfers: wait for an owner as long as an agent is known to draw

Cause: since an agent that had nothing of a part for 3 to 4 s drew it itself. While the origin is away for 6 s that is each agent of the part's home domain, for every part: each then draws its own copy, and the link is divided among them. Without an outage too: the draws of 88 agents take longer than 3 s. Change: the answer 'not yet' tells how long ago an agent was known to draw the part. An agent takes over only when it heard of no draw for 3 to 4 s, and after a draw in an owner's place or a failed one it waits as long again. Ages only grow on their way, so agents that take each other for the owner still notice; an agent whose draws bring nothing counts as drawing for 4 s.

--- a/bins/agent/src/chunk_server.rs
+++ b/bins/agent/src/chunk_server.rs
@@ -103,7 +103,7 @@
     match holdings.uploader.answer(chunk, held, asker, Instant::now()) {
         Choice::Send(slot) => match holdings.chunk(&chunk) {
             Some(bytes) => response(StatusCode::OK, paced(holdings, digest, bytes, (slot, to))),
-            None => not_yet(UNKNOWN_WAIT),
+            None => not_yet(UNKNOWN_WAIT, None),
         },
         Choice::Redirect(holders) => {
             holdings.metrics.redirects.inc();
@@ -114,7 +114,10 @@
                 &holders.join(","),
             )
         }
-        Choice::Wait(time) => not_yet(time),
+        Choice::Wait(time) => {
+            let drawn = holdings.drawn(&version, index);
+            not_yet(time, drawn)
+        }
     }
 }
 
@@ -159,8 +162,17 @@
     ))
 }
 
-fn not_yet(time: Duration) -> Response<Body> {
-    retry_after(StatusCode::SERVICE_UNAVAILABLE, time)
+/// Returns the answer to a request for a chunk that may come; `drawn` tells when it was last known to be drawn.
+fn not_yet(time: Duration, drawn: Option<Instant>) -> Response<Body> {
+    let mut response = retry_after(StatusCode::SERVICE_UNAVAILABLE, time);
+    if let Some(drawn) = drawn {
+        let age = drawn.elapsed().as_millis() as u64;
+        response.headers_mut().insert(
+            wire::header::DRAWN_AGE_MS,
+            http::header::HeaderValue::from(age),
+        );
+    }
+    response
 }
 
 fn retry_after(status: StatusCode, time: Duration) -> Response<Body> {
--- a/bins/agent/src/transfer/fetch.rs
+++ b/bins/agent/src/transfer/fetch.rs
@@ -93,7 +93,7 @@
                 }
             }
             StatusCode::SEE_OTHER => Answer::Holders(holders(&parts.headers)),
-            StatusCode::SERVICE_UNAVAILABLE => Answer::NotYet(wait(&parts.headers)),
+            StatusCode::SERVICE_UNAVAILABLE => not_yet(&parts.headers),
             StatusCode::NOT_FOUND => Answer::Unknown(wait(&parts.headers)),
             _ => Answer::Failed,
         }
@@ -340,10 +340,24 @@
         .collect()
 }
 
+fn not_yet(headers: &HeaderMap) -> Answer {
+    let wait = wait(headers);
+    match number(headers, wire::header::DRAWN_AGE_MS) {
+        Some(ms) => Answer::Drawing {
+            wait,
+            age: Duration::from_millis(ms),
+        },
+        None => Answer::NotYet(wait),
+    }
+}
+
 fn wait(headers: &HeaderMap) -> Duration {
-    let number = |name: &str| headers.get(name)?.to_str().ok()?.parse::<u64>().ok();
-    number(wire::header::RETRY_AFTER_MS)
+    number(headers, wire::header::RETRY_AFTER_MS)
         .map(Duration::from_millis)
-        .or_else(|| number("retry-after").map(Duration::from_secs))
+        .or_else(|| number(headers, "retry-after").map(Duration::from_secs))
         .unwrap_or(DEFAULT_WAIT)
 }
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
--- a/bins/agent/src/transfer/holdings.rs
+++ b/bins/agent/src/transfer/holdings.rs
@@ -7,7 +7,7 @@
 
 use burst::{Bucket, Members, Peer, Uploader, Version};
 use bytes::Bytes;
-use weights::{Chunk, Digest, Store};
+use weights::{Chunk, ChunkIndex, Digest, Store};
 
 use crate::Notify;
 use crate::metrics::{Remote, Transfers};
@@ -76,8 +76,13 @@
     arrived: Notify,
     /// Time for which a request waits for a chunk.
     hold: Duration,
+    /// When each stripe of the version in transfer was last known to be drawn.
+    drawn: RefCell<Option<Drawn>>,
 }
 
+/// The digest of a version, and when each of its stripes was last known to be drawn.
+type Drawn = (Digest, Vec<Option<Instant>>);
+
 impl Holdings {
     /// Returns empty holdings of an agent in `domain` and `region` that cache at most `cache` bytes besides the chunks
     /// kept for others.
@@ -101,6 +106,7 @@
             traffic: Cell::default(),
             arrived: Notify::default(),
             hold: Duration::ZERO,
+            drawn: RefCell::default(),
         }
     }
 
@@ -175,6 +181,22 @@
         true
     }
 
+    /// Sets when the stripes of the version in transfer were last known to be drawn.
+    pub(crate) fn set_drawn(&self, drawn: Option<Drawn>) {
+        *self.drawn.borrow_mut() = drawn;
+    }
+
+    /// Returns when chunk `index` of `version` was last known to be drawn.
+    pub(crate) fn drawn(&self, version: &Version, index: ChunkIndex) -> Option<Instant> {
+        let drawn = self.drawn.borrow();
+        let (digest, stripes) = drawn.as_ref()?;
+        let stripe = version.stripes().of(index) as usize;
+        match *digest == version.digest() {
+            true => *stripes.get(stripe)?,
+            false => None,
+        }
+    }
+
     /// Counts into `metrics` from now on.
     pub fn with_metrics(mut self, metrics: Transfers) -> Self {
         self.metrics = metrics;
--- a/bins/agent/src/transfer/run.rs
+++ b/bins/agent/src/transfer/run.rs
@@ -20,6 +20,8 @@
 
 /// Longest time between two looks at the downloader.
 const TICK: Duration = Duration::from_millis(250);
+/// Time between two words to the chunk port about what is drawn.
+const DRAWN_TIME: Duration = Duration::from_millis(200);
 
 /// Runs transfers one after the other.
 pub struct Worker {
@@ -101,6 +103,7 @@
     /// Reacts to the handle's inputs; dropping the future stops all requests.
     pub async fn run(mut self) {
         let mut looked = Instant::now();
+        let mut told = looked;
         loop {
             let deadline = self.deadline().min(looked + TICK);
             match compio::time::timeout_at(deadline, self.receiver.next()).await {
@@ -114,6 +117,10 @@
                 looked = Instant::now();
                 self.update(Downloader::tick);
             }
+            if Instant::now() >= told + DRAWN_TIME {
+                told = Instant::now();
+                self.tell_drawn(told);
+            }
             self.report();
         }
     }
@@ -473,6 +480,20 @@
         self.holdings.keep_only(|digest| kept.contains(digest));
     }
 
+    /// Tells the chunk port when the missing stripes were last known to be drawn.
+    fn tell_drawn(&self, now: Instant) {
+        let chunks = self
+            .chunks()
+            .filter(|chunks| chunks.downloader.missing() > 0);
+        let drawn = chunks.map(|chunks| {
+            let version = chunks.downloader.version();
+            let stripes = 0..version.stripes().count();
+            let drawn = stripes.map(|stripe| chunks.downloader.drawn(stripe, now));
+            (version.digest(), drawn.collect())
+        });
+        self.holdings.set_drawn(drawn);
+    }
+
     fn report(&self) {
         let progress = self.chunks().map(|chunks| Progress {
             chunks: chunks.downloader.version().chunks(),
@@ -536,6 +557,7 @@
         Answer::Bytes(_) => "bytes",
         Answer::Holders(_) => "holders",
         Answer::NotYet(_) => "not-yet",
+        Answer::Drawing { .. } => "drawing",
         Answer::Unknown(_) => "unknown",
         Answer::Failed => "failed",
     };
--- a/crates/burst/src/action.rs
+++ b/crates/burst/src/action.rs
@@ -68,6 +68,13 @@
     Holders(Vec<SocketAddr>),
     /// Nothing yet; ask again after this time.
     NotYet(Duration),
+    /// Nothing yet, but an agent brings it in from the origin.
+    Drawing {
+        /// Time after which to ask again.
+        wait: Duration,
+        /// Time since an agent was known to draw it.
+        age: Duration,
+    },
     /// The agent doesn't transfer the version, or doesn't do so yet; ask again after this time.
     Unknown(Duration),
     /// An error, or a connection that ended early.
--- a/crates/burst/src/choice.rs
+++ b/crates/burst/src/choice.rs
@@ -56,6 +56,9 @@
 /// Most time that an agent waits beyond it, by its own seed, so that one draw can serve several agents.
 const OWNER_JITTER: Duration = Duration::from_secs(1);
 
+/// Time after its last draw for which an agent still counts as drawing: the origin may be away for all agents.
+const DRAW_TIME: Duration = Duration::from_secs(4);
+
 /// Domains that draw for themselves with [`Plan::TimeToReplicas`]; the fourth permit is left for a failure.
 const DRAWING_DOMAINS: usize = 3;
 
@@ -119,6 +122,8 @@
     /// Peers that don't transfer the version, and since when that is known.
     unaware: HashMap<SocketAddr, Instant>,
     store: Backoff,
+    /// Time of the last draw that brought a chunk, at first of the start.
+    drew: Option<Instant>,
 }
 
 /// Holders that redirects named for a chunk and that weren't asked yet.
@@ -139,8 +144,10 @@
     turn: usize,
     /// "Not yet" answers since the last chunk.
     misses: u32,
-    /// Time of the first of them.
+    /// Time of the first of them, or of a later draw that showed that waiting goes on.
     missed: Option<Instant>,
+    /// When an agent was last known to draw the stripe.
+    drawn: Option<Instant>,
 }
 
 enum Choice {
@@ -177,6 +184,7 @@
             turn: 0,
             misses: 0,
             missed: None,
+            drawn: None,
         };
         let mut lanes: Vec<Lane> = (0..stripes.count()).map(lane).collect();
         for chunk in missing {
@@ -202,6 +210,7 @@
             redirected: Vec::new(),
             unaware: HashMap::new(),
             store: Backoff::new(setup.longest_pause),
+            drew: None,
         };
         chooser.sort();
         chooser.share_draws();
@@ -236,6 +245,7 @@
         now: Instant,
         actions: &mut Vec<Action>,
     ) -> Option<(ChunkIndex, Source, Kind)> {
+        self.drew.get_or_insert(now);
         while let Some(stripe) = self.redirected.pop() {
             if let Some(picked) = self.pick_from(stripe, busy, now, actions) {
                 return Some(picked);
@@ -280,7 +290,7 @@
         self.lane(chunk).pending.push(chunk);
     }
 
-    pub(crate) fn received(&mut self, chunk: ChunkIndex, kind: Kind) {
+    pub(crate) fn received(&mut self, chunk: ChunkIndex, kind: Kind, now: Instant) {
         self.holders.remove(&chunk);
         let lane = self.lane(chunk);
         lane.pending.retain(|pending| *pending != chunk);
@@ -288,6 +298,7 @@
         lane.missed = None;
         if matches!(kind, Kind::Draw(_)) {
             self.store.reset();
+            self.drew = Some(now);
         }
     }
 
@@ -300,7 +311,10 @@
 
     pub(crate) fn failed(&mut self, kind: Kind, from: Source, now: Instant) {
         match from {
-            Source::Origin => self.store.fail(now),
+            Source::Origin => {
+                self.store.fail(now);
+                self.wait_anew(now);
+            }
             // The chooser of a duplicate expects no particular peer to hold the chunk, but an error is an error.
             Source::Peer(peer) => self.peers.avoid(peer, now),
         }
@@ -343,6 +357,19 @@
         }
     }
 
+    /// Takes the answer of a peer that has nothing yet and knows that an agent drew the chunk `age` ago.
+    pub(crate) fn drawing(
+        &mut self,
+        chunk: ChunkIndex,
+        kind: Kind,
+        (wait, age): (Duration, Duration),
+        now: Instant,
+    ) {
+        self.not_yet(chunk, kind, wait, now);
+        let lane = self.lane(chunk);
+        lane.drawn = lane.drawn.max(now.checked_sub(age));
+    }
+
     /// Takes the answer of a peer that doesn't transfer the version; it is avoided when that lasts.
     pub(crate) fn unknown(
         &mut self,
@@ -433,15 +460,51 @@
             Owner::Peer(peer) if !self.owner_is_late(stripe, now) => Choice::Ask(peer, Kind::Owner),
             Owner::Nobody => self.pause(stripe, now + NOBODY_PAUSE),
             _ if busy.upstream >= self.upstream_limit => Choice::Blocked,
-            Owner::Own | Owner::Peer(_) => self.bring_in(stripe, busy.draws, now, actions),
+            Owner::Own => self.bring_in(stripe, busy.draws, now, actions),
+            Owner::Peer(_) => {
+                let choice = self.bring_in(stripe, busy.draws, now, actions);
+                if matches!(choice, Choice::Draw(_)) {
+                    self.wait_anew(now);
+                }
+                choice
+            }
         }
     }
 
-    /// Tells whether the owner of a stripe has had nothing of it for too long.
+    /// Tells whether the owner of a stripe has had nothing of it for too long, while no agent was known to draw it.
     fn owner_is_late(&self, stripe: StripeIndex, now: Instant) -> bool {
         let spread = OWNER_JITTER.mul_f64((self.seed % 1000) as f64 / 1000.0);
-        let missed = self.lanes[stripe as usize].missed;
-        missed.is_some_and(|since| now >= since + OWNER_TIMEOUT + spread)
+        let lane = &self.lanes[stripe as usize];
+        let since = lane.missed.map(|missed| lane.drawn.max(Some(missed)));
+        since
+            .flatten()
+            .is_some_and(|since| now >= since + OWNER_TIMEOUT + spread)
+    }
+
+    /// Lets the owners of all stripes have their time once more.
+    ///
+    /// After each draw in an owner's place and each failed one: many owners late at once tell of the origin and not of
+    /// the owners, and agents that all draw in their place would only divide its link.
+    fn wait_anew(&mut self, now: Instant) {
+        for lane in &mut self.lanes {
+            lane.missed = lane.missed.and(Some(now));
+        }
+    }
+
+    /// Returns when an agent was last known to draw `stripe`: this one, or one that it was told of.
+    ///
+    /// An agent whose draws lead to nothing counts as drawing for a limited time. Times that agents tell each other only
+    /// grow older, so agents that take each other for the owner notice.
+    pub(crate) fn drawn(&self, stripe: StripeIndex, now: Instant) -> Option<Instant> {
+        let lane = self.lanes.get(stripe as usize)?;
+        let draws = self.plan != Plan::Direct
+            && lane.permit != Permit::Refused
+            && self.peers.owner(stripe, now) == Owner::Own
+            && self.upstream(stripe, now).is_none();
+        match draws {
+            true => self.drew.map(|drew| now.min(drew + DRAW_TIME)),
+            false => lane.drawn,
+        }
     }
 
     fn next_holder(&mut self, chunk: ChunkIndex, now: Instant) -> Option<SocketAddr> {
--- a/crates/burst/src/downloader.rs
+++ b/crates/burst/src/downloader.rs
@@ -208,6 +208,11 @@
             .is_some_and(|rank| rank < 2)
     }
 
+    /// Returns when an agent was last known to draw `stripe` from the origin, this one included.
+    pub fn drawn(&self, stripe: StripeIndex, now: Instant) -> Option<Instant> {
+        self.chooser.drawn(stripe, now)
+    }
+
     /// Returns when [`Downloader::tick`] must be called, or `None` when nothing is awaited.
     pub fn deadline(&self, now: Instant) -> Option<Instant> {
         let stalls = self.requests.values().map(|request| {
@@ -285,7 +290,7 @@
     fn take(&mut self, request: &Request, answer: Answer, now: Instant, actions: &mut Vec<Action>) {
         match answer {
             Answer::Bytes(bytes) => match self.version.verify(request.chunk, bytes) {
-                Ok(content) => return self.accept(request, content, actions),
+                Ok(content) => return self.accept(request, content, now, actions),
                 Err(_) => {
                     self.stats.corrupted += 1;
                     self.chooser
@@ -294,6 +299,10 @@
             },
             Answer::Holders(holders) => self.chooser.holders(request.chunk, holders, now),
             Answer::NotYet(time) => self.chooser.not_yet(request.chunk, request.kind, time, now),
+            Answer::Drawing { wait, age } => {
+                self.chooser
+                    .drawing(request.chunk, request.kind, (wait, age), now)
+            }
             Answer::Unknown(time) => {
                 self.chooser
                     .unknown(request.chunk, request.kind, request.from, time, now)
@@ -306,12 +315,18 @@
         self.requeue(request.chunk);
     }
 
-    fn accept(&mut self, request: &Request, content: Chunk, actions: &mut Vec<Action>) {
+    fn accept(
+        &mut self,
+        request: &Request,
+        content: Chunk,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
         match request.from {
             Source::Origin => self.stats.from_origin += 1,
             Source::Peer(_) => self.stats.from_peers += 1,
         }
-        self.chooser.received(request.chunk, request.kind);
+        self.chooser.received(request.chunk, request.kind, now);
         self.missing -= 1;
         self.cancel_chunk(request.chunk, actions);
         actions.push(Action::Stage {
--- a/crates/burst/tests/burst/main.rs
+++ b/crates/burst/tests/burst/main.rs
@@ -3,6 +3,7 @@
 mod downloader;
 mod fleet;
 mod order;
+mod outage;
 mod permit;
 mod sharing;
 mod support;
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -27,6 +27,8 @@
 pub const DOMAIN: &str = "carobport-domain";
 /// Chunk address of an agent that asks for a chunk, under which it will serve the chunk itself.
 pub const CHUNK_ADDRESS: &str = "carobport-chunk-address";
+/// Time since an agent was known to draw a chunk from the origin, in milliseconds; with the time to wait for the chunk.
+pub const DRAWN_AGE_MS: &str = "carobport-drawn-age-ms";
 /// Time to wait before asking for a chunk again, in milliseconds.
 pub const RETRY_AFTER_MS: &str = "retry-after-ms";
 /// Number that orders to an engine carry.
