Transfers: give a draw up only after the time that draws of all agents take

Cause: a draw without a byte for 2 s was given up and begun anew. Change: a draw is given up after twice the time in which the link carries a part for each agent, at the earliest after 2 s; agents know the origin's rate from the configuration. Tests: complete_after_outage now has an origin that serves whole parts in turn to at most 48 connections.

--- a/bins/agent/src/rollout/weights.rs
+++ b/bins/agent/src/rollout/weights.rs
@@ -136,6 +136,7 @@
     transfer.want(Some(Order {
         pin: Pin::new(&model, &version.to_string(), found.digest()),
         plan: Plan::OriginBytes,
+        chunk_time: chunk_time(state, from.bytes_per_s),
     }));
     Some(version)
 }
@@ -262,10 +263,15 @@
 
 /// Returns the time after which this agent begins to draw, by its place among the agents.
 fn draw_delay(state: &State, bytes_per_s: u64) -> Duration {
-    let bytes = state.members().len() as f64 * f64::from(state.piece_bytes());
-    let all = bytes / bytes_per_s.max(1) as f64;
+    let round = chunk_time(state, bytes_per_s) * state.members().len() as u32;
     let share = state.rollout.borrow().place().share();
-    Duration::from_secs_f64((all * share).min(LONGEST_DELAY.as_secs_f64()))
+    round.mul_f64(share).min(LONGEST_DELAY)
+}
+
+/// Returns the time in which the origin's link carries one part.
+fn chunk_time(state: &State, bytes_per_s: u64) -> Duration {
+    let seconds = f64::from(state.piece_bytes()) / bytes_per_s.max(1) as f64;
+    Duration::from_secs_f64(seconds)
 }
 
 /// Takes what is staged in the engine and belongs to `version` into the holdings.
--- a/bins/agent/src/staging.rs
+++ b/bins/agent/src/staging.rs
@@ -116,6 +116,7 @@
     Some(Order {
         pin: model.pin(),
         plan: model.plan,
+        chunk_time: Duration::ZERO,
     })
 }
 
--- a/bins/agent/src/transfer.rs
+++ b/bins/agent/src/transfer.rs
@@ -73,6 +73,8 @@
     pub pin: Pin,
     /// What the transfer saves first.
     pub plan: Plan,
+    /// Time in which the origin's link carries one chunk; zero where it is not known.
+    pub chunk_time: Duration,
 }
 
 /// State of the current transfer.
--- a/bins/agent/src/transfer/run.rs
+++ b/bins/agent/src/transfer/run.rs
@@ -315,6 +315,7 @@
                     parallel: self.settings.parallel,
                     upstream: self.settings.upstream,
                     longest_pause: self.settings.longest_pause,
+                    chunk_time: order.chunk_time,
                 };
                 Downloader::start(setup, version, &self.members, held, now)
             }
--- a/bins/agent/tests/transfer/support.rs
+++ b/bins/agent/tests/transfer/support.rs
@@ -319,7 +319,11 @@
 pub fn order(agents: &[Agent], pin: &Pin, plan: Plan) {
     for agent in agents {
         let pin = pin.clone();
-        agent.transfer.want(Some(Order { pin, plan }));
+        agent.transfer.want(Some(Order {
+            pin,
+            plan,
+            chunk_time: Duration::ZERO,
+        }));
     }
 }
 
--- a/crates/burst/examples/decision_cost.rs
+++ b/crates/burst/examples/decision_cost.rs
@@ -4,7 +4,7 @@
 //! included. For comparison it also measures the hash of a chunk of 4 MB.
 
 use std::collections::VecDeque;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use burst::{Action, Answer, Downloader, Grant, Members, Peer, Setup, Version};
 use catalog::Plan;
@@ -24,6 +24,7 @@
         parallel: 16,
         upstream: burst::UPSTREAM,
         longest_pause: burst::LONGEST_PAUSE,
+        chunk_time: Duration::ZERO,
         seed: 1,
     };
     let began = Instant::now();
--- a/crates/burst/src/choice.rs
+++ b/crates/burst/src/choice.rs
@@ -122,6 +122,8 @@
     /// Peers that don't transfer the version, and since when that is known.
     unaware: HashMap<SocketAddr, Instant>,
     store: Backoff,
+    /// Time in which the origin's link carries one chunk.
+    chunk_time: Duration,
     /// Time of the last draw that brought a chunk, at first of the start.
     drew: Option<Instant>,
 }
@@ -210,6 +212,7 @@
             redirected: Vec::new(),
             unaware: HashMap::new(),
             store: Backoff::new(setup.longest_pause),
+            chunk_time: setup.chunk_time,
             drew: None,
         };
         chooser.sort();
@@ -217,6 +220,11 @@
         chooser
     }
 
+    /// Returns the time in which the origin's link carries one chunk for each agent.
+    pub(crate) fn round(&self) -> Duration {
+        self.chunk_time * self.peers.len() as u32
+    }
+
     pub(crate) fn peers(&self) -> &Peers {
         &self.peers
     }
--- a/crates/burst/src/downloader.rs
+++ b/crates/burst/src/downloader.rs
@@ -39,6 +39,8 @@
     pub upstream: usize,
     /// Longest time before a failed call to the origin is repeated; see [`LONGEST_PAUSE`](crate::LONGEST_PAUSE).
     pub longest_pause: Duration,
+    /// Time in which the origin's link carries one chunk; zero where it is not known.
+    pub chunk_time: Duration,
     /// Seed of the order of chunks that this agent doesn't own; agents should differ.
     pub seed: u64,
 }
@@ -82,6 +84,7 @@
 ///     parallel: 8,
 ///     upstream: burst::UPSTREAM,
 ///     longest_pause: burst::LONGEST_PAUSE,
+///     chunk_time: std::time::Duration::ZERO,
 ///     seed: 1,
 /// };
 /// let now = Instant::now();
@@ -217,7 +220,7 @@
     pub fn deadline(&self, now: Instant) -> Option<Instant> {
         let stalls = self.requests.values().map(|request| {
             let slow = request.since + SLOW;
-            let stall = request.last + STALL;
+            let stall = request.last + self.stall_time(request.from);
             if self.missing < ENDGAME && !request.doubled && slow > now {
                 slow.min(stall)
             } else {
@@ -272,8 +275,9 @@
                 request.last = now;
             }
         }
-        let stalled =
-            |(id, request): (&RequestId, &Request)| (request.last + STALL <= now).then_some(*id);
+        let stalled = |(id, request): (&RequestId, &Request)| {
+            (request.last + self.stall_time(request.from) <= now).then_some(*id)
+        };
         let stalled: Vec<RequestId> = self.requests.iter().filter_map(stalled).collect();
         for id in stalled {
             if let Some(request) = self.requests.remove(&id) {
@@ -287,6 +291,17 @@
         actions
     }
 
+    /// Returns the time without a byte after which a request is given up.
+    ///
+    /// When all agents draw at once, each one's next byte comes when the origin's link has carried a chunk for each other
+    /// one. Given up before, it would be carried in vain.
+    fn stall_time(&self, from: Source) -> Duration {
+        match from {
+            Source::Peer(_) => STALL,
+            Source::Origin => STALL.max(self.chooser.round() * 2),
+        }
+    }
+
     fn take(&mut self, request: &Request, answer: Answer, now: Instant, actions: &mut Vec<Action>) {
         match answer {
             Answer::Bytes(bytes) => match self.version.verify(request.chunk, bytes) {
--- a/crates/burst/tests/burst/outage.rs
+++ b/crates/burst/tests/burst/outage.rs
@@ -20,8 +20,8 @@
 const PEER_TIME: Duration = Duration::from_millis(30);
 /// Time until a request reaches the origin, or is refused by its machine.
 const REACH: Duration = Duration::from_millis(3);
-/// Pieces in which the origin's link carries a part; each draw has one of them on the way.
-const PIECES: usize = 2;
+/// Connections that the origin takes; it resets further ones.
+const CONNECTIONS: usize = 48;
 /// Longest time before a failed draw is repeated.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
@@ -46,7 +46,7 @@
     /// A request reaches its destination.
     Reach(u64, u32, Source),
     Answer(u64, Answer),
-    /// The origin's link has carried a piece.
+    /// The origin's link has carried a part.
     Carried,
 }
 
@@ -55,7 +55,6 @@
     agent: usize,
     request: u64,
     chunk: u32,
-    left: usize,
 }
 
 /// Agents, an origin with one link, and what happens next.
@@ -69,9 +68,9 @@
     cancelled: BTreeSet<(usize, u64)>,
     /// When the origin is away.
     away: std::ops::Range<Duration>,
-    /// Draws that share the link in turn.
+    /// Draws whose parts the link carries one after the other.
     draws: VecDeque<Draw>,
-    piece_time: Duration,
+    part_time: Duration,
     carried: usize,
 }
 
@@ -96,7 +95,7 @@
             cancelled: BTreeSet::new(),
             away,
             draws: VecDeque::new(),
-            piece_time: copy_time / (PARTS * PIECES) as u32,
+            part_time: copy_time / PARTS as u32,
             carried: 0,
         };
         for (place, me) in peers.into_iter().enumerate() {
@@ -104,6 +103,7 @@
                 parallel: 16,
                 upstream: 12,
                 longest_pause: LONGEST_PAUSE,
+                chunk_time: copy_time / PARTS as u32,
                 seed: place as u64 * 7919,
                 ..setup(me.clone(), Plan::OriginBytes)
             };
@@ -208,41 +208,36 @@
             Source::Origin if self.away.contains(&(self.now - self.start)) => {
                 self.after(REACH, place, Event::Answer(request, Answer::Failed));
             }
+            Source::Origin if self.draws.len() >= CONNECTIONS => {
+                self.after(REACH, place, Event::Answer(request, Answer::Failed));
+            }
             Source::Origin => {
                 if self.draws.is_empty() {
-                    self.after(self.piece_time, 0, Event::Carried);
+                    self.after(self.part_time, 0, Event::Carried);
                 }
                 self.draws.push_back(Draw {
                     agent: place,
                     request,
                     chunk,
-                    left: PIECES,
                 });
             }
         }
     }
 
-    /// Takes the piece that the link has carried to its agent; the next draw has its turn.
+    /// Takes the part that the link has carried to its agent; the next draw has its turn.
     ///
-    /// What is on the way of a draw that was given up is carried in vain.
+    /// The part of a draw that was given up is carried in vain.
     fn carry(&mut self) {
         self.carried += 1;
-        let Some(mut draw) = self.draws.pop_front() else {
+        let Some(draw) = self.draws.pop_front() else {
             return;
         };
-        draw.left -= 1;
-        let given_up = self.cancelled.contains(&(draw.agent, draw.request));
-        if draw.left == 0 && !given_up {
+        if !self.cancelled.contains(&(draw.agent, draw.request)) {
             let answer = Answer::Bytes(self.bytes(draw.chunk));
             self.after(REACH, draw.agent, Event::Answer(draw.request, answer));
-        } else if !given_up {
-            let now = self.now;
-            let downloader = &mut self.agents[draw.agent].downloader;
-            downloader.progress(draw.request, now);
-            self.draws.push_back(draw);
         }
         if !self.draws.is_empty() {
-            self.after(self.piece_time, 0, Event::Carried);
+            self.after(self.part_time, 0, Event::Carried);
         }
     }
 
@@ -277,7 +272,7 @@
 
     /// Returns the copies that the origin's link has carried.
     fn copies(&self) -> f64 {
-        self.carried as f64 / (PARTS * PIECES) as f64
+        self.carried as f64 / PARTS as f64
     }
 
     /// Returns the time from the start until the last agent that doesn't hang had all parts.
--- a/crates/burst/tests/burst/support.rs
+++ b/crates/burst/tests/burst/support.rs
@@ -29,6 +29,7 @@
         parallel: 8,
         upstream: burst::UPSTREAM,
         longest_pause: burst::LONGEST_PAUSE,
+        chunk_time: Duration::ZERO,
     }
 }
 
