--- a/bins/entry/tests/ingress/main.rs
+++ b/bins/entry/tests/ingress/main.rs
@@ -1,5 +1,4 @@
 //! Tests of the entry on the users' platform.
 
 mod events;
-mod places;
 mod targets;
