ingress: keep requests from targets that leave or want a pause

Cause: an answer's Server-Leaving and a refusal's Retry-After were not read, so a target that said it leaves got requests until its registration changed, and one that asked for a pause got them at once.

The scheduler keeps them as notices of a target's start, beyond a lapse of its registration. A target that leaves gets no more requests; one that paused gets none for that time, at most 300 s. While all targets of a service pause, callers who would not wait that long are refused at once with the first end of a pause.

--- a/bins/entry/src/ingress/attempt.rs
+++ b/bins/entry/src/ingress/attempt.rs
@@ -65,6 +65,7 @@
             };
             self.update(|scheduler, now| scheduler.answer_load(now, &place.target, load));
         }
+        self.note(call, &place.target, parts.status, &head);
         match classify(call, parts.status, &head) {
             Ok(()) => Ok(Answered {
                 status: parts.status,
@@ -82,6 +83,32 @@
             }
         }
     }
+
+    /// Takes what a target asks for in its answer: that it leaves, or wants no requests for a while.
+    ///
+    /// An answer that names another request, or a refusal by another target at the same address, says nothing of this
+    /// target.
+    fn note(&self, call: &Call, target: &str, status: StatusCode, head: &Head) {
+        let request = &call.caller.id;
+        let own = head.id.as_ref() == Some(request) && status != StatusCode::MISDIRECTED_REQUEST;
+        if !own {
+            return;
+        }
+        if head.leaving && self.update(|scheduler, now| scheduler.target_leaves(now, target)) {
+            event!(event::TARGET_LEAVING, target = target, request = request);
+        }
+        let refused = status == StatusCode::SERVICE_UNAVAILABLE;
+        if let Some(pause) = head.pause.filter(|_| refused)
+            && self.update(|scheduler, now| scheduler.target_pauses(now, target, pause))
+        {
+            event!(
+                event::TARGET_PAUSED,
+                target = target,
+                request = request,
+                pause_ms = pause.as_millis()
+            );
+        }
+    }
 }
 
 /// Tells whether an answer is the target's own answer to the request.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 mod config;
 mod engine;
 mod health;
+mod notice;
 mod queue;
 mod scheduler;
 mod target;
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -13,6 +13,7 @@
 use crate::budget::{Budget, Repeats};
 use crate::config::{Config, Kind};
 use crate::health::Failure;
+use crate::notice::Notices;
 use crate::queue::Queue;
 use crate::target::{Held, Load, Target, TargetId};
 use crate::versions::Versions;
@@ -40,6 +41,7 @@
     config: Option<Rc<Config>>,
     versions: Versions,
     targets: BTreeMap<TargetId, Held>,
+    notices: Notices,
     queues: BTreeMap<String, Queue>,
     budgets: HashMap<String, Budget>,
     repeats: Repeats,
@@ -119,6 +121,7 @@
             config: None,
             versions,
             targets: BTreeMap::new(),
+            notices: Notices::default(),
             queues: BTreeMap::new(),
             budgets: HashMap::new(),
             repeats,
@@ -195,6 +198,26 @@
         self.targets.get(id).map(|held| &held.target)
     }
 
+    /// Notes that target `id` said that it leaves, and returns whether that is news; this start of it gets no more
+    /// requests.
+    pub fn target_leaves(&mut self, now: Instant, id: &str) -> bool {
+        self.expire_notices(now);
+        let held = self.targets.get(id);
+        held.is_some_and(|held| self.notices.leaves(now, &held.target))
+    }
+
+    /// Notes that target `id` wants no requests for `pause`, and returns whether that is news.
+    pub fn target_pauses(&mut self, now: Instant, id: &str, pause: Duration) -> bool {
+        self.expire_notices(now);
+        let held = self.targets.get(id);
+        held.is_some_and(|held| self.notices.pauses(now, &held.target, pause))
+    }
+
+    fn expire_notices(&mut self, now: Instant) {
+        let targets = &self.targets;
+        self.notices.expire(now, |id| targets.contains_key(id));
+    }
+
     /// Returns the number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.queues.values().map(Queue::len).sum()
@@ -428,6 +451,14 @@
                 Choice::Busy => {
                     decisions.push(self.reject(now, order.request, &work, Reason::Overload))
                 }
+                Choice::Paused(until) if Queue::patience(&work) > until => {
+                    if let Some(queue) = self.queues.get_mut(service) {
+                        queue.push(order.request, work);
+                    }
+                }
+                Choice::Paused(until) => {
+                    decisions.push(self.reject_until(now, order.request, &work, until));
+                }
                 Choice::Nobody => {
                     let reason = match work.tried.is_empty() {
                         true => Reason::NoTarget,
@@ -499,6 +530,24 @@
         }
     }
 
+    /// Refuses a request whose targets all want none before `until`.
+    ///
+    /// Callers come back after that time, spread like those that are turned away for other reasons.
+    fn reject_until(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        work: &Work,
+        until: Instant,
+    ) -> Decision {
+        let pause = until.saturating_duration_since(now);
+        Decision::Reject {
+            request,
+            reason: Reason::Paused,
+            retry_after: pause + self.retry_after(now, work.deadline),
+        }
+    }
+
     fn budget(&mut self, now: Instant, service: &str) -> &mut Budget {
         let entries = self.entries.unwrap_or(UNKNOWN_REPEATERS);
         self.budgets
--- a/crates/dispatch/src/scheduler/choice.rs
+++ b/crates/dispatch/src/scheduler/choice.rs
@@ -6,6 +6,7 @@
 
 use super::Scheduler;
 use crate::config::Engine;
+use crate::notice::Admission;
 use crate::target::{Held, TargetId};
 use crate::work::Work;
 
@@ -44,6 +45,8 @@
     Target(TargetId),
     /// Targets take work but have no room.
     Busy,
+    /// All targets that could serve want no requests; the first one does again at the given time.
+    Paused(Instant),
     /// No target takes such work.
     Nobody,
 }
@@ -59,11 +62,20 @@
             .as_ref()
             .and_then(|config| config.services.get(&work.service))
             .and_then(|service| service.engine.clone());
-        let eligible: Vec<&Held> = self
-            .targets
-            .values()
-            .filter(|held| self.is_eligible(now, held, work, engine.is_some()))
-            .collect();
+        let mut paused: Option<Instant> = None;
+        let mut eligible: Vec<&Held> = Vec::new();
+        for held in self.targets.values() {
+            if !self.is_eligible(now, held, work, engine.is_some()) {
+                continue;
+            }
+            match self.notices.admission(now, &held.target) {
+                Admission::Open => eligible.push(held),
+                Admission::Paused(until) => {
+                    paused = Some(paused.map_or(until, |first| first.min(until)));
+                }
+                Admission::Leaving => {}
+            }
+        }
         let sound: Vec<&Held> = eligible
             .iter()
             .filter(|held| held.is_sound(now))
@@ -74,7 +86,7 @@
             false => eligible,
         };
         if usable.is_empty() {
-            return Choice::Nobody;
+            return paused.map_or(Choice::Nobody, Choice::Paused);
         }
         let mut best: Option<(f64, &Held)> = None;
         for held in usable {
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -48,6 +48,8 @@
     NoTarget,
     /// All targets are busy and the request would not be served in time.
     Overload,
+    /// Every target that it may be sent to wants no requests for a while.
+    Paused,
     /// Every target that it may be sent to refused it.
     Refused,
     /// The deadline passed while it waited.
@@ -60,6 +62,7 @@
         match self {
             Self::NoTarget => "no-target",
             Self::Overload => "overload",
+            Self::Paused => "paused",
             Self::Refused => "refused",
             Self::Expired => "expired",
         }
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -6,6 +6,7 @@
 mod health;
 mod load;
 mod moves;
+mod notice;
 mod outdated;
 mod placement;
 mod retry;
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/notice.rs
@@ -0,0 +1,103 @@
+//! What targets ask for in their answers.
+
+use std::time::{Duration, Instant};
+
+use dispatch::{Decision, Kind, Reason};
+use yare::parameterized;
+
+use crate::support::{call, draft, ms, scheduler, submit, target};
+
+// Guards against a request that reaches a target which said that it leaves: its registration may still say ready, and may
+// lapse and come back.
+#[parameterized(
+    registered = { false, Some(1), false },
+    lapsed = { true, Some(1), false },
+    restarted = { false, Some(2), true },
+)]
+fn leaving_until_restart(lapsed: bool, born: Option<u64>, chosen: bool) {
+    let now = Instant::now();
+    let mut scheduler = scheduler();
+    scheduler.put_target(target("a", "drafts", "north"));
+    assert!(scheduler.target_leaves(now, "a"));
+    assert!(!scheduler.target_leaves(now, "a"), "no news");
+    if lapsed {
+        scheduler.remove_target("a");
+    }
+    let mut again = target("a", "drafts", "north");
+    again.born = born;
+    scheduler.put_target(again);
+    let later = now + Duration::from_secs(60);
+    assert_eq!(
+        submit(&mut scheduler, later, draft(later)).is_some(),
+        chosen
+    );
+}
+
+// Guards against an answer that names a target which is gone.
+#[test]
+fn notice_of_unknown_target() {
+    let now = Instant::now();
+    let mut scheduler = scheduler();
+    assert!(!scheduler.target_leaves(now, "a"));
+    assert!(!scheduler.target_pauses(now, "a", ms(100)));
+}
+
+// Guards against requests to a target within the pause that it asked for, also where a later refusal asked for less, and
+// against a faulty answer that takes a target out of service for days.
+#[parameterized(
+    within = { 1_000, 100, 900, false },
+    after = { 1_000, 100, 1_100, true },
+    longer = { 100, 1_000, 900, false },
+    fault = { u64::MAX, 100, 400_000, true },
+)]
+fn paused_as_asked(first_ms: u64, second_ms: u64, passed_ms: u64, chosen: bool) {
+    let now = Instant::now();
+    let mut scheduler = scheduler();
+    scheduler.put_target(target("a", "desk", "north"));
+    scheduler.target_pauses(now, "a", ms(first_ms));
+    scheduler.target_pauses(now, "a", ms(second_ms));
+    let later = now + ms(passed_ms);
+    let work = call(later, Kind::Idempotent, 2);
+    assert_eq!(submit(&mut scheduler, later, work).is_some(), chosen);
+}
+
+// Guards against callers who wait for targets that want no requests, or who come back, together, before one does.
+#[test]
+fn paused_all_refused() {
+    let now = Instant::now();
+    let mut scheduler = scheduler();
+    for (id, pause) in [("a", 3_000), ("b", 2_000)] {
+        scheduler.put_target(target(id, "desk", "north"));
+        scheduler.target_pauses(now, id, ms(pause));
+    }
+    let mut times = Vec::new();
+    for _ in 0..20 {
+        scheduler.submit(now, call(now, Kind::Idempotent, 2));
+        let [
+            Decision::Reject {
+                reason: Reason::Paused,
+                retry_after,
+                ..
+            },
+        ] = scheduler.poll(now)[..]
+        else {
+            panic!("not refused at once");
+        };
+        assert!(retry_after >= ms(2_000) && retry_after <= ms(2_300));
+        times.push(retry_after);
+    }
+    times.dedup();
+    assert!(times.len() > 10, "spread: {times:?}");
+}
+
+// Guards against a refusal although a target wants requests again while the caller would still wait.
+#[test]
+fn paused_briefly_waits() {
+    let now = Instant::now();
+    let mut scheduler = scheduler();
+    scheduler.put_target(target("a", "desk", "north"));
+    scheduler.target_pauses(now, "a", ms(20));
+    assert!(submit(&mut scheduler, now, call(now, Kind::Idempotent, 2)).is_none());
+    let decisions = scheduler.poll(now + ms(25));
+    assert!(matches!(decisions[..], [Decision::Send(_)]));
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -76,6 +76,8 @@
     CALLER_LEFT = 258 Info "caller-left";
     OUTDATED_ANSWER = 259 Warn "outdated-answer";
     TARGET_LATE = 260 Info "target-late";
+    TARGET_LEAVING = 261 Info "target-leaving";
+    TARGET_PAUSED = 262 Info "target-paused";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
