loads: entries of other domains are told less often, and loads are acted on together

Cause: each agent told every entry each change of its load, every 0.1 s. With 99 entries that are 990 datagrams a second, an eighth of a target's link of 7.3 Mbit/s and nearly all of one that is squeezed to a twentieth. An entry took 1,380 a second and polled its queue after each: up to 64 requests times 138 targets. Each target that registered made every entry subscribe at all agents again.

Change: an agent sends at most 200 loads a second to entries of other domains in all; whether it takes work, and its weights, are still told at once. An entry subscribes where it is due, at new agents at once. Loads that come within 10 ms are acted on together, and after 8 requests in a row without room the rest of the queue only waits or expires.

--- a/bins/agent/src/rollout/loads.rs
+++ b/bins/agent/src/rollout/loads.rs
@@ -1,12 +1,10 @@
 //! Asks the engine for its state and tells entries.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use ::rollout::Rollout;
+use ::rollout::{Audience, News, Rollout};
 use futures::FutureExt;
 use futures::future::{Either, select};
 use node::event;
@@ -17,26 +15,21 @@
 
 /// Time between two questions to the engine.
 const INTERVAL: Duration = Duration::from_millis(100);
-/// Time after which an unchanged load is told again; entries take older ones for unknown.
-const REPEATED: Duration = Duration::from_millis(800);
-/// Time after which an entry that didn't subscribe again is forgotten.
-const FORGOTTEN: Duration = Duration::from_millis(3500);
 
 /// Asks and tells; never returns.
 pub(super) async fn run(state: Rc<State>, port: Port) {
-    let entries = RefCell::new(BTreeMap::new());
-    let tell = tell(&state, &port, &entries);
-    let receive = receive(&state, &port, &entries);
+    let audience = RefCell::new(Audience::default());
+    let tell = tell(&state, &port, &audience);
+    let receive = receive(&state, &port, &audience);
     futures::join!(tell, receive);
 }
 
-type Entries = RefCell<BTreeMap<SocketAddr, Instant>>;
-
-async fn receive(state: &State, port: &Port, entries: &Entries) {
+async fn receive(state: &State, port: &Port, audience: &RefCell<Audience>) {
     loop {
         if let (entry, Datagram::Subscribe(subscription)) = port.receive().await {
             let now = Instant::now();
-            entries.borrow_mut().insert(entry, now);
+            let near = subscription.domain == state.settings.domain;
+            audience.borrow_mut().subscribe(now, entry, near);
             if let Some(source) = subscription.source {
                 state.set_source(now, source, subscription.in_touch);
             }
@@ -45,8 +38,8 @@
     }
 }
 
-async fn tell(state: &State, port: &Port, entries: &Entries) {
-    let mut told: Option<(Instant, Load)> = None;
+async fn tell(state: &State, port: &Port, audience: &RefCell<Audience>) {
+    let mut before: Option<Load> = None;
     loop {
         let closing = state.closing.get();
         match state.engine.report().await {
@@ -59,18 +52,14 @@
             }
         }
         let now = Instant::now();
-        entries
-            .borrow_mut()
-            .retain(|_, at| now.saturating_duration_since(*at) < FORGOTTEN);
-        let peers: Vec<SocketAddr> = entries.borrow().keys().copied().collect();
-        if let Some(load) = load(state, now, closing, peers.len()) {
-            let news = told.as_ref().is_none_or(|(at, before)| {
-                !is_same(before, &load) || now.saturating_duration_since(*at) >= REPEATED
-            });
-            if news {
-                port.send(&Datagram::Load(load.clone()), &peers).await;
-                told = Some((now, load));
+        audience.borrow_mut().expire(now);
+        let entries = audience.borrow().len();
+        if let Some(load) = load(state, now, closing, entries) {
+            let due = audience.borrow_mut().due(now, news(before.as_ref(), &load));
+            if !due.is_empty() {
+                port.send(&Datagram::Load(load.clone()), &due).await;
             }
+            before = Some(load);
         }
         wait(state, closing).await;
     }
@@ -159,13 +148,18 @@
         .collect()
 }
 
-/// Tells whether two loads say the same, but for the versions that were named.
-fn is_same(one: &Load, other: &Load) -> bool {
-    let without_named = |load: &Load| Load {
-        named: Vec::new(),
-        ..load.clone()
+/// Returns what `load` tells that `before` did not, but for the versions that were named and the number of entries.
+fn news(before: Option<&Load>, load: &Load) -> News {
+    let Some(before) = before else {
+        return News::State;
     };
-    without_named(one) == without_named(other)
+    let state = |load: &Load| (load.accepting, load.weights.clone());
+    let figures = |load: &Load| (load.running, load.waiting, load.pace, load.closes_ms);
+    match load {
+        _ if state(before) != state(load) => News::State,
+        _ if figures(before) != figures(load) => News::Load,
+        _ => News::None,
+    }
 }
 
 /// Returns whole tenths of a second in milliseconds, so that a time that comes nearer isn't news each time.
--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -19,10 +19,12 @@
 mod settings;
 mod store;
 mod stream;
+mod subscriptions;
 mod targets;
 mod unfinished;
 
 pub use gateway::Gateway;
 pub use serve::serve;
 pub use settings::{Bounds, Settings};
+pub use subscriptions::Subscriptions;
 pub use targets::{Change, Registry};
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -49,6 +49,10 @@
     in_touch: Cell<bool>,
     draining: Cell<bool>,
     refusing: Cell<bool>,
+    /// When the scheduler was last polled.
+    polled: Cell<Instant>,
+    /// Whether loads came since.
+    reported: Cell<bool>,
 }
 
 /// A request that waits for a target; dropping it takes it out of the queue, or frees the place that it got meanwhile.
@@ -79,6 +83,8 @@
             in_touch: Cell::new(false),
             draining: Cell::new(false),
             refusing: Cell::new(false),
+            polled: Cell::new(Instant::now()),
+            reported: Cell::new(false),
         })
     }
 
@@ -127,6 +133,20 @@
         result
     }
 
+    /// Calls `change` with the scheduler for a load that an agent told.
+    ///
+    /// Hundreds come each second, and each poll looks at all targets for the waiting requests, so loads that come within
+    /// [`TICK`] are acted on together.
+    pub(super) fn report(&self, change: impl FnOnce(&mut Scheduler, Instant)) {
+        let now = Instant::now();
+        change(&mut self.scheduler.borrow_mut(), now);
+        self.reported.set(true);
+        let waiting = self.scheduler.borrow().waiting() > 0;
+        if waiting && now.saturating_duration_since(self.polled.get()) >= TICK {
+            self.pump();
+        }
+    }
+
     /// Calls `read` with the scheduler.
     pub fn view<T>(&self, read: impl FnOnce(&Scheduler) -> T) -> T {
         read(&self.scheduler.borrow())
@@ -158,7 +178,7 @@
         loop {
             let waiting = self.scheduler.borrow().waiting() > 0;
             compio::time::sleep(if waiting { TICK } else { IDLE_TICK }).await;
-            if waiting {
+            if waiting || self.reported.get() {
                 self.pump();
             }
             let now = Instant::now();
@@ -379,6 +399,8 @@
 
     /// Lets the scheduler act and passes its decisions to the callers that wait for them.
     fn pump(&self) {
+        self.polled.set(Instant::now());
+        self.reported.set(false);
         loop {
             let now = Instant::now();
             let decisions = self.scheduler.borrow_mut().poll(now);
--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -1,6 +1,6 @@
 //! The load of engines, told by the agents beside them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -10,9 +10,10 @@
 use wire::{Datagram, Named, Port, Subscription};
 
 use super::gateway::Gateway;
+use super::subscriptions::Subscriptions;
 
-/// Time between two subscriptions; agents forget an entry after three.
-const SUBSCRIPTION: Duration = Duration::from_secs(1);
+/// Time between two looks for agents to subscribe at.
+const LOOK: Duration = Duration::from_millis(200);
 /// Time between two looks whether a version was named or a target registered.
 const NEWS_CHECK: Duration = Duration::from_millis(50);
 /// Versions in one datagram; more of them are told in further ones.
@@ -24,16 +25,22 @@
 }
 
 async fn subscribe(gateway: &Gateway, port: &Port) {
+    let mut subscribed = Subscriptions::default();
     loop {
         let seen = gateway.news();
         let named = named(gateway);
+        let versions = named
+            .iter()
+            .map(|named| (named.model.clone(), named.version));
+        subscribed.set_versions(versions.collect());
         for (service, agents) in agents(gateway) {
             let source = gateway.view(|scheduler| scheduler.config()?.source(&service));
-            for subscription in subscriptions(&named, source.as_ref(), gateway.is_in_touch()) {
-                port.send(&subscription, &agents).await;
+            let due = subscribed.due(Instant::now(), &agents);
+            for subscription in subscriptions(gateway, &named, source.as_ref()) {
+                port.send(&subscription, &due).await;
             }
         }
-        let end = Instant::now() + SUBSCRIPTION;
+        let end = Instant::now() + LOOK;
         while gateway.news() == seen && Instant::now() < end {
             compio::time::sleep(NEWS_CHECK).await;
         }
@@ -41,12 +48,13 @@
 }
 
 /// Returns one subscription, or several where one can't tell all versions.
-fn subscriptions(named: &[Named], source: Option<&Source>, in_touch: bool) -> Vec<Datagram> {
+fn subscriptions(gateway: &Gateway, named: &[Named], source: Option<&Source>) -> Vec<Datagram> {
     let subscription = |named: &[Named]| {
         Datagram::Subscribe(Subscription {
+            domain: gateway.settings.domain.clone(),
             named: named.to_vec(),
             source: source.cloned(),
-            in_touch,
+            in_touch: gateway.is_in_touch(),
         })
     };
     match named.is_empty() {
@@ -70,10 +78,10 @@
     })
 }
 
-/// Returns the addresses of the agents by service: those of the VMs whose targets are engines.
-fn agents(gateway: &Gateway) -> BTreeMap<String, Vec<SocketAddr>> {
+/// Returns the agents by service: those of the VMs whose targets are engines, and whether each is in this entry's domain.
+fn agents(gateway: &Gateway) -> BTreeMap<String, BTreeMap<SocketAddr, bool>> {
     let port = gateway.settings.load_listen.port();
-    let mut agents: BTreeMap<String, BTreeSet<SocketAddr>> = BTreeMap::new();
+    let mut agents: BTreeMap<String, BTreeMap<SocketAddr, bool>> = BTreeMap::new();
     gateway.view(|scheduler| {
         let Some(config) = scheduler.config() else {
             return;
@@ -83,14 +91,11 @@
             if service.is_some_and(|service| service.engine.is_some()) {
                 let agent = SocketAddr::new(target.address.ip(), port);
                 let agents = agents.entry(target.service.clone()).or_default();
-                agents.insert(agent);
+                agents.insert(agent, target.domain == gateway.settings.domain);
             }
         }
     });
-    let lists = agents.into_iter();
-    lists
-        .map(|(service, agents)| (service, agents.into_iter().collect()))
-        .collect()
+    agents
 }
 
 async fn receive(gateway: &Gateway, port: &Port) {
@@ -116,7 +121,7 @@
     for named in &named {
         take_named(gateway, named);
     }
-    gateway.update(|scheduler, now| {
+    gateway.report(|scheduler, now| {
         scheduler.set_entries(entries);
         scheduler.report(now, engine, load);
     });
--- a/bins/entry/tests/ingress/main.rs
+++ b/bins/entry/tests/ingress/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the entry on the users' platform.
 
 mod events;
+mod subscriptions;
 mod targets;
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -33,6 +33,9 @@
 const LAST_BEGIN: Duration = Duration::from_millis(300);
 /// Waiting requests that are looked at before the rest waits for the next poll.
 const SCANNED: usize = 64;
+/// Requests in a row without room at any target after which the rest of those looked at only wait or expire: where so
+/// many have none, the next one hardly has.
+const MOST_BUSY: usize = 8;
 
 /// Requests, targets and configuration of one entry.
 #[derive(Debug)]
@@ -420,6 +423,7 @@
             return;
         };
         let waiting: Vec<_> = queue.iter().map(|(order, _)| order).take(SCANNED).collect();
+        let mut busy = 0;
         for order in waiting {
             let Some(work) = self
                 .queues
@@ -434,7 +438,18 @@
                 0 => Backlog::Allowed,
                 _ => Backlog::None,
             };
-            match self.choose(now, &work, backlog) {
+            let choice = match busy < MOST_BUSY {
+                true => self.choose(now, &work, backlog),
+                false => Choice::Busy,
+            };
+            // One that may only go to few targets says nothing about the others.
+            let restricted = work.version.is_some() || !work.tried.is_empty();
+            busy = match choice {
+                Choice::Busy if restricted => busy,
+                Choice::Busy => busy + 1,
+                _ => 0,
+            };
+            match choice {
                 Choice::Target(id) => {
                     if let Some(place) = self.place(now, order.request, work, &id) {
                         decisions.push(Decision::Send(place));
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -2,14 +2,17 @@
 //!
 //! Every engine must serve a named version within a bound, and an engine that loads serves nothing. The [`Rollout`] of
 //! each agent therefore gives its engine a turn within the bound, at a place in an order that all agents compute alike
-//! from the ids of the live targets, without asking each other.
+//! from the ids of the live targets, without asking each other. An [`Audience`] decides which entries are told the engine's
+//! load, and when.
 
+mod audience;
 mod search;
 mod turn;
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+pub use audience::{Audience, News};
 pub use search::{Round, Search};
 pub use turn::Place;
 
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -1,7 +1,8 @@
 //! What agents tell entries of their engines' load, and entries tell agents of what operators wrote.
 //!
-//! An entry sends [`Datagram::Subscribe`] to an agent every second; for a few seconds after each, the agent sends
-//! [`Datagram::Load`] whenever its engine's load has changed. A lost datagram is made up for by the next one.
+//! An entry sends [`Datagram::Subscribe`] to an agent every second, or every three seconds in another failure domain; for
+//! a few seconds after each, the agent sends [`Datagram::Load`] when its engine's load has changed. A lost datagram is
+//! made up for by the next one.
 //!
 //! A subscription carries what the agent needs of the configuration. If all agents read the configuration from the store
 //! themselves, a large one would fill the links between regions just when a new version of the weights needs them.
@@ -28,6 +29,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct Subscription {
+    /// Failure domain of the entry: an agent tells those of its own domain each change, and others less often.
+    pub domain: String,
     /// Versions that operators named.
     pub named: Vec<Named>,
     /// Where the agent's engine gets its weights, by the configuration that the entry has in force.
