transfer: receive few parts at once, at the rate that the link carries

An agent asked for 16 parts at once and their senders sent at the rate of their own links: up to 393 KB stood in front of the receiver's link, 8 s at its narrowed rate, and the requests and ends of requests behind them.

Change: an agent asks first whether a part is held, and receives three at once, each at a rate that it asks for. While the bodies of several senders are all slower than that, the rate follows what comes.

Measured by tests: wait_bounded; with 16 at once the wait in front of the narrowed link is 7.2 s and 8.0 s, now below 0.5 s (1 s just after the link narrowed).

--- a/bins/agent/src/chunk_server.rs
+++ b/bins/agent/src/chunk_server.rs
@@ -1,6 +1,7 @@
 //! The chunk port: manifests and chunks for other agents.
 //!
-//! `GET /chunks/{manifest digest}/{index}` gives the bytes, a redirect to holders (303) or a time to wait (503).
+//! `GET /chunks/{manifest digest}/{index}` gives the bytes, a redirect to holders (303) or a time to wait (503); with the
+//! header [`ANNOUNCE`](wire::header::ANNOUNCE) it gives 204 in place of the bytes.
 //! `GET /manifests/{digest}` and `GET /manifests/{model}/{version}` give the manifest as JSON, or 404.
 
 use std::io;
@@ -26,6 +27,9 @@
 /// Time after a stop began in which connections stay open: other agents learn of the stop within it.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// Longest time for which a chunk is paced at the rate that the asker gave: it holds a slot meanwhile.
+const LONGEST_PACE: Duration = Duration::from_secs(10);
+
 /// Time to wait that is given for a version whose manifest isn't known here yet: the catalogue takes about 1.5 s.
 const UNKNOWN_WAIT: Duration = Duration::from_millis(300);
 
@@ -99,10 +103,17 @@
         return not_found(request.uri().path());
     };
     let held = holdings.wait_for(&chunk).await;
+    if held && request.headers().contains_key(wire::header::ANNOUNCE) {
+        return response(StatusCode::NO_CONTENT, Body::empty());
+    }
+    let rate = asked_rate(request);
     let to = holdings.remote(&asker.address);
     match holdings.uploader.answer(chunk, held, asker, Instant::now()) {
         Choice::Send(slot) => match holdings.chunk(&chunk) {
-            Some(bytes) => response(StatusCode::OK, paced(holdings, digest, bytes, (slot, to))),
+            Some(bytes) => response(
+                StatusCode::OK,
+                paced(holdings, digest, bytes, (slot, to), rate),
+            ),
             None => not_yet(UNKNOWN_WAIT, None),
         },
         Choice::Redirect(holders) => {
@@ -130,14 +141,23 @@
     })
 }
 
-/// Returns a body that follows the uplink's bucket. The slot is released when the body ends or is dropped.
+/// Returns the bytes a second at which the asker wants to receive the chunk.
+fn asked_rate(request: &Request<Bytes>) -> Option<f64> {
+    let value = request.headers().get(wire::header::RATE)?;
+    let rate: u32 = value.to_str().ok()?.parse().ok()?;
+    (rate > 0).then(|| f64::from(rate))
+}
+
+/// Returns a body that follows the uplink's bucket, and `rate` where the asker gave one. The slot is released when the body ends or is dropped.
 fn paced(
     holdings: &Rc<Holdings>,
     version: Digest,
     bytes: Bytes,
     (slot, to): (Slot, Remote),
+    rate: Option<f64>,
 ) -> Body {
     let holdings = Rc::clone(holdings);
+    let (start, length) = (Instant::now(), bytes.len());
     Body::stream(stream::unfold(
         (bytes, Some(slot)),
         move |(mut rest, mut slot)| {
@@ -149,6 +169,11 @@
                     }
                     return None;
                 }
+                if let Some(rate) = rate {
+                    let sent = (length - rest.len()) as f64;
+                    let time = Duration::from_secs_f64(sent / rate).min(LONGEST_PACE);
+                    compio::time::sleep_until(start + time).await;
+                }
                 let piece = rest.split_to(rest.len().min(holdings.piece.max(1)));
                 let ticket = holdings.uplink.join(version, piece.len() as u64);
                 while let Err(wait) = ticket.poll(Instant::now()) {
--- a/bins/agent/src/rollout/serve.rs
+++ b/bins/agent/src/rollout/serve.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use burst::Intake;
 use compio::runtime::spawn;
 use node::operator::{self, Operator};
 use prometheus_client::registry::Registry;
@@ -14,14 +15,17 @@
 use super::{Settings, loads, switch, watch, weights};
 use crate::chunk_server;
 use crate::metrics::Transfers;
-use crate::transfer::{Holdings, Parts, Rates};
+use crate::transfer::{Holdings, Parts, Rates, Receiving};
 
 /// Time for which the link may be full of parts without a pause: an event of a stream waits as long.
 const BURST: Duration = Duration::from_millis(10);
 /// Time that a piece of a part takes on the link.
 const PIECE: Duration = Duration::from_millis(5);
 /// Uploads at once; more would only share the same link.
-const UPLOADS: usize = 2;
+const UPLOADS: usize = 3;
+/// Parts received at once. Parts of many senders that come together queue in front of the own link, with the requests
+/// behind them.
+const RECEIVED: usize = 3;
 /// Time for which a request for a part that is on its way waits.
 const HOLD: Duration = Duration::from_millis(400);
 
@@ -48,7 +52,12 @@
     let transfers = Transfers::default();
     transfers.register(&mut registry);
     let holdings = Holdings::new(&me.domain, &me.region, &rates, cache, UPLOADS);
-    let holdings = Rc::new(holdings.with_metrics(transfers).with_hold(HOLD));
+    let receiving = Receiving::new(Intake::new(rate, RECEIVED, Instant::now()));
+    let holdings = holdings
+        .with_metrics(transfers)
+        .with_hold(HOLD)
+        .with_receiving(receiving);
+    let holdings = Rc::new(holdings);
     let origin = Rc::new(Parts {
         // Set to the origin's address before anything is drawn.
         address: Cell::new(state.settings.engine),
--- a/bins/agent/src/transfer.rs
+++ b/bins/agent/src/transfer.rs
@@ -8,6 +8,7 @@
 mod holdings;
 mod manifest;
 mod permits;
+mod receiving;
 mod run;
 mod stage;
 
@@ -22,6 +23,7 @@
 use weights::Pin;
 
 pub use holdings::{Holdings, Rates, Traffic};
+pub use receiving::Receiving;
 pub use run::Worker;
 
 /// Time in which a call to the platform, the engine or a manifest's source must be answered.
--- a/bins/agent/src/transfer/fetch.rs
+++ b/bins/agent/src/transfer/fetch.rs
@@ -8,8 +8,9 @@
 
 use burst::{Answer, Bucket, Version};
 use bytes::{Bytes, BytesMut};
+use hyper::http::response;
 use node::event;
-use node::http::{self, Body, Client, HeaderMap, Request, StatusCode, header};
+use node::http::{self, Body, Client, HeaderMap, Request, Response, StatusCode, header};
 use weights::{ChunkIndex, Digest, Manifest, Pin};
 
 use super::{Holdings, Origin, Settings};
@@ -60,43 +61,64 @@
         let Some(len) = version.manifest().chunk_len(chunk) else {
             return Answer::Failed;
         };
-        let request = Request::get(format!("/chunks/{}/{chunk}", version.digest()))
-            .header(
-                wire::header::CHUNK_ADDRESS,
-                self.settings.me.address.to_string(),
-            )
-            .header(wire::header::DOMAIN, &self.settings.me.domain)
-            .body(Body::empty());
-        let Ok(request) = request else {
-            return Answer::Failed;
-        };
-        let Ok(answer) = self.http.send(peer, request, Instant::now() + PART).await else {
+        let path = format!("/chunks/{}/{chunk}", version.digest());
+        let mut turn = None;
+        if let Some(receiving) = &self.holdings.receiving {
+            let announce = (wire::header::ANNOUNCE, 1);
+            let Some((parts, _)) = self.ask(peer, &path, Some(announce)).await else {
+                return Answer::Failed;
+            };
+            progress();
+            if parts.status != StatusCode::NO_CONTENT {
+                return refused(&parts);
+            }
+            turn = Some(receiving.turn(peer, &progress).await);
+        }
+        let rate = turn.as_ref().map(|turn| (wire::header::RATE, turn.rate));
+        let Some((parts, body)) = self.ask(peer, &path, rate).await else {
             return Answer::Failed;
         };
         progress();
-        let (parts, body) = answer.into_parts();
-        match parts.status {
-            StatusCode::OK => {
-                let buckets = self.buckets(Some(&peer));
-                let from = self.holdings.remote(&peer);
-                let mut bytes = BytesMut::with_capacity(len as usize);
-                match self
-                    .read(body, &mut bytes, len as usize, &buckets, (from, progress))
-                    .await
-                {
-                    Ok(()) => {
-                        self.holdings
-                            .count(|traffic| traffic.from_peers += u64::from(len));
-                        Answer::Bytes(bytes.freeze())
-                    }
-                    Err(_) => Answer::Failed,
-                }
+        if parts.status != StatusCode::OK {
+            return refused(&parts);
+        }
+        let buckets = self.buckets(Some(&peer));
+        let from = self.holdings.remote(&peer);
+        let mut bytes = BytesMut::with_capacity(len as usize);
+        let received = |length| {
+            progress();
+            turn.as_ref().inspect(|turn| turn.received(length));
+        };
+        match self
+            .read(body, &mut bytes, len as usize, &buckets, (from, received))
+            .await
+        {
+            Ok(()) => {
+                self.holdings
+                    .count(|traffic| traffic.from_peers += u64::from(len));
+                Answer::Bytes(bytes.freeze())
             }
-            StatusCode::SEE_OTHER => Answer::Holders(holders(&parts.headers)),
-            StatusCode::SERVICE_UNAVAILABLE => not_yet(&parts.headers),
-            StatusCode::NOT_FOUND => Answer::Unknown(wait(&parts.headers)),
-            _ => Answer::Failed,
+            Err(_) => Answer::Failed,
+        }
+    }
+
+    /// Asks another agent for what is at `path`; `None` when it doesn't answer.
+    async fn ask(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        header: Option<(&'static str, u64)>,
+    ) -> Option<(response::Parts, http::Answer)> {
+        let me = &self.settings.me;
+        let mut request = Request::get(path)
+            .header(wire::header::CHUNK_ADDRESS, me.address.to_string())
+            .header(wire::header::DOMAIN, &me.domain);
+        if let Some((name, value)) = header {
+            request = request.header(name, value);
         }
+        let request = request.body(Body::empty()).ok()?;
+        let answer = self.http.send(peer, request, Instant::now() + PART).await;
+        answer.ok().map(Response::into_parts)
     }
 
     /// Draws a chunk of `version` from the store, after the bytes of an earlier draw that was interrupted.
@@ -127,6 +149,10 @@
         if partial.bytes.len() < len {
             self.wait_for_turn(&progress).await;
             let (origin, request) = self.draw_request(version, chunk, &mut partial.bytes)?;
+            let turn = match &self.holdings.receiving {
+                Some(receiving) => Some(receiving.turn(origin, &progress).await),
+                None => None,
+            };
             let answer = self
                 .origin_http
                 .send(origin, request, Instant::now() + PART)
@@ -142,13 +168,17 @@
             }
             let before = partial.bytes.len();
             let buckets = self.buckets(None);
+            let received = |length| {
+                progress();
+                turn.as_ref().inspect(|turn| turn.received(length));
+            };
             let read = self
                 .read(
                     body,
                     &mut partial.bytes,
                     len,
                     &buckets,
-                    (Remote::Origin, progress),
+                    (Remote::Origin, received),
                 )
                 .await;
             let received = (partial.bytes.len() - before) as u64;
@@ -240,28 +270,29 @@
         Ok(Version::check(self.pin.digest, manifest)?)
     }
 
-    /// Reads a body up to `len` bytes in all, at the rate of the buckets.
+    /// Reads a body up to `len` bytes in all, at the rate of the buckets; `received` is called with the length of each
+    /// piece, and with 0 while this agent waits by itself.
     async fn read(
         &self,
         mut body: http::Answer,
         bytes: &mut BytesMut,
         len: usize,
         buckets: &[&Bucket],
-        (from, progress): (Remote, impl Fn()),
+        (from, received): (Remote, impl Fn(usize)),
     ) -> Result<(), Error> {
         loop {
             body.set_deadline(Instant::now() + PART);
             let Some(piece) = body.next().await? else {
                 break;
             };
-            progress();
+            received(piece.len());
             self.holdings.metrics.received(from, piece.len());
             if bytes.len() + piece.len() > len {
                 return Err(Error::Length(bytes.len() + piece.len(), len));
             }
             bytes.extend_from_slice(&piece);
             for bucket in buckets {
-                pace(bucket, self.pin.digest, &piece, &progress).await;
+                pace(bucket, self.pin.digest, &piece, &|| received(0)).await;
             }
         }
         match bytes.len() {
@@ -330,6 +361,16 @@
     }
 }
 
+/// Returns what an answer without a chunk says.
+fn refused(parts: &response::Parts) -> Answer {
+    match parts.status {
+        StatusCode::SEE_OTHER => Answer::Holders(holders(&parts.headers)),
+        StatusCode::SERVICE_UNAVAILABLE => not_yet(&parts.headers),
+        StatusCode::NOT_FOUND => Answer::Unknown(wait(&parts.headers)),
+        _ => Answer::Failed,
+    }
+}
+
 fn holders(headers: &HeaderMap) -> Vec<SocketAddr> {
     let value = headers
         .get(wire::header::HOLDERS)
--- a/bins/agent/src/transfer/holdings.rs
+++ b/bins/agent/src/transfer/holdings.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use weights::{Chunk, ChunkIndex, Digest, Store};
 
+use super::Receiving;
 use crate::Notify;
 use crate::metrics::{Remote, Transfers};
 
@@ -76,6 +77,8 @@
     arrived: Notify,
     /// Time for which a request waits for a chunk.
     hold: Duration,
+    /// Limit of the chunks received at once, where there is one.
+    pub(crate) receiving: Option<Receiving>,
     /// When each stripe of the version in transfer was last known to be drawn.
     drawn: RefCell<Option<Drawn>>,
 }
@@ -106,6 +109,7 @@
             traffic: Cell::default(),
             arrived: Notify::default(),
             hold: Duration::ZERO,
+            receiving: None,
             drawn: RefCell::default(),
         }
     }
@@ -168,6 +172,12 @@
         self
     }
 
+    /// Lets chunks come only as `receiving` allows.
+    pub fn with_receiving(mut self, receiving: Receiving) -> Self {
+        self.receiving = Some(receiving);
+        self
+    }
+
     /// Waits until the chunk `digest` is held, as long as requests are kept, and returns whether it is.
     pub(crate) async fn wait_for(&self, digest: &Digest) -> bool {
         let end = Instant::now() + self.hold;
--- a/crates/burst/tests/burst/main.rs
+++ b/crates/burst/tests/burst/main.rs
@@ -2,6 +2,7 @@
 
 mod downloader;
 mod fleet;
+mod intake;
 mod order;
 mod outage;
 mod permit;
