transfer: ask for more than a third each while the link carries its rate

Cause: with three bodies at exactly a third of the link's rate, every pause between two of them was lost, and owners were busy with slow bodies.

--- a/crates/burst/src/intake.rs
+++ b/crates/burst/src/intake.rs
@@ -5,11 +5,14 @@
 use std::time::{Duration, Instant};
 
 /// Time over which the rate that comes is compared with the one that was asked for.
-const REVIEW: Duration = Duration::from_millis(250);
+const REVIEW: Duration = Duration::from_millis(150);
 /// Least time that a body must have lasted within a review to say something.
 const LEAST_TIME: Duration = Duration::from_millis(50);
 /// Share of the asked rate below which a body is slow.
-const SLOW: f64 = 0.6;
+const SLOW: f64 = 0.4;
+/// Factor on what is asked for while the link carries its whole rate: bodies begin late and senders are busy, and the few
+/// that come at once can't queue for long there.
+const HEADROOM: f64 = 1.5;
 /// Share of the asked rate from which the link can carry more.
 const QUICK: f64 = 0.9;
 /// Factor on the rate that came, where all bodies are slow: below it, so that what has queued drains.
@@ -37,7 +40,7 @@
 /// let mut intake = Intake::new(1_000_000, 2, now);
 /// let sender = ([127, 0, 0, 1], 1).into();
 /// let first = intake.begin(now, sender).unwrap();
-/// assert_eq!(first.rate, 500_000);
+/// assert_eq!(first.rate, 750_000);
 /// assert!(intake.begin(now, sender).is_some());
 /// assert!(intake.begin(now, sender).is_none());
 /// intake.end(now, first.body);
@@ -109,7 +112,8 @@
         if self.bodies.is_empty() {
             self.restart(now);
         }
-        let rate = self.rate / self.most as f64;
+        let headroom = if self.rate < self.full { 1.0 } else { HEADROOM };
+        let rate = self.rate * headroom / self.most as f64;
         let body = Body {
             from,
             rate,
@@ -175,7 +179,7 @@
 impl Body {
     fn sample(&self, now: Instant) -> Option<Sample> {
         let time = now.saturating_duration_since(self.since);
-        (time >= LEAST_TIME).then(|| Sample {
+        (time >= LEAST_TIME).then_some(Sample {
             from: self.from,
             rate: self.rate,
             asked: self.rate * time.as_secs_f64(),
