ingress: two entries of a domain read the store for the others

Cause: every entry read the configuration and all registrations from the store.

Change: agents name the entries of their domain to each other. In a domain of more than five, the first two by a hash of their addresses read the store and serve what they read in the form of the store's own calls; the others follow there. A relay answers only while the store has answered it within 1.4 s. A follower of one that is silent or refuses asks the other one, and then the store itself for 3 s. Revisions are the store's, and an older list than the one held is refused, so nobody goes back.

Tests: followers_converge (property: any changes between two mirrors that may be behind), relays_fail (cut, frozen), read_from_relay, relay_behind, store_read_by_two, failed_relays_passed_over.

--- a/bins/agent/src/rollout/loads.rs
+++ b/bins/agent/src/rollout/loads.rs
@@ -13,6 +13,10 @@
 
 use super::state::State;
 
+/// Time between two lists of the entries of the domain, which those entries are sent.
+const INTRODUCTION: Duration = Duration::from_secs(2);
+/// Most entries in a list; more of them don't fit into a datagram.
+const MOST_INTRODUCED: usize = 100;
 /// Time between two questions to the engine.
 const INTERVAL: Duration = Duration::from_millis(100);
 
@@ -21,7 +25,8 @@
     let audience = RefCell::new(Audience::default());
     let tell = tell(&state, &port, &audience);
     let receive = receive(&state, &port, &audience);
-    futures::join!(tell, receive);
+    let introduce = introduce(&port, &audience);
+    futures::join!(tell, receive, introduce);
 }
 
 async fn receive(state: &State, port: &Port, audience: &RefCell<Audience>) {
@@ -38,6 +43,17 @@
     }
 }
 
+/// Tells the entries of the domain which others there are.
+async fn introduce(port: &Port, audience: &RefCell<Audience>) {
+    loop {
+        compio::time::sleep(INTRODUCTION).await;
+        let entries = audience.borrow().near();
+        for list in entries.chunks(MOST_INTRODUCED) {
+            port.send(&Datagram::Entries(list.to_vec()), &entries).await;
+        }
+    }
+}
+
 async fn tell(state: &State, port: &Port, audience: &RefCell<Audience>) {
     let mut before: Option<Load> = None;
     loop {
--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -14,6 +14,9 @@
 mod metrics;
 mod placed;
 mod plain;
+mod reader;
+mod relay;
+mod relays;
 mod run;
 mod serve;
 mod settings;
@@ -24,6 +27,7 @@
 mod unfinished;
 
 pub use gateway::Gateway;
+pub use relays::{Relays, Source};
 pub use serve::serve;
 pub use settings::{Bounds, Settings};
 pub use subscriptions::Subscriptions;
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -19,6 +19,8 @@
 use super::end::{End, Rejection};
 use super::metrics::Metrics;
 use super::placed::Placed;
+use super::relay::Relay;
+use super::relays::Relays;
 use super::unfinished::Unfinished;
 use crate::in_progress::InProgress;
 
@@ -37,6 +39,10 @@
     pub(super) settings: Settings,
     pub(super) client: Client,
     pub(super) metrics: Metrics,
+    /// Which entries read the store for others.
+    pub(super) relays: RefCell<Relays>,
+    /// What this entry passes on of what it read.
+    pub(super) relay: Rc<Relay>,
     scheduler: RefCell<Scheduler>,
     steps: RefCell<HashMap<RequestId, oneshot::Sender<Decision>>>,
     moves: RefCell<HashMap<RequestId, oneshot::Sender<Placed>>>,
@@ -71,6 +77,8 @@
         let scheduler = Scheduler::new(&settings.domain, versions, repeats, seed);
         Rc::new_cyclic(|me| Self {
             me: me.clone(),
+            relays: RefCell::new(Relays::new(settings.load_listen)),
+            relay: Rc::default(),
             settings,
             client: Client::new().with_connect_time(CONNECT_TIME),
             metrics: Metrics::new(registry),
--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -100,8 +100,14 @@
 
 async fn receive(gateway: &Gateway, port: &Port) {
     loop {
-        if let (_, Datagram::Load(load)) = port.receive().await {
-            take(gateway, load);
+        match port.receive().await {
+            (_, Datagram::Load(load)) => take(gateway, load),
+            (_, Datagram::Entries(entries)) => {
+                let mut relays = gateway.relays.borrow_mut();
+                relays.take(Instant::now(), &entries);
+            }
+            // Entries subscribe at agents only.
+            (_, Datagram::Subscribe(_)) => {}
         }
     }
 }
--- a/bins/entry/src/ingress/serve.rs
+++ b/bins/entry/src/ingress/serve.rs
@@ -13,7 +13,7 @@
 use wire::Port;
 
 use super::gateway::Gateway;
-use super::{Settings, loads, store};
+use super::{Settings, loads, relay, store};
 
 /// Time from the signal to stop in which the balancer notices that the entry isn't ready: two questions, a second
 /// apart, and the time that the first one may have just missed.
@@ -37,6 +37,8 @@
     let ready = node::listen(settings.ready_listen)?;
     let operators = node::listen(settings.operator_listen)?;
     let loads = Port::bind(settings.load_listen)?;
+    // Entries know each other by the address of this port, so both have the same number.
+    let entries = node::listen(settings.load_listen)?;
     let mut registry = Registry::default();
     let gateway = Gateway::new(settings, &mut registry);
     let (status, healthy) = (Rc::clone(&gateway), Rc::clone(&gateway));
@@ -49,6 +51,7 @@
         compio::runtime::spawn(node::signal::hangups()),
         compio::runtime::spawn(Rc::clone(&gateway).keep_time()),
         compio::runtime::spawn(store::run(Rc::clone(&gateway))),
+        compio::runtime::spawn(relay::serve(entries, Rc::clone(&gateway.relay))),
         compio::runtime::spawn(loads::run(Rc::clone(&gateway), loads)),
         compio::runtime::spawn(serve_ready(ready, Rc::clone(&gateway))),
         compio::runtime::spawn(operator::serve(operators, operator, std::future::pending())),
--- a/bins/entry/src/ingress/settings.rs
+++ b/bins/entry/src/ingress/settings.rs
@@ -19,7 +19,8 @@
     pub ready_listen: SocketAddr,
     /// Port for operators.
     pub operator_listen: SocketAddr,
-    /// UDP port on which agents tell the load of their engines; agents use the same number.
+    /// UDP port on which agents tell the load of their engines, and TCP port on which other entries read what this one
+    /// read from the store; agents and entries use the same number.
     pub load_listen: SocketAddr,
     /// Address of the platform's store.
     pub platform: SocketAddr,
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -7,64 +7,77 @@
 use std::time::{Duration, Instant};
 
 use futures::future::{Either, select};
-use node::{Backoff, Notify, event};
-use platform::{Client, Failed, Follower, Listing, Object, Update, config, target, versions};
+use node::{Notify, event};
+use platform::{Failed, Listing, Object, Update, config, target, versions};
 
 use super::gateway::Gateway;
+use super::reader::Reader;
+use super::relays::Source;
 use super::targets::{Change, Registry};
 
-/// Time allowed for a call of the store, beside the wait of a watch.
-const TIMEOUT: Duration = Duration::from_millis(800);
 /// Wait of one watch of the configuration, as a share of the time after the store's return in which the deployment's
 /// bounds hold again: a call that a silent store never answers must end within it.
 const SHORT_WAIT: f64 = 0.6;
+/// The same where other entries read what this one reads: they must notice soon that it reads nothing any more.
+const SHARED_WAIT: Duration = Duration::from_millis(600);
 /// Longest wait of one watch call; every call has a price.
 const WAIT: Duration = Duration::from_secs(29);
 /// Time between two watches of targets, in which changes that come together gather, while targets come or go.
 const GATHERING: Duration = Duration::from_millis(500);
 /// The same while they only change, as a share of the time in which requests must stop to go to a target that leaves.
 const LONG_GATHERING: f64 = 0.4;
-/// Bounds of the pause after a failed call; it doubles with each failure.
-const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 /// Time between two looks for targets that did not register again.
 const EXPIRY: Duration = Duration::from_millis(100);
 
 /// Follows all kinds that the ingress needs; never returns.
 pub(super) async fn run(gateway: Rc<Gateway>) {
-    let client = Client::new(gateway.settings.platform, TIMEOUT);
-    let follower = |kind| Follower::new(&client, kind, Backoff::new(PAUSE.0, PAUSE.1));
     let targets = RefCell::new(Registry::default());
     let pulse = Notify::default();
-    let configs = follow_config(follower(config::KIND), &gateway, &pulse);
-    let named = follow_versions(follower(versions::KIND), &gateway, &pulse);
-    let registered = follow_targets(follower(target::KIND), &gateway, &targets, &pulse);
+    let configs = follow_config(Reader::new(&gateway, config::KIND), &gateway, &pulse);
+    let named = follow_versions(Reader::new(&gateway, versions::KIND), &gateway, &pulse);
+    let registered = follow_targets(
+        Reader::new(&gateway, target::KIND),
+        &gateway,
+        &targets,
+        &pulse,
+    );
     let expired = expire(&gateway, &targets);
     futures::join!(configs, named, registered, expired);
 }
 
 /// Follows the configuration by short watches, which tell soon when the store falls silent: then, and when it is back,
 /// `pulse` ends the long watches of the other kinds, which would wait for an answer that doesn't come.
-async fn follow_config(mut follower: Follower, gateway: &Gateway, pulse: &Notify) {
+async fn follow_config(mut reader: Reader<'_>, gateway: &Gateway, pulse: &Notify) {
     let wait = gateway.settings.bounds.contact.mul_f64(SHORT_WAIT);
     loop {
-        let failing = follower.is_failing();
-        let read = follower.next(wait).await;
-        gateway.set_in_touch(!follower.is_failing());
-        if follower.is_failing() != failing {
+        let failing = reader.is_failing();
+        let source = reader.choose(Instant::now());
+        let read = match source {
+            Source::Shared => reader.next(SHARED_WAIT).await,
+            Source::Store | Source::Relay(_) => reader.next(wait).await,
+        };
+        gateway.set_in_touch(!reader.is_failing());
+        if reader.is_failing() != failing {
             pulse.notify();
         }
         match read {
-            Ok(update) => take_config(gateway, &update.listing),
+            Ok(update) => {
+                if source == Source::Shared {
+                    gateway.relay.confirm(Instant::now());
+                }
+                take_config(gateway, &update.listing);
+            }
             Err(failed) => compio::time::sleep(failed.pause).await,
         }
     }
 }
 
 /// Follows the versions that operators name.
-async fn follow_versions(mut follower: Follower, gateway: &Gateway, pulse: &Notify) {
+async fn follow_versions(mut reader: Reader<'_>, gateway: &Gateway, pulse: &Notify) {
     let mut first = true;
     loop {
-        match read(&mut follower, pulse).await {
+        // Versions are few and small, and every entry must know when each of them was named.
+        match read(&mut reader, pulse).await {
             Some(Ok(update)) => take_versions(gateway, &update.listing, std::mem::take(&mut first)),
             Some(Err(failed)) => compio::time::sleep(failed.pause).await,
             None => {}
@@ -74,14 +87,14 @@
 
 /// Follows the registrations of targets.
 async fn follow_targets(
-    mut follower: Follower,
+    mut reader: Reader<'_>,
     gateway: &Gateway,
     targets: &RefCell<Registry>,
     pulse: &Notify,
 ) {
-    let gathering = gateway.settings.bounds.drain.mul_f64(LONG_GATHERING);
     loop {
-        let read = read(&mut follower, pulse).await;
+        let source = reader.choose(Instant::now());
+        let read = read(&mut reader, pulse).await;
         let now = Instant::now();
         match read {
             Some(Ok(update)) => {
@@ -90,12 +103,7 @@
                 take_targets(gateway, &mut targets.borrow_mut(), &update);
                 let membership_changed =
                     gateway.news() != news || !update.listing.deleted.is_empty();
-                compio::time::sleep(if membership_changed {
-                    GATHERING
-                } else {
-                    gathering
-                })
-                .await;
+                compio::time::sleep(gathering(gateway, source, membership_changed)).await;
             }
             Some(Err(failed)) => {
                 targets.borrow_mut().failed(now);
@@ -106,10 +114,22 @@
     }
 }
 
+/// Returns the time until the next watch of targets, in which changes gather.
+fn gathering(gateway: &Gateway, source: Source, membership_changed: bool) -> Duration {
+    match source {
+        Source::Store if !membership_changed => {
+            gateway.settings.bounds.drain.mul_f64(LONG_GATHERING)
+        }
+        Source::Store | Source::Shared => GATHERING,
+        // They have gathered there.
+        Source::Relay(_) => Duration::ZERO,
+    }
+}
+
 /// Reads on; `None` when `pulse` ended the call.
-async fn read(follower: &mut Follower, pulse: &Notify) -> Option<Result<Update, Failed>> {
+async fn read(reader: &mut Reader<'_>, pulse: &Notify) -> Option<Result<Update, Failed>> {
     let beat = pulse.changed(pulse.count());
-    match select(pin!(follower.next(WAIT)), pin!(beat)).await {
+    match select(pin!(reader.next(WAIT)), pin!(beat)).await {
         Either::Left((read, _)) => Some(read),
         Either::Right(_) => None,
     }
--- a/bins/entry/tests/ingress/main.rs
+++ b/bins/entry/tests/ingress/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the entry on the users' platform.
 
 mod events;
+mod relays;
 mod subscriptions;
 mod targets;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -78,6 +78,7 @@
     TARGET_LATE = 260 Info "target-late";
     TARGET_LEAVING = 261 Info "target-leaving";
     TARGET_PAUSED = 262 Info "target-paused";
+    SOURCE_CHANGED = 263 Info "source-changed";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
--- a/crates/rollout/src/audience.rs
+++ b/crates/rollout/src/audience.rs
@@ -72,6 +72,12 @@
         self.0.is_empty()
     }
 
+    /// Returns the entries of the agent's failure domain.
+    pub fn near(&self) -> Vec<SocketAddr> {
+        let near = self.0.iter().filter(|(_, subscriber)| subscriber.near);
+        near.map(|(entry, _)| *entry).collect()
+    }
+
     /// Forgets entries that did not subscribe again.
     pub fn expire(&mut self, now: Instant) {
         self.0.retain(|_, subscriber| {
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -21,8 +21,10 @@
 pub enum Datagram {
     /// The sender wants to be told the load.
     Subscribe(Subscription),
-    /// The load of the receiver's engine.
+    /// The load of the sender's engine.
     Load(Load),
+    /// The entries of the sender's failure domain that subscribed there, sent to each of them.
+    Entries(Vec<SocketAddr>),
 }
 
 /// What an entry tells an agent with each subscription.
