dispatch: connections that many targets of a domain don't make in time are blamed on the path

Change: a connection that is late differs from one that is refused. When three targets of a domain or more are late within a second, and more than answered there, the path is to blame: its targets are passed over for 0.5 s while there are others, and one request every 0.2 s shows whether it carries any again. Agents read the list of targets from an entry of their domain that passes on what it reads.

Tests: path_full_for_a_moment fails with the blame turned off; path_cut_probed_seldom, dead_targets_blamed_alone and all_paths_closed bound what the change may cost.

--- a/bins/agent/src/rollout/loads.rs
+++ b/bins/agent/src/rollout/loads.rs
@@ -35,6 +35,7 @@
             let now = Instant::now();
             let near = subscription.domain == state.settings.domain;
             audience.borrow_mut().subscribe(now, entry, near);
+            state.set_relay(now, entry, near && subscription.passes_on);
             if let Some(source) = subscription.source {
                 state.set_source(now, source, subscription.in_touch);
             }
--- a/bins/agent/src/rollout/state.rs
+++ b/bins/agent/src/rollout/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -22,6 +23,8 @@
 const SPREADING: f64 = 1.3;
 /// Time until the first part is on its way.
 const START: Duration = Duration::from_millis(500);
+/// Age up to which an entry is taken for one that passes on what it reads; entries say it every second.
+const RELAY_MAX_AGE: Duration = Duration::from_millis(2500);
 /// Age up to which what an entry sent makes reading the store needless; entries send it every second.
 const ENTRY_INFO_MAX_AGE: Duration = Duration::from_secs(5);
 
@@ -38,6 +41,8 @@
     source: RefCell<Option<Source>>,
     /// When an entry that reaches the store last sent it.
     entry_info_at: Cell<Option<Instant>>,
+    /// Entries of the failure domain that pass on what they read from the store, and when each last said so.
+    relays: RefCell<BTreeMap<SocketAddr, Instant>>,
     targets: RefCell<BTreeMap<String, Target>>,
     /// Newest version when the targets were last read; `None` before the first time.
     read_for: Cell<Option<Option<u64>>>,
@@ -55,6 +60,7 @@
             report: RefCell::default(),
             source: RefCell::default(),
             entry_info_at: Cell::default(),
+            relays: RefCell::default(),
             targets: RefCell::default(),
             read_for: Cell::new(None),
             closing: Cell::new(false),
@@ -84,6 +90,23 @@
         last.is_some_and(|at| now.saturating_duration_since(at) < ENTRY_INFO_MAX_AGE)
     }
 
+    /// Notes whether an entry of the failure domain passes on what it reads from the store.
+    pub(super) fn set_relay(&self, now: Instant, entry: SocketAddr, passes_on: bool) {
+        let mut relays = self.relays.borrow_mut();
+        match passes_on {
+            true => relays.insert(entry, now),
+            false => relays.remove(&entry),
+        };
+    }
+
+    /// Returns the entry of the failure domain that said last that it passes on what it reads from the store.
+    pub(super) fn relay(&self, now: Instant) -> Option<SocketAddr> {
+        let mut relays = self.relays.borrow_mut();
+        relays.retain(|_, at| now.saturating_duration_since(*at) < RELAY_MAX_AGE);
+        let last = relays.iter().max_by_key(|(_, at)| **at);
+        last.map(|(entry, _)| *entry)
+    }
+
     /// Takes what a configuration says, unless a newer one is known; `from_entry` if an entry that reaches the store sent it.
     pub(super) fn set_source(&self, now: Instant, source: Source, from_entry: bool) {
         if from_entry {
--- a/bins/agent/src/rollout/watch.rs
+++ b/bins/agent/src/rollout/watch.rs
@@ -16,6 +16,8 @@
 
 /// Time allowed for a call of the store, beside the wait of a watch.
 const TIMEOUT: Duration = Duration::from_secs(1);
+/// Time allowed for a call of an entry.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait of one watch call.
 const WAIT: Duration = Duration::from_secs(29);
 /// Time between two checks whether entries still send what is in the store.
@@ -100,6 +102,18 @@
     }
 }
 
+/// Returns the objects of the targets, from an entry of the failure domain where one passes them on: all agents read them
+/// when a version is named, and the links between regions carry the version then.
+async fn read_targets(state: &State, store: &Client) -> Result<Listing, Error> {
+    if let Some(relay) = state.relay(Instant::now()) {
+        let relay = Client::new(relay, RELAY_TIMEOUT);
+        if let Ok(listing) = relay.list(target::KIND).await {
+            return Ok(listing);
+        }
+    }
+    store.list_stale(target::KIND).await
+}
+
 /// Returns the objects of the configuration, unless an entry tells it or should do so soon, and those of the targets.
 ///
 /// The list of targets may be seconds old, which costs less.
@@ -114,7 +128,7 @@
         true => None,
         false => Some(client.list(config::KIND).await?),
     };
-    Ok((configs, client.list_stale(target::KIND).await?))
+    Ok((configs, read_targets(state, client).await?))
 }
 
 fn take_config(state: &State, listing: &Listing) {
--- a/bins/entry/src/ingress/attempt.rs
+++ b/bins/entry/src/ingress/attempt.rs
@@ -8,7 +8,7 @@
 use platform::answer::Head;
 
 use super::call::Call;
-use super::gateway::Gateway;
+use super::gateway::{CONNECT_TIME, Gateway};
 use super::placed::Placed;
 
 /// A target's own answer, of which the body is still to come.
@@ -43,8 +43,12 @@
             output = place.work.output
         );
         let request = call.to_target(&place.target, place.work.version, last_event);
+        let sent = Instant::now();
         let answer = match self.client.send(place.address, request, limit).await {
             Ok(answer) => answer,
+            Err(Error::NotWritten { .. }) if sent.elapsed() >= CONNECT_TIME => {
+                return Err(Failure::Unreachable);
+            }
             Err(Error::NotWritten { .. }) => return Err(Failure::NotConnected),
             Err(Error::Unknown { .. }) if Instant::now() >= limit => return Err(Failure::Late),
             Err(error) => {
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -25,7 +25,7 @@
 use crate::in_progress::InProgress;
 
 /// Time in which a connection to a target must come about.
-const CONNECT_TIME: Duration = Duration::from_millis(300);
+pub(super) const CONNECT_TIME: Duration = Duration::from_millis(300);
 /// Time between two polls while requests wait.
 const TICK: Duration = Duration::from_millis(10);
 /// Time between two polls while none does.
@@ -363,7 +363,8 @@
 
     /// Notes that the first event of a request arrived.
     pub(super) fn started(&self, id: RequestId, version: Option<u64>) {
-        self.scheduler.borrow_mut().started(id, version);
+        let now = Instant::now();
+        self.scheduler.borrow_mut().started(now, id, version);
     }
 
     /// Gives a run its new place, which is free again at once if the run has ended.
--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -7,6 +7,7 @@
 
 use dispatch::{Load, Source};
 use node::event;
+use platform::target;
 use wire::{Datagram, Named, Port, Subscription};
 
 use super::gateway::Gateway;
@@ -54,6 +55,7 @@
             domain: gateway.settings.domain.clone(),
             named: named.to_vec(),
             source: source.cloned(),
+            passes_on: gateway.relay.passes_on(Instant::now(), target::KIND),
             in_touch: gateway.is_in_touch(),
         })
     };
--- a/bins/entry/src/ingress/relay.rs
+++ b/bins/entry/src/ingress/relay.rs
@@ -62,6 +62,11 @@
         self.changed.notify();
     }
 
+    /// Tells whether this entry passes on what it reads of `kind`.
+    pub(super) fn passes_on(&self, now: Instant, kind: &str) -> bool {
+        self.read(now, kind, |_| ()).is_some()
+    }
+
     /// Returns what `get` finds in the mirror of `kind`, if that is known to be as the store has it.
     fn read<T>(&self, now: Instant, kind: &str, get: impl FnOnce(&Mirror) -> T) -> Option<T> {
         let confirmed = self.confirmed.get()?;
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -16,8 +16,10 @@
 /// How a target failed a request.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Failure {
-    /// No connection came about.
+    /// No connection came about: the target's VM refused it.
     NotConnected,
+    /// No connection came about in time.
+    Unreachable,
     /// The target said that it did not run the request.
     Refused,
     /// Another target, or one with other weights, has the address.
@@ -48,6 +50,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::NotConnected => "not-connected",
+            Self::Unreachable => "unreachable",
             Self::Refused => "refused",
             Self::Misdirected => "misdirected",
             Self::Broken => "broken",
@@ -57,9 +60,14 @@
         }
     }
 
+    /// Tells whether the request was not sent at all.
+    pub fn is_unsent(self) -> bool {
+        matches!(self, Self::NotConnected | Self::Unreachable)
+    }
+
     /// Tells whether the request certainly did not run.
     pub fn is_not_run(self) -> bool {
-        matches!(self, Self::NotConnected | Self::Refused | Self::Misdirected)
+        self.is_unsent() || matches!(self, Self::Refused | Self::Misdirected)
     }
 }
 
@@ -96,12 +104,18 @@
         }
     }
 
+    /// Keeps requests away for a short time after a failure that says little about the target.
+    pub(crate) fn pause(&mut self, now: Instant) {
+        let until = now + EJECTION.0;
+        self.until = Some(self.until.map_or(until, |known| known.max(until)));
+    }
+
     /// Counts a failure; returns whether the target was ejected for it.
     pub fn failure(&mut self, now: Instant, failure: Failure) -> bool {
         match failure {
             // The target is busy or changed its weights; its load tells whether it takes work.
             Failure::Refused | Failure::Misdirected | Failure::Outdated => return false,
-            Failure::NotConnected => self.streak = EJECTION_STREAK,
+            Failure::NotConnected | Failure::Unreachable => self.streak = EJECTION_STREAK,
             Failure::Broken | Failure::Late | Failure::Error => self.streak += 1,
         }
         self.rate += (1.0 - self.rate) * NEWEST;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 mod engine;
 mod health;
 mod notice;
+mod path;
 mod queue;
 mod scheduler;
 mod target;
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -14,6 +14,7 @@
 use crate::config::{Config, Kind};
 use crate::health::Failure;
 use crate::notice::Notices;
+use crate::path::Paths;
 use crate::queue::Queue;
 use crate::target::{Held, Load, Target, TargetId};
 use crate::versions::Versions;
@@ -45,6 +46,7 @@
     versions: Versions,
     targets: BTreeMap<TargetId, Held>,
     notices: Notices,
+    paths: Paths,
     queues: BTreeMap<String, Queue>,
     budgets: HashMap<String, Budget>,
     repeats: Repeats,
@@ -125,6 +127,7 @@
             versions,
             targets: BTreeMap::new(),
             notices: Notices::default(),
+            paths: Paths::default(),
             queues: BTreeMap::new(),
             budgets: HashMap::new(),
             repeats,
@@ -261,7 +264,7 @@
     /// the budget has a repeat; an attempt without a connection costs neither.
     pub fn retry(&mut self, now: Instant, work: Work, failure: Failure) -> Option<RequestId> {
         let allowed = failure.is_not_run() || work.is_repeatable();
-        let unsent = failure == Failure::NotConnected;
+        let unsent = failure.is_unsent();
         let left = match unsent {
             true => work.tried.len() < UNCONNECTED + 1,
             false => work.attempts > 0,
@@ -309,13 +312,15 @@
     }
 
     /// Notes that the first event of a request arrived, made from the weights `version` as far as the answer told.
-    pub fn started(&mut self, id: RequestId, version: Option<u64>) {
+    pub fn started(&mut self, now: Instant, id: RequestId, version: Option<u64>) {
         let Some(placing) = self.places.get_mut(&id) else {
             return;
         };
         placing.started = true;
         if let Some(held) = self.targets.get_mut(&placing.target) {
             held.started(id, version);
+            self.paths
+                .answered(now, &held.target.domain, &placing.target);
         }
     }
 
@@ -351,8 +356,17 @@
             return false;
         };
         held.ended(id);
+        let domain = &held.target.domain;
         match outcome {
-            Outcome::Answered => held.health.success(now),
+            Outcome::Answered => {
+                self.paths.answered(now, domain, &placing.target);
+                held.health.success(now);
+            }
+            Outcome::Failed(Failure::Unreachable)
+                if self.paths.failed(now, domain, &placing.target) =>
+            {
+                held.health.pause(now);
+            }
             Outcome::Failed(failure) => {
                 if failure == Failure::Misdirected {
                     held.misdirected(now);
@@ -509,6 +523,7 @@
         let held = self.targets.get_mut(id)?;
         let load = held.requests(now);
         held.sent(now, request, work.prompt);
+        self.paths.sent(now, &held.target.domain);
         work.attempts = work.attempts.saturating_sub(1);
         work.tried.push(id.into());
         let weights = work.model.as_ref();
--- a/crates/dispatch/src/scheduler/choice.rs
+++ b/crates/dispatch/src/scheduler/choice.rs
@@ -54,8 +54,8 @@
 impl Scheduler {
     /// Chooses the target with the shortest forecast among those with room.
     ///
-    /// Ejected targets are passed over unless they are more than half of those that could serve: then the failures say
-    /// little about single targets.
+    /// Ejected targets, and those behind a path that carries nothing, are passed over unless they are more than half of
+    /// those that could serve: then the failures say little about single targets.
     pub(super) fn choose(&mut self, now: Instant, work: &Work, backlog: Backlog) -> Choice {
         let engine = self
             .config
@@ -78,7 +78,7 @@
         }
         let sound: Vec<&Held> = eligible
             .iter()
-            .filter(|held| held.is_sound(now))
+            .filter(|held| held.is_sound(now) && self.paths.is_open(now, &held.target.domain))
             .copied()
             .collect();
         let usable = match sound.len() * 2 >= eligible.len() {
--- a/crates/dispatch/tests/dispatch/health.rs
+++ b/crates/dispatch/tests/dispatch/health.rs
@@ -10,6 +10,7 @@
 // Guards against targets that fail all requests and keep getting them, and against busy ones that are ejected.
 #[parameterized(
     not_connected = { Failure::NotConnected, 1, true },
+    unreachable = { Failure::Unreachable, 1, true },
     broken = { Failure::Broken, 3, true },
     broken_twice = { Failure::Broken, 2, false },
     late = { Failure::Late, 3, true },
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -8,6 +8,7 @@
 mod moves;
 mod notice;
 mod outdated;
+mod path;
 mod placement;
 mod retry;
 mod shared;
--- a/crates/dispatch/tests/dispatch/moves.rs
+++ b/crates/dispatch/tests/dispatch/moves.rs
@@ -21,7 +21,7 @@
     let start = now - ms(1_000);
     fill_budget(&mut scheduler, start);
     let place = submit(&mut scheduler, start, draft(start)).unwrap();
-    scheduler.started(place.request, version);
+    scheduler.started(start, place.request, version);
     scheduler.answer_load(now, "a", closing());
     (scheduler, place.request)
 }
--- a/crates/dispatch/tests/dispatch/outdated.rs
+++ b/crates/dispatch/tests/dispatch/outdated.rs
@@ -47,7 +47,7 @@
 fn outdated_not_begun() {
     let now = Instant::now();
     let (mut scheduler, request) = with_request(now, Kind::Streaming { resumable: true });
-    scheduler.started(request, Some(1));
+    scheduler.started(now, request, Some(1));
     assert!(scheduler.outdated(now + BOUND).is_empty());
 }
 
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/path.rs
@@ -0,0 +1,115 @@
+//! Targets that can't be reached because of the path to them.
+
+use std::time::{Duration, Instant};
+
+use dispatch::{Failure, Kind, Outcome, Place, Scheduler};
+
+use crate::support::{call, ms, scheduler, submit, target};
+
+/// Time in which a connection must come about.
+const CONNECT: Duration = Duration::from_millis(300);
+
+/// Returns a scheduler with 8 targets in each of two other domains, and their ids.
+fn with_far_targets() -> Scheduler {
+    let mut scheduler = scheduler();
+    for number in 0..8 {
+        scheduler.put_target(target(&format!("s{number}"), "desk", "south"));
+        scheduler.put_target(target(&format!("w{number}"), "desk", "west"));
+    }
+    scheduler
+}
+
+fn send(scheduler: &mut Scheduler, now: Instant) -> Place {
+    submit(scheduler, now, call(now, Kind::Idempotent, 2)).unwrap()
+}
+
+fn is_south(place: &Place) -> bool {
+    place.target.starts_with('s')
+}
+
+/// Sends `count` requests at once; those to the south find no connection, the others are answered.
+fn south_cut(scheduler: &mut Scheduler, now: Instant, count: usize) -> usize {
+    let places: Vec<Place> = (0..count).map(|_| send(scheduler, now)).collect();
+    let failed = places.iter().filter(|place| is_south(place)).count();
+    for place in places {
+        let outcome = match is_south(&place) {
+            true => Outcome::Failed(Failure::Unreachable),
+            false => Outcome::Answered,
+        };
+        scheduler.ended(now + CONNECT, place.request, outcome);
+    }
+    failed
+}
+
+// Guards against sound targets that get nothing for seconds because the link to them was full for a moment: 158 targets
+// were ejected one by one, again and again, while a version was distributed.
+#[test]
+fn path_full_for_a_moment() {
+    let mut now = Instant::now();
+    let mut scheduler = with_far_targets();
+    assert!(south_cut(&mut scheduler, now, 12) >= 3);
+    now += CONNECT + ms(700);
+    let mut south = 0;
+    for _ in 0..60 {
+        let place = send(&mut scheduler, now);
+        south += usize::from(is_south(&place));
+        now += ms(20);
+        scheduler.ended(now, place.request, Outcome::Answered);
+    }
+    assert!(south >= 20, "{south} of 60");
+}
+
+// Guards against requests that each wait for a connection over a path that is cut.
+#[test]
+fn path_cut_probed_seldom() {
+    let mut now = Instant::now();
+    let mut scheduler = with_far_targets();
+    south_cut(&mut scheduler, now, 12);
+    now += CONNECT;
+    let mut failed = 0;
+    for _ in 0..100 {
+        let place = send(&mut scheduler, now);
+        now += ms(20);
+        match is_south(&place) {
+            true => {
+                failed += 1;
+                let failure = Outcome::Failed(Failure::Unreachable);
+                scheduler.ended(now, place.request, failure);
+            }
+            false => _ = scheduler.ended(now, place.request, Outcome::Answered),
+        }
+    }
+    assert!(failed <= 4, "{failed} of 100 within 2 s");
+}
+
+// Guards against a whole domain that gets nothing because some of its targets are dead.
+#[test]
+fn dead_targets_blamed_alone() {
+    let mut now = Instant::now();
+    let mut scheduler = with_far_targets();
+    let dead = |place: &Place| ["s0", "s1", "s2"].contains(&&*place.target);
+    let mut south = 0;
+    for step in 0..300 {
+        let place = send(&mut scheduler, now);
+        now += ms(10);
+        let outcome = match dead(&place) {
+            true => Outcome::Failed(Failure::Unreachable),
+            false => Outcome::Answered,
+        };
+        south += usize::from(step >= 100 && is_south(&place) && !dead(&place));
+        scheduler.ended(now, place.request, outcome);
+    }
+    assert!(south >= 60, "{south} of 200");
+}
+
+// Guards against callers who are refused because no path carries anything: the entry's own link may be full.
+#[test]
+fn all_paths_closed() {
+    let now = Instant::now();
+    let mut scheduler = with_far_targets();
+    for _ in 0..16 {
+        let place = send(&mut scheduler, now);
+        scheduler.ended(now, place.request, Outcome::Failed(Failure::Unreachable));
+    }
+    send(&mut scheduler, now);
+}
--- a/crates/dispatch/tests/dispatch/retry.rs
+++ b/crates/dispatch/tests/dispatch/retry.rs
@@ -29,6 +29,7 @@
     refused_once_only = { Kind::NonIdempotent, 2, Failure::Refused, true },
     refused_last_attempt = { Kind::NonIdempotent, 1, Failure::Refused, false },
     unsent_last_attempt = { Kind::NonIdempotent, 1, Failure::NotConnected, true },
+    unreachable_last_attempt = { Kind::NonIdempotent, 1, Failure::Unreachable, true },
     stream = { Kind::Streaming { resumable: true }, 2, Failure::Broken, true },
     stream_not_resumable = { Kind::Streaming { resumable: false }, 2, Failure::Broken, false },
     last_attempt = { Kind::Idempotent, 1, Failure::Broken, false },
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -37,6 +37,8 @@
     pub named: Vec<Named>,
     /// Where the agent's engine gets its weights, by the configuration that the entry has in force.
     pub source: Option<Source>,
+    /// Whether the entry passes on what it reads from the store, on the TCP port of the same number.
+    pub passes_on: bool,
     /// Whether the entry reaches the store, so that the agent need not ask it for the versions and the configuration.
     pub in_touch: bool,
 }
