dispatch: refuse waiting requests whose callers have given up

Cause: after a pause of some seconds an entry found its targets idle and sent requests whose deadlines had passed while it stood still, with no time left.

Change: a request that waits is refused as expired once its deadline is near, before a target is looked for.

Test: paused_entry_sends_nothing_late fails without the change.

--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -446,6 +446,11 @@
             else {
                 continue;
             };
+            // Its caller has given up meanwhile: this process may have been paused.
+            if now + LEAST_TIME >= work.deadline {
+                decisions.push(self.reject(now, order.request, &work, Reason::Expired));
+                continue;
+            }
             let waited = work.arrived < now;
             let others = self.queues.get(service).map_or(0, Queue::len);
             let backlog = match others {
--- a/crates/dispatch/tests/dispatch/load.rs
+++ b/crates/dispatch/tests/dispatch/load.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use dispatch::{Decision, Load, Outcome, RequestId, Scheduler, Work};
+use dispatch::{Decision, Load, Outcome, Reason, RequestId, Scheduler, Work};
 
 use crate::support::{OBJECTIVE, SLOTS, draft, fill, idle, ms, scheduler, target};
 
@@ -295,3 +295,31 @@
     let decisions = scheduler.poll(now);
     assert!(matches!(&decisions[..], [Decision::Send(place)] if place.request == urgent));
 }
+
+// Guards against a request that is sent after its caller has given up: an entry that was paused for some seconds would find
+// its targets idle and act on what it was allowed before.
+#[test]
+fn paused_entry_sends_nothing_late() {
+    let now = Instant::now();
+    let mut scheduler = scheduler();
+    scheduler.put_target(target("a", "drafts", "north"));
+    let full = fill(&mut scheduler, now);
+    let waiting = scheduler.submit(now, draft(now));
+    assert!(scheduler.poll(now).is_empty());
+    let woken = now + Duration::from_secs(6);
+    for place in full {
+        scheduler.ended(woken, place.request, Outcome::Abandoned);
+    }
+    let decisions = scheduler.poll(woken);
+    assert!(
+        matches!(
+            decisions[..],
+            [Decision::Reject {
+                request,
+                reason: Reason::Expired,
+                ..
+            }] if request == waiting
+        ),
+        "{decisions:?}"
+    );
+}
