transfer: a chunk that was begun is sent on whether an upload is free or not

Change: three uploads are begun at once, so that further askers are redirected; a further slice of a begun one needs none.

--- a/bins/agent/src/chunk_server.rs
+++ b/bins/agent/src/chunk_server.rs
@@ -105,19 +105,20 @@
         return response(StatusCode::NO_CONTENT, Body::empty());
     }
     let to = holdings.remote(&asker.address);
-    match holdings.uploader.answer(chunk, held, asker, Instant::now()) {
+    let now = Instant::now();
+    let slice = version
+        .manifest()
+        .chunk_len(index)
+        .and_then(|length| asked_slice(request, length as usize));
+    let choice = match &slice {
+        Some(slice) if held && slice.start > 0 => {
+            Choice::Send(holdings.uploader.resume(chunk, asker, now))
+        }
+        _ => holdings.uploader.answer(chunk, held, asker, now),
+    };
+    match choice {
         Choice::Send(slot) => match holdings.chunk(&chunk) {
-            Some(bytes) => {
-                let slice = asked_slice(request, bytes.len());
-                let status = match slice {
-                    Some(_) => StatusCode::PARTIAL_CONTENT,
-                    None => StatusCode::OK,
-                };
-                let slice = slice.unwrap_or(0..bytes.len());
-                let last = slice.end == bytes.len();
-                let body = paced(holdings, digest, bytes.slice(slice), (slot, to), last);
-                response(status, body)
-            }
+            Some(bytes) => send(holdings, digest, &bytes, slice, (slot, to)),
             None => not_yet(UNKNOWN_WAIT, None),
         },
         Choice::Redirect(holders) => {
@@ -145,6 +146,26 @@
     })
 }
 
+/// Returns the answer with a chunk or a slice of it.
+fn send(
+    holdings: &Rc<Holdings>,
+    version: Digest,
+    bytes: &Bytes,
+    slice: Option<Range<usize>>,
+    (slot, to): (Slot, Remote),
+) -> Response<Body> {
+    let status = match slice {
+        Some(_) => StatusCode::PARTIAL_CONTENT,
+        None => StatusCode::OK,
+    };
+    let slice = slice.unwrap_or(0..bytes.len());
+    let last = slice.end == bytes.len();
+    response(
+        status,
+        paced(holdings, version, bytes.slice(slice), (slot, to), last),
+    )
+}
+
 /// Returns the slice that the asker wants of a chunk of `length` bytes.
 fn asked_slice(request: &Request<Bytes>, length: usize) -> Option<Range<usize>> {
     let value = request.headers().get(http::header::RANGE)?.to_str().ok()?;
--- a/bins/agent/src/rollout/serve.rs
+++ b/bins/agent/src/rollout/serve.rs
@@ -21,8 +21,8 @@
 const BURST: Duration = Duration::from_millis(10);
 /// Time that a piece of a part takes on the link.
 const PIECE: Duration = Duration::from_millis(5);
-/// Uploads at once; more would only share the same link.
-const UPLOADS: usize = 8;
+/// Uploads begun at once; more would only share the same link.
+const UPLOADS: usize = 3;
 /// Parts received at once. Parts of many senders that come together queue in front of the own link, with the requests
 /// behind them.
 const RECEIVED: usize = 4;
--- a/bins/agent/src/transfer/fetch.rs
+++ b/bins/agent/src/transfer/fetch.rs
@@ -22,12 +22,6 @@
 /// Largest manifest that is read, in bytes: 16,384 digests as text are 1.1 MB.
 const MAX_MANIFEST: usize = 2 << 20;
 
-/// Refusals of a sender's busy uploads until a chunk that was begun is requested elsewhere.
-const REFUSALS: u32 = 20;
-
-/// Longest wait after such a refusal.
-const REFUSED_WAIT: Duration = Duration::from_millis(50);
-
 /// Longest time between two looks whether this agent may draw.
 const TURN_CHECK: Duration = Duration::from_millis(500);
 
@@ -103,7 +97,6 @@
         let buckets = self.buckets(Some(&peer));
         let from = self.holdings.remote(&peer);
         let mut bytes = BytesMut::with_capacity(len);
-        let mut refusals = 0;
         while bytes.len() < len {
             let end = len.min(bytes.len() + slice);
             let range = format!("bytes={}-{}", bytes.len(), end - 1);
@@ -114,12 +107,6 @@
             progress();
             match parts.status {
                 StatusCode::OK | StatusCode::PARTIAL_CONTENT => {}
-                // All uploads of the sender are busy; what came already would come again.
-                StatusCode::SERVICE_UNAVAILABLE if !bytes.is_empty() && refusals < REFUSALS => {
-                    refusals += 1;
-                    compio::time::sleep(wait(&parts.headers).min(REFUSED_WAIT)).await;
-                    continue;
-                }
                 _ => return refused(&parts),
             }
             let read = self.read(body, &mut bytes, end, &buckets, (from, progress));
--- a/crates/burst/src/uploader.rs
+++ b/crates/burst/src/uploader.rs
@@ -112,14 +112,8 @@
     pub fn answer(&self, chunk: Digest, held: bool, asker: Asker, now: Instant) -> Response {
         let mut inner = self.0.borrow_mut();
         if held && inner.has_slot(asker) {
-            inner.busy += 1;
-            inner.far += usize::from(!asker.near);
-            return Response::Send(Slot {
-                uploader: self.clone(),
-                chunk,
-                asker,
-                since: now,
-            });
+            drop(inner);
+            return Response::Send(self.resume(chunk, asker, now));
         }
         // The receivers of a chunk that was evicted here still hold it, most likely.
         let holders = inner.name_holders(chunk, asker);
@@ -129,6 +123,20 @@
         Response::Redirect(holders)
     }
 
+    /// Returns a slot for a further slice of a chunk that `asker` has begun to receive, whether one is free or not: what it
+    /// has already would be sent again by another agent.
+    pub fn resume(&self, chunk: Digest, asker: Asker, now: Instant) -> Slot {
+        let mut inner = self.0.borrow_mut();
+        inner.busy += 1;
+        inner.far += usize::from(!asker.near);
+        Slot {
+            uploader: self.clone(),
+            chunk,
+            asker,
+            since: now,
+        }
+    }
+
     /// Forgets receivers that `live` rejects, so that redirects don't name them.
     pub fn retain(&self, live: impl Fn(&SocketAddr) -> bool) {
         for receivers in self.0.borrow_mut().receivers.values_mut() {
