--- a/bins/agent/src/chunk_server.rs
+++ b/bins/agent/src/chunk_server.rs
@@ -174,7 +174,8 @@
     (first <= last && last < length).then(|| first..last + 1)
 }
 
-/// Returns a body that follows the uplink's bucket; `last` tells that it ends the chunk. The slot is released when the body ends or is dropped.
+/// Returns a body that follows the uplink's bucket; `last` tells that it ends the chunk. The slot is released when the body
+/// ends or is dropped.
 fn paced(
     holdings: &Rc<Holdings>,
     version: Digest,
