ingress: log and count limits that targets name

Server-Limit is decoded, event 264 says where an answer changed it, and a counter tells the requests sent to targets that have one. Nothing acts on it yet.

--- a/bins/entry/src/ingress/attempt.rs
+++ b/bins/entry/src/ingress/attempt.rs
@@ -5,7 +5,7 @@
 use dispatch::{Failure, Load};
 use node::event;
 use node::http::{Answer, Error, HeaderMap, StatusCode};
-use platform::answer::Head;
+use platform::answer::{Head, Limit};
 
 use super::call::Call;
 use super::gateway::{CONNECT_TIME, Gateway};
@@ -42,6 +42,9 @@
             prompt = place.work.prompt,
             output = place.work.output
         );
+        if self.view(|scheduler| scheduler.is_limited(&place.target)) {
+            self.metrics.limited();
+        }
         let request = call.to_target(&place.target, place.work.version, last_event);
         let sent = Instant::now();
         let answer = match self.client.send(place.address, request, limit).await {
@@ -101,6 +104,7 @@
         if head.leaving && self.update(|scheduler, now| scheduler.target_leaves(now, target)) {
             event!(event::TARGET_LEAVING, target = target, request = request);
         }
+        self.note_limit(request, target, head);
         let refused = status == StatusCode::SERVICE_UNAVAILABLE;
         if let Some(pause) = head.pause.filter(|_| refused)
             && self.update(|scheduler, now| scheduler.target_pauses(now, target, pause))
@@ -115,6 +119,26 @@
     }
 }
 
+impl Gateway {
+    /// Takes what an answer says of the requests that its target takes. Only the target itself can end its limit.
+    fn note_limit(&self, request: &str, target: &str, head: &Head) {
+        let limit = match head.limit {
+            Limit::PerSecond(per_s) => Some(per_s),
+            Limit::None if head.sealed || head.not_run => None,
+            Limit::None | Limit::Malformed => return,
+        };
+        if self.update(|scheduler, now| scheduler.target_limits(now, target, limit)) {
+            let limit = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+            event!(
+                event::TARGET_LIMITED,
+                target = target,
+                request = request,
+                limit = limit
+            );
+        }
+    }
+}
+
 /// Tells whether an answer is the target's own answer to the request.
 fn classify(call: &Call, status: StatusCode, head: &Head) -> Result<(), Failure> {
     if status == StatusCode::MISDIRECTED_REQUEST {
--- a/bins/entry/src/ingress/metrics.rs
+++ b/bins/entry/src/ingress/metrics.rs
@@ -24,6 +24,7 @@
     cut: Counter,
     callers_left: Counter,
     outdated: Counter,
+    limited: Counter,
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -42,6 +43,7 @@
             cut: Counter::default(),
             callers_left: Counter::default(),
             outdated: Counter::default(),
+            limited: Counter::default(),
         };
         let registry = registry.sub_registry_with_prefix("carobport_ingress");
         registry.register(
@@ -80,6 +82,11 @@
             "Answers from weights that were too old to begin a request when the first event came",
             metrics.outdated.clone(),
         );
+        registry.register(
+            "limited_attempts",
+            "Requests sent to targets that take a limited number of them",
+            metrics.limited.clone(),
+        );
         metrics
     }
 
@@ -111,4 +118,8 @@
     pub(super) fn outdated(&self) {
         self.outdated.inc();
     }
+
+    pub(super) fn limited(&self) {
+        self.limited.inc();
+    }
 }
--- a/crates/dispatch/src/notice.rs
+++ b/crates/dispatch/src/notice.rs
@@ -25,6 +25,8 @@
     leaving: bool,
     /// End of the longest pause that was asked for.
     paused_until: Option<Instant>,
+    /// Requests a second that the target takes from all entries together.
+    limit: Option<f64>,
     given: Instant,
 }
 
@@ -57,6 +59,21 @@
         news
     }
 
+    /// Notes how many requests a second `target` takes, and returns whether that is news.
+    pub(crate) fn limits(&mut self, now: Instant, target: &Target, limit: Option<f64>) -> bool {
+        if limit.is_none() && !self.is_limited(target) {
+            return false;
+        }
+        let notice = self.notice(now, target);
+        std::mem::replace(&mut notice.limit, limit) != limit
+    }
+
+    /// Tells whether `target` has a limit.
+    pub(crate) fn is_limited(&self, target: &Target) -> bool {
+        let notice = self.0.get(&target.id);
+        notice.is_some_and(|notice| notice.born == target.born && notice.limit.is_some())
+    }
+
     /// Tells whether `target` may get new requests.
     pub(crate) fn admission(&self, now: Instant, target: &Target) -> Admission {
         let notice = self.0.get(&target.id);
@@ -96,6 +113,7 @@
             born: target.born,
             leaving: false,
             paused_until: None,
+            limit: None,
             given: now,
         }
     }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -219,6 +219,20 @@
         held.is_some_and(|held| self.notices.pauses(now, &held.target, pause))
     }
 
+    /// Notes that target `id` takes `limit` requests a second from all entries together, or any number, and returns whether
+    /// that is news.
+    pub fn target_limits(&mut self, now: Instant, id: &str, limit: Option<f64>) -> bool {
+        self.expire_notices(now);
+        let held = self.targets.get(id);
+        held.is_some_and(|held| self.notices.limits(now, &held.target, limit))
+    }
+
+    /// Tells whether target `id` has a limit.
+    pub fn is_limited(&self, id: &str) -> bool {
+        let held = self.targets.get(id);
+        held.is_some_and(|held| self.notices.is_limited(&held.target))
+    }
+
     fn expire_notices(&mut self, now: Instant) {
         let targets = &self.targets;
         self.notices.expire(now, |id| targets.contains_key(id));
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -79,6 +79,7 @@
     TARGET_LEAVING = 261 Info "target-leaving";
     TARGET_PAUSED = 262 Info "target-paused";
     SOURCE_CHANGED = 263 Info "source-changed";
+    TARGET_LIMITED = 264 Info "target-limited";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
