ingress: one limit for all entries where a target names one or is cold

Callers saw nothing; targets in need got 20 and 31 requests in 4 s where 17 and 11 were allowed.

Change: an agent issues permits at the rate of the limit, and entries send a limited target nothing without one (crate quota). The agent beside an engine is its only issuer; other targets have one chosen by hash in their domain. Permits run out by the clock of the entry that asked; an issuer that starts has none.

--- a/bins/agent/src/rollout/loads.rs
+++ b/bins/agent/src/rollout/loads.rs
@@ -1,6 +1,7 @@
 //! Asks the engine for its state and tells entries.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -9,7 +10,8 @@
 use futures::future::{Either, select};
 use node::event;
 use platform::engine::Report;
-use wire::{Datagram, Load, Named, Port};
+use quota::Issuer;
+use wire::{Datagram, Load, Named, Port, Question};
 
 use super::state::State;
 
@@ -17,29 +19,58 @@
 const INTRODUCTION: Duration = Duration::from_secs(2);
 /// Most entries in a list; more of them don't fit into a datagram.
 const MOST_INTRODUCED: usize = 100;
+/// Most limits of targets in a load; entries learn of further ones when they ask for permits.
+const MOST_LIMITS: usize = 8;
 /// Time between two questions to the engine.
 const INTERVAL: Duration = Duration::from_millis(100);
 
+/// What the agent knows of entries.
+#[derive(Default)]
+struct Entries {
+    audience: RefCell<Audience>,
+    /// Permits for targets that take a limited number of requests.
+    issuer: RefCell<Issuer<SocketAddr>>,
+}
+
+impl Entries {
+    /// Answers the question of `entry` for permits.
+    fn grant(&self, now: Instant, entry: SocketAddr, question: Question) -> Datagram {
+        let target = question.target;
+        let mut issuer = self.issuer.borrow_mut();
+        let grant = issuer.ask(now, &target, entry, &question.ask, question.role);
+        Datagram::Grant { target, grant }
+    }
+}
+
 /// Asks and tells; never returns.
 pub(super) async fn run(state: Rc<State>, port: Port) {
-    let audience = RefCell::new(Audience::default());
-    let tell = tell(&state, &port, &audience);
-    let receive = receive(&state, &port, &audience);
-    let introduce = introduce(&port, &audience);
+    let entries = Entries::default();
+    let tell = tell(&state, &port, &entries);
+    let receive = receive(&state, &port, &entries);
+    let introduce = introduce(&port, &entries.audience);
     futures::join!(tell, receive, introduce);
 }
 
-async fn receive(state: &State, port: &Port, audience: &RefCell<Audience>) {
+async fn receive(state: &State, port: &Port, entries: &Entries) {
     loop {
-        if let (entry, Datagram::Subscribe(subscription)) = port.receive().await {
-            let now = Instant::now();
-            let near = subscription.domain == state.settings.domain;
-            audience.borrow_mut().subscribe(now, entry, near);
-            state.set_relay(now, entry, near && subscription.passes_on);
-            if let Some(source) = subscription.source {
-                state.set_source(now, source, subscription.in_touch);
+        let (entry, datagram) = port.receive().await;
+        let now = Instant::now();
+        match datagram {
+            Datagram::Subscribe(subscription) => {
+                let near = subscription.domain == state.settings.domain;
+                entries.audience.borrow_mut().subscribe(now, entry, near);
+                state.set_relay(now, entry, near && subscription.passes_on);
+                if let Some(source) = subscription.source {
+                    state.set_source(now, source, subscription.in_touch);
+                }
+                state.take_named(&subscription.named);
+            }
+            Datagram::Ask(question) => {
+                let grant = entries.grant(now, entry, question);
+                port.send(&grant, &[entry]).await;
             }
-            state.take_named(&subscription.named);
+            // Only entries are told loads, lists of entries and grants.
+            Datagram::Load(_) | Datagram::Entries(_) | Datagram::Grant { .. } => {}
         }
     }
 }
@@ -55,7 +86,8 @@
     }
 }
 
-async fn tell(state: &State, port: &Port, audience: &RefCell<Audience>) {
+async fn tell(state: &State, port: &Port, entries: &Entries) {
+    let audience = &entries.audience;
     let mut before: Option<Load> = None;
     loop {
         let closing = state.closing.get();
@@ -70,7 +102,6 @@
         }
         let now = Instant::now();
         audience.borrow_mut().expire(now);
-        let entries = audience.borrow().len();
         if let Some(load) = load(state, now, closing, entries) {
             let due = audience.borrow_mut().due(now, news(before.as_ref(), &load));
             if !due.is_empty() {
@@ -129,7 +160,7 @@
 }
 
 /// Returns the load to tell; none without a fresh state of the engine.
-fn load(state: &State, now: Instant, closing: bool, entries: usize) -> Option<Load> {
+fn load(state: &State, now: Instant, closing: bool, entries: &Entries) -> Option<Load> {
     if state.report_age(now)? > INTERVAL * 3 {
         return None;
     }
@@ -137,6 +168,9 @@
     let (_, report) = report.as_ref()?;
     let rollout = state.rollout.borrow();
     let closes = rollout.closing(now);
+    let issuer = entries.issuer.borrow();
+    let limits = issuer.statements().take(MOST_LIMITS);
+    let entries = entries.audience.borrow().len();
     Some(Load {
         engine: state.engine.address(),
         running: report.running,
@@ -147,6 +181,9 @@
         weights: report.weights.clone().into_iter().collect(),
         named: named(state, &rollout, now),
         entries: u16::try_from(entries).unwrap_or(u16::MAX),
+        limits: limits
+            .map(|(target, statement)| (target.clone(), statement))
+            .collect(),
     })
 }
 
@@ -170,7 +207,7 @@
     let Some(before) = before else {
         return News::State;
     };
-    let state = |load: &Load| (load.accepting, load.weights.clone());
+    let state = |load: &Load| (load.accepting, load.weights.clone(), load.limits.clone());
     let figures = |load: &Load| (load.running, load.waiting, load.pace, load.closes_ms);
     match load {
         _ if state(before) != state(load) => News::State,
--- a/bins/entry/src/ingress/attempt.rs
+++ b/bins/entry/src/ingress/attempt.rs
@@ -8,7 +8,7 @@
 use platform::answer::{Head, Limit};
 
 use super::call::Call;
-use super::gateway::{CONNECT_TIME, Gateway};
+use super::gateway::{CONNECT_TIME, Gateway, limit_text};
 use super::placed::Placed;
 
 /// A target's own answer, of which the body is still to come.
@@ -42,7 +42,8 @@
             prompt = place.work.prompt,
             output = place.work.output
         );
-        if self.view(|scheduler| scheduler.is_limited(&place.target)) {
+        let now = Instant::now();
+        if self.view(|scheduler| scheduler.limit(now, &place.target).is_some()) {
             self.metrics.limited();
         }
         let request = call.to_target(&place.target, place.work.version, last_event);
@@ -72,7 +73,7 @@
             };
             self.update(|scheduler, now| scheduler.answer_load(now, &place.target, load));
         }
-        self.note(call, &place.target, parts.status, &head);
+        self.note(call, &place.target, sent, parts.status, &head);
         match classify(call, parts.status, &head) {
             Ok(()) => Ok(Answered {
                 status: parts.status,
@@ -95,7 +96,7 @@
     ///
     /// An answer that names another request, or a refusal by another target at the same address, says nothing of this
     /// target.
-    fn note(&self, call: &Call, target: &str, status: StatusCode, head: &Head) {
+    fn note(&self, call: &Call, target: &str, sent: Instant, status: StatusCode, head: &Head) {
         let request = &call.caller.id;
         let own = head.id.as_ref() == Some(request) && status != StatusCode::MISDIRECTED_REQUEST;
         if !own {
@@ -104,7 +105,7 @@
         if head.leaving && self.update(|scheduler, now| scheduler.target_leaves(now, target)) {
             event!(event::TARGET_LEAVING, target = target, request = request);
         }
-        self.note_limit(request, target, head);
+        self.note_limit(request, target, sent, head);
         let refused = status == StatusCode::SERVICE_UNAVAILABLE;
         if let Some(pause) = head.pause.filter(|_| refused)
             && self.update(|scheduler, now| scheduler.target_pauses(now, target, pause))
@@ -121,19 +122,18 @@
 
 impl Gateway {
     /// Takes what an answer says of the requests that its target takes. Only the target itself can end its limit.
-    fn note_limit(&self, request: &str, target: &str, head: &Head) {
+    fn note_limit(&self, request: &str, target: &str, sent: Instant, head: &Head) {
         let limit = match head.limit {
             Limit::PerSecond(per_s) => Some(per_s),
             Limit::None if head.sealed || head.not_run => None,
             Limit::None | Limit::Malformed => return,
         };
-        if self.update(|scheduler, now| scheduler.target_limits(now, target, limit)) {
-            let limit = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+        if self.update(|scheduler, now| scheduler.target_limits(now, target, sent, limit)) {
             event!(
                 event::TARGET_LIMITED,
                 target = target,
                 request = request,
-                limit = limit
+                limit = limit_text(limit)
             );
         }
     }
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -6,12 +6,15 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use dispatch::{Config, Decision, Failure, Outcome, Place, RequestId, Scheduler, Versions, Work};
+use dispatch::{
+    Config, Decision, Failure, Outcome, Place, Question, RequestId, Scheduler, Versions, Work,
+};
 use futures::channel::oneshot;
-use node::event;
 use node::http::header::{self, HeaderValue};
 use node::http::{Body, Client, Request, Response};
+use node::{Notify, event};
 use prometheus_client::registry::Registry;
+use quota::{Limit, Start, Statement};
 use rand::RngExt;
 
 use super::Settings;
@@ -59,6 +62,9 @@
     polled: Cell<Instant>,
     /// Whether loads came since.
     reported: Cell<bool>,
+    /// Questions for permits that aren't put yet.
+    questions: RefCell<Vec<Question>>,
+    asked: Notify,
 }
 
 /// A request that waits for a target; dropping it takes it out of the queue, or frees the place that it got meanwhile.
@@ -93,6 +99,8 @@
             refusing: Cell::new(false),
             polled: Cell::new(Instant::now()),
             reported: Cell::new(false),
+            questions: RefCell::default(),
+            asked: Notify::default(),
         })
     }
 
@@ -160,6 +168,31 @@
         read(&self.scheduler.borrow())
     }
 
+    /// Takes what a target said of its limit to another entry.
+    pub(super) fn hear_limit(&self, target: &Start, statement: Statement) {
+        let news = self.update(|scheduler, now| scheduler.hear_limit(now, target, statement));
+        if news {
+            event!(
+                event::TARGET_LIMITED,
+                target = target.0,
+                request = "none",
+                limit = limit_text(statement.limit)
+            );
+        }
+    }
+
+    /// Returns the questions for permits that are to be put, once there are some.
+    pub(super) async fn questions(&self) -> Vec<Question> {
+        loop {
+            let seen = self.asked.count();
+            let questions = self.questions.take();
+            if !questions.is_empty() {
+                return questions;
+            }
+            self.asked.changed(seen).await;
+        }
+    }
+
     /// Returns the number of versions and targets that this process learned of.
     pub(super) fn news(&self) -> u64 {
         self.news.get()
@@ -414,7 +447,7 @@
             let now = Instant::now();
             let decisions = self.scheduler.borrow_mut().poll(now);
             if decisions.is_empty() {
-                return;
+                break;
             }
             for decision in decisions {
                 let id = match decision {
@@ -434,9 +467,19 @@
                 }
             }
         }
+        let questions = self.scheduler.borrow_mut().questions(Instant::now());
+        if !questions.is_empty() {
+            self.questions.borrow_mut().extend(questions);
+            self.asked.notify();
+        }
     }
 }
 
+/// Returns a target's limit as logs show it.
+pub(super) fn limit_text(limit: Option<Limit>) -> String {
+    limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string())
+}
+
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         if self.gateway.steps.borrow_mut().remove(&self.id).is_some() {
--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -22,7 +22,27 @@
 
 /// Subscribes at all agents and takes what they tell; never returns.
 pub(super) async fn run(gateway: Rc<Gateway>, port: Port) {
-    futures::join!(subscribe(&gateway, &port), receive(&gateway, &port));
+    futures::join!(
+        subscribe(&gateway, &port),
+        receive(&gateway, &port),
+        ask(&gateway, &port)
+    );
+}
+
+/// Puts the questions for permits that the scheduler has.
+async fn ask(gateway: &Gateway, port: &Port) {
+    let load_port = gateway.settings.load_listen.port();
+    loop {
+        for question in gateway.questions().await {
+            let issuer = SocketAddr::new(question.issuer, load_port);
+            let question = Datagram::Ask(wire::Question {
+                target: question.target,
+                role: question.role,
+                ask: question.ask,
+            });
+            port.send(&question, &[issuer]).await;
+        }
+    }
 }
 
 async fn subscribe(gateway: &Gateway, port: &Port) {
@@ -108,8 +128,11 @@
                 let mut relays = gateway.relays.borrow_mut();
                 relays.take(Instant::now(), &entries);
             }
-            // Entries subscribe at agents only.
-            (_, Datagram::Subscribe(_)) => {}
+            (_, Datagram::Grant { target, grant }) => {
+                gateway.update(|scheduler, now| scheduler.take_grant(now, &target, &grant));
+            }
+            // Entries subscribe and ask at agents only.
+            (_, Datagram::Subscribe(_) | Datagram::Ask(_)) => {}
         }
     }
 }
@@ -118,6 +141,9 @@
     let entries = usize::from(load.entries);
     let engine = load.engine;
     let named = load.named;
+    for (target, statement) in load.limits {
+        gateway.hear_limit(&target, statement);
+    }
     let load = Load {
         running: load.running,
         waiting: load.waiting,
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -220,7 +220,11 @@
             if targets.put(&target.id) {
                 gateway.count_news();
             }
-            gateway.update(|scheduler, _| scheduler.put_target(target));
+            let (id, cold) = (target.id.clone(), target.cold);
+            gateway.update(|scheduler, now| {
+                scheduler.put_target(target);
+                scheduler.target_warms_up(now, &id, cold);
+            });
         }
         Err(error) => {
             // The entry names no target to use; one that it named before is no longer known to be as it was.
--- a/crates/dispatch/src/config.rs
+++ b/crates/dispatch/src/config.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use quota::Limit;
 use serde::{Deserialize, Serialize};
 
 /// One version of the configuration, in the form that requests are evaluated against.
@@ -67,6 +68,8 @@
     pub engine: Option<Engine>,
     /// Where weights come from, for the service that hands them out.
     pub origin: Option<Origin>,
+    /// Requests a second that a cold target takes from all entries together, where that is limited.
+    pub cold_limit: Option<Limit>,
 }
 
 /// Speeds and sizes of the engines of a service.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,7 +20,7 @@
 pub use budget::{Budget, Repeats};
 pub use config::{Config, Engine, Kind, Limits, Model, Origin, Route, Service, Source, Tenant};
 pub use health::{Failure, Health};
-pub use scheduler::{Decision, Outcome, Place, Scheduler};
+pub use scheduler::{Decision, Outcome, Place, Question, Scheduler};
 pub use target::{Load, Target, TargetId};
 pub use versions::Versions;
 pub use work::{Reason, RequestId, Work};
--- a/crates/dispatch/src/notice.rs
+++ b/crates/dispatch/src/notice.rs
@@ -1,4 +1,4 @@
-//! What targets ask for in their answers: no new work because they leave, or no requests for a while.
+//! What targets ask for in their answers: no new work because they leave, no requests for a while, or only so many a second.
 //!
 //! A notice outlives the registration of its target: a target that leaves is often removed from the registry first, and
 //! its registration may lapse and come back while the store is away. It ends with the start of the target that gave it.
@@ -6,6 +6,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use quota::{Limit, Permits, Statement};
+
 use crate::target::{Target, TargetId};
 
 /// Time for which the notices of a target that isn't registered are kept.
@@ -25,8 +27,13 @@
     leaving: bool,
     /// End of the longest pause that was asked for.
     paused_until: Option<Instant>,
-    /// Requests a second that the target takes from all entries together.
-    limit: Option<f64>,
+    /// What it said of the requests that it takes from all entries together.
+    statement: Option<Statement>,
+    /// When this entry learned of that.
+    learned: Option<Instant>,
+    /// Time until which the start of the target is recent enough for the limit of its service.
+    cold_until: Option<Instant>,
+    permits: Permits,
     given: Instant,
 }
 
@@ -36,6 +43,8 @@
     Open,
     /// It wants none until the given time.
     Paused(Instant),
+    /// This entry has no permit for it, and may have one at the given time.
+    Limited(Instant),
     /// It leaves and gets none any more.
     Leaving,
 }
@@ -59,30 +68,95 @@
         news
     }
 
-    /// Notes how many requests a second `target` takes, and returns whether that is news.
-    pub(crate) fn limits(&mut self, now: Instant, target: &Target, limit: Option<f64>) -> bool {
-        if limit.is_none() && !self.is_limited(target) {
+    /// Notes what an answer of `target` to a request that was sent at `sent` says of the requests that it takes, and
+    /// returns whether that is news.
+    pub(crate) fn limits(
+        &mut self,
+        now: Instant,
+        target: &Target,
+        sent: Instant,
+        limit: Option<Limit>,
+    ) -> bool {
+        let learned = self.get(target).and_then(|notice| notice.learned);
+        if limit.is_none() && learned.is_none_or(|learned| sent < learned) {
             return false;
         }
         let notice = self.notice(now, target);
-        std::mem::replace(&mut notice.limit, limit) != limit
+        let news = Statement::hear(&mut notice.statement, limit);
+        if news {
+            notice.learned = Some(now);
+            notice.permits.tell();
+        }
+        news
     }
 
-    /// Tells whether `target` has a limit.
-    pub(crate) fn is_limited(&self, target: &Target) -> bool {
-        let notice = self.0.get(&target.id);
-        notice.is_some_and(|notice| notice.born == target.born && notice.limit.is_some())
+    /// Takes what another process heard `target` say of the requests that it takes, and returns whether that is news.
+    pub(crate) fn hears(&mut self, now: Instant, target: &Target, statement: Statement) -> bool {
+        let notice = self.notice(now, target);
+        let news = Statement::merge(&mut notice.statement, Some(statement));
+        if news {
+            notice.learned = Some(now);
+        }
+        news
     }
 
-    /// Tells whether `target` may get new requests.
-    pub(crate) fn admission(&self, now: Instant, target: &Target) -> Admission {
-        let notice = self.0.get(&target.id);
-        let Some(notice) = notice.filter(|notice| notice.born == target.born) else {
+    /// Notes that `target` stays cold for `cold` after its start.
+    pub(crate) fn warms_up(&mut self, now: Instant, target: &Target, cold: Duration) {
+        if cold.is_zero() && self.get(target).is_none() {
+            return;
+        }
+        let notice = self.notice(now, target);
+        notice.cold_until = (!cold.is_zero()).then(|| now + cold);
+    }
+
+    /// Returns the requests a second that `target` takes now from all entries together; `cold` is the limit of its service
+    /// for cold targets.
+    pub(crate) fn limit(
+        &self,
+        now: Instant,
+        target: &Target,
+        cold: Option<Limit>,
+    ) -> Option<Limit> {
+        self.get(target)?.limit(now, cold)
+    }
+
+    /// Uses a permit of `target` if it has a limit.
+    pub(crate) fn use_permit(&mut self, now: Instant, target: &Target, cold: Option<Limit>) {
+        let notice = self.0.get_mut(&target.id);
+        let notice = notice.filter(|notice| notice.born == target.born);
+        if let Some(notice) = notice.filter(|notice| notice.limit(now, cold).is_some()) {
+            notice.permits.take(now);
+        }
+    }
+
+    /// Returns the permits of `target`, and what it said of its limit.
+    pub(crate) fn permits(&mut self, target: &Target) -> Option<(&mut Permits, Option<Statement>)> {
+        let notice = self.0.get_mut(&target.id);
+        let notice = notice.filter(|notice| notice.born == target.born)?;
+        Some((&mut notice.permits, notice.statement))
+    }
+
+    /// Returns the ids of the targets that gave notices.
+    pub(crate) fn targets(&self) -> impl Iterator<Item = &TargetId> {
+        self.0.keys()
+    }
+
+    /// Tells whether `target` may get new requests; `cold` is the limit of its service for cold targets.
+    pub(crate) fn admission(
+        &self,
+        now: Instant,
+        target: &Target,
+        cold: Option<Limit>,
+    ) -> Admission {
+        let Some(notice) = self.get(target) else {
             return Admission::Open;
         };
         match notice.paused_until {
             _ if notice.leaving => Admission::Leaving,
             Some(until) if now < until => Admission::Paused(until),
+            _ if notice.limit(now, cold).is_some() && !notice.permits.is_available(now) => {
+                Admission::Limited(notice.permits.expected(now))
+            }
             _ => Admission::Open,
         }
     }
@@ -94,6 +168,11 @@
         });
     }
 
+    fn get(&self, target: &Target) -> Option<&Notice> {
+        let notice = self.0.get(&target.id);
+        notice.filter(|notice| notice.born == target.born)
+    }
+
     fn notice(&mut self, now: Instant, target: &Target) -> &mut Notice {
         let notice = self
             .0
@@ -113,8 +192,20 @@
             born: target.born,
             leaving: false,
             paused_until: None,
-            limit: None,
+            statement: None,
+            learned: None,
+            cold_until: None,
+            permits: Permits::default(),
             given: now,
         }
     }
+
+    fn limit(&self, now: Instant, cold: Option<Limit>) -> Option<Limit> {
+        let named = self.statement.and_then(|statement| statement.limit);
+        let cold = cold.filter(|_| self.cold_until.is_some_and(|until| now < until));
+        match (named, cold) {
+            (Some(named), Some(cold)) => Some(named.min(cold)),
+            (named, cold) => named.or(cold),
+        }
+    }
 }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -1,6 +1,7 @@
 //! Placement, waiting and refusal of one entry's requests.
 
 mod choice;
+mod permits;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -21,6 +22,8 @@
 use crate::work::{Reason, RequestId, Work};
 use choice::{Backlog, Choice};
 
+pub use permits::Question;
+
 /// Least time that must be left for another attempt.
 const LEAST_TIME: Duration = Duration::from_millis(20);
 /// Attempts that may end without a connection, beside those that were sent.
@@ -219,20 +222,6 @@
         held.is_some_and(|held| self.notices.pauses(now, &held.target, pause))
     }
 
-    /// Notes that target `id` takes `limit` requests a second from all entries together, or any number, and returns whether
-    /// that is news.
-    pub fn target_limits(&mut self, now: Instant, id: &str, limit: Option<f64>) -> bool {
-        self.expire_notices(now);
-        let held = self.targets.get(id);
-        held.is_some_and(|held| self.notices.limits(now, &held.target, limit))
-    }
-
-    /// Tells whether target `id` has a limit.
-    pub fn is_limited(&self, id: &str) -> bool {
-        let held = self.targets.get(id);
-        held.is_some_and(|held| self.notices.is_limited(&held.target))
-    }
-
     fn expire_notices(&mut self, now: Instant) {
         let targets = &self.targets;
         self.notices.expire(now, |id| targets.contains_key(id));
@@ -539,6 +528,7 @@
         mut work: Work,
         id: &str,
     ) -> Option<Place> {
+        self.use_permit(now, id);
         let held = self.targets.get_mut(id)?;
         let load = held.requests(now);
         held.sent(now, request, work.prompt);
--- a/crates/dispatch/src/scheduler/choice.rs
+++ b/crates/dispatch/src/scheduler/choice.rs
@@ -45,7 +45,8 @@
     Target(TargetId),
     /// Targets take work but have no room.
     Busy,
-    /// All targets that could serve want no requests; the first one does again at the given time.
+    /// All targets that could serve want no requests, or no more than they get; the first one may take one at the given
+    /// time.
     Paused(Instant),
     /// No target takes such work.
     Nobody,
@@ -56,7 +57,27 @@
     ///
     /// Ejected targets, and those behind a path that carries nothing, are passed over unless they are more than half of
     /// those that could serve: then the failures say little about single targets.
+    ///
+    /// Targets that take a limited number of requests, and of which no permit is left, are asked for one if no other
+    /// target takes the request.
     pub(super) fn choose(&mut self, now: Instant, work: &Work, backlog: Backlog) -> Choice {
+        let mut limited = Vec::new();
+        let choice = self.search(now, work, backlog, &mut limited);
+        if !matches!(choice, Choice::Target(_)) {
+            self.want_permits(&limited);
+        }
+        choice
+    }
+
+    /// Chooses as [`Scheduler::choose`] does, and puts the targets that lack a permit only into `limited`.
+    fn search(
+        &mut self,
+        now: Instant,
+        work: &Work,
+        backlog: Backlog,
+        limited: &mut Vec<TargetId>,
+    ) -> Choice {
+        let cold = self.cold_limit(&work.service);
         let engine = self
             .config
             .as_ref()
@@ -68,13 +89,19 @@
             if !self.is_eligible(now, held, work, engine.is_some()) {
                 continue;
             }
-            match self.notices.admission(now, &held.target) {
-                Admission::Open => eligible.push(held),
-                Admission::Paused(until) => {
-                    paused = Some(paused.map_or(until, |first| first.min(until)));
+            let until = match self.notices.admission(now, &held.target, cold) {
+                Admission::Open => {
+                    eligible.push(held);
+                    continue;
                 }
-                Admission::Leaving => {}
-            }
+                Admission::Leaving => continue,
+                Admission::Paused(until) => until,
+                Admission::Limited(until) => {
+                    limited.push(held.target.id.clone());
+                    until
+                }
+            };
+            paused = Some(paused.map_or(until, |first| first.min(until)));
         }
         let sound: Vec<&Held> = eligible
             .iter()
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -48,7 +48,7 @@
     NoTarget,
     /// All targets are busy and the request would not be served in time.
     Overload,
-    /// Every target that it may be sent to wants no requests for a while.
+    /// Every target that it may be sent to wants no requests for a while, or no more than it gets.
     Paused,
     /// Every target that it may be sent to refused it.
     Refused,
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod config;
 mod health;
+mod limit;
 mod load;
 mod moves;
 mod notice;
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -43,6 +43,7 @@
     let engines = Service {
         engine: Some(engine()),
         origin: None,
+        cold_limit: None,
     };
     let services = BTreeMap::from([
         ("drafts".to_owned(), engines),
--- /dev/null
+++ b/crates/quota/src/permits.rs
@@ -0,0 +1,175 @@
+//! An entry's side: what it holds of a target's limit, and when it asks for more.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::issuer::Grant;
+use crate::statement::{Limit, Statement};
+
+/// Time from the question after which a permit has run out.
+const VALID: Duration = Duration::from_millis(500);
+/// Time after which a question without an answer is taken for lost.
+const LOST: Duration = Duration::from_millis(150);
+/// Most permits that are asked for at once.
+const MOST_WANTED: usize = 16;
+/// Questions in a row without an answer after which another issuer is asked.
+const UNANSWERED: u32 = 4;
+/// Time for which it is asked.
+const SKIPPED_TIME: Duration = Duration::from_secs(10);
+
+/// A question for permits, or word of a limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Ask {
+    /// Number of the question; the answer repeats it.
+    pub number: u32,
+    /// Permits that the entry has use for now; 0 to tell the statement only.
+    pub wanted: u16,
+    /// Limit that the entry keeps to.
+    pub limit: Option<Limit>,
+    /// What the entry knows of the target's own word.
+    pub statement: Option<Statement>,
+}
+
+/// Permits of one entry for one target.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use quota::{Issuer, Permits, Role};
+///
+/// let now = Instant::now();
+/// let target = ("target".to_owned(), None);
+/// let (mut issuer, mut permits) = (Issuer::default(), Permits::default());
+/// permits.want();
+/// let ask = permits.ask(now, 1, Some(1.0), None).unwrap();
+/// let grant = issuer.ask(now, &target, "entry", &ask, Role::Sole);
+/// permits.take_grant(now, &grant, 0.5);
+/// assert!(!permits.take(now), "an issuer that has just started grants nothing yet");
+///
+/// let later = now + Duration::from_secs(2);
+/// permits.want();
+/// let ask = permits.ask(later, 1, Some(1.0), None).unwrap();
+/// let grant = issuer.ask(later, &target, "entry", &ask, Role::Sole);
+/// permits.take_grant(later, &grant, 0.5);
+/// assert!(permits.take(later));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Permits {
+    /// Permits that were granted and not used, and when they run out.
+    held: u32,
+    valid_until: Option<Instant>,
+    /// The question that has no answer yet, and when it was put.
+    asked: Option<(u32, Instant)>,
+    next_number: u32,
+    unanswered: u32,
+    /// Issuers that are passed over, and since when.
+    skipped: usize,
+    skipped_at: Option<Instant>,
+    /// Time before which no question is put.
+    not_before: Option<Instant>,
+    wanted: bool,
+    /// Whether the issuer hasn't been told yet what the target said.
+    untold: bool,
+}
+
+impl Permits {
+    /// Tells whether a request may be sent.
+    pub fn is_available(&self, now: Instant) -> bool {
+        self.held > 0 && self.valid_until.is_some_and(|until| now < until)
+    }
+
+    /// Uses a permit for a request, and returns whether there was one.
+    pub fn take(&mut self, now: Instant) -> bool {
+        let available = self.is_available(now);
+        if available {
+            self.held -= 1;
+        }
+        available
+    }
+
+    /// Notes that a request would use a permit.
+    pub fn want(&mut self) {
+        self.wanted = true;
+    }
+
+    /// Notes that the target said something new of its limit.
+    pub fn tell(&mut self) {
+        self.untold = true;
+    }
+
+    /// Returns the time at which a request that wants a permit may get one, as far as it is known.
+    pub fn expected(&self, now: Instant) -> Instant {
+        self.not_before.map_or(now, |at| at.max(now))
+    }
+
+    /// Returns how many issuers are passed over because they didn't answer.
+    pub fn skipped(&mut self, now: Instant) -> usize {
+        if self.unanswered >= UNANSWERED {
+            self.unanswered = 0;
+            self.skipped += 1;
+            self.skipped_at = Some(now);
+        }
+        // The first one may be back, and entries that use different ones grant more together.
+        let over = |at: Instant| now.saturating_duration_since(at) >= SKIPPED_TIME;
+        if self.skipped_at.is_some_and(over) {
+            self.skipped = 0;
+            self.skipped_at = None;
+        }
+        self.skipped
+    }
+
+    /// Returns the question to put now for `wanted` permits, if one is due.
+    pub fn ask(
+        &mut self,
+        now: Instant,
+        wanted: usize,
+        limit: Option<Limit>,
+        statement: Option<Statement>,
+    ) -> Option<Ask> {
+        let waits = |at: Instant| now.saturating_duration_since(at) < LOST;
+        let asks = self.wanted
+            && !self.asked.is_some_and(|(_, at)| waits(at))
+            && self.not_before.is_none_or(|at| at <= now);
+        if !asks && !self.untold {
+            return None;
+        }
+        self.untold = false;
+        self.next_number = self.next_number.wrapping_add(1);
+        if asks {
+            if self.asked.is_some() {
+                self.unanswered = self.unanswered.saturating_add(1);
+            }
+            self.wanted = false;
+            self.asked = Some((self.next_number, now));
+        }
+        Some(Ask {
+            number: self.next_number,
+            wanted: if asks {
+                wanted.clamp(1, MOST_WANTED) as u16
+            } else {
+                0
+            },
+            limit,
+            statement,
+        })
+    }
+
+    /// Takes an answer; `draw`, from 0 to 1, spreads the entry's next question over time.
+    ///
+    /// The answer to an older question is of no use: its permits have run out or were asked for again.
+    pub fn take_grant(&mut self, now: Instant, grant: &Grant, draw: f64) {
+        let Some((_, at)) = self.asked.filter(|(number, _)| *number == grant.number) else {
+            return;
+        };
+        self.asked = None;
+        self.unanswered = 0;
+        let pause = Duration::from_millis(grant.pause_ms.into());
+        self.not_before = Some(now + pause.mul_f64(0.5 + draw));
+        if grant.permits > 0 {
+            // Those held before run out with the new ones at the latest, so they are let go.
+            self.held = grant.permits.into();
+            self.valid_until = Some(at + VALID);
+        }
+    }
+}
--- /dev/null
+++ b/crates/quota/tests/fleet.rs
@@ -0,0 +1,198 @@
+//! Entries that share a target's limit, over links that delay and lose datagrams.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use quota::{Ask, Grant, Issuer, Permits, Role, Start, Statement};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use yare::parameterized;
+
+const STEP: Duration = Duration::from_millis(5);
+const LENGTH: Duration = Duration::from_secs(30);
+/// Longest time of a datagram, and of a request, on its way.
+const TRANSIT_MS: u64 = 40;
+const LOSS: f64 = 0.02;
+/// Windows in which arrivals are bounded: `factor` times what the limit allows, and `extra` more.
+const WINDOWS: [Window; 2] = [
+    Window {
+        length: Duration::from_secs(4),
+        factor: 1.5,
+        extra: 5.0,
+    },
+    Window {
+        length: Duration::from_secs(1),
+        factor: 1.5,
+        extra: 5.0,
+    },
+];
+
+struct Window {
+    length: Duration,
+    factor: f64,
+    extra: f64,
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fault {
+    None,
+    /// The issuer forgets everything every 1.3 s.
+    IssuerRestarts,
+    /// A tenth of the entries forget everything every second.
+    EntriesRestart,
+    /// A third of the entries stand still for 3 s of every 6 s; what is sent to them waits.
+    EntriesPause,
+    /// A third of the entries reach neither the issuer nor the target.
+    DomainCut,
+    /// Half of the entries ask another issuer.
+    TwoIssuers,
+}
+
+struct Entry {
+    permits: Permits,
+    statement: Option<Statement>,
+    received: VecDeque<(Instant, Grant)>,
+}
+
+impl Entry {
+    fn new(statement: Option<Statement>) -> Self {
+        Self {
+            permits: Permits::default(),
+            statement,
+            received: VecDeque::new(),
+        }
+    }
+}
+
+/// Lets `count` entries, each of which always has a request for it, share a target that takes `limit` requests a second,
+/// and returns when each request arrived.
+fn play(count: usize, limit: f64, fault: Fault, seed: u64) -> Vec<Instant> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let target: Start = ("target".into(), Some(1));
+    let mut known = None;
+    Statement::hear(&mut known, Some(limit));
+    let start = Instant::now();
+    let mut entries: Vec<Entry> = (0..count).map(|_| Entry::new(known)).collect();
+    let mut issuers = [Issuer::default(), Issuer::default()];
+    let mut asked: Vec<(Instant, usize, Ask)> = Vec::new();
+    let mut arrivals = Vec::new();
+    let mut now = start;
+    let mut step = 0u32;
+    while now < start + LENGTH {
+        now += STEP;
+        step += 1;
+        if fault == Fault::IssuerRestarts && step.is_multiple_of(260) {
+            issuers[0] = Issuer::default();
+        }
+        if fault == Fault::EntriesRestart && step.is_multiple_of(200) {
+            for entry in entries.iter_mut().filter(|_| random.random_bool(0.1)) {
+                *entry = Entry::new(known);
+            }
+        }
+        let paused = fault == Fault::EntriesPause && step % 1200 < 600;
+        let (due, later): (Vec<_>, Vec<_>) = asked.into_iter().partition(|(at, ..)| *at <= now);
+        asked = later;
+        for (_, number, ask) in due {
+            let second = fault == Fault::TwoIssuers && number % 2 == 1;
+            let role = match fault {
+                Fault::TwoIssuers => Role::Chosen,
+                _ => Role::Sole,
+            };
+            let issuer = &mut issuers[usize::from(second)];
+            let grant = issuer.ask(now, &target, number, &ask, role);
+            if !random.random_bool(LOSS) {
+                let transit = Duration::from_millis(random.random_range(1..TRANSIT_MS));
+                entries[number].received.push_back((now + transit, grant));
+            }
+        }
+        for (number, entry) in entries.iter_mut().enumerate() {
+            let third = number % 3 == 0;
+            if (paused || fault == Fault::DomainCut) && third {
+                continue;
+            }
+            while entry.received.front().is_some_and(|(at, _)| *at <= now) {
+                let (_, grant) = entry.received.pop_front().unwrap();
+                entry.permits.take_grant(now, &grant, random.random());
+            }
+            // Requests for the target come all the time.
+            if entry.permits.take(now) {
+                arrivals.push(now + Duration::from_millis(random.random_range(0..TRANSIT_MS)));
+                continue;
+            }
+            entry.permits.want();
+            let wanted = 1 + random.random_range(0..3);
+            let limit = entry.statement.and_then(|statement| statement.limit);
+            if let Some(ask) = entry.permits.ask(now, wanted, limit, entry.statement)
+                && !random.random_bool(LOSS)
+            {
+                let transit = Duration::from_millis(random.random_range(1..TRANSIT_MS));
+                asked.push((now + transit, number, ask));
+            }
+        }
+    }
+    arrivals.sort();
+    arrivals
+}
+
+/// Returns the most arrivals within any `window`.
+fn most_within(arrivals: &[Instant], window: Duration) -> usize {
+    let within = |(index, at): (usize, &Instant)| {
+        let end = arrivals.partition_point(|other| *other <= *at + window);
+        end - index
+    };
+    arrivals
+        .iter()
+        .enumerate()
+        .map(within)
+        .max()
+        .unwrap_or_default()
+}
+
+// Guards against more requests than a target takes, all entries together: entries that each keep to the limit alone send it
+// as many times as much as there are entries, and one request from each is already too many.
+#[parameterized(
+    few = { 6, 1.0, Fault::None },
+    many = { 99, 1.0, Fault::None },
+    most = { 600, 1.0, Fault::None },
+    most_fast = { 600, 26.0, Fault::None },
+    few_fast = { 6, 40.0, Fault::None },
+    issuer_restarts = { 99, 2.2, Fault::IssuerRestarts },
+    entries_restart = { 99, 2.2, Fault::EntriesRestart },
+    entries_pause = { 99, 10.0, Fault::EntriesPause },
+    domain_cut = { 99, 1.0, Fault::DomainCut },
+    two_issuers = { 99, 4.0, Fault::TwoIssuers },
+    two_issuers_slow = { 600, 1.0, Fault::TwoIssuers },
+)]
+fn limit_kept(entries: usize, limit: f64, fault: Fault) {
+    for seed in 0..4 {
+        let arrivals = play(entries, limit, fault, seed);
+        for window in &WINDOWS {
+            let most = most_within(&arrivals, window.length);
+            let allowed = limit * window.length.as_secs_f64() * window.factor + window.extra;
+            let length = window.length;
+            assert!(
+                most as f64 <= allowed,
+                "{most} in {length:?}, allowed {allowed}, seed {seed}"
+            );
+        }
+    }
+}
+
+// Guards against a limit that is kept by sending nothing: callers would be refused while the target has room.
+#[parameterized(
+    few = { 6, 1.0, Fault::None },
+    many = { 99, 1.0, Fault::None },
+    most = { 600, 1.0, Fault::None },
+    fast = { 6, 40.0, Fault::None },
+    entries_restart = { 99, 2.2, Fault::EntriesRestart },
+    domain_cut = { 99, 1.0, Fault::DomainCut },
+)]
+fn limit_used(entries: usize, limit: f64, fault: Fault) {
+    let sent: usize = (0..4)
+        .map(|seed| play(entries, limit, fault, seed).len())
+        .sum();
+    let allowed = 4.0 * limit * LENGTH.as_secs_f64();
+    let share = sent as f64 / allowed;
+    assert!(share >= 0.5, "only {share:.2} of the limit was used");
+}
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 
 use dispatch::Source;
+use quota::{Ask, Grant, Role, Start, Statement};
 use serde::{Deserialize, Serialize};
 
 /// Largest encoded datagram, in bytes.
@@ -25,6 +26,27 @@
     Load(Load),
     /// The entries of the sender's failure domain that subscribed there, sent to each of them.
     Entries(Vec<SocketAddr>),
+    /// An entry asks for permits of a target that takes a limited number of requests.
+    Ask(Question),
+    /// The answer to such a question.
+    Grant {
+        /// The target.
+        target: Start,
+        /// The answer.
+        grant: Grant,
+    },
+}
+
+/// A question for permits.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Question {
+    /// The target.
+    pub target: Start,
+    /// Whether the receiver is the only issuer that the target can have.
+    pub role: Role,
+    /// What is asked.
+    pub ask: Ask,
 }
 
 /// What an entry tells an agent with each subscription.
@@ -77,6 +99,8 @@
     pub named: Vec<Named>,
     /// Entries that the agent tells its load.
     pub entries: u16,
+    /// What targets said of their limits to entries that asked the agent for permits.
+    pub limits: Vec<(Start, Statement)>,
 }
 
 impl Datagram {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,7 +12,7 @@
 mod report;
 pub mod transport;
 
-pub use datagram::{Datagram, Load, MAX_DATAGRAM, Named, Subscription};
+pub use datagram::{Datagram, Load, MAX_DATAGRAM, Named, Question, Subscription};
 pub use gossip::{Delta, Digest};
 pub use message::{Gate, REPORT_INTERVAL, Reply, Report};
 pub use peer::{Peer, PeerClient, PeerRequest, PeerResponse};
