http: end answers of bytes without end, and let other requests run meanwhile

A target in trouble may send bytes that are no answer without end.

Change: a connection lets other tasks run after 16 reads in a row; more than 16 interim answers end an attempt; a body's deadline holds also while pieces are always there; comments go with the event that follows them. The case 'comment' of push_forms expected comments to be passed on by themselves, which was the fault; push_comments replaces it.

--- a/bins/entry/src/ingress/events.rs
+++ b/bins/entry/src/ingress/events.rs
@@ -6,9 +6,13 @@
 const MAX_EVENT: usize = 256 << 10;
 
 /// Collects the bytes of a stream and gives out whole events in order.
+///
+/// Comments go with the event that follows them: a target that sends nothing else makes no progress.
 #[derive(Debug, Default)]
 pub struct Splitter {
     buffer: BytesMut,
+    /// Bytes at the start of the buffer that are whole blocks of comments.
+    comments: usize,
     /// Bytes of the buffer that hold no end of an event.
     scanned: usize,
     /// Id of the last event that was given out, or after which the stream goes on.
@@ -46,9 +50,12 @@
         self.last
     }
 
-    /// Tells whether no part of an event is held.
-    pub fn is_empty(&self) -> bool {
-        self.buffer.is_empty()
+    /// Returns the comments after the last event, or `None` when a part of an event is held: the stream broke off.
+    pub fn finish(&mut self) -> Option<Bytes> {
+        let whole = self.buffer.len() == self.comments;
+        self.comments = 0;
+        self.scanned = 0;
+        whole.then(|| self.buffer.split().freeze())
     }
 
     /// Takes bytes and returns the events that are whole now; events that came before are left out.
@@ -60,6 +67,12 @@
         self.buffer.extend_from_slice(bytes);
         let mut whole = BytesMut::new();
         while let Some(end) = self.next_end() {
+            if is_comment(&self.buffer[self.comments..end]) {
+                self.comments = end;
+                self.scanned = end;
+                continue;
+            }
+            self.comments = 0;
             let event = self.buffer.split_to(end);
             self.scanned = 0;
             if self.accept(&event)? {
@@ -84,7 +97,7 @@
         rest
     }
 
-    /// Returns the length of the first event, with the blank line that ends it.
+    /// Returns the end of the first block of lines after the comments, with the blank line that ends it.
     fn next_end(&mut self) -> Option<usize> {
         let bytes = &self.buffer[..];
         let mut at = self.scanned;
@@ -120,6 +133,12 @@
     }
 }
 
+/// Tells whether a block of lines holds only comments.
+fn is_comment(block: &[u8]) -> bool {
+    let mut lines = block.split(|byte| *byte == b'\n');
+    lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 /// Returns the id of an event, if it has one that is a number.
 fn id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| *byte == b'\n');
--- a/bins/entry/src/ingress/run.rs
+++ b/bins/entry/src/ingress/run.rs
@@ -134,8 +134,10 @@
                         return Err(Failure::Broken);
                     }
                 },
-                Ok(None) if self.events.is_empty() => return Ok(None),
-                Ok(None) => return Err(Failure::Broken),
+                Ok(None) => {
+                    let rest = self.events.finish().ok_or(Failure::Broken)?;
+                    return Ok(Some(rest).filter(|rest| !rest.is_empty()));
+                }
                 Err(_) if Instant::now() >= limit => return Err(Failure::Late),
                 Err(_) => return Err(Failure::Broken),
             }
--- a/bins/entry/tests/ingress/events.rs
+++ b/bins/entry/tests/ingress/events.rs
@@ -17,10 +17,10 @@
 fn push_holds_parts() {
     let mut splitter = Splitter::default();
     assert!(splitter.push(b"id: 1\ndata: a\n").unwrap().is_empty());
-    assert!(!splitter.is_empty());
+    assert!(splitter.finish().is_none());
     assert_eq!(splitter.push(b"\nid").unwrap(), "id: 1\ndata: a\n\n");
     assert_eq!(splitter.last(), Some(1));
-    assert!(!splitter.is_empty());
+    assert!(splitter.finish().is_none());
 }
 
 // Guards against events that come twice or are left out where a stream goes on at another target.
@@ -39,7 +39,7 @@
 // Guards against line ends of other systems, comments and events without an id.
 #[parameterized(
     carriage_return = { "id: 1\r\ndata: a\r\n\r\n", Some(1) },
-    comment = { ": ping\n\n", None },
+    comment = { ": ping\n\n: ping\r\n\r\nid: 2\ndata: a\n\n", Some(2) },
     version_line = { "x-version: 3\nid: 4\ndata: a\n\n", Some(4) },
     no_space = { "id:9\n\n", Some(9) },
 )]
@@ -47,7 +47,21 @@
     let mut splitter = Splitter::default();
     assert_eq!(splitter.push(text.as_bytes()).unwrap(), text);
     assert_eq!(splitter.last(), last);
-    assert!(splitter.is_empty());
+    assert_eq!(splitter.finish().unwrap(), "");
+}
+
+// Guards against a stalled stream that seems to make progress because its target sends comments, and against comments that
+// are lost or taken for a part of an event.
+#[test]
+fn push_comments() {
+    let mut splitter = Splitter::default();
+    for _ in 0..3 {
+        assert_eq!(splitter.push(b": soon\n\n").unwrap(), "");
+    }
+    let events = splitter.push(b"data: a\n\n: la").unwrap();
+    assert_eq!(events, ": soon\n\n: soon\n\n: soon\n\ndata: a\n\n");
+    assert_eq!(splitter.push(b"st\n\n").unwrap(), "");
+    assert_eq!(splitter.finish().unwrap(), ": last\n\n");
 }
 
 // Guards against memory that grows without end when a target never ends its event.
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod client;
+mod interim;
 mod pool;
 mod server;
 mod stream;
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -3,9 +3,11 @@
 use std::fmt::Display;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use futures::future::{Either, select};
 use futures::stream;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
@@ -13,9 +15,9 @@
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Request, Response};
 
-use super::Body;
 use super::pool::{Connection, Pool};
 use super::stream::Stream;
+use super::{Body, interim};
 
 /// An HTTP/1.1 client with keep-alive connections per address; clones share them.
 ///
@@ -108,9 +110,14 @@
                     (connect(peer, limit).await?, true)
                 }
             };
-            let sent = connection.sender.try_send_request(request);
+            let too_many = interim::too_many(&mut request);
+            let sent = pin!(connection.sender.try_send_request(request));
+            let sent = select(sent, too_many);
             match compio::time::timeout_at(deadline, sent).await {
-                Ok(Ok(response)) => {
+                Ok(Either::Right(_)) => {
+                    return Err(unknown(peer, &"interim answers come without end"));
+                }
+                Ok(Either::Left((Ok(response), _))) => {
                     let pool = (!self.single_use).then(|| self.pool.clone());
                     let lease = Some((connection, pool));
                     let idle = idle_time(response.headers());
@@ -122,7 +129,7 @@
                         idle,
                     }));
                 }
-                Ok(Err(mut error)) => match error.take_message() {
+                Ok(Either::Left((Err(mut error), _))) => match error.take_message() {
                     // The peer closed an idle connection; a new one decides.
                     Some(message) if !fresh => request = message,
                     Some(_) => return Err(not_written(peer, &error.error())),
@@ -166,6 +173,10 @@
     /// Returns [`Error::Unknown`] when the body is cut or the deadline passes; the connection is closed.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
         loop {
+            // Pieces that are always there already would win against the deadline for ever.
+            if Instant::now() >= self.deadline {
+                return Err(self.fail(&"the deadline passed within the body"));
+            }
             let frame = match compio::time::timeout_at(self.deadline, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) => {
--- a/crates/node/src/http/stream.rs
+++ b/crates/node/src/http/stream.rs
@@ -8,10 +8,14 @@
 use cyper_core::HyperStream;
 use hyper::rt::{Read, ReadBufCursor, Write};
 
-/// [`HyperStream`] whose shutdown needs no helper thread.
+/// Reads in a row that find bytes at once, after which other tasks have their turn.
+const READS_IN_A_ROW: u32 = 16;
+
+/// [`HyperStream`] whose shutdown needs no helper thread, and which lets other tasks run while bytes come without end.
 pub struct Stream {
     inner: HyperStream<TcpStream>,
     socket: TcpStream,
+    reads: u32,
 }
 
 impl Stream {
@@ -20,6 +24,7 @@
         Self {
             inner: HyperStream::new_plain(socket.clone()),
             socket,
+            reads: 0,
         }
     }
 }
@@ -30,7 +35,14 @@
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Read::poll_read(Pin::new(&mut self.inner), cx, buf)
+        if self.reads >= READS_IN_A_ROW {
+            self.reads = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let read = Read::poll_read(Pin::new(&mut self.inner), cx, buf);
+        self.reads = if read.is_ready() { self.reads + 1 } else { 0 };
+        read
     }
 }
 
