ingress: a bound on the memory of unfinished answers

An answer that is passed on whole was held up to 8 MB, whatever the others held: a dozen targets that send bodies without end would take the memory of the smallest VMs.

quota: entries look only at targets about which there is a question.

--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -10,6 +10,7 @@
 pub mod events;
 mod gateway;
 mod hedge;
+pub mod holding;
 mod loads;
 mod metrics;
 mod placed;
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -20,6 +20,7 @@
 use super::Settings;
 use super::call::{Call, Refusal};
 use super::end::{End, Rejection};
+use super::holding::Held;
 use super::metrics::Metrics;
 use super::placed::Placed;
 use super::relay::Relay;
@@ -52,6 +53,8 @@
     /// Where requests learn that they must not begin any more where they are.
     outdated: RefCell<HashMap<RequestId, oneshot::Sender<()>>>,
     in_progress: Rc<Cell<usize>>,
+    /// Bytes of answers that aren't whole yet.
+    pub(super) held: Held,
     /// Number of versions and targets that this process learned of.
     news: Cell<u64>,
     /// Whether the last read of the configuration was answered.
@@ -93,6 +96,7 @@
             moves: RefCell::default(),
             outdated: RefCell::default(),
             in_progress: Rc::default(),
+            held: Held::default(),
             news: Cell::default(),
             in_touch: Cell::new(false),
             draining: Cell::new(false),
--- a/bins/entry/src/ingress/plain.rs
+++ b/bins/entry/src/ingress/plain.rs
@@ -4,20 +4,20 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use dispatch::Failure;
+use node::event;
 use node::http::{Body, Response, StatusCode};
 
 use super::call::Call;
 use super::end::End;
 use super::gateway::Gateway;
 use super::hedge;
+use super::holding::Holding;
 use super::placed::Placed;
 
 /// Multiple of the objective after which a second target is tried beside one that has not answered.
 const PATIENCE: u32 = 2;
-/// Largest answer, in bytes; it is held in memory until it is whole.
-const MAX_ANSWER: usize = 8 << 20;
 
 /// Serves a request whose answer is passed on once it is whole.
 pub(super) async fn serve(gateway: &Rc<Gateway>, call: &Call) -> Response<Body> {
@@ -79,8 +79,22 @@
         true => Failure::Late,
         false => Failure::Broken,
     };
-    let body = answered.body.bytes(MAX_ANSWER).await.map_err(broken)?;
-    let mut response = Response::new(body);
+    let mut body = answered.body;
+    let mut holding = Holding::new(&gateway.held);
+    let mut whole = BytesMut::new();
+    while let Some(piece) = body.next().await.map_err(broken)? {
+        if !holding.take(piece.len()) {
+            event!(
+                event::ANSWER_TOO_LARGE,
+                target = placed.place().target,
+                request = call.caller.id,
+                bytes = whole.len()
+            );
+            return Err(Failure::Broken);
+        }
+        whole.extend_from_slice(&piece);
+    }
+    let mut response = Response::new(whole.freeze());
     *response.status_mut() = answered.status;
     *response.headers_mut() = platform::answer::pass(&answered.headers);
     Ok(response)
--- a/crates/dispatch/src/notice.rs
+++ b/crates/dispatch/src/notice.rs
@@ -136,9 +136,13 @@
         Some((&mut notice.permits, notice.statement))
     }
 
-    /// Returns the ids of the targets that gave notices.
-    pub(crate) fn targets(&self) -> impl Iterator<Item = &TargetId> {
-        self.0.keys()
+    /// Returns the ids of the targets about whose limits there is a question to put.
+    pub(crate) fn asking(&self) -> impl Iterator<Item = &TargetId> {
+        let asking = self
+            .0
+            .iter()
+            .filter(|(_, notice)| notice.permits.is_asking());
+        asking.map(|(id, _)| id)
     }
 
     /// Tells whether `target` may get new requests; `cold` is the limit of its service for cold targets.
--- a/crates/dispatch/src/scheduler/permits.rs
+++ b/crates/dispatch/src/scheduler/permits.rs
@@ -65,8 +65,8 @@
 
     /// Returns the questions for permits that are to be put now.
     pub fn questions(&mut self, now: Instant) -> Vec<Question> {
-        let noticed: Vec<TargetId> = self.notices.targets().cloned().collect();
-        noticed
+        let asking: Vec<TargetId> = self.notices.asking().cloned().collect();
+        asking
             .iter()
             .filter_map(|id| self.question(now, id))
             .collect()
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -80,6 +80,7 @@
     TARGET_PAUSED = 262 Info "target-paused";
     SOURCE_CHANGED = 263 Info "source-changed";
     TARGET_LIMITED = 264 Info "target-limited";
+    ANSWER_TOO_LARGE = 265 Warn "answer-too-large";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
--- a/crates/quota/src/permits.rs
+++ b/crates/quota/src/permits.rs
@@ -98,6 +98,11 @@
         self.untold = true;
     }
 
+    /// Tells whether there is a question to put, now or later.
+    pub fn is_asking(&self) -> bool {
+        self.wanted || self.untold
+    }
+
     /// Returns the time at which a request that wants a permit may get one, as far as it is known.
     pub fn expected(&self, now: Instant) -> Instant {
         self.not_before.map_or(now, |at| at.max(now))
