platform: a fault soak of real processes; refusals while stopping name their request

The soak plays entries and agents as processes of their own, with callers that press, behind a proxy on loopback that delays, silences, cuts and resets; processes are paused, killed, asked to stop and restarted; targets misbehave, drain and name limits; configurations follow each other.

--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -250,8 +250,9 @@
         let config = self.config();
         let draw = rand::rng().random();
         let mut answer = match Call::admit(request, config.as_deref(), now, draw) {
-            Ok(_) if self.refusing.get() => {
-                self.refuse("", &Refusal::unavailable("stopping", ELSEWHERE))
+            Ok(call) if self.refusing.get() => {
+                let stopping = Refusal::unavailable("stopping", ELSEWHERE);
+                self.refuse(&call.caller.id, &stopping)
             }
             Ok(call) if call.is_stream() => super::stream::serve(&self, call, guard).await,
             Ok(call) => {
--- a/bins/load/src/process.rs
+++ b/bins/load/src/process.rs
@@ -94,6 +94,11 @@
         self.signal(Signal::STOP);
     }
 
+    /// Sends SIGHUP, which tells that the settings have changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Sends SIGCONT.
     pub fn resume(&self) {
         self.signal(Signal::CONT);
