ingress: answers and loads that say nothing new of limits don't poll the queues

Each answer and each load polled the scheduler once more since the limits came, which costs processor time on every request.

--- a/bins/entry/src/ingress/attempt.rs
+++ b/bins/entry/src/ingress/attempt.rs
@@ -73,7 +73,7 @@
             };
             self.update(|scheduler, now| scheduler.answer_load(now, &place.target, load));
         }
-        self.note(call, &place.target, sent, parts.status, &head);
+        self.take_notices(call, &place.target, sent, parts.status, &head);
         match classify(call, parts.status, &head) {
             Ok(()) => Ok(Answered {
                 status: parts.status,
@@ -96,7 +96,14 @@
     ///
     /// An answer that names another request, or a refusal by another target at the same address, says nothing of this
     /// target.
-    fn note(&self, call: &Call, target: &str, sent: Instant, status: StatusCode, head: &Head) {
+    fn take_notices(
+        &self,
+        call: &Call,
+        target: &str,
+        sent: Instant,
+        status: StatusCode,
+        head: &Head,
+    ) {
         let request = &call.caller.id;
         let own = head.id.as_ref() == Some(request) && status != StatusCode::MISDIRECTED_REQUEST;
         if !own {
@@ -105,7 +112,7 @@
         if head.leaving && self.update(|scheduler, now| scheduler.target_leaves(now, target)) {
             event!(event::TARGET_LEAVING, target = target, request = request);
         }
-        self.note_limit(request, target, sent, head);
+        self.take_limit(request, target, sent, head);
         let refused = status == StatusCode::SERVICE_UNAVAILABLE;
         if let Some(pause) = head.pause.filter(|_| refused)
             && self.update(|scheduler, now| scheduler.target_pauses(now, target, pause))
@@ -118,17 +125,17 @@
             );
         }
     }
-}
 
-impl Gateway {
     /// Takes what an answer says of the requests that its target takes. Only the target itself can end its limit.
-    fn note_limit(&self, request: &str, target: &str, sent: Instant, head: &Head) {
+    fn take_limit(&self, request: &str, target: &str, sent: Instant, head: &Head) {
         let limit = match head.limit {
             Limit::PerSecond(per_s) => Some(per_s),
             Limit::None if head.sealed || head.not_run => None,
             Limit::None | Limit::Malformed => return,
         };
-        if self.update(|scheduler, now| scheduler.target_limits(now, target, sent, limit)) {
+        if self.note(|scheduler, now| scheduler.target_limits(now, target, sent, limit)) {
+            // The issuer is told.
+            self.update(|_, _| ());
             event!(
                 event::TARGET_LIMITED,
                 target = target,
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -172,10 +172,14 @@
         read(&self.scheduler.borrow())
     }
 
+    /// Calls `change` with the scheduler without letting it act: most answers and loads say nothing new of limits.
+    pub(super) fn note<T>(&self, change: impl FnOnce(&mut Scheduler, Instant) -> T) -> T {
+        change(&mut self.scheduler.borrow_mut(), Instant::now())
+    }
+
     /// Takes what a target said of its limit to another entry.
     pub(super) fn hear_limit(&self, target: &Start, statement: Statement) {
-        let news = self.update(|scheduler, now| scheduler.hear_limit(now, target, statement));
-        if news {
+        if self.note(|scheduler, now| scheduler.hear_limit(now, target, statement)) {
             event!(
                 event::TARGET_LIMITED,
                 target = target.0,
--- a/crates/dispatch/src/scheduler/permits.rs
+++ b/crates/dispatch/src/scheduler/permits.rs
@@ -36,7 +36,9 @@
         sent: Instant,
         limit: Option<Limit>,
     ) -> bool {
-        self.expire_notices(now);
+        if limit.is_some() {
+            self.expire_notices(now);
+        }
         let held = self.targets.get(id);
         held.is_some_and(|held| self.notices.limits(now, &held.target, sent, limit))
     }
