--- a/crates/dispatch/tests/dispatch/limit.rs
+++ b/crates/dispatch/tests/dispatch/limit.rs
@@ -97,15 +97,7 @@
     /// Returns the most arrivals within any `window` from `start` on.
     fn most(&self, start: Instant, window: Duration) -> usize {
         let first = self.arrivals.partition_point(|at| *at < start);
-        let arrivals = &self.arrivals[first..];
-        let until = |end: Instant| arrivals.partition_point(|at| *at < end);
-        let within = |(index, at): (usize, &Instant)| until(*at + window) - index;
-        arrivals
-            .iter()
-            .enumerate()
-            .map(within)
-            .max()
-            .unwrap_or_default()
+        window::most(&self.arrivals[first..], window)
     }
 }
 
--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -14,20 +14,20 @@
 const TRANSIT_MS: u64 = 40;
 const LOSS: f64 = 0.02;
 /// Windows in which arrivals are bounded: `factor` times what the limit allows, and `extra` more.
-const WINDOWS: [Window; 2] = [
-    Window {
+const BOUNDS: [Bound; 2] = [
+    Bound {
         length: Duration::from_secs(4),
         factor: 1.5,
         extra: 5.0,
     },
-    Window {
+    Bound {
         length: Duration::from_secs(1),
         factor: 1.5,
         extra: 5.0,
     },
 ];
 
-struct Window {
+struct Bound {
     length: Duration,
     factor: f64,
     extra: f64,
@@ -135,20 +135,6 @@
     arrivals
 }
 
-/// Returns the most arrivals within any `window`.
-fn most_within(arrivals: &[Instant], window: Duration) -> usize {
-    let within = |(index, at): (usize, &Instant)| {
-        let end = arrivals.partition_point(|other| *other <= *at + window);
-        end - index
-    };
-    arrivals
-        .iter()
-        .enumerate()
-        .map(within)
-        .max()
-        .unwrap_or_default()
-}
-
 // Guards against more requests than a target takes, all entries together: entries that each keep to the limit alone send it
 // as many times as much as there are entries, and one request from each is already too many.
 #[parameterized(
@@ -167,10 +153,10 @@
 fn limit_kept(entries: usize, limit: f64, fault: Fault) {
     for seed in 0..4 {
         let arrivals = play(entries, limit, fault, seed);
-        for window in &WINDOWS {
-            let most = most_within(&arrivals, window.length);
-            let allowed = limit * window.length.as_secs_f64() * window.factor + window.extra;
-            let length = window.length;
+        for bound in &BOUNDS {
+            let most = window::most(&arrivals, bound.length);
+            let allowed = limit * bound.length.as_secs_f64() * bound.factor + bound.extra;
+            let length = bound.length;
             assert!(
                 most as f64 <= allowed,
                 "{most} in {length:?}, allowed {allowed}, seed {seed}"
