node: test the deadline of a body without end

The deadline check of Answer::next came with the bytes without end and had no test. This one passes also without the check: the pieces run out now and then on loopback, and the timer has its turn. So the check is a precaution, not a mended fault.

--- a/crates/node/tests/http.rs
+++ b/crates/node/tests/http.rs
@@ -267,3 +267,29 @@
     })
     .unwrap();
 }
+
+// Guards against a deadline that never comes because the next piece of a body is always there already.
+#[test]
+fn client_endless_body_ends_at_deadline() {
+    const LIMIT: Duration = Duration::from_millis(300);
+    let listener = std::net::TcpListener::bind(loopback()).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        use std::io::Write;
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut written =
+            stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+        let pieces = "8\r\nnonsense\r\n".repeat(4_000);
+        while written.is_ok() {
+            written = stream.write_all(pieces.as_bytes());
+        }
+    });
+    node::run("test", async move {
+        let start = Instant::now();
+        let answer = Client::new().send(address, get("/"), start + LIMIT).await;
+        let mut body = answer.unwrap().into_body();
+        while let Ok(Some(_)) = body.next().await {}
+        assert!(start.elapsed() < LIMIT * 2, "{:?}", start.elapsed());
+    })
+    .unwrap();
+}
