dispatch: use a permit whatever share of free places the entry has

What was seen: `target_limit::limit_shared::engine` failed once in 160 runs with "only 0.25 of the limit was used". An engine with a limit of one request a second got one request in 4 s while six entries pressed.

Cause: an entry takes only its share of an engine's free places, rounded up or down at random with each load report. With 4 free places and 6 entries a third of the entries have no share until the next report. Such an entry still requests permits, gets them, finds the engine busy and lets them expire after 0.5 s. The other entries get nothing for that time.

Change: a target with a limit is divided by its permits alone. The number of requests on it stays bounded by its places as before.

Evidence: `demand::limit_used::engine` simulates six entries with an issuer and an engine that reports its load, seeds 150 to 249. With the change all seeds of the test pass.

--- a/crates/dispatch/src/scheduler/choice.rs
+++ b/crates/dispatch/src/scheduler/choice.rs
@@ -177,8 +177,7 @@
             Backlog::Allowed => engine.slots + backlog_places(engine, work),
             Backlog::None => engine.slots,
         };
-        let entries = self.entries.unwrap_or(DEFAULT_ENTRIES_FOR_PLACES);
-        if occupancy.requests >= f64::from(places) || !state.has_free_share(now, places, entries) {
+        if occupancy.requests >= f64::from(places) || !self.has_free_place(now, state, places) {
             return None;
         }
         let mut time = engine.time_to_first_token(occupancy, f64::from(work.prompt_tokens));
@@ -202,6 +201,19 @@
         Some(time.as_secs_f64() * 1000.0)
     }
 
+    /// Returns whether one of the target's free `places` is for this entry.
+    ///
+    /// The permits of a rate-limited target already divide it among the entries. A permit that its entry doesn't use
+    /// for lack of a share expires, and no other entry gets it.
+    fn has_free_place(&self, now: Instant, state: &TargetState, places: u32) -> bool {
+        let entries = self.entries.unwrap_or(DEFAULT_ENTRIES_FOR_PLACES);
+        if state.has_free_share(now, places, entries) {
+            return true;
+        }
+        let cold = self.cold_limit(&state.target.service);
+        self.admissions.limit(now, &state.target, cold).is_some()
+    }
+
     /// Returns the load per slot plus penalties, or `None` if there is no room.
     fn plain_cost(&self, now: Instant, state: &TargetState) -> Option<f64> {
         let slots = f64::from(state.target.slots.max(1));
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod concurrent;
 mod config;
+mod demand;
 mod health;
 mod limit;
 mod load;
