quota: entries without requests ask for no permits

What was seen: `target_limit::limit_shared::plain` and `::engine` failed in a few of many runs with "not within 8s: the target has no limit any more". Six entries pressed on a target with a limit of 1 a second, then only one had requests, and it got no permit for 8 s.

Cause: an entry kept its wish for permits until the next question was due, up to 4.5 s after its last request was rejected. The permit that it got then expired. It also counted as a requester for 8 s after that, so the entry with requests was told to ask every 1.5 to 4.5 s. With 99 or 600 entries the only one with requests got 2 to 5 permits in 20 s.

Change: only requests that lacked a permit in the last 0.2 s count as demand. The issuer counts a silent entry until it would have asked again and 1 s longer. The format of the datagrams is unchanged.

Evidence: `demand::single_entry_served` simulates six, 99 and 600 entries with one issuer.

--- a/crates/dispatch/src/scheduler/choice.rs
+++ b/crates/dispatch/src/scheduler/choice.rs
@@ -68,7 +68,7 @@
         let mut limited = Vec::new();
         let choice = self.search(now, work, backlog, &mut limited);
         if !matches!(choice, Choice::Target(_)) {
-            self.want_permits(&limited);
+            self.want_permits(now, &limited);
         }
         choice
     }
--- a/crates/dispatch/src/scheduler/permits.rs
+++ b/crates/dispatch/src/scheduler/permits.rs
@@ -113,13 +113,13 @@
     }
 
     /// Records that requests are waiting for permits of `targets`.
-    pub(super) fn want_permits(&mut self, targets: &[TargetId]) {
+    pub(super) fn want_permits(&mut self, now: Instant, targets: &[TargetId]) {
         for id in targets {
             let Some(state) = self.targets.get(id) else {
                 continue;
             };
             if let Some((permits, _)) = self.admissions.permits(&state.target) {
-                permits.set_wanted();
+                permits.set_wanted(now);
             }
         }
     }
--- a/crates/dispatch/tests/dispatch/demand.rs
+++ b/crates/dispatch/tests/dispatch/demand.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::IpAddr;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -32,6 +33,10 @@
 /// Time after the start from which the use of the limit is measured.
 const SETTLED: Duration = Duration::from_secs(3);
 const WINDOW: Duration = Duration::from_secs(4);
+/// Time for which only one entry has requests.
+const SINGLE: Duration = Duration::from_secs(20);
+/// Time within which the first request of that entry must reach the target.
+const SERVED_WITHIN: Duration = Duration::from_secs(8);
 
 /// The kind of the rate-limited target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -274,3 +279,32 @@
     }
     assert!(low.is_empty(), "seeds and used share of the limit: {low:?}");
 }
+
+// Guards against entries without requests that use up permits or slow down the only entry with requests.
+#[parameterized(
+    engine = { 6, Kind::Engine, 220..240 },
+    plain = { 6, Kind::Plain, 30..50 },
+    plain_many = { 99, Kind::Plain, 0..4 },
+    plain_most = { 600, Kind::Plain, 0..4 },
+)]
+fn single_entry_served(count: usize, kind: Kind, seeds: Range<u64>) {
+    let mut low = Vec::new();
+    for seed in seeds {
+        let mut fleet = Fleet::new(count, kind, 1.0, seed);
+        fleet.run(PRESSED, count);
+        // Requests in progress arrive before.
+        let alone = fleet.now() + ms(MAX_TRANSIT_MS);
+        fleet.run(SINGLE, 1);
+        let first = fleet.arrivals.partition_point(|at| *at <= alone);
+        let served_after = fleet.arrivals.get(first).map(|at| *at - alone);
+        let sent = fleet.arrivals.len() - first;
+        let in_time = served_after.is_some_and(|time| time < SERVED_WITHIN);
+        if !in_time || (sent as f64) < 0.4 * SINGLE.as_secs_f64() {
+            low.push((seed, served_after, sent));
+        }
+    }
+    assert!(
+        low.is_empty(),
+        "seeds, time of the first request and number of requests: {low:?}"
+    );
+}
--- a/crates/quota/src/issuer.rs
+++ b/crates/quota/src/issuer.rs
@@ -6,14 +6,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::advertised_limit::{AdvertisedLimit, Limit, MIN_LIMIT_PER_S};
-use crate::permits::PermitRequest;
+use crate::permits::{PAUSE_FACTORS, PermitRequest};
 
 /// Time for which a limit reported by an entry takes precedence over a higher one, because entries learn of a change at
 /// different times.
 const REPORTED_LIMIT_HOLD: Duration = Duration::from_secs(1);
-/// Time after its last request for which an entry counts as a requester; one that needs permits requests them again
-/// within it.
-const REQUESTER_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time after the end of its pause for which an entry counts as a requester: its next request may be lost or late.
+const REQUESTER_GRACE: Duration = Duration::from_secs(1);
 /// Time after the last request for its permits for which the state of a target is kept.
 const TARGET_TIMEOUT: Duration = Duration::from_secs(600);
 /// Permits that can accumulate, in addition to those of [`BURST_TIME`].
@@ -69,7 +68,7 @@
     permits: f64,
     /// Time at which permits were last added.
     refilled_at: Instant,
-    /// Time of each entry's last request for permits.
+    /// Entries that want permits, each with the time until which it counts as a requester.
     requesters: BTreeMap<Entry, Instant>,
 }
 
@@ -99,8 +98,8 @@
             Role::Chosen => CONTESTED_ISSUER_SHARE,
         };
         bucket.refill(now, share);
-        bucket.record_request(now, entry, request);
-        bucket.grant(request)
+        bucket.record_limit(now, request);
+        bucket.grant(now, entry, request)
     }
 
     /// Returns the limits that targets advertised, to forward them to entries that don't know them yet.
@@ -127,8 +126,8 @@
         }
     }
 
-    /// Records the limit that an entry reports, and the entry as a requester if it wants permits.
-    fn record_request(&mut self, now: Instant, entry: Entry, request: &PermitRequest) {
+    /// Records the limit that an entry reports.
+    fn record_limit(&mut self, now: Instant, request: &PermitRequest) {
         AdvertisedLimit::merge(&mut self.statement, request.statement);
         if let Some(limit) = request.limit.map(|limit| limit.max(MIN_LIMIT_PER_S))
             && self.lowest_reported.is_none_or(|(lowest, at)| {
@@ -137,24 +136,24 @@
         {
             self.lowest_reported = Some((limit, now));
         }
-        self.requesters
-            .retain(|_, at| now.saturating_duration_since(*at) < REQUESTER_TIMEOUT);
-        if request.wanted > 0 {
-            self.requesters.insert(entry, now);
-        }
     }
 
     /// Grants the available permits, up to the entry's share of them.
-    fn grant(&mut self, request: &PermitRequest) -> Grant {
-        let requesters = self.requesters.len().max(1) as f64;
+    fn grant(&mut self, now: Instant, entry: Entry, request: &PermitRequest) -> Grant {
+        self.requesters.remove(&entry);
+        self.requesters.retain(|_, until| now < *until);
+        let is_requester = request.wanted > 0;
+        let requesters = self.requesters.len() + usize::from(is_requester);
+        let requesters = requesters.max(1) as f64;
         let whole_permits = self.permits.floor();
         // The accrued permits are shared among all requesters.
         let permits = f64::from(request.wanted).min((whole_permits / requesters).ceil());
         self.permits -= permits;
-        let pause = self.limit().map_or(Duration::ZERO, |limit| {
-            let seconds = requesters / (limit * POLLS_PER_PERMIT);
-            Duration::from_secs_f64(seconds.min(PAUSE_BOUNDS.1.as_secs_f64())).max(PAUSE_BOUNDS.0)
-        });
+        let pause = self.pause(requesters);
+        if is_requester {
+            let until = now + pause.mul_f64(PAUSE_FACTORS.end) + REQUESTER_GRACE;
+            self.requesters.insert(entry, until);
+        }
         Grant {
             number: request.number,
             permits: permits as u16,
@@ -163,6 +162,14 @@
         }
     }
 
+    /// Returns the pause between two requests of an entry for permits.
+    fn pause(&self, requesters: f64) -> Duration {
+        self.limit().map_or(Duration::ZERO, |limit| {
+            let seconds = requesters / (limit * POLLS_PER_PERMIT);
+            Duration::from_secs_f64(seconds.min(PAUSE_BOUNDS.1.as_secs_f64())).max(PAUSE_BOUNDS.0)
+        })
+    }
+
     /// Adds the permits that accrued since the last refill.
     fn refill(&mut self, now: Instant, share: f64) {
         let passed = now
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -11,6 +11,9 @@
 //! use permits which the issuer has since granted again. An issuer starts without permits: those granted by its
 //! predecessor were within the limit, and so are the grants of both together.
 //!
+//! Only entries whose requests lack a permit request any. The pause between their requests grows with their number, so
+//! an entry whose demand ends tells the issuer, and one that becomes silent is soon no longer counted.
+//!
 //! The limits that targets advertise are [`AdvertisedLimit`]s. The one with the highest number is in force, so entries
 //! and issuers agree even if they receive several, late or out of order.
 
--- a/crates/quota/src/permits.rs
+++ b/crates/quota/src/permits.rs
@@ -1,5 +1,6 @@
 //! The entry's side: the permits that it holds for a target, and when it requests more.
 
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -15,8 +16,12 @@
 const MAX_WANTED: usize = 16;
 /// Consecutive requests without a response after which another issuer is used.
 const MAX_UNANSWERED: u32 = 4;
+/// Factors by which an entry shortens or extends the pause that the issuer sets.
+pub(crate) const PAUSE_FACTORS: Range<f64> = 0.5..1.5;
 /// Time for which another issuer is used instead of the first one.
 const SKIP_TIME: Duration = Duration::from_secs(10);
+/// Time after which a request that lacked a permit no longer counts as demand: it was rejected, or has one.
+const DEMAND_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// A request for permits, or a notification of a limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -24,7 +29,7 @@
 pub struct PermitRequest {
     /// Number of the request, repeated by the grant.
     pub number: u32,
-    /// Number of permits that the entry can use now; 0 to send the advertised limit only.
+    /// Number of permits that the entry can use now; 0 if it needs none, or to send the advertised limit only.
     pub wanted: u16,
     /// Limit that the entry applies.
     pub limit: Option<Limit>,
@@ -41,14 +46,14 @@
 /// let now = Instant::now();
 /// let target = ("target".to_owned(), None);
 /// let (mut issuer, mut permits) = (Issuer::default(), Permits::default());
-/// permits.set_wanted();
+/// permits.set_wanted(now);
 /// let request = permits.next_request(now, 1, Some(1.0), None).unwrap();
 /// let grant = issuer.handle_request(now, &target, "entry", &request, Role::Sole);
 /// permits.apply_grant(now, &grant, 0.5);
 /// assert!(!permits.try_take(now), "an issuer that has just started grants nothing yet");
 ///
 /// let later = now + Duration::from_secs(2);
-/// permits.set_wanted();
+/// permits.set_wanted(later);
 /// let request = permits.next_request(later, 1, Some(1.0), None).unwrap();
 /// let grant = issuer.handle_request(later, &target, "entry", &request, Role::Sole);
 /// permits.apply_grant(later, &grant, 0.5);
@@ -70,7 +75,12 @@
     skipped_at: Option<Instant>,
     /// Time before which no request for permits is sent.
     next_request_at: Option<Instant>,
-    wanted: bool,
+    /// Last time at which a request lacked a permit; `None` if that is too long ago to count as demand.
+    wanted_at: Option<Instant>,
+    /// Last time at which permits were requested.
+    requested_at: Option<Instant>,
+    /// Whether the issuer was last told that this entry wants permits.
+    is_requester: bool,
     /// Whether the target advertised a limit that was not sent to the issuer yet.
     limit_changed: bool,
 }
@@ -90,9 +100,9 @@
         available
     }
 
-    /// Records that a request to the target needs a permit.
-    pub fn set_wanted(&mut self) {
-        self.wanted = true;
+    /// Records that a request to the target lacks a permit at `now`.
+    pub fn set_wanted(&mut self, now: Instant) {
+        self.wanted_at = Some(now);
     }
 
     /// Records that the target advertised a new limit, which must be sent to the issuer.
@@ -102,7 +112,7 @@
 
     /// Returns whether there is a request to send to the issuer, now or later.
     pub fn has_request(&self) -> bool {
-        self.wanted || self.limit_changed
+        self.wanted_at.is_some() || self.is_requester || self.limit_changed
     }
 
     /// Returns the earliest time at which a permit may become available, as far as it is known.
@@ -127,6 +137,8 @@
     }
 
     /// Returns the request for `wanted` permits that is to be sent now, if one is due.
+    ///
+    /// While no request lacks a permit, none are requested, and the issuer is told once that this entry wants none.
     pub fn next_request(
         &mut self,
         now: Instant,
@@ -134,34 +146,40 @@
         limit: Option<Limit>,
         statement: Option<AdvertisedLimit>,
     ) -> Option<PermitRequest> {
-        let is_pending = |at: Instant| now.saturating_duration_since(at) < RESPONSE_TIMEOUT;
-        let request_due = self.wanted
-            && !self.pending_request.is_some_and(|(_, at)| is_pending(at))
-            && self.next_request_at.is_none_or(|at| at <= now);
-        if !request_due && !self.limit_changed {
-            return None;
-        }
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < DEMAND_TIMEOUT;
+        self.wanted_at = self.wanted_at.filter(is_recent);
+        let demand_ended = self.is_requester && self.wanted_at.is_none();
+        let wanted = match self.is_request_due(now) {
+            true => wanted.clamp(1, MAX_WANTED) as u16,
+            false if self.limit_changed || demand_ended => 0,
+            false => return None,
+        };
         self.limit_changed = false;
+        self.is_requester = wanted > 0;
         self.next_number = self.next_number.wrapping_add(1);
-        if request_due {
+        if wanted > 0 {
             if self.pending_request.is_some() {
                 self.unanswered_requests = self.unanswered_requests.saturating_add(1);
             }
-            self.wanted = false;
             self.pending_request = Some((self.next_number, now));
+            self.requested_at = Some(now);
         }
         Some(PermitRequest {
             number: self.next_number,
-            wanted: if request_due {
-                wanted.clamp(1, MAX_WANTED) as u16
-            } else {
-                0
-            },
+            wanted,
             limit,
             statement,
         })
     }
 
+    /// Returns whether a request has lacked a permit since permits were last requested, and more may be requested now.
+    fn is_request_due(&self, now: Instant) -> bool {
+        let is_pending = |at: Instant| now.saturating_duration_since(at) < RESPONSE_TIMEOUT;
+        self.wanted_at > self.requested_at
+            && !self.pending_request.is_some_and(|(_, at)| is_pending(at))
+            && self.next_request_at.is_none_or(|at| at <= now)
+    }
+
     /// Applies a grant; `jitter`, from 0 to 1, spreads the next requests of entries over time.
     ///
     /// A grant for an older request is ignored, because its permits have expired or were requested again.
@@ -175,7 +193,8 @@
         self.pending_request = None;
         self.unanswered_requests = 0;
         let pause = Duration::from_millis(grant.pause_ms.into());
-        self.next_request_at = Some(now + pause.mul_f64(0.5 + jitter));
+        let factor = PAUSE_FACTORS.start + jitter * (PAUSE_FACTORS.end - PAUSE_FACTORS.start);
+        self.next_request_at = Some(now + pause.mul_f64(factor));
         if grant.permits > 0 {
             // The earlier permits expire no later than the new ones, so they are dropped.
             self.available_permits = grant.permits.into();
--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -47,6 +47,8 @@
     DomainCut,
     /// Half of the entries use another issuer.
     TwoIssuers,
+    /// Each entry has requests for 1 s of every 3 s only.
+    DemandChanges,
 }
 
 struct Entry {
@@ -65,7 +67,7 @@
     }
 }
 
-/// Simulates `count` entries, each with requests waiting at all times, that share a target with a limit of `limit`
+/// Simulates `count` entries, each with requests waiting unless `fault` says otherwise, that share a target with a limit of `limit`
 /// requests per second, and returns the arrival times of all requests.
 fn simulate(count: usize, limit: f64, fault: Fault, seed: u64) -> Vec<Instant> {
     let mut random = SmallRng::seed_from_u64(seed);
@@ -115,12 +117,15 @@
                 let (_, grant) = entry.received.pop_front().unwrap();
                 entry.permits.apply_grant(now, &grant, random.random());
             }
-            // Requests to the target are always waiting.
-            if entry.permits.try_take(now) {
+            let phase = (step as usize + number * 37) % 600;
+            let has_requests = fault != Fault::DemandChanges || phase < 200;
+            if has_requests && entry.permits.try_take(now) {
                 arrivals.push(now + Duration::from_millis(random.random_range(0..MAX_TRANSIT_MS)));
                 continue;
             }
-            entry.permits.set_wanted();
+            if has_requests {
+                entry.permits.set_wanted(now);
+            }
             let wanted = 1 + random.random_range(0..3);
             let limit = entry.statement.and_then(|statement| statement.limit);
             if let Some(request) = entry
@@ -151,6 +156,8 @@
     domain_cut = { 99, 1.0, Fault::DomainCut },
     two_issuers = { 99, 4.0, Fault::TwoIssuers },
     two_issuers_slow = { 600, 1.0, Fault::TwoIssuers },
+    demand_changes = { 99, 2.2, Fault::DemandChanges },
+    demand_changes_slow = { 600, 1.0, Fault::DemandChanges },
 )]
 fn limit_kept(entries: usize, limit: f64, fault: Fault) {
     for seed in 0..4 {
@@ -175,6 +182,8 @@
     fast = { 6, 40.0, Fault::None },
     entries_restart = { 99, 2.2, Fault::EntriesRestart },
     domain_cut = { 99, 1.0, Fault::DomainCut },
+    demand_changes = { 99, 2.2, Fault::DemandChanges },
+    demand_changes_slow = { 600, 1.0, Fault::DemandChanges },
 )]
 fn limit_used(entries: usize, limit: f64, fault: Fault) {
     let sent: usize = (0..4)
