entry: return the whole events before a malformed one

Splitter::push lost whole events that arrived in the same chunk as a gap or an overlong event, although last() had advanced over them.

push now returns the events before the error and keeps the error for the next call; EventStream::next reports it before it reads more of the body, and finish returns None after it. Two neighbours with the same cause, a result that depends on how the network splits a stream: an event beyond the maximum size was returned if it arrived in one piece, and in a run that repeats earlier events, an event without an id between them was returned again.

--- a/bins/entry/src/ingress/events.rs
+++ b/bins/entry/src/ingress/events.rs
@@ -17,6 +17,10 @@
     scanned_len: usize,
     /// Id of the last event that was returned, or after which the stream resumes.
     last: Option<u64>,
+    /// Whether the target is repeating events before `last`, so that an event without an id is a repeated one, too.
+    repeating: bool,
+    /// Error that follows the events returned so far.
+    error: Option<Error>,
 }
 
 /// An error in a stream, after which it can't be forwarded.
@@ -50,9 +54,14 @@
         self.last
     }
 
-    /// Returns the comments after the last event, or `None` if the stream ended within an event.
+    /// Returns the error that follows the events returned so far.
+    pub fn error(&self) -> Option<Error> {
+        self.error
+    }
+
+    /// Returns the comments after the last event, or `None` if the stream is malformed or ended within an event.
     pub fn finish(&mut self) -> Option<Bytes> {
-        let whole = self.buffer.len() == self.comment_len;
+        let whole = self.error.is_none() && self.buffer.len() == self.comment_len;
         self.comment_len = 0;
         self.scanned_len = 0;
         whole.then(|| self.buffer.split().freeze())
@@ -60,31 +69,49 @@
 
     /// Appends `bytes` and returns the events that are now complete, except those whose ids were returned before.
     ///
+    /// Whole events before an error are returned; the error is then available from [`Splitter::error`], and the next
+    /// call returns it.
+    ///
     /// # Errors
     ///
     /// Returns an [`Error`] if an event is missing or too long.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Error> {
+        if let Some(error) = self.error {
+            return Err(error);
+        }
         self.buffer.extend_from_slice(bytes);
         let mut events = BytesMut::new();
+        self.error = self.split_into(&mut events).err();
+        match self.error {
+            Some(error) if events.is_empty() => Err(error),
+            _ => Ok(events.freeze()),
+        }
+    }
+
+    /// Moves the whole events from the buffer to `events`, except those whose ids were returned before.
+    fn split_into(&mut self, events: &mut BytesMut) -> Result<(), Error> {
         while let Some(end) = self.find_block_end() {
             if is_comment(&self.buffer[self.comment_len..end]) {
                 self.comment_len = end;
                 self.scanned_len = end;
                 continue;
             }
+            if end > MAX_EVENT_BYTES {
+                return Err(Error::TooLong);
+            }
             self.comment_len = 0;
             let event = self.buffer.split_to(end);
             self.scanned_len = 0;
             if self.accept(&event)? {
                 match events.is_empty() {
-                    true => events = event,
+                    true => *events = event,
                     false => events.unsplit(event),
                 }
             }
         }
         match self.buffer.len() > MAX_EVENT_BYTES {
             true => Err(Error::TooLong),
-            false => Ok(events.freeze()),
+            false => Ok(()),
         }
     }
 
@@ -121,8 +148,9 @@
     /// Checks the sequence of an event's id, and returns whether the event is new.
     fn accept(&mut self, event: &[u8]) -> Result<bool, Error> {
         let Some(found) = event_id(event) else {
-            return Ok(true);
+            return Ok(!self.repeating);
         };
+        self.repeating = self.last.is_some_and(|last| found < last);
         match self.last {
             Some(last) if found <= last => Ok(false),
             Some(last) if found > last + 1 => Err(Error::Gap { last, found }),
--- a/bins/entry/src/ingress/stream_attempt.rs
+++ b/bins/entry/src/ingress/stream_attempt.rs
@@ -123,19 +123,22 @@
         target: &str,
     ) -> Result<Option<Bytes>, Failure> {
         self.body.set_deadline(deadline);
+        let malformed = |error| {
+            event!(event::STREAM_MALFORMED, target = target, error = error);
+            Failure::Broken
+        };
         loop {
+            if let Some(error) = self.splitter.error() {
+                return Err(malformed(error));
+            }
             match self.body.next().await {
-                Ok(Some(chunk)) => match self.splitter.push(&chunk) {
-                    Ok(events) if events.is_empty() => {}
-                    Ok(events) => {
+                Ok(Some(chunk)) => {
+                    let events = self.splitter.push(&chunk).map_err(malformed)?;
+                    if !events.is_empty() {
                         self.last_event_at = Instant::now();
                         return Ok(Some(events));
                     }
-                    Err(error) => {
-                        event!(event::STREAM_MALFORMED, target = target, error = error);
-                        return Err(Failure::Broken);
-                    }
-                },
+                }
                 Ok(None) => {
                     let rest = self.splitter.finish().ok_or(Failure::Broken)?;
                     return Ok(Some(rest).filter(|rest| !rest.is_empty()));
