entry: log targets' error answers and the last attempt of a refused request

A forwarded error response left no line at info, and 240 request-refused didn't say whether a target had refused the request, which one, or after how many attempts the entry had given up. The record of the incident could therefore not tell a status that a target sent from one that the entry chose.

Event 266 error-answer names the request, the target, the status, the request that the answer names, its signature and mark, and what the entry takes it for; a counter with the label taken_for counts what the bounded log leaves out. 240 gains target, attempts and failure of the last attempt.

--- a/bins/entry/src/ingress/attempt.rs
+++ b/bins/entry/src/ingress/attempt.rs
@@ -74,7 +74,11 @@
             self.update(|scheduler, now| scheduler.report_answer_load(now, &place.target, load));
         }
         self.apply_notices(call, &place.target, sent, parts.status, &head);
-        match verify_head(call, parts.status, &head) {
+        let verified = verify_head(call, parts.status, &head);
+        if !parts.status.is_success() {
+            self.report_error_answer(call, &place.target, parts.status, &head, verified);
+        }
+        match verified {
             Ok(()) => Ok(TargetResponse {
                 status: parts.status,
                 headers: parts.headers,
@@ -92,6 +96,29 @@
         }
     }
 
+    /// Logs and counts a response with an error status and what it is taken for.
+    fn report_error_answer(
+        &self,
+        call: &Call,
+        target: &str,
+        status: StatusCode,
+        head: &Head,
+        verified: Result<(), Failure>,
+    ) {
+        let taken_for = verified.map_or_else(Failure::name, |()| "own");
+        self.metrics.count_error_answer(taken_for);
+        event!(
+            event::ERROR_ANSWER,
+            request = call.caller.id,
+            target = target,
+            status = status.as_u16(),
+            received = head.id.as_deref().unwrap_or("none"),
+            sealed = head.sealed,
+            not_run = head.not_run,
+            taken_for = taken_for
+        );
+    }
+
     /// Applies the notices in a target's response: that it is leaving, limits its request rate, or asks for a pause.
     ///
     /// A response that names another request, or comes from another target at the same address, says nothing about this
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -22,7 +22,7 @@
 use super::buffering::BufferedBytes;
 use super::call::{Call, Refusal};
 use super::disconnect::DisconnectGuard;
-use super::error::{Rejection, RequestError};
+use super::error::{LastAttempt, Rejection, RequestError};
 use super::metrics::Metrics;
 use super::placed::PlacedRequest;
 use super::relay::Relay;
@@ -295,7 +295,7 @@
         let id = self.scheduler.borrow_mut().submit(Instant::now(), work);
         self.wait_for_placement(id)
             .await
-            .map_err(RequestError::NotRun)
+            .map_err(RequestError::unsent)
     }
 
     /// Retries `work` after `failure`; `last_possible_run` holds the last failure after which the request may have run.
@@ -309,6 +309,7 @@
         if !failure.is_not_run() {
             *last_possible_run = Some(failure);
         }
+        let last_attempt = LastAttempt::new(&work, failure);
         let rejection = match self.retry(work, failure).await {
             Some(Ok(placed)) => return Ok(placed),
             Some(Err(rejection)) => rejection,
@@ -317,7 +318,11 @@
                 retry_after: self.retry_after(call.deadline),
             },
         };
-        Err(RequestError::after(*last_possible_run, rejection))
+        Err(RequestError::after(
+            last_attempt,
+            *last_possible_run,
+            rejection,
+        ))
     }
 
     /// Resubmits a request after a failed attempt; returns `None` if it may not be retried.
@@ -342,17 +347,27 @@
 
     /// Logs and counts a refusal issued by the entry, and returns its response.
     pub(super) fn refuse(&self, id: &str, refusal: &Refusal) -> Response<Body> {
-        self.refuse_after(id, refusal, Duration::ZERO)
+        self.refuse_after(id, refusal, Duration::ZERO, None)
     }
 
-    fn refuse_after(&self, id: &str, refusal: &Refusal, age: Duration) -> Response<Body> {
+    fn refuse_after(
+        &self,
+        id: &str,
+        refusal: &Refusal,
+        age: Duration,
+        last_attempt: Option<&LastAttempt>,
+    ) -> Response<Body> {
         self.metrics.count_refusal(refusal.reason);
         let scheduler = self.scheduler.borrow();
+        let failure = last_attempt.map(|last| last.failure.name());
         event!(
             event::REQUEST_REFUSED,
             request = id,
             status = refusal.status.as_u16(),
             reason = refusal.reason,
+            target = last_attempt.map_or("none", |last| &*last.target),
+            attempts = last_attempt.map_or(0, |last| last.number),
+            failure = failure.unwrap_or("none"),
             age_ms = age.as_millis(),
             waiting = scheduler.waiting_count(),
             in_progress = scheduler.in_progress(),
@@ -363,8 +378,9 @@
     }
 
     /// Returns the error response to a request that no target answered.
-    pub(super) fn fail_request(&self, call: &Call, error: RequestError) -> Response<Body> {
-        self.refuse_after(&call.caller.id, &error.refusal(), call.arrived.elapsed())
+    pub(super) fn fail_request(&self, call: &Call, error: &RequestError) -> Response<Body> {
+        let (refusal, age) = (error.refusal(), call.arrived.elapsed());
+        self.refuse_after(&call.caller.id, &refusal, age, error.last_attempt.as_ref())
     }
 
     /// Logs and counts a response whose weights were already too old to begin it when its first event arrived.
--- a/bins/entry/src/ingress/metrics.rs
+++ b/bins/entry/src/ingress/metrics.rs
@@ -19,6 +19,7 @@
 pub(super) struct Metrics {
     refusals: Family<ReasonLabel, Counter>,
     failed_attempts: Family<ReasonLabel, Counter>,
+    error_answers: Family<VerdictLabel, Counter>,
     first_byte: Histogram,
     streams_resumed: Counter,
     streams_cut: Counter,
@@ -33,11 +34,18 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+struct VerdictLabel {
+    taken_for: &'static str,
+}
+
 impl Metrics {
     pub(super) fn new(registry: &mut Registry) -> Self {
         let metrics = Self {
             refusals: Family::default(),
             failed_attempts: Family::default(),
+            error_answers: Family::default(),
             first_byte: Histogram::new(FIRST_BYTE_BOUNDS),
             streams_resumed: Counter::default(),
             streams_cut: Counter::default(),
@@ -56,6 +64,11 @@
             "Attempts without an answer to pass on",
             metrics.failed_attempts.clone(),
         );
+        registry.register(
+            "error_answers",
+            "Answers of targets with an error status",
+            metrics.error_answers.clone(),
+        );
         registry.register_with_unit(
             "first_byte",
             "Time from a request's arrival to the first byte of a target's answer",
@@ -101,6 +114,12 @@
             .inc();
     }
 
+    pub(super) fn count_error_answer(&self, taken_for: &'static str) {
+        self.error_answers
+            .get_or_create(&VerdictLabel { taken_for })
+            .inc();
+    }
+
     pub(super) fn observe_first_byte(&self, time: Duration) {
         self.first_byte.observe(time.as_secs_f64());
     }
--- a/bins/entry/src/ingress/stream.rs
+++ b/bins/entry/src/ingress/stream.rs
@@ -63,6 +63,20 @@
     ReplacementReady(Result<(PlacedRequest, InitialResponse), FailedAttempt>),
 }
 
+/// Why no target began a stream.
+enum OpenError {
+    /// A target responded with an error status.
+    Answered(Response<Bytes>),
+    /// No target answered.
+    Unanswered(RequestError),
+}
+
+impl From<RequestError> for OpenError {
+    fn from(error: RequestError) -> Self {
+        Self::Unanswered(error)
+    }
+}
+
 /// A response body that forwards a stream to the caller; dropping it ends the attempt on the target.
 struct ResumableStream {
     gateway: Rc<Gateway>,
@@ -84,16 +98,14 @@
 /// Serves a request whose response is a stream.
 pub(super) async fn serve(gateway: &Rc<Gateway>, call: Call, guard: InProgress) -> Response<Body> {
     let mut disconnect_guard = DisconnectGuard::new(gateway, &call);
-    let mut error_response = None;
     let last = call.caller.last_event;
-    let (placed, opened) = match open(gateway, &call, call.work(), last, &mut error_response).await
-    {
+    let (placed, opened) = match open(gateway, &call, call.work(), last).await {
         Ok(opened) => opened,
         Err(error) => {
             disconnect_guard.disarm();
-            return match error_response {
-                Some(response) => response.map(Body::from),
-                None => gateway.fail_request(&call, error),
+            return match error {
+                OpenError::Answered(response) => response.map(Body::from),
+                OpenError::Unanswered(error) => gateway.fail_request(&call, &error),
             };
         }
     };
@@ -107,14 +119,13 @@
     response
 }
 
-/// Tries targets until one sends its first events; stores a target's own error response in `error_response`.
+/// Tries targets until one sends its first events.
 async fn open(
     gateway: &Rc<Gateway>,
     call: &Call,
     work: RequestContext,
     last_event: Option<u64>,
-    error_response: &mut Option<Response<Bytes>>,
-) -> Result<(PlacedRequest, OpenStream), RequestError> {
+) -> Result<(PlacedRequest, OpenStream), OpenError> {
     let mut last_possible_run = None;
     let mut next = gateway.submit(work).await;
     loop {
@@ -126,8 +137,7 @@
             Ok((placed, InitialResponse::Stream(opened))) => return Ok((placed, *opened)),
             Ok((placed, InitialResponse::Other(response))) => {
                 placed.fail(Failure::Error);
-                *error_response = Some(response);
-                return Err(RequestError::MayHaveRun(Failure::Error));
+                return Err(OpenError::Answered(response));
             }
             Err(failed) => failed,
         };
--- a/bins/entry/src/ingress/unary.rs
+++ b/bins/entry/src/ingress/unary.rs
@@ -28,7 +28,7 @@
     loop {
         let placed = match next {
             Ok(placed) => placed,
-            Err(error) => return finish(gateway, call, error_response.take(), error),
+            Err(error) => return finish(gateway, call, error_response.take(), &error),
         };
         let exchange = async |placed: &PlacedRequest| {
             let response = exchange(gateway, call, placed).await?;
@@ -58,7 +58,7 @@
     gateway: &Gateway,
     call: &Call,
     error_response: Option<Response<Bytes>>,
-    error: RequestError,
+    error: &RequestError,
 ) -> Response<Body> {
     match error_response {
         Some(response) => {
