entry: one place decides what a target's answer proves about its request

Callers saw: requests that may run once were answered 503, 429, 408 or 421, which tells that they have not run and never will, although a target had run them; some were then sent to a second target, which ran them again.

Cause: the entry took a status or a mark for more than it says. - A target's own error with such a status was forwarded to requests that may run once (`exchange`, `InitialResponse::Other`). - `verify_head` accepted 421 and the mark "not run" before it compared the id, so a copy of an earlier refusal on a kept connection, with or without that id, refused the request that the target was running. The connection went back to the pool with the real answer still to come. - The mark counted on every status, also 200, 500 and 504.

`ingress::verdict` now classifies each answer by the request that it names, its status, mark and signature, and by whether the connection has carried other requests; everything but a proven refusal counts as possibly run. Such a status of the target's own is withheld from a request that may run once (502 without the signature) and stays unchanged for one that may run again. Answers that name another request or nobody close their connection.

Also: the load in an answer that names another request is no longer taken for the target's, and a resumed stream that began on other weights counts as run (`other-weights`) and not as misdirected.

--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -26,6 +26,7 @@
 mod subscriptions;
 mod targets;
 mod unary;
+pub mod verdict;
 
 pub use gateway::Gateway;
 pub use relays::{Relays, Source};
--- a/bins/entry/src/ingress/attempt.rs
+++ b/bins/entry/src/ingress/attempt.rs
@@ -10,6 +10,7 @@
 use super::call::Call;
 use super::gateway::{CONNECT_TIMEOUT, Gateway, limit_text};
 use super::placed::PlacedRequest;
+use super::verdict::{Subject, Verdict};
 
 /// A target's verified response, whose body has not been read yet.
 pub(super) struct TargetResponse {
@@ -62,53 +63,51 @@
         };
         let (parts, body) = response.into_parts();
         let head = platform::response::parse_head(&parts.headers);
-        if let Some((running, waiting)) = head.load {
-            let load = Load {
-                running,
-                waiting,
-                slowdown: 1.0,
-                accepting: true,
-                closes_in: None,
-                weights: None,
-            };
-            self.update(|scheduler, now| scheduler.report_answer_load(now, &place.target, load));
-        }
         self.apply_notices(call, &place.target, sent, parts.status, &head);
-        let verified = verify_head(call, parts.status, &head);
-        if !parts.status.is_success() {
-            self.report_error_answer(call, &place.target, parts.status, &head, verified);
+        let subject = Subject {
+            id: &call.caller.id,
+            repeatable: place.work.is_repeatable(),
+            first_on_connection: body.is_first_on_connection(),
+        };
+        let verdict = Verdict::new(subject, parts.status, &head);
+        if verdict == Verdict::Foreign || !parts.status.is_success() {
+            self.report_answer(call, &place.target, parts.status, &head, verdict);
         }
-        match verified {
-            Ok(()) => Ok(TargetResponse {
-                status: parts.status,
-                headers: parts.headers,
-                head,
-                body,
-            }),
-            Err(failure) => {
-                // The body of a refusal is read to its end, so that the connection can be reused.
-                match failure {
-                    Failure::Refused | Failure::Misdirected => discard_body(body).await,
-                    _ => body.close(),
-                }
-                Err(failure)
+        if let Some(failure) = verdict.failure() {
+            // The connection is reused only if it is certain which request the response belongs to.
+            match head.id {
+                Some(_) if verdict != Verdict::Foreign => discard_body(body).await,
+                _ => body.close(),
             }
+            return Err(failure);
         }
+        Ok(TargetResponse {
+            status: parts.status,
+            headers: parts.headers,
+            head,
+            body,
+        })
     }
 
-    /// Logs and counts a response with an error status and what it is taken for.
-    fn report_error_answer(
+    /// Logs and counts a response that is an error or is not the target's own, and what it is taken for.
+    fn report_answer(
         &self,
         call: &Call,
         target: &str,
         status: StatusCode,
         head: &Head,
-        verified: Result<(), Failure>,
+        verdict: Verdict,
     ) {
-        let taken_for = verified.map_or_else(Failure::name, |()| "own");
+        let taken_for = verdict.name();
         self.metrics.count_error_answer(taken_for);
+        let event = match verdict {
+            Verdict::Foreign => event::FOREIGN_ANSWER,
+            Verdict::Own | Verdict::Withheld => event::ERROR_ANSWER,
+            // The event of the failed attempt names the target, and refusals are frequent under overload.
+            Verdict::NotRun(_) => return,
+        };
         event!(
-            event::ERROR_ANSWER,
+            event,
             request = call.caller.id,
             target = target,
             status = status.as_u16(),
@@ -119,7 +118,8 @@
         );
     }
 
-    /// Applies the notices in a target's response: that it is leaving, limits its request rate, or asks for a pause.
+    /// Applies the notices in a target's response: its load, that it is leaving, limits its request rate, or
+    /// asks for a pause.
     ///
     /// A response that names another request, or comes from another target at the same address, says nothing about this
     /// target and is ignored.
@@ -137,6 +137,7 @@
         if !from_target {
             return;
         }
+        self.apply_load(target, head);
         if head.leaving && self.update(|scheduler, now| scheduler.set_target_leaving(now, target)) {
             event!(event::TARGET_LEAVING, target = target, request = request);
         }
@@ -154,6 +155,21 @@
         }
     }
 
+    fn apply_load(&self, target: &str, head: &Head) {
+        let Some((running, waiting)) = head.load else {
+            return;
+        };
+        let load = Load {
+            running,
+            waiting,
+            slowdown: 1.0,
+            accepting: true,
+            closes_in: None,
+            weights: None,
+        };
+        self.update(|scheduler, now| scheduler.report_answer_load(now, target, load));
+    }
+
     /// Applies the rate limit in a target's response. Only the target itself can lift its limit.
     fn apply_limit(&self, request: &str, target: &str, sent: Instant, head: &Head) {
         let limit = match head.limit {
@@ -176,28 +192,9 @@
     }
 }
 
-/// Checks that a response is the target's own response to the request.
-fn verify_head(call: &Call, status: StatusCode, head: &Head) -> Result<(), Failure> {
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return Err(Failure::Misdirected);
-    }
-    if head.not_run {
-        return Err(Failure::Refused);
-    }
-    if head.id.as_deref() != Some(&*call.caller.id) || !head.sealed || head.encoded {
-        event!(
-            event::FOREIGN_ANSWER,
-            request = call.caller.id,
-            received = head.id.as_deref().unwrap_or("none"),
-            sealed = head.sealed
-        );
-        return Err(Failure::Broken);
-    }
-    Ok(())
-}
-
+/// Reads a body to its end, so that the connection can be reused.
 async fn discard_body(mut body: ResponseBody) {
-    /// Time allowed for reading the rest of a refusal.
+    /// Time allowed for reading the rest of a response that is not forwarded.
     const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
     body.set_deadline(Instant::now() + DISCARD_TIMEOUT);
     while let Ok(Some(_)) = body.next().await {}
--- a/bins/entry/src/ingress/stream_attempt.rs
+++ b/bins/entry/src/ingress/stream_attempt.rs
@@ -91,7 +91,7 @@
     let version = target_response.head.version;
     let required = place.work.weights_version;
     if required.is_some() && version.is_some() && version != required {
-        return Err(Failure::Misdirected);
+        return Err(Failure::OtherWeights);
     }
     let mut events = EventStream {
         body: target_response.body,
--- a/bins/entry/src/ingress/unary.rs
+++ b/bins/entry/src/ingress/unary.rs
@@ -104,5 +104,5 @@
 
 /// Returns whether another target may answer the request successfully.
 fn is_retryable(status: StatusCode) -> bool {
-    status.is_server_error()
+    status.is_server_error() || status == StatusCode::MISDIRECTED_REQUEST
 }
--- a/bins/entry/tests/ingress/main.rs
+++ b/bins/entry/tests/ingress/main.rs
@@ -5,3 +5,4 @@
 mod relays;
 mod subscriptions;
 mod targets;
+mod verdict;
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -22,7 +22,7 @@
     Unreachable,
     /// The target reported that it did not run the request.
     Refused,
-    /// The address belongs to another target, or the target holds other weights than expected.
+    /// The address belongs to another target, or the target refused because it holds other weights than expected.
     Misdirected,
     /// The connection broke, or the answer was malformed or belonged to another request.
     Broken,
@@ -30,7 +30,9 @@
     Late,
     /// The answer had not begun when the target's weights became too old to begin it.
     Outdated,
-    /// The target answered with a server error.
+    /// The target ran the request with other weights than expected.
+    OtherWeights,
+    /// The target answered with an error.
     Error,
 }
 
@@ -56,6 +58,7 @@
             Self::Broken => "broken",
             Self::Late => "late",
             Self::Outdated => "outdated",
+            Self::OtherWeights => "other-weights",
             Self::Error => "error",
         }
     }
@@ -117,7 +120,9 @@
     pub fn record_failure(&mut self, now: Instant, failure: Failure) -> bool {
         match failure {
             // The target is busy or has changed its weights; its load reports decide whether it gets requests.
-            Failure::Refused | Failure::Misdirected | Failure::Outdated => return false,
+            Failure::Refused | Failure::Misdirected | Failure::Outdated | Failure::OtherWeights => {
+                return false;
+            }
             Failure::NotConnected | Failure::Unreachable => self.streak = EJECTION_STREAK,
             Failure::Broken | Failure::Late | Failure::Error => self.streak += 1,
         }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -392,7 +392,7 @@
                 state.health.suspend(now);
             }
             Outcome::Failed(failure) => {
-                if failure == Failure::Misdirected {
+                if matches!(failure, Failure::Misdirected | Failure::OtherWeights) {
                     state.record_misdirected(now);
                 }
                 return state.health.record_failure(now, failure);
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -57,6 +57,7 @@
 /// to the pool when the body is dropped, so that [`ResponseBody::close`] can still close it.
 pub struct ResponseBody {
     peer: SocketAddr,
+    first_on_connection: bool,
     deadline: Instant,
     body: Incoming,
     /// The connection, and the pool to return it to.
@@ -126,6 +127,7 @@
                     let idle = keep_alive_timeout(response.headers());
                     return Ok(response.map(|body| ResponseBody {
                         peer,
+                        first_on_connection: is_new,
                         deadline,
                         body,
                         lease,
@@ -234,6 +236,11 @@
         }
     }
 
+    /// Returns whether no other request was sent on the connection before.
+    pub fn is_first_on_connection(&self) -> bool {
+        self.first_on_connection
+    }
+
     /// Returns whether the body is known to have been read to its end.
     pub fn is_end(&self) -> bool {
         self.body.is_end_stream()
