agent: log what an engine's order was sent on

What an engine had staged when it took an order can't be read from today's log: no line tells how old the staged chunks were, which orders the engine had begun, that an upload or order was left without a response, or that the engine began an order that this agent doesn't know.

--- a/bins/agent/src/metrics.rs
+++ b/bins/agent/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Metrics of the agent; `docs/METRICS.md` lists them.
 
+mod loads;
 mod transfers;
 
+pub use loads::{Change, LoadMetrics};
 pub use transfers::{Remote, TransferMetrics};
 
 use gate::OrderAnswer;
--- a/bins/agent/src/rollout/engine.rs
+++ b/bins/agent/src/rollout/engine.rs
@@ -32,6 +32,13 @@
     Malformed(#[from] serde_json::Error),
 }
 
+impl Error {
+    /// Returns whether the request may have taken effect, or may yet.
+    pub(super) fn is_unknown(&self) -> bool {
+        matches!(self, Self::Http(http::Error::Unknown { .. }))
+    }
+}
+
 impl Engine {
     pub(super) fn new(address: SocketAddr) -> Self {
         Self {
--- a/bins/agent/src/rollout/loads.rs
+++ b/bins/agent/src/rollout/loads.rs
@@ -150,12 +150,14 @@
     rollout.engine_observed(version, report.busy);
     let switching_changed = was_switching != rollout.is_switching();
     drop(rollout);
-    let previous = state
-        .report
-        .borrow()
-        .as_ref()
-        .map(|(_, last)| (last.weights.clone(), last.busy, last.born));
-    let engine_changed = previous != Some((report.weights.clone(), report.busy, report.born));
+    let previous = state.report.borrow().as_ref().map(|(_, last)| last.clone());
+    if let Some(previous) = &previous
+        && !was_switching
+    {
+        check_orders(state, previous, &report);
+    }
+    let key = |report: &Report| (report.weights.clone(), report.busy, report.born);
+    let engine_changed = previous.as_ref().map(key) != Some(key(&report));
     if engine_changed {
         event!(
             event::ENGINE_STATE,
@@ -170,6 +172,21 @@
     }
 }
 
+/// Logs orders that the engine began while none of this agent was outstanding.
+fn check_orders(state: &State, previous: &Report, report: &Report) {
+    let same_start = previous.born == report.born;
+    if !same_start || report.orders <= previous.orders || state.closing.get() {
+        return;
+    }
+    event!(
+        event::UNEXPECTED_ORDER,
+        weights = format_args!("{:?}", report.weights),
+        known = previous.orders,
+        orders = report.orders
+    );
+    state.metrics.unexpected.inc();
+}
+
 /// Returns the load to send; `None` without a recent report of the engine.
 fn current_load(state: &State, now: Instant, closing: bool, entries: &Entries) -> Option<Load> {
     if state.report_age(now)? > POLL_INTERVAL * 3 {
--- a/bins/agent/src/rollout/serve.rs
+++ b/bins/agent/src/rollout/serve.rs
@@ -55,6 +55,7 @@
     let local = state.local_peer();
     let transfers = TransferMetrics::default();
     transfers.register(&mut registry);
+    state.metrics.register(&mut registry);
     let holdings = Holdings::new(&local.domain, &local.region, &rates, cache, UPLOAD_SLOTS);
     let from_peers = ReceiveSlots::new(ReceiveLimiter::new(MAX_FROM_PEERS), SLICE_BYTES);
     let from_origin = ReceiveSlots::new(ReceiveLimiter::new(MAX_FROM_ORIGIN), SLICE_BYTES);
--- a/bins/agent/src/rollout/state.rs
+++ b/bins/agent/src/rollout/state.rs
@@ -15,6 +15,7 @@
 use super::Settings;
 use super::engine::Engine;
 use crate::Notify;
+use crate::metrics::LoadMetrics;
 
 /// Version that engines hold before operators name one.
 pub(super) const FIRST_VERSION: u64 = 1;
@@ -49,6 +50,8 @@
     targets_read_for: Cell<Option<Option<u64>>>,
     /// Whether entries should send requests to other targets because an order is about to be sent.
     pub(super) closing: Cell<bool>,
+    /// Metrics of the loads that this agent orders.
+    pub(super) metrics: LoadMetrics,
 }
 
 impl State {
@@ -65,6 +68,7 @@
             targets: RefCell::default(),
             targets_read_for: Cell::new(None),
             closing: Cell::new(false),
+            metrics: LoadMetrics::default(),
         })
     }
 
--- a/bins/agent/src/rollout/switch.rs
+++ b/bins/agent/src/rollout/switch.rs
@@ -11,6 +11,7 @@
 
 use super::engine::Error;
 use super::state::State;
+use crate::metrics::Change;
 use crate::transfer::Holdings;
 
 /// Time between closing the target to new requests and sending the order, in which requests queued in the engine start.
@@ -50,11 +51,15 @@
     };
     state.closing.set(true);
     state.changed.notify();
-    let order_at = Instant::now() + CLOSE_LEAD;
+    let closed_at = Instant::now();
+    let order_at = closed_at + CLOSE_LEAD;
     let result = stage_chunks(state, &model, chunks).await;
+    if let Err(error) = &result {
+        log_unknown(state, &model, number, Change::Upload, error);
+    }
     compio::time::sleep(order_at.saturating_duration_since(Instant::now())).await;
     let result = match result {
-        Ok(()) => state.engine.start(&model, number).await,
+        Ok(()) => order(state, &model, number, closed_at).await,
         Err(error) => Err(error),
     };
     state.closing.set(false);
@@ -87,6 +92,51 @@
     state.changed.notify();
 }
 
+/// Orders the engine to load the staged chunks, of which the first was written at `staged_at`, when the target closed.
+async fn order(
+    state: &State,
+    model: &str,
+    number: u64,
+    staged_at: Instant,
+) -> Result<OrderResult, Error> {
+    let result = state.engine.start(model, number).await;
+    match &result {
+        Ok(answer) => log_answer(state, model, number, *answer, staged_at.elapsed()),
+        Err(error) => log_unknown(state, model, number, Change::Order, error),
+    }
+    result
+}
+
+/// Logs the engine's response to an order, with the engine's state when it last reported.
+fn log_answer(state: &State, model: &str, number: u64, answer: OrderResult, age: Duration) {
+    state.metrics.record_order(answer, age, age);
+    let report = state.report.borrow();
+    let report = report.as_ref().map(|(_, report)| report);
+    event!(
+        event::ORDER_ANSWERED,
+        pin = format_args!("{model}@{number}"),
+        answer = format_args!("{answer:?}"),
+        chunk_age_ms = age.as_millis(),
+        closed_ms = age.as_millis(),
+        orders = report.map_or(0, |report| report.orders),
+        born = report.and_then(|report| report.born).unwrap_or_default()
+    );
+}
+
+/// Logs a failed request if it may have taken effect.
+fn log_unknown(state: &State, model: &str, number: u64, change: Change, error: &Error) {
+    if !error.is_unknown() {
+        return;
+    }
+    event!(
+        event::OUTCOME_UNKNOWN,
+        pin = format_args!("{model}@{number}"),
+        request = change.label(),
+        error = error
+    );
+    state.metrics.record_unknown(change);
+}
+
 /// Returns all chunks of `version`, or `None` if one is no longer held.
 ///
 /// In place of a missing chunk the engine would load the one staged before, which belongs to another version.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -109,6 +109,9 @@
     ORDER_FAILED = 361 Warn "order-failed";
     WEIGHTS_MISSING = 362 Error "weights-missing";
     STAGED_UNREAD = 363 Info "staged-unread";
+    ORDER_ANSWERED = 364 Info "order-answered";
+    OUTCOME_UNKNOWN = 365 Warn "outcome-unknown";
+    UNEXPECTED_ORDER = 366 Error "unexpected-order";
     STANDIN_SERVING = 600 Info "standin-serving";
     STANDIN_SWITCHED = 601 Info "standin-switched";
     STANDIN_RESTARTED = 602 Info "standin-restarted";
