entry: a stream continues only with the next event of another target

stream_attempt::resume now returns an OpenStream only if the response begins with the next event and has the media type that the caller's response has; everything else is a failure of the attempt, after which the scheduler may choose another target within the attempts and the budget. The resume half of stream.rs no longer sees InitialResponse::Other at all, so an error's body can't get into a stream.

A stream that broke off after its last event and before its end can't be told from one that lacks events: it is aborted as well, and callers resume it with Last-Event-Id.

--- a/bins/entry/src/ingress/stream.rs
+++ b/bins/entry/src/ingress/stream.rs
@@ -18,6 +18,7 @@
 use futures::stream::unfold;
 use futures::{FutureExt, select_biased};
 use node::event;
+use node::http::header::{self, HeaderValue};
 use node::http::{Body, Response};
 
 use super::call::Call;
@@ -37,7 +38,7 @@
 /// An attempt that is to replace the current one.
 struct Replacement {
     /// Resolves to the first events of the replacement, or to its failure.
-    opening: LocalBoxFuture<'static, Result<(PlacedRequest, InitialResponse), FailedAttempt>>,
+    opening: LocalBoxFuture<'static, Result<(PlacedRequest, OpenStream), FailedAttempt>>,
     cause: Cause,
 }
 
@@ -60,7 +61,7 @@
     /// No events arrived for the stall time.
     Stalled,
     /// The replacement sent its first events or failed.
-    ReplacementReady(Result<(PlacedRequest, InitialResponse), FailedAttempt>),
+    ReplacementReady(Result<(PlacedRequest, OpenStream), FailedAttempt>),
 }
 
 /// A response body that forwards a stream to the caller; dropping it ends the attempt on the target.
@@ -68,6 +69,8 @@
     gateway: Rc<Gateway>,
     call: Rc<Call>,
     attempt: StreamAttempt,
+    /// Content type of the response to the caller.
+    content_type: Option<HeaderValue>,
     /// The request to submit if the attempt fails.
     work: RequestContext,
     first_events: Bytes,
@@ -151,6 +154,7 @@
             gateway: Rc::clone(gateway),
             hedge_at: Instant::now() + stall_time(&call),
             call: Rc::new(call),
+            content_type: opened.headers.get(header::CONTENT_TYPE).cloned(),
             work: placed.place().work.clone(),
             attempt: StreamAttempt {
                 placed,
@@ -260,9 +264,12 @@
         self.work = placed.place().work.clone();
         let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
         let last = self.attempt.events.last();
+        let content_type = self.content_type.clone();
         let opening = async move {
-            match stream_attempt::begin(&gateway, &call, &placed, last).await {
-                Ok(beginning) => Ok((placed, beginning)),
+            match stream_attempt::resume(&gateway, &call, &placed, last, content_type.as_ref())
+                .await
+            {
+                Ok(opened) => Ok((placed, opened)),
                 Err(failure) => Err((failure, placed.end(Outcome::Failed(failure)))),
             }
         };
@@ -273,22 +280,15 @@
     }
 
     /// Switches to the replacement if it sent events, and otherwise stays with the current attempt.
-    fn finish_replacement(
-        &mut self,
-        result: Result<(PlacedRequest, InitialResponse), FailedAttempt>,
-    ) {
+    fn finish_replacement(&mut self, result: Result<(PlacedRequest, OpenStream), FailedAttempt>) {
         let cause = self.replacement.take().map(|replacement| replacement.cause);
         self.hedge_at = Instant::now() + stall_time(&self.call);
-        match result {
-            Ok((placed, InitialResponse::Stream(opened))) => {
-                let reason = match cause {
-                    Some(Cause::Moved) => "moved",
-                    Some(Cause::Stalled) | None => Failure::Late.name(),
-                };
-                self.switch_to(placed, *opened, reason);
-            }
-            Ok((placed, InitialResponse::Other(_))) => placed.fail(Failure::Error),
-            Err(_) => {}
+        if let Ok((placed, opened)) = result {
+            let reason = match cause {
+                Some(Cause::Moved) => "moved",
+                Some(Cause::Stalled) | None => Failure::Late.name(),
+            };
+            self.switch_to(placed, opened, reason);
         }
     }
 
@@ -301,11 +301,7 @@
             None => None,
         };
         let next = match replaced {
-            Some(Ok((placed, InitialResponse::Stream(opened)))) => Some((placed, *opened)),
-            Some(Ok((placed, InitialResponse::Other(_)))) => {
-                placed.fail(Failure::Error);
-                None
-            }
+            Some(Ok(opened)) => Some(opened),
             Some(Err((failure, work))) => self.reopen(work, failure).await,
             None => self.reopen(self.resumable_work(), failure).await,
         };
@@ -325,17 +321,14 @@
         mut failure: Failure,
     ) -> Option<(PlacedRequest, OpenStream)> {
         let last = self.attempt.events.last();
-        let begin = async |placed: &PlacedRequest| {
-            stream_attempt::begin(&self.gateway, &self.call, placed, last).await
+        let content_type = self.content_type.as_ref();
+        let resume = async |placed: &PlacedRequest| {
+            stream_attempt::resume(&self.gateway, &self.call, placed, last, content_type).await
         };
         loop {
             let placed = self.gateway.retry(work, failure).await?.ok()?;
-            match hedge::attempt(placed, stall_time(&self.call), begin).await {
-                Ok((placed, InitialResponse::Stream(opened))) => return Some((placed, *opened)),
-                Ok((placed, InitialResponse::Other(_))) => {
-                    placed.fail(Failure::Error);
-                    return None;
-                }
+            match hedge::attempt(placed, stall_time(&self.call), resume).await {
+                Ok(opened) => return Some(opened),
                 Err(failed) => (failure, work) = failed,
             }
         }
@@ -418,7 +411,7 @@
 /// Returns the first events of the replacement, or its failure; never resolves without a replacement.
 async fn replacement_opened(
     replacement: &mut Option<Replacement>,
-) -> Result<(PlacedRequest, InitialResponse), FailedAttempt> {
+) -> Result<(PlacedRequest, OpenStream), FailedAttempt> {
     match replacement {
         Some(replacement) => (&mut replacement.opening).await,
         None => pending().await,
--- a/bins/entry/src/ingress/stream_attempt.rs
+++ b/bins/entry/src/ingress/stream_attempt.rs
@@ -8,6 +8,7 @@
 use dispatch::Failure;
 use futures::future::{Either, select};
 use node::event;
+use node::http::header::{self, HeaderValue};
 use node::http::{HeaderMap, Response, ResponseBody, StatusCode};
 
 use super::call::Call;
@@ -71,6 +72,38 @@
     }
 }
 
+/// Sends a request to a target that is to continue the stream of `call` after the event `last`, which the caller has
+/// received in a response with the `content_type`.
+///
+/// # Errors
+///
+/// Returns why the target can't continue the stream, as [`begin`] does. A response with an error status, of another
+/// type, or that doesn't begin with the next event is a failure: no byte of it belongs to the stream.
+pub(super) async fn resume(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    placed: &PlacedRequest,
+    last: Option<u64>,
+    content_type: Option<&HeaderValue>,
+) -> Result<OpenStream, Failure> {
+    let opened = match begin(gateway, call, placed, last).await? {
+        InitialResponse::Stream(opened) => *opened,
+        InitialResponse::Other(_) => return Err(Failure::Error),
+    };
+    let found = opened.headers.get(header::CONTENT_TYPE);
+    let of_another_type = found
+        .zip(content_type)
+        .is_some_and(|(found, expected)| media_type(found) != media_type(expected));
+    let error = match opened.events.last() > last {
+        true if !of_another_type => return Ok(opened),
+        true => "the resumed stream has another content type",
+        false => "the resumed stream doesn't begin with the next event",
+    };
+    let target = &placed.place().target;
+    event!(event::STREAM_MALFORMED, target = target, error = error);
+    Err(Failure::Broken)
+}
+
 async fn open(
     gateway: &Rc<Gateway>,
     call: &Call,
@@ -161,3 +194,9 @@
         self.first_events = self.events.splitter.skip_through(last, &self.first_events);
     }
 }
+
+/// Returns the media type of a `Content-Type` value in lower case, without its parameters.
+fn media_type(content_type: &HeaderValue) -> Option<String> {
+    let media_type = content_type.to_str().ok()?.split(';').next()?;
+    Some(media_type.trim().to_ascii_lowercase())
+}
