entry: a connection closed before the first event is no empty stream

Without an event, an orderly end now counts only if the response declares the length of its body or ends it by its chunks. Otherwise the attempt fails as broken: another target is tried if the route allows it, and callers get 502 if not.

stream_broken_off::close_closed failed before with "139 of 199 bytes: 200 OK "": left: true, right: false".

--- a/bins/entry/src/ingress/events.rs
+++ b/bins/entry/src/ingress/events.rs
@@ -19,6 +19,8 @@
     last: Option<u64>,
     /// Whether the target is repeating events before `last`, so that an event without an id is a repeated one, too.
     repeating: bool,
+    /// Whether any event was returned.
+    has_events: bool,
     /// Error that follows the events returned so far.
     error: Option<Error>,
 }
@@ -54,6 +56,11 @@
         self.last
     }
 
+    /// Returns whether any event was returned.
+    pub fn has_events(&self) -> bool {
+        self.has_events
+    }
+
     /// Returns the error that follows the events returned so far.
     pub fn error(&self) -> Option<Error> {
         self.error
@@ -103,6 +110,7 @@
             let event = self.buffer.split_to(end);
             self.scanned_len = 0;
             if self.accept(&event)? {
+                self.has_events = true;
                 match events.is_empty() {
                     true => *events = event,
                     false => events.unsplit(event),
--- a/bins/entry/src/ingress/stream_attempt.rs
+++ b/bins/entry/src/ingress/stream_attempt.rs
@@ -133,6 +133,15 @@
         last_event_at: Instant::now(),
     };
     let first = events.next(deadline, &place.target).await?;
+    if !events.splitter.has_events() && !is_framed(&target_response.headers) {
+        let error = "the connection was closed before the first event";
+        event!(
+            event::STREAM_MALFORMED,
+            target = place.target,
+            error = error
+        );
+        return Err(Failure::Broken);
+    }
     placed.record_first_event(version);
     gateway.check_version(call, placed, version);
     Ok(InitialResponse::Stream(Box::new(OpenStream {
@@ -195,6 +204,11 @@
     }
 }
 
+/// Returns whether a response declares the end of its body. Otherwise the body ends when the connection is closed.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns the media type of a `Content-Type` value in lower case, without its parameters.
 fn media_type(content_type: &HeaderValue) -> Option<String> {
     let media_type = content_type.to_str().ok()?.split(';').next()?;
