entry: streams are forwarded without the length of the first target's body

A stream whose first target announced a length and broke off was resumed by another target with more bytes, for example because it repeats no partial event or sends comments.

second_target_continues::length failed before with "...id: 5\ndata", true. Streams are now sent in chunks.

--- a/bins/entry/src/ingress/stream_attempt.rs
+++ b/bins/entry/src/ingress/stream_attempt.rs
@@ -113,7 +113,7 @@
     let deadline = call.deadline;
     let place = placed.place();
     let target_response = gateway.attempt(call, placed, deadline, last_event).await?;
-    let headers = platform::response::forwarded_headers(&target_response.headers);
+    let mut headers = platform::response::forwarded_headers(&target_response.headers);
     if !target_response.status.is_success() {
         let body = target_response.body.collect(MAX_ERROR_BYTES).await;
         let mut response = Response::new(body.map_err(|_| Failure::Broken)?);
@@ -121,6 +121,8 @@
         *response.headers_mut() = headers;
         return Ok(InitialResponse::Other(response));
     }
+    // Another target may continue the stream with more or fewer bytes.
+    headers.remove(header::CONTENT_LENGTH);
     let version = target_response.head.version;
     let required = place.work.weights_version;
     if required.is_some() && version.is_some() && version != required {
