entry: a stream whose last events have no ids is not resumed

The splitter records whether the last event that it returned has an id; without one the stream is aborted when its target fails, and is neither hedged nor moved.

--- a/bins/entry/src/ingress/events.rs
+++ b/bins/entry/src/ingress/events.rs
@@ -19,8 +19,8 @@
     last: Option<u64>,
     /// Whether the target is repeating events before `last`, so that an event without an id is a repeated one, too.
     repeating: bool,
-    /// Whether any event was returned.
-    has_events: bool,
+    /// Whether the last event that was returned has an id; `None` if no event was returned.
+    last_numbered: Option<bool>,
     /// Error that follows the events returned so far.
     error: Option<Error>,
 }
@@ -58,7 +58,14 @@
 
     /// Returns whether any event was returned.
     pub fn has_events(&self) -> bool {
-        self.has_events
+        self.last_numbered.is_some()
+    }
+
+    /// Returns whether another target may resume the stream after `last`.
+    ///
+    /// It may not if events without an id were returned since: the other target would repeat them.
+    pub fn is_resumable(&self) -> bool {
+        self.last_numbered.unwrap_or(self.last.is_some())
     }
 
     /// Returns the error that follows the events returned so far.
@@ -110,7 +117,6 @@
             let event = self.buffer.split_to(end);
             self.scanned_len = 0;
             if self.accept(&event)? {
-                self.has_events = true;
                 match events.is_empty() {
                     true => *events = event,
                     false => events.unsplit(event),
@@ -156,6 +162,9 @@
     /// Checks the sequence of an event's id, and returns whether the event is new.
     fn accept(&mut self, event: &[u8]) -> Result<bool, Error> {
         let Some(found) = event_id(event) else {
+            if !self.repeating {
+                self.last_numbered = Some(false);
+            }
             return Ok(!self.repeating);
         };
         self.repeating = self.last.is_some_and(|last| found < last);
@@ -164,6 +173,7 @@
             Some(last) if found > last + 1 => Err(Error::Gap { last, found }),
             _ => {
                 self.last = Some(found);
+                self.last_numbered = Some(true);
                 Ok(true)
             }
         }
--- a/bins/entry/src/ingress/stream.rs
+++ b/bins/entry/src/ingress/stream.rs
@@ -221,8 +221,10 @@
 
     /// Waits for the first of: events, a replacement, a move, a stall.
     async fn step(&mut self) -> Step {
-        let hedge_at =
-            (self.replacement.is_none() && self.work.may_repeat()).then_some(self.hedge_at);
+        let may_hedge = self.replacement.is_none()
+            && self.work.may_repeat()
+            && self.attempt.events.is_resumable();
+        let hedge_at = may_hedge.then_some(self.hedge_at);
         let deadline = self.call.deadline;
         let target = &self.attempt.placed.place().target;
         let mut next = pin!(self.attempt.events.next(deadline, target).fuse());
@@ -261,6 +263,9 @@
 
     /// Starts a replacement that resumes after the last event while the current attempt continues.
     fn start_replacement(&mut self, placed: PlacedRequest, cause: Cause) {
+        if !self.attempt.events.is_resumable() {
+            return;
+        }
         self.work = placed.place().work.clone();
         let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
         let last = self.attempt.events.last();
@@ -283,7 +288,9 @@
     fn finish_replacement(&mut self, result: Result<(PlacedRequest, OpenStream), FailedAttempt>) {
         let cause = self.replacement.take().map(|replacement| replacement.cause);
         self.hedge_at = Instant::now() + stall_time(&self.call);
-        if let Ok((placed, opened)) = result {
+        if let Ok((placed, opened)) = result
+            && self.attempt.events.is_resumable()
+        {
             let reason = match cause {
                 Some(Cause::Moved) => "moved",
                 Some(Cause::Stalled) | None => Failure::Late.name(),
@@ -295,6 +302,9 @@
     /// Resumes at another target after the current attempt failed, or aborts the response.
     async fn resume(&mut self, failure: Failure) -> io::Result<()> {
         self.attempt.placed.fail(failure);
+        if !self.attempt.events.is_resumable() {
+            return Err(self.abort(failure.name()));
+        }
         self.moved = None;
         let replaced = match self.replacement.take() {
             Some(replacement) => Some(replacement.opening.await),
--- a/bins/entry/src/ingress/stream_attempt.rs
+++ b/bins/entry/src/ingress/stream_attempt.rs
@@ -193,6 +193,11 @@
         }
     }
 
+    /// Returns whether another target may resume the stream after [`EventStream::last`].
+    pub(super) fn is_resumable(&self) -> bool {
+        self.splitter.is_resumable()
+    }
+
     /// Returns the id of the last event that was returned, or after which the stream resumes.
     pub(super) fn last(&self) -> Option<u64> {
         self.splitter.last()
--- a/bins/entry/tests/ingress/events.rs
+++ b/bins/entry/tests/ingress/events.rs
@@ -152,6 +152,21 @@
     }
 }
 
+// Guards against resuming a stream whose last events have no id: the other target would send them again.
+#[parameterized(
+    fresh = { None, "", false },
+    resumed = { Some(3), "", true },
+    numbered = { None, "data: a\n\nid: 1\n\n", true },
+    unnumbered = { None, "data: a\n\n", false },
+    unnumbered_last = { Some(3), "id: 4\n\ndata: a\n\n", false },
+    comment_last = { Some(3), "id: 4\n\n: a\n\n", true },
+)]
+fn is_resumable_after_numbered_event(after: Option<u64>, text: &str, expected: bool) {
+    let mut splitter = Splitter::after(after);
+    splitter.push(text.as_bytes()).unwrap();
+    assert_eq!(splitter.is_resumable(), expected);
+}
+
 proptest! {
     // Guards against lost or repeated events when a target leaves out any event and the stream resumes at another one,
     // however the network splits both.
