platform: positions in the store's history carry its era

The store may come back from a copy of itself that is some seconds old. It then gives revisions out again, and raises the header Store-Era. Every reader compared bare revisions: an entry that held revision 900 refused the list at 850, and a watch after 900 on a store that had meanwhile given out 901 missed the changes between.

Revision is now a pair of era and number, ordered by the era first, decoded once from header and body. Clients of one process share the newest era; a response of an older one is refused, also one of another entry that relays the store. A watch response of another era is not applied, and the kind is listed anew; pages of a list must be of one era. A conditional write on a revision of an earlier era isn't sent. Relays serve the newest era only and report it. Records, catalogue entries and fencing numbers use the ordinal of the revision, with the era in the bits from 40 on. Event 270 and a gauge tell of the change. No call is added in steady state.

The stand-ins of the store report an era and can come back from an older copy.

--- a/bins/agent/src/claims.rs
+++ b/bins/agent/src/claims.rs
@@ -8,7 +8,7 @@
 use claim::{Table, Write};
 use gossip::{Phase, Store};
 use node::event;
-use platform::{Client, Condition, Put};
+use platform::{Client, Condition, Put, Revision};
 
 use crate::Shared;
 use crate::shared::random;
@@ -127,11 +127,11 @@
     }
     let (revision, table) = match platform.get(KIND, service).await {
         Ok(Some(object)) => match serde_json::from_str::<Table>(object.value.get()) {
-            Ok(table) => (object.revision, table),
+            Ok(table) => (object.revision.ordinal(), table),
             Err(error) => {
                 node::event!(
                     event::CLAIMS_MALFORMED,
-                    revision = object.revision,
+                    revision = object.revision.ordinal(),
                     error = error
                 );
                 return StepResult::Failed;
@@ -156,12 +156,15 @@
 async fn write_table(shared: &Shared, platform: &Client, write: &Write) -> StepResult {
     let condition = match write.base {
         0 => Condition::Absent,
-        revision => Condition::Revision(revision),
+        revision => Condition::Revision(Revision::from_ordinal(revision)),
     };
     let name = &shared.settings.service;
     match platform.put(KIND, name, &write.table, condition).await {
         Ok(Put::Accepted(revision)) => {
-            shared.claims.borrow_mut().observe(revision, &write.table);
+            shared
+                .claims
+                .borrow_mut()
+                .observe(revision.ordinal(), &write.table);
             StepResult::Done
         }
         // The next read returns what the other agent wrote.
--- a/bins/agent/src/fencing_number.rs
+++ b/bins/agent/src/fencing_number.rs
@@ -3,7 +3,8 @@
 //! While the platform is unavailable, orders carry a provisional number: one more than the highest number that the
 //! engine has accepted. It is higher than the number of every earlier agent, and no other agent can send orders in the
 //! meantime, because this process holds the order port. A number from the platform must be higher than the engine's
-//! highest too; otherwise the object is written again.
+//! highest too; otherwise the object is written again. The number holds the era of the platform's store in its high bits, so
+//! a store that comes back from an older copy gives none out again.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -99,10 +100,10 @@
     Some(number)
 }
 
-/// Writes the object once and returns its revision. If the outcome is unknown, reads the object to determine it.
+/// Writes the object once and returns the ordinal of its revision. If the outcome is unknown, reads the object to determine it.
 async fn write_object(name: &str, taken: &Taken, platform: &Client) -> Result<u64, Error> {
     match platform.put(KIND, name, taken, Condition::Any).await {
-        Ok(Put::Accepted(revision)) => Ok(revision),
+        Ok(Put::Accepted(revision)) => Ok(revision.ordinal()),
         Ok(Put::Conflict(_)) => Err(Error::Refused {
             call: format!("PUT {KIND}/{name}"),
             reason: "conflict response to an unconditional write".into(),
@@ -113,7 +114,7 @@
                 let held: Option<Taken> = serde_json::from_str(object.value.get()).ok();
                 held.is_some_and(|held| held.token == taken.token)
             });
-            own.map(|object| object.revision).ok_or(error)
+            own.map(|object| object.revision.ordinal()).ok_or(error)
         }
         Err(error) => Err(error),
     }
--- a/bins/agent/src/rollout/watch.rs
+++ b/bins/agent/src/rollout/watch.rs
@@ -110,7 +110,8 @@
 /// carry the chunks of that version.
 async fn read_targets(state: &State, store: &Client) -> Result<Listing, Error> {
     if let Some(relay) = state.relay(Instant::now()) {
-        let relay = Client::new(relay, RELAY_TIMEOUT);
+        // Shares the newest era, so that a relay that is behind the restored store is refused.
+        let relay = store.with_server(relay, RELAY_TIMEOUT);
         if let Ok(listing) = relay.list(target::KIND).await {
             return Ok(listing);
         }
--- a/bins/agent/tests/claims.rs
+++ b/bins/agent/tests/claims.rs
@@ -11,8 +11,8 @@
 use gate::Event;
 use gossip::{Key, Phase, Record, Target, Value, Version};
 use node::http::{Body, Client, Limits, Request, Response, StatusCode, response, serve};
-use platform::Object;
 use platform::wire::{self, Call};
+use platform::{Object, Revision};
 use serde_json::json;
 use serde_json::value::to_raw_value;
 
@@ -59,7 +59,7 @@
         };
         let object = Object {
             name: "bookings".into(),
-            revision: *revision,
+            revision: Revision::new(0, *revision),
             value: to_raw_value(table).unwrap(),
         };
         wire::object_response(status, &object)
--- a/bins/agent/tests/transfer/main.rs
+++ b/bins/agent/tests/transfer/main.rs
@@ -218,7 +218,7 @@
             .objects
             .borrow()
             .values()
-            .all(|object| object.revision == 1);
+            .all(|object| object.revision.number == 1);
         assert!(grants);
         assert_eq!(env.drawn.get(), env.size("v1"));
     });
--- a/bins/agent/tests/transfer/support.rs
+++ b/bins/agent/tests/transfer/support.rs
@@ -14,8 +14,8 @@
 use catalog::Plan;
 use compio::runtime::{JoinHandle, spawn};
 use node::http::{Body, Limits, Request, Response, StatusCode, header, json, response, serve};
-use platform::Object;
 use platform::wire::{self, Call};
+use platform::{Object, Revision};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::registry::Registry;
 use weights::{Digest, Manifest, Pin};
@@ -186,7 +186,7 @@
                 None => response(StatusCode::NOT_FOUND, ""),
             };
         };
-        let revision = held.as_ref().map(|held| held.revision);
+        let revision = held.as_ref().map(|held| held.revision.number);
         if seen != revision {
             return match held {
                 Some(object) => wire::object_response(StatusCode::CONFLICT, &object),
@@ -195,7 +195,7 @@
         }
         let object = Object {
             name: name.clone(),
-            revision: revision.unwrap_or(0) + 1,
+            revision: Revision::new(0, revision.unwrap_or(0) + 1),
             value,
         };
         self.objects.borrow_mut().insert(name, object.clone());
--- a/bins/burn/src/fetch.rs
+++ b/bins/burn/src/fetch.rs
@@ -48,7 +48,7 @@
         let stored: StoredEntry =
             serde_json::from_str(object.value.get()).map_err(|error| Error::Malformed {
                 name: object.name,
-                revision: object.revision,
+                revision: object.revision.ordinal(),
                 error,
             })?;
         match stored.entry {
--- a/bins/burn/tests/command/support.rs
+++ b/bins/burn/tests/command/support.rs
@@ -11,7 +11,7 @@
 use compio::runtime::JoinHandle;
 use node::http::{Limits, Request, StatusCode, json, response};
 use platform::wire::{self, Call};
-use platform::{Listing, Object};
+use platform::{Listing, Object, Revision};
 use serde_json::value::to_raw_value;
 use serde_json::{Value, json};
 
@@ -88,12 +88,12 @@
         let value = json!({"entry": entry, "author": "ada", "time_ms": 1, "write": "w"});
         Object {
             name: (*key).into(),
-            revision: index as u64 + 1,
+            revision: Revision::new(0, index as u64 + 1),
             value: to_raw_value(&value).unwrap(),
         }
     });
     Listing {
-        revision: 9,
+        revision: Revision::new(0, 9),
         objects: objects.collect(),
         deleted: Vec::new(),
     }
--- a/bins/catalog/src/catalogue.rs
+++ b/bins/catalog/src/catalogue.rs
@@ -29,7 +29,7 @@
             let name = object.name.clone();
             match parse(object) {
                 Ok(stored) => {
-                    let version = (object.revision, stored);
+                    let version = (object.revision.ordinal(), stored);
                     catalogue.entries.insert(name, version);
                 }
                 Err(reason) => {
@@ -118,7 +118,7 @@
 }
 
 fn malformed_finding(object: &Object, reason: &str) -> Finding {
-    let (name, revision) = (&object.name, object.revision);
+    let (name, revision) = (&object.name, object.revision.ordinal());
     let text = object.value.get();
     let mut read: String = text.chars().take(MAX_SHOWN_CHARS).collect();
     if read.len() < text.len() {
--- a/bins/catalog/src/main.rs
+++ b/bins/catalog/src/main.rs
@@ -211,7 +211,7 @@
 
 async fn read(client: &Client, key: &str) -> Result<(Revision, StoredEntry), Error> {
     match client.get(KIND, key).await? {
-        Some(object) => Ok((object.revision, put::parse(&object)?)),
+        Some(object) => Ok((object.revision.ordinal(), put::parse(&object)?)),
         None => {
             Err(format!("no entry {key}; a key is KIND/NAME, such as service/assistant").into())
         }
--- a/bins/catalog/src/put.rs
+++ b/bins/catalog/src/put.rs
@@ -77,7 +77,7 @@
 pub fn parse(object: &Object) -> Result<StoredEntry, Error> {
     serde_json::from_str(object.value.get()).map_err(|error| Error::Malformed {
         key: object.name.clone(),
-        revision: object.revision,
+        revision: object.revision.ordinal(),
         reason: error.to_string(),
     })
 }
@@ -106,13 +106,15 @@
         Some((revision, older)) => new.with_previous(revision, older),
         None => new,
     };
-    let condition = base_revision.map_or(Condition::Absent, Condition::Revision);
+    let condition = base_revision.map_or(Condition::Absent, |revision| {
+        Condition::Revision(platform::Revision::from_ordinal(revision))
+    });
     // Whether an earlier attempt may have taken effect.
     let mut maybe_written = false;
     loop {
         let result = client.put(KIND, &key, &new, condition).await;
         let reason = match result {
-            Ok(Put::Accepted(revision)) => return Ok(Outcome::Accepted(revision)),
+            Ok(Put::Accepted(revision)) => return Ok(Outcome::Accepted(revision.ordinal())),
             Ok(Put::Conflict(current)) => format!("the platform holds revision {current:?}"),
             Err(platform::Error::Refused { reason, .. }) if !maybe_written => {
                 return Err(Error::NotWritten { key, reason });
@@ -153,15 +155,16 @@
     let Some(object) = client.get(KIND, key).await.map_err(not_read)? else {
         return Ok(ReadBack::Unchanged);
     };
+    let revision = object.revision.ordinal();
     // A stale read may return a revision older than the base.
-    if base_revision.is_some_and(|base| object.revision <= base) {
+    if base_revision.is_some_and(|base| revision <= base) {
         return Ok(ReadBack::Unchanged);
     }
     let stored = parse(&object)?;
     Ok(ReadBack::Changed(
-        match stored.revision_of(write, object.revision) {
+        match stored.revision_of(write, revision) {
             Some(revision) => Outcome::Accepted(revision),
-            None => first_change_after(&stored, object.revision, base_revision),
+            None => first_change_after(&stored, revision, base_revision),
         },
     ))
 }
--- a/bins/catalog/tests/malformed.rs
+++ b/bins/catalog/tests/malformed.rs
@@ -3,7 +3,7 @@
 use carobport_catalog::catalogue::Catalogue;
 use carobport_catalog::files::Files;
 use catalog::StoredEntry;
-use platform::{Listing, Object};
+use platform::{Listing, Object, Revision};
 use serde_json::{Value, json};
 use yare::parameterized;
 
@@ -24,7 +24,7 @@
 fn object(name: &str, revision: u64, value: &impl serde::Serialize) -> Object {
     Object {
         name: name.into(),
-        revision,
+        revision: Revision::new(0, revision),
         value: serde_json::value::to_raw_value(value).unwrap(),
     }
 }
@@ -57,7 +57,7 @@
         objects.push(object(&stored.entry.key(), index as u64, &stored));
     }
     Catalogue::new(&Listing {
-        revision: 50,
+        revision: Revision::new(0, 50),
         objects,
         deleted: Vec::new(),
     })
--- a/bins/catalog/tests/put.rs
+++ b/bins/catalog/tests/put.rs
@@ -112,7 +112,7 @@
             Some((revision, stored)) => {
                 let object = Object {
                     name: "workspace/captains".into(),
-                    revision: *revision,
+                    revision: platform::Revision::new(0, *revision),
                     value: to_raw_value(stored).unwrap(),
                 };
                 wire::object_response(status, &object)
@@ -210,7 +210,7 @@
                 .unwrap();
             let history = parse(&object).unwrap().history;
             assert_eq!(
-                (object.revision, history[0].author.as_str()),
+                (object.revision.ordinal(), history[0].author.as_str()),
                 (42, "second")
             );
         },
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -31,6 +31,8 @@
 
 /// Timeout for connecting to a target.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of a call to the store, in addition to the wait of a watch.
+pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Interval between scheduler polls while requests are queued.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between scheduler polls while the queue is empty.
@@ -60,6 +62,10 @@
     change_count: Cell<u64>,
     /// Whether the last read of the configuration succeeded.
     store_reachable: Cell<bool>,
+    /// Newest era of the store that the readers have been notified of.
+    store_era: Cell<Option<u64>>,
+    /// Client of the store; those of other servers of the same objects share the newest era with it.
+    pub(super) store: platform::Client,
     draining: Cell<bool>,
     refusing: Cell<bool>,
     /// When the scheduler was last polled.
@@ -85,6 +91,7 @@
         let retries = settings.bounds.retries;
         let seed = rand::rng().random();
         let scheduler = Scheduler::new(&settings.domain, versions, retries, seed);
+        let store = platform::Client::new(settings.platform, STORE_TIMEOUT);
         Rc::new_cyclic(|me| Self {
             me: me.clone(),
             relays: RefCell::new(Relays::new(settings.load_listen)),
@@ -100,6 +107,8 @@
             buffered: BufferedBytes::default(),
             change_count: Cell::default(),
             store_reachable: Cell::new(false),
+            store_era: Cell::default(),
+            store,
             draining: Cell::new(false),
             refusing: Cell::new(false),
             last_poll: Cell::new(Instant::now()),
@@ -226,6 +235,17 @@
         self.store_reachable.set(reachable);
     }
 
+    /// Records the newest era of the store in any response; returns whether it has risen.
+    pub(super) fn record_store_era(&self) -> bool {
+        let Some(era) = self.store.era() else {
+            return false;
+        };
+        self.relay.set_era(era);
+        self.metrics.set_store_era(era);
+        let known = self.store_era.replace(Some(era));
+        known.is_some_and(|known| known < era)
+    }
+
     /// Polls the scheduler while requests are queued or after load reports, and cancels streams that have not begun and
     /// whose target's weights have become too old; never returns.
     pub async fn poll_periodically(self: Rc<Self>) {
--- a/bins/entry/src/ingress/reader.rs
+++ b/bins/entry/src/ingress/reader.rs
@@ -2,14 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use node::{Backoff, event};
+use node::{Backoff, Notify, event};
 use platform::{Client, Follower, ReadError, Update};
 
-use super::gateway::Gateway;
+use super::gateway::{Gateway, STORE_TIMEOUT};
 use super::relays::Source;
 
-/// Timeout of a call to the store, in addition to the wait of a watch.
-const STORE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Timeout of a call to another entry of the domain, in addition to the wait of a watch.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Wait of a watch at another entry, which bounds the time until a frozen entry is detected.
@@ -26,17 +24,26 @@
     kind: &'static str,
     follower: Follower,
     source: Source,
+    /// Notified when the store came back from an older copy.
+    connectivity_changed: &'a Notify,
 }
 
 impl<'a> Reader<'a> {
     /// Returns a reader of objects of `kind` that has not read anything yet.
-    pub(super) fn new(gateway: &'a Gateway, kind: &'static str) -> Self {
+    ///
+    /// It notifies `connectivity_changed` when it is the first to learn that the store came back from an older copy.
+    pub(super) fn new(
+        gateway: &'a Gateway,
+        kind: &'static str,
+        connectivity_changed: &'a Notify,
+    ) -> Self {
         let backoff = Backoff::new(BACKOFF.0, BACKOFF.1);
         Self {
             gateway,
             kind,
             follower: Follower::new(&client(gateway, Source::Store), kind, backoff),
             source: Source::Store,
+            connectivity_changed,
         }
     }
 
@@ -76,14 +83,18 @@
             Source::Relay(_) => RELAY_WAIT,
         };
         let read = self.follower.next(wait).await;
+        let now = Instant::now();
+        if self.gateway.record_store_era() {
+            self.connectivity_changed.notify();
+        }
         match (&read, self.source) {
             (Ok(update), Source::Shared) => {
                 let relay = &self.gateway.relay;
-                relay.update(Instant::now(), self.kind, update);
+                relay.update(now, self.kind, update);
             }
             (Err(_), Source::Relay(relay)) => {
                 let mut relays = self.gateway.relays.borrow_mut();
-                relays.record_failure(Instant::now(), relay);
+                relays.record_failure(now, relay);
             }
             _ => {}
         }
@@ -92,8 +103,11 @@
 }
 
 fn client(gateway: &Gateway, source: Source) -> Client {
+    let store = &gateway.store;
     match source {
-        Source::Store | Source::Shared => Client::new(gateway.settings.platform, STORE_TIMEOUT),
-        Source::Relay(relay) => Client::new(relay, RELAY_TIMEOUT),
+        Source::Store | Source::Shared => {
+            store.with_server(gateway.settings.platform, STORE_TIMEOUT)
+        }
+        Source::Relay(relay) => store.with_server(relay, RELAY_TIMEOUT),
     }
 }
--- a/bins/entry/src/ingress/relay.rs
+++ b/bins/entry/src/ingress/relay.rs
@@ -23,11 +23,15 @@
 const RECHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Mirrors of the object kinds that this entry reads from the store for other entries.
+///
+/// Only mirrors of the newest era are served, and all responses report it.
 #[derive(Default)]
 pub(super) struct Relay {
     mirrors: RefCell<BTreeMap<&'static str, SharedKind>>,
     /// When the store last responded to this entry itself.
     last_response: Cell<Option<Instant>>,
+    /// Newest era of the store.
+    era: Cell<u64>,
     changed: Notify,
 }
 
@@ -51,6 +55,13 @@
         self.changed.notify();
     }
 
+    /// Sets the newest era of the store; objects of earlier eras are no longer served.
+    pub(super) fn set_era(&self, era: u64) {
+        if self.era.replace(era) != era {
+            self.changed.notify();
+        }
+    }
+
     /// Records that the store responded.
     pub(super) fn record_response(&self, now: Instant) {
         self.last_response.set(Some(now));
@@ -72,20 +83,22 @@
         let last_response = self.last_response.get()?;
         let mirrors = self.mirrors.borrow();
         let shared = mirrors.get(kind)?;
-        let fresh = now.saturating_duration_since(last_response) < MAX_STORE_SILENCE
+        let fresh = shared.mirror.era() == Some(self.era.get())
+            && now.saturating_duration_since(last_response) < MAX_STORE_SILENCE
             && now.saturating_duration_since(shared.read_at) < MAX_READ_AGE;
         fresh.then(|| get(&shared.mirror))
     }
 
     async fn answer(&self, request: &Request<Bytes>) -> Response<Body> {
-        match Call::parse(request) {
+        let response = match Call::parse(request) {
             Some(Call::List { kind }) => self.list(&kind),
             Some(Call::Watch { kind, after, wait }) => self.watch(&kind, after, wait).await,
             _ => response(
                 StatusCode::NOT_FOUND,
                 "an entry passes on lists and watches\n",
             ),
-        }
+        };
+        wire::with_era(response, self.era.get())
     }
 
     fn list(&self, kind: &str) -> Response<Body> {
@@ -97,9 +110,14 @@
 
     async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Response<Body> {
         let end = Instant::now() + wait.min(MAX_WAIT);
+        let era = self.era.get();
         loop {
             let now = Instant::now();
             let seen = self.changed.count();
+            if self.era.get() != era {
+                // The watched revision is one of an earlier era.
+                return response(StatusCode::GONE, "");
+            }
             match self.read(now, kind, |mirror| mirror.changes(after)) {
                 None => return unavailable(),
                 Some(None) => return response(StatusCode::GONE, ""),
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -37,17 +37,17 @@
     let targets = RefCell::new(Registrations::default());
     let connectivity_changed = Notify::default();
     let configs = follow_config(
-        Reader::new(&gateway, config::KIND),
+        Reader::new(&gateway, config::KIND, &connectivity_changed),
         &gateway,
         &connectivity_changed,
     );
     let named = follow_versions(
-        Reader::new(&gateway, versions::KIND),
+        Reader::new(&gateway, versions::KIND, &connectivity_changed),
         &gateway,
         &connectivity_changed,
     );
     let registered = follow_targets(
-        Reader::new(&gateway, target::KIND),
+        Reader::new(&gateway, target::KIND, &connectivity_changed),
         &gateway,
         &targets,
         &connectivity_changed,
@@ -58,8 +58,8 @@
 
 /// Follows the configuration with short watches, which detect a store outage early.
 ///
-/// When an outage starts or ends, `connectivity_changed` cancels the long watches of the other kinds, which would
-/// otherwise wait for a response that never arrives.
+/// When an outage starts or ends, or the store came back from an older copy, `connectivity_changed` cancels the long
+/// watches of the other kinds, which would otherwise wait for a response that never arrives.
 async fn follow_config(mut reader: Reader<'_>, gateway: &Gateway, connectivity_changed: &Notify) {
     let wait = gateway
         .settings
@@ -173,7 +173,8 @@
             event!(
                 event::CONFIG_IN_FORCE,
                 version = config.version,
-                revision = object.revision,
+                revision = object.revision.number,
+                era = object.revision.era,
                 routes = config.route_count()
             );
             gateway.update(|scheduler, _| scheduler.set_config(config));
--- a/bins/entry/src/peer/watch.rs
+++ b/bins/entry/src/peer/watch.rs
@@ -6,7 +6,7 @@
 use catalog::StoredEntry;
 use gossip::{Key, Record, Value, Version};
 use node::event;
-use platform::{Listing, Object};
+use platform::{Listing, Object, Revision};
 
 use super::Peering;
 
@@ -44,6 +44,8 @@
         if listed.elapsed() >= LIST_INTERVAL {
             after = None;
         }
+        let era = peering.platform.era();
+        after = after.filter(|after: &Revision| Some(after.era) == era);
         let listing = match after {
             Some(revision) => {
                 peering
@@ -68,7 +70,7 @@
 }
 
 /// Merges the objects of a listing and returns the revision to watch after.
-fn merge_listing(peering: &Peering, listing: &Listing) -> u64 {
+fn merge_listing(peering: &Peering, listing: &Listing) -> Revision {
     peering.merge(listing.objects.iter().filter_map(to_record).collect());
     listing.revision
 }
@@ -76,7 +78,7 @@
 /// Converts a stored object to a gossip record; logs malformed objects and returns `None` for them.
 fn to_record(object: &Object) -> Option<Record> {
     let malformed = |error: serde_json::Error| {
-        let (key, revision) = (&object.name, object.revision);
+        let (key, revision) = (&object.name, object.revision.ordinal());
         node::event!(
             event::ENTRY_MALFORMED,
             key = key,
@@ -93,7 +95,7 @@
     Some(Record {
         key: Key::Catalog(object.name.clone()),
         version: Version {
-            major: object.revision,
+            major: object.revision.ordinal(),
             ..Version::default()
         },
         value: Value::Catalog(text),
--- a/bins/entry/tests/peer.rs
+++ b/bins/entry/tests/peer.rs
@@ -12,7 +12,7 @@
 use gossip::{Key, LocalMember, Phase, Target, Value};
 use node::http::{Limits, Request, StatusCode, json, serve};
 use platform::wire::{self as form, Call};
-use platform::{Listing, Object};
+use platform::{Listing, Object, Revision};
 use serde_json::value::to_raw_value;
 use wire::{Gate, Reply, Report};
 
@@ -27,8 +27,12 @@
 /// The objects and the names of leaving VMs that the simulated platform lists.
 type Platform = Rc<RefCell<(Vec<Object>, Vec<&'static str>)>>;
 
-/// Makes a class with the given revision and rank the only object on the platform.
+/// Makes a class with the given revision of era 0 and rank the only object on the platform.
 fn put_class(platform: &Platform, revision: u64, rank: u8) {
+    put_class_at(platform, Revision::new(0, revision), rank);
+}
+
+fn put_class_at(platform: &Platform, revision: Revision, rank: u8) {
     let entry = serde_json::json!({
         "kind": "class", "name": "urgent", "owner": "ops", "class": "urgent", "limits": {}, "rank": rank,
         "objective": {"answered": 0.99, "within_ms": 2000, "within": 0.95}
@@ -82,7 +86,9 @@
                 }
                 let (objects, leaving) = &*platform.borrow();
                 let listing = Listing {
-                    revision: objects.first().map_or(0, |object| object.revision),
+                    revision: objects
+                        .first()
+                        .map_or(Revision::default(), |object| object.revision),
                     objects: objects.clone(),
                     deleted: Vec::new(),
                 };
@@ -217,6 +223,26 @@
     });
 }
 
+/// Guards against entries that ignore what operators write after the platform came back from an older copy, because its
+/// revisions are lower than those of the lost writes.
+#[test]
+fn catalogue_after_restore() {
+    with_entries(|platform, entries| async move {
+        let all = |wanted: u64| entries.iter().all(|entry| revision(entry) == wanted);
+        put_class(&platform, 5, 0);
+        wait_until(10_000, "revision 5 isn't everywhere", || all(5)).await;
+        let restored = Revision::new(1, 3);
+        put_class_at(&platform, restored, 1);
+        let newer = || all(restored.ordinal());
+        wait_until(
+            6_000,
+            "the restored platform's entry isn't everywhere",
+            newer,
+        )
+        .await;
+    });
+}
+
 /// Guards against a failed target that still gets requests, and against a live one that stays marked as down.
 #[test]
 fn target_down_and_back() {
--- a/bins/load/tests/faults/changes.rs
+++ b/bins/load/tests/faults/changes.rs
@@ -14,7 +14,8 @@
 async fn stored_revision(deployment: &Deployment, key: &str) -> u64 {
     let platform = platform::Client::new(deployment.platform_address(), IN_FORCE);
     let object = platform.get("catalog", key).await.unwrap();
-    object.unwrap_or_else(|| panic!("no {key}")).revision
+    let object = object.unwrap_or_else(|| panic!("no {key}"));
+    object.revision.ordinal()
 }
 
 async fn expect_in_force(deployment: &Deployment, revisions: &Revisions, key: &str, revision: u64) {
--- a/bins/standin/src/platform.rs
+++ b/bins/standin/src/platform.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the platform's object API and VM list.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,7 +12,7 @@
 use node::http::{Body, Method, Request, Response, StatusCode, abort, json, response};
 use node::settings::{Fields, Settings};
 use platform::wire::{self, Call};
-use platform::{Listing, Object, State, Vm};
+use platform::{Listing, Object, Revision, State, Vm};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
@@ -24,6 +24,9 @@
 /// Longest time that a watch waits for a change.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
+/// Maximum age of the copy from which the store can come back.
+const MAX_COPY_AGE: Duration = Duration::from_secs(60);
+
 /// Settings of the stand-in for the platform.
 pub struct PlatformSettings {
     listen: SocketAddr,
@@ -59,24 +62,38 @@
     /// Whether reads, lists and watches return the previous version of each object that has one, and omit an object
     /// created by the last write.
     stale_reads: bool,
+    /// Age of the copy from which the store comes back at the next restart, in milliseconds; 0 if it loses nothing.
+    copy_age_ms: u64,
     /// The VM list.
     vms: Vec<Vm>,
 }
 
 /// The current and the previous version of an object.
+#[derive(Clone)]
 struct StoredObject {
     current: Object,
     previous: Option<Object>,
 }
 
-/// Objects by kind and name.
-type Objects = BTreeMap<(String, String), StoredObject>;
+/// Kind and name of an object.
+type Key = (String, String);
+
+type Objects = BTreeMap<Key, StoredObject>;
+
+/// A write, with what it replaced.
+struct Replaced {
+    written_at: Instant,
+    key: Key,
+    object: Option<StoredObject>,
+}
 
 struct Platform {
     control: Control<Switches>,
     /// Revision of the last write to any object.
-    revision: Cell<u64>,
+    revision: Cell<Revision>,
     objects: RefCell<Objects>,
+    /// The writes of the last [`MAX_COPY_AGE`], oldest first.
+    replaced: RefCell<VecDeque<Replaced>>,
     /// Notified on each write, of any kind of object.
     watchers: RefCell<Vec<oneshot::Sender<()>>>,
 }
@@ -100,12 +117,14 @@
         slow_ms: 0,
         lose_answers: 0,
         stale_reads: false,
+        copy_age_ms: 0,
         vms: settings.vms,
     };
     let platform = Platform {
         control: Control::new("platform", switches),
-        revision: Cell::new(0),
+        revision: Cell::default(),
         objects: RefCell::default(),
+        replaced: RefCell::default(),
         watchers: RefCell::default(),
     };
     server::run(settings.listen, platform).await
@@ -129,19 +148,49 @@
         }
         let delay = Duration::from_millis(self.control.switches().slow_ms);
         let response = self.route(&request).await;
+        let response = wire::with_era(response, self.revision.get().era);
         if !delay.is_zero() {
             compio::time::sleep(delay).await;
         }
         response
     }
 
-    /// Ends the watches; objects are kept across restarts.
+    /// Ends the watches. Objects are kept across restarts, except those that the copy lacks.
     fn reset(&self) {
         self.watchers.take();
+        let age = self
+            .control
+            .update(|switches| std::mem::take(&mut switches.copy_age_ms));
+        if age > 0
+            && let Some(copied_at) = Instant::now().checked_sub(Duration::from_millis(age))
+        {
+            self.restore(copied_at);
+        }
     }
 }
 
 impl Platform {
+    /// Undoes the writes since `copied_at`. Their revisions are given out again, in the next era.
+    fn restore(&self, copied_at: Instant) {
+        let mut objects = self.objects.borrow_mut();
+        let mut replaced = self.replaced.borrow_mut();
+        let mut revision = self.revision.get();
+        while let Some(write) = replaced.pop_back_if(|write| write.written_at >= copied_at) {
+            revision.number -= 1;
+            match write.object {
+                Some(object) => objects.insert(write.key, object),
+                None => objects.remove(&write.key),
+            };
+        }
+        replaced.clear();
+        revision.era += 1;
+        self.revision.set(revision);
+        for stored in objects.values_mut() {
+            stored.previous = None;
+            stored.current.revision.era = revision.era;
+        }
+    }
+
     /// Returns all VMs, or only those that are leaving if the query asks for them.
     fn vms(&self, query: Option<&str>) -> Response<Body> {
         let switches = self.control.switches();
@@ -159,7 +208,7 @@
         match Call::parse(request) {
             Some(Call::List { kind }) => {
                 self.control.count("list", 1);
-                wire::list_response(&self.changes_since(&kind, 0))
+                wire::list_response(&self.changes_after(&kind, 0))
             }
             Some(Call::Watch { kind, after, wait }) => self.watch(&kind, after, wait).await,
             Some(Call::Get { kind, name }) => self.get(&kind, &name),
@@ -174,9 +223,8 @@
                 value,
             }) => {
                 let revision_matches = |current: Option<&Object>| {
-                    let is_current =
-                        |revision: u64| current.map(|object| object.revision) == Some(revision);
-                    current.is_some() && revision.is_none_or(is_current)
+                    let number = current.map(|object| object.revision.number);
+                    current.is_some() && revision.is_none_or(|revision| number == Some(revision))
                 };
                 self.write((kind, name), value, revision_matches)
             }
@@ -197,7 +245,7 @@
     /// Writes an object if `condition` holds for its current version.
     fn write(
         &self,
-        key: (String, String),
+        key: Key,
         value: Box<RawValue>,
         condition: impl Fn(Option<&Object>) -> bool,
     ) -> Response<Body> {
@@ -222,8 +270,9 @@
     }
 
     /// Stores a new version of an object and notifies the watchers.
-    fn store(&self, key: (String, String), value: Box<RawValue>) -> Object {
-        let revision = self.revision.get() + 1;
+    fn store(&self, key: Key, value: Box<RawValue>) -> Object {
+        let mut revision = self.revision.get();
+        revision.number += 1;
         self.revision.set(revision);
         let mut objects = self.objects.borrow_mut();
         let current = Object {
@@ -231,11 +280,16 @@
             revision,
             value,
         };
-        let previous = objects.remove(&key).map(|stored| stored.current);
+        let replaced = objects.remove(&key);
         let stored = StoredObject {
             current: current.clone(),
-            previous,
+            previous: replaced.as_ref().map(|stored| stored.current.clone()),
         };
+        self.record_replaced(Replaced {
+            written_at: Instant::now(),
+            key: key.clone(),
+            object: replaced,
+        });
         objects.insert(key, stored);
         for watcher in self.watchers.take() {
             // The caller of the watch may have disconnected.
@@ -244,14 +298,26 @@
         current
     }
 
+    /// Remembers a write, and forgets those that are older than any copy.
+    fn record_replaced(&self, write: Replaced) {
+        let now = write.written_at;
+        let mut replaced = self.replaced.borrow_mut();
+        replaced.push_back(write);
+        let is_old = |write: &mut Replaced| now - write.written_at > MAX_COPY_AGE;
+        while replaced.pop_front_if(is_old).is_some() {}
+    }
+
     /// Returns the changes after the revision `after`, waiting up to `wait` for one.
     async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Response<Body> {
         self.control.count("watch", 1);
+        if after > self.revision.get().number {
+            return response(StatusCode::GONE, "no such revision");
+        }
         let deadline = Instant::now() + wait.min(MAX_WAIT);
         loop {
             let (sender, receiver) = oneshot::channel();
             self.watchers.borrow_mut().push(sender);
-            let changed = self.changes_since(kind, after);
+            let changed = self.changes_after(kind, after);
             if !changed.objects.is_empty() {
                 return wire::watch_response(&changed);
             }
@@ -259,25 +325,27 @@
                 Ok(Ok(())) => {}
                 // A restart dropped the sender.
                 Ok(Err(_)) => return abort(),
-                Err(_) => return wire::watch_response(&self.changes_since(kind, after)),
+                Err(_) => return wire::watch_response(&self.changes_after(kind, after)),
             }
         }
     }
 
     /// Returns the objects of `kind` written after the revision `after`, ordered by revision.
-    fn changes_since(&self, kind: &str, after: u64) -> Listing {
+    fn changes_after(&self, kind: &str, after: u64) -> Listing {
         let objects = self.objects.borrow();
         let mut changed: Vec<Object> = objects
             .iter()
             .filter(|((of, _), _)| of == kind)
             .filter_map(|(_, stored)| self.visible_version(stored))
-            .filter(|object| object.revision > after)
+            .filter(|object| object.revision.number > after)
             .cloned()
             .collect();
         changed.sort_by_key(|object| object.revision);
         let stale = u64::from(self.control.switches().stale_reads);
+        let mut revision = self.revision.get();
+        revision.number = revision.number.saturating_sub(stale);
         Listing {
-            revision: self.revision.get().saturating_sub(stale),
+            revision,
             objects: changed,
             deleted: Vec::new(),
         }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -82,6 +82,7 @@
     SOURCE_CHANGED = 263 Info "source-changed";
     TARGET_LIMITED = 264 Info "target-limited";
     ANSWER_TOO_LARGE = 265 Warn "answer-too-large";
+    STORE_RESTORED = 270 Warn "store-restored";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
