--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -83,6 +83,7 @@
     TARGET_LIMITED = 264 Info "target-limited";
     ANSWER_TOO_LARGE = 265 Warn "answer-too-large";
     ERROR_ANSWER = 266 Info "error-answer";
+    STORE_RESTORED = 270 Warn "store-restored";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
