dispatch: send requests only to targets in their homes

A route or tenant may name the regions that may serve its requests (`allowed_regions`). Nothing read the field: such a request went to the nearest target.

Change: the field is decoded to `Homes`; where route and tenant both have some, a region must be in both, and an empty list is no restriction. The settings of an entry tell the region of each failure domain, as those of an agent do. The condition is part of a target's eligibility, so it holds for first placements, repeats, second attempts, moved and continued streams; a domain without a known region serves no such request. Requests with the same homes are scanned and forecast apart from the others of the service. Without a target in a home the request is refused at once with `no-home` and a time to come back.

Evidence: with the condition on regions left out, 7 of the 9 tests in `homes` fail, for example choose_home::far left: Some("a") right: Some("b") retry_at_home left: ["a", "c"] right: ["b", "c"] move_stays_home left: true right: false With one forecast and one scan for all homes busy_region_apart fails: the request for the free region is not placed (left: [] right: [(107, "b")]). `homes::requests_stay_home` plays it with an entry, a store and two targets.

--- a/bins/entry/src/ingress/call.rs
+++ b/bins/entry/src/ingress/call.rs
@@ -1,9 +1,10 @@
 //! Admitted requests of callers, and error responses issued by the entry.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use dispatch::{Config, RequestContext, RequestKind};
+use dispatch::{Config, Homes, RequestContext, RequestKind};
 use hyper::Uri;
 use node::http::{Body, HeaderMap, Method, Request, Response, StatusCode, header, response};
 use platform::request::{Caller, Instructions};
@@ -27,6 +28,7 @@
     pub(super) deadline: Instant,
     attempts: u32,
     priority: u8,
+    homes: Option<Rc<Homes>>,
     workspace: Option<String>,
     method: Method,
     uri: Uri,
@@ -104,6 +106,10 @@
             priority: tenant
                 .and_then(|tenant| tenant.priority)
                 .unwrap_or(route.priority),
+            homes: Homes::intersect(
+                route.homes.as_ref(),
+                tenant.and_then(|tenant| tenant.homes.as_ref()),
+            ),
             workspace: tenant.map(|tenant| tenant.name.clone()),
             method: parts.method,
             uri,
@@ -133,6 +139,7 @@
             output_tokens: self.caller.output,
             model: self.caller.model.clone(),
             weights_version: None,
+            homes: self.homes.clone(),
             attempts_left: self.attempts,
             tried_targets: Vec::new(),
         }
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -84,7 +84,8 @@
         let versions = RequiredVersions::new(settings.bounds.version_deadline);
         let retries = settings.bounds.retries;
         let seed = rand::rng().random();
-        let scheduler = Scheduler::new(&settings.domain, versions, retries, seed);
+        let mut scheduler = Scheduler::new(&settings.domain, versions, retries, seed);
+        scheduler.set_regions(settings.regions.clone());
         Rc::new_cyclic(|me| Self {
             me: me.clone(),
             relays: RefCell::new(Relays::new(settings.load_listen)),
--- a/bins/entry/src/ingress/settings.rs
+++ b/bins/entry/src/ingress/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dispatch::RetryLimit;
+use dispatch::{RegionMap, RetryLimit};
 use node::settings::Fields;
 
 /// Settings of the ingress, read from the settings file.
@@ -13,6 +13,8 @@
     pub name: String,
     /// Failure domain of the VM.
     pub domain: String,
+    /// Region of each failure domain.
+    pub regions: RegionMap,
     /// Port for callers.
     pub caller_listen: SocketAddr,
     /// Port for the balancer's readiness checks.
@@ -48,6 +50,7 @@
         let address = "an address such as \"10.0.0.1:8080\"";
         let name = fields.text("name");
         let domain = fields.text("domain");
+        let regions = fields.required("regions", "an object of regions by failure domain");
         let caller_listen = fields.required("caller_listen", address);
         let ready_listen = fields.required("ready_listen", address);
         let operator_listen = fields.required("operator_listen", address);
@@ -57,6 +60,7 @@
         Some(Self {
             name: name?,
             domain: domain?,
+            regions: regions?,
             caller_listen: caller_listen?,
             ready_listen: ready_listen?,
             operator_listen: operator_listen?,
--- a/crates/dispatch/src/config.rs
+++ b/crates/dispatch/src/config.rs
@@ -2,11 +2,14 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use quota::Limit;
 use serde::{Deserialize, Serialize};
 
+use crate::region::Homes;
+
 /// One version of the configuration, indexed for request routing.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Config {
@@ -45,6 +48,8 @@
     pub max_attempts: u32,
     /// Whether requests are accepted without an API key.
     pub anonymous: bool,
+    /// Regions whose targets may serve the route's requests; `None` for all regions.
+    pub homes: Option<Rc<Homes>>,
 }
 
 /// Whether a request may be retried without the caller's consent.
@@ -143,6 +148,8 @@
     pub name: String,
     /// Priority of its requests; overrides that of the route.
     pub priority: Option<u8>,
+    /// Regions whose targets may serve the tenant's requests; `None` for all regions.
+    pub homes: Option<Rc<Homes>>,
 }
 
 /// Bounds on the size of callers' requests and on the time callers may take to send them.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod health;
 mod path;
 mod queue;
+mod region;
 mod request;
 mod scheduler;
 mod target;
@@ -22,6 +23,7 @@
     Config, Engine, Limits, Model, Origin, RequestKind, Route, Service, Tenant, WeightSource,
 };
 pub use health::{Failure, Health};
+pub use region::{Homes, Region, RegionMap};
 pub use request::{Reason, RequestContext, RequestId};
 pub use scheduler::{Decision, Outcome, PermitQuery, Placement, Scheduler};
 pub use target::{Load, Target, TargetId};
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -1,8 +1,10 @@
 //! Queue of a service's requests that wait for a target.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use crate::region::Homes;
 use crate::request::{RequestContext, RequestId};
 
 /// Share of the objective that a request may spend in the queue; the target needs the rest.
@@ -23,13 +25,24 @@
     pub(crate) request: RequestId,
 }
 
+/// The regions that a request is restricted to. The targets of one class may have room while those of another have
+/// none.
+pub(crate) type Class = Option<Rc<Homes>>;
+
 /// Waiting requests in order of urgency.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
     waiting: BTreeMap<QueueKey, RequestContext>,
-    /// Mean time between two placements while requests were waiting, in seconds.
-    placement_interval: Option<f64>,
-    last_placement: Option<Instant>,
+    /// Recent placements of each class.
+    placements: BTreeMap<Class, Placements>,
+}
+
+/// Placements of one class while its requests were waiting.
+#[derive(Clone, Copy, Debug)]
+struct Placements {
+    /// Mean time between two of them, in seconds.
+    interval: Option<f64>,
+    last: Instant,
 }
 
 impl Queue {
@@ -51,8 +64,18 @@
         key.is_some_and(|key| self.waiting.remove(&key).is_some())
     }
 
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (QueueKey, &RequestContext)> {
-        self.waiting.iter().map(|(key, work)| (*key, work))
+    /// Returns the most urgent requests, at most `max` of each class.
+    pub(crate) fn most_urgent(&self, max: usize) -> Vec<QueueKey> {
+        let mut counts: BTreeMap<&Class, usize> = BTreeMap::new();
+        let mut keys = Vec::new();
+        for (key, work) in &self.waiting {
+            let count = counts.entry(&work.homes).or_default();
+            if *count < max {
+                *count += 1;
+                keys.push(*key);
+            }
+        }
+        keys
     }
 
     /// Returns the time until which `work` may stay in the queue.
@@ -65,39 +88,56 @@
         self.waiting.values().map(Self::wait_deadline).min()
     }
 
-    /// Records that a request was placed at `now`; `waited` is whether it had to wait for a target.
-    pub(crate) fn record_placement(&mut self, now: Instant, waited: bool) {
+    /// Records that a request of `class` was placed at `now`; `waited` is whether it had to wait for a target.
+    pub(crate) fn record_placement(&mut self, now: Instant, class: Class, waited: bool) {
+        self.placements
+            .retain(|_, placements| placements.is_recent(now));
         if !waited {
-            self.placement_interval = None;
-            self.last_placement = None;
+            self.placements.remove(&class);
             return;
         }
-        if let Some(last) = self.last_placement.replace(now) {
-            let elapsed = now.saturating_duration_since(last);
-            if elapsed < MEAN_MAX_AGE {
-                let elapsed = elapsed.as_secs_f64();
-                let mean = self.placement_interval.unwrap_or(elapsed);
-                self.placement_interval = Some(mean + (elapsed - mean) * NEWEST_WEIGHT);
+        match self.placements.get_mut(&class) {
+            Some(placements) => placements.record(now),
+            None => {
+                let first = Placements {
+                    interval: None,
+                    last: now,
+                };
+                self.placements.insert(class, first);
             }
         }
     }
 
-    /// Estimates the time that `work` would wait behind the requests ahead of it.
+    /// Estimates the time that `work` would wait behind the requests of its class ahead of it.
     pub(crate) fn expected_wait(&self, now: Instant, work: &RequestContext) -> Option<Duration> {
-        let fresh = self
-            .last_placement
-            .is_some_and(|last| now.saturating_duration_since(last) < MEAN_MAX_AGE);
-        let placement_interval = self.placement_interval.filter(|_| fresh)?;
+        let placements = self.placements.get(&work.homes);
+        let interval = placements
+            .filter(|placements| placements.is_recent(now))?
+            .interval?;
         let ahead = self
             .waiting
             .range(..QueueKey::of(RequestId::MAX, work))
+            .filter(|(_, other)| other.homes == work.homes)
             .count();
         Some(Duration::from_secs_f64(
-            (placement_interval * ahead as f64).min(3600.0),
+            (interval * ahead as f64).min(3600.0),
         ))
     }
 }
 
+impl Placements {
+    fn record(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.last).as_secs_f64();
+        let mean = self.interval.unwrap_or(elapsed);
+        self.interval = Some(mean + (elapsed - mean) * NEWEST_WEIGHT);
+        self.last = now;
+    }
+
+    fn is_recent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last) < MEAN_MAX_AGE
+    }
+}
+
 impl QueueKey {
     fn of(request: RequestId, work: &RequestContext) -> Self {
         Self {
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -1,8 +1,10 @@
 //! A request as the scheduler handles it.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use crate::config::RequestKind;
+use crate::region::Homes;
 use crate::target::TargetId;
 
 /// Number of a request in the scheduler, unique within an entry's process.
@@ -35,6 +37,8 @@
     pub model: Option<String>,
     /// Version of the weights that the target must hold, if a stream is to be continued.
     pub weights_version: Option<u64>,
+    /// Regions whose targets may serve the request; `None` for all regions.
+    pub homes: Option<Rc<Homes>>,
     /// Number of targets that the request may still be sent to.
     pub attempts_left: u32,
     /// Targets that the request was sent to.
@@ -46,6 +50,8 @@
 pub enum Reason {
     /// No target of the service accepts requests.
     NoTarget,
+    /// No target of the service is in a region that may serve the request.
+    NoHome,
     /// All targets are busy and the request would not be served on time.
     Overload,
     /// Every eligible target is paused or has reached its rate limit.
@@ -61,6 +67,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::NoTarget => "no-target",
+            Self::NoHome => "no-home",
             Self::Overload => "overload",
             Self::Paused => "paused",
             Self::Refused => "refused",
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -17,7 +17,8 @@
 use crate::config::{Config, RequestKind};
 use crate::health::Failure;
 use crate::path::NetworkPaths;
-use crate::queue::Queue;
+use crate::queue::{Class, Queue};
+use crate::region::RegionMap;
 use crate::request::{Reason, RequestContext, RequestId};
 use crate::target::{Load, Target, TargetId, TargetState};
 use crate::versions::RequiredVersions;
@@ -36,7 +37,7 @@
 /// Time before the bound of a version at which requests that have not begun on older weights are cancelled, so that
 /// their targets learn of it in time.
 const BEGIN_MARGIN: Duration = Duration::from_millis(300);
-/// Maximum number of waiting requests that are considered in one poll.
+/// Maximum number of waiting requests of a class that are considered in one poll.
 const MAX_SCANNED: usize = 64;
 /// Number of consecutive requests without room at any target after which the search stops. The rest of those considered
 /// only wait or expire, because they are unlikely to find room either.
@@ -46,6 +47,7 @@
 #[derive(Debug)]
 pub struct Scheduler {
     domain: String,
+    regions: RegionMap,
     config: Option<Rc<Config>>,
     versions: RequiredVersions,
     targets: BTreeMap<TargetId, TargetState>,
@@ -132,6 +134,7 @@
     ) -> Self {
         Self {
             domain: domain.into(),
+            regions: RegionMap::new(),
             config: None,
             versions,
             targets: BTreeMap::new(),
@@ -148,6 +151,11 @@
         }
     }
 
+    /// Sets the region of each failure domain. A request that is restricted to regions is not sent to other domains.
+    pub fn set_regions(&mut self, regions: RegionMap) {
+        self.regions = regions;
+    }
+
     /// Sets the number of entries that share the retry budget and the targets' places.
     pub fn set_entries(&mut self, entries: usize) {
         let entries = entries.max(1);
@@ -460,9 +468,8 @@
         let Some(queue) = self.queues.get(service) else {
             return;
         };
-        let waiting: Vec<_> = queue.iter().map(|(key, _)| key).take(MAX_SCANNED).collect();
-        let mut consecutive_busy = 0;
-        for key in waiting {
+        let mut busy_counts: BTreeMap<Class, usize> = BTreeMap::new();
+        for key in queue.most_urgent(MAX_SCANNED) {
             let Some(work) = self
                 .queues
                 .get_mut(service)
@@ -481,15 +488,17 @@
                 0 => Backlog::Allowed,
                 _ => Backlog::None,
             };
-            let choice = match consecutive_busy < MAX_CONSECUTIVE_BUSY {
+            let class = work.homes.clone();
+            let consecutive_busy = busy_counts.entry(class.clone()).or_default();
+            let choice = match *consecutive_busy < MAX_CONSECUTIVE_BUSY {
                 true => self.choose(now, &work, backlog),
                 false => Choice::Busy,
             };
             // A request that is restricted to a few targets does not show whether the others have room.
             let restricted = work.weights_version.is_some() || !work.tried_targets.is_empty();
-            consecutive_busy = match choice {
-                Choice::Busy if restricted => consecutive_busy,
-                Choice::Busy => consecutive_busy + 1,
+            *consecutive_busy = match choice {
+                Choice::Busy if restricted => *consecutive_busy,
+                Choice::Busy => *consecutive_busy + 1,
                 _ => 0,
             };
             match choice {
@@ -498,7 +507,7 @@
                         decisions.push(Decision::Send(place));
                     }
                     if let Some(queue) = self.queues.get_mut(service) {
-                        queue.record_placement(now, waited);
+                        queue.record_placement(now, class, waited);
                     }
                 }
                 Choice::Busy if Queue::wait_deadline(&work) > now => {
@@ -518,10 +527,7 @@
                     decisions.push(self.reject_paused(now, key.request, &work, until));
                 }
                 Choice::NoTarget => {
-                    let reason = match work.tried_targets.is_empty() {
-                        true => Reason::NoTarget,
-                        false => Reason::Refused,
-                    };
+                    let reason = self.no_target_reason(&work);
                     decisions.push(self.reject(now, key.request, &work, reason));
                 }
             }
--- a/crates/dispatch/src/scheduler/choice.rs
+++ b/crates/dispatch/src/scheduler/choice.rs
@@ -8,7 +8,7 @@
 use crate::admission::Admission;
 use crate::config::Engine;
 use crate::request::RequestContext;
-use crate::target::{TargetId, TargetState};
+use crate::target::{Target, TargetId, TargetState};
 
 /// Maximum number of requests beyond its slots that an engine may hold, so that a freed slot is reused at once.
 const MAX_ENGINE_BACKLOG: u32 = 2;
@@ -149,6 +149,7 @@
         if target.service != work.service
             || !state.is_accepting(now)
             || work.tried_targets.contains(&target.id)
+            || !self.is_home(target, work)
         {
             return false;
         }
@@ -164,6 +165,16 @@
         }
     }
 
+    /// Returns whether `target` is in a region that may serve a request.
+    ///
+    /// A target whose failure domain is in no known region only serves requests without such a restriction.
+    pub(super) fn is_home(&self, target: &Target, work: &RequestContext) -> bool {
+        work.homes.as_ref().is_none_or(|homes| {
+            let region = self.regions.get(&target.domain);
+            region.is_some_and(|region| homes.contains(region))
+        })
+    }
+
     /// Returns the estimated time to the first token plus penalties, in milliseconds, or `None` if there is no room.
     fn engine_cost(
         &self,
--- a/crates/dispatch/src/scheduler/rejection.rs
+++ b/crates/dispatch/src/scheduler/rejection.rs
@@ -6,6 +6,7 @@
 
 use super::{Decision, Scheduler};
 use crate::request::{Reason, RequestContext, RequestId};
+use crate::target::Target;
 
 impl Scheduler {
     /// Returns the time after which a caller that waits until `deadline` may retry.
@@ -31,6 +32,18 @@
         }
     }
 
+    /// Returns why no target accepts a request.
+    pub(super) fn no_target_reason(&self, work: &RequestContext) -> Reason {
+        let mut targets = self.targets.values().map(|state| &state.target);
+        let at_home =
+            |target: &Target| target.service == work.service && self.is_home(target, work);
+        match work.tried_targets.is_empty() {
+            true if work.homes.is_some() && !targets.any(at_home) => Reason::NoHome,
+            true => Reason::NoTarget,
+            false => Reason::Refused,
+        }
+    }
+
     /// Rejects a request whose targets are all paused or rate-limited until `until`.
     ///
     /// The retry time is after `until`, with the same random spread as for other rejections.
--- a/crates/dispatch/tests/dispatch/config.rs
+++ b/crates/dispatch/tests/dispatch/config.rs
@@ -21,6 +21,7 @@
             .collect(),
         max_attempts: 1,
         anonymous: false,
+        homes: None,
     }
 }
 
@@ -36,6 +37,7 @@
     let tenant = Tenant {
         name: "club".into(),
         priority: Some(0),
+        homes: None,
     };
     Config::new(
         3,
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod demand;
 mod health;
+mod homes;
 mod limit;
 mod load;
 mod moves;
