--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -90,8 +90,9 @@
         let versions = RequiredVersions::new(settings.bounds.version_deadline);
         let retries = settings.bounds.retries;
         let seed = rand::rng().random();
-        let scheduler = Scheduler::new(&settings.domain, versions, retries, seed);
         let store = platform::Client::new(settings.platform, STORE_TIMEOUT);
+        let mut scheduler = Scheduler::new(&settings.domain, versions, retries, seed);
+        scheduler.set_regions(settings.regions.clone());
         Rc::new_cyclic(|me| Self {
             me: me.clone(),
             relays: RefCell::new(Relays::new(settings.load_listen)),
