agent: verify staged chunks just before the order that loads them

Callers got responses from weights that were loaded while a staged chunk was corrupt, missing or of another version (WHOLE). The engine loads what is staged when it accepts the order and checks nothing, and the agent acted on what it had once sent: - nothing bounded the time from the first upload to the order; - an upload or order without a response within 500 ms was given up and the next version staged, while it could still take effect: the order named neither the state it expected nor its process; - responses name no request, so a repeated one shifted all later ones on the shared connection, and a refused upload looked successful.

A session of rollout::staging now has the states Opened, Uploaded and Verified, and only a verified one orders: all chunks are read back and compared with their digests while the target closes, those that differ are uploaded again, and the order must go out within 1.5 s of the beginning of that, by the boot-time clock; else they are verified again. All requests of a session go over a connection of its own, on which reads and a list prove that no earlier response is outstanding. Orders carry the engine's order count from before the upload and a fencing token, the uptime at the agent's start. After a request whose outcome is uncertain, and after the agent's start, another version is staged only once the engine has answered reports for 1 s (rollout::Settling); requests time out after 2 s instead of 0.5 s. A fenced agent uploads nothing until the engine restarts.

The time from closing to the engine's answer is 250 ms as before, the lead in which queued requests start, for 32 chunks of 1 KB: the upload moved before closing, and the read-back fits into the lead.

--- a/bins/agent/src/metrics/loads.rs
+++ b/bins/agent/src/metrics/loads.rs
@@ -20,6 +20,8 @@
     unknown: Family<Labels, Counter>,
     /// Orders that the engine began although this agent had none outstanding.
     pub unexpected: Counter,
+    /// Staged chunks that were missing or differed when they were read back.
+    pub differing: Counter,
     chunk_age: Histogram,
     closed: Histogram,
 }
@@ -40,6 +42,7 @@
             OrderResult::Begun => "begun",
             OrderResult::Done => "done",
             OrderResult::Conflict => "conflict",
+            OrderResult::Fenced => "fenced",
             OrderResult::Refused => "refused",
         };
         add(&self.orders, "answer", answer);
@@ -70,9 +73,14 @@
             "Orders that the engine began although this agent had none outstanding",
             self.unexpected.clone(),
         );
+        registry.register(
+            "staged_chunks_differing",
+            "Staged chunks that were missing or differed when they were read back",
+            self.differing.clone(),
+        );
         registry.register_with_unit(
             "order_chunk_age",
-            "Time from the staging of the oldest chunk to the response to the order",
+            "Time from the verification of the oldest chunk to the response to the order",
             Unit::Seconds,
             self.chunk_age.clone(),
         );
@@ -91,6 +99,7 @@
             orders: Family::default(),
             unknown: Family::default(),
             unexpected: Counter::default(),
+            differing: Counter::default(),
             chunk_age: Histogram::new(DURATION_BOUNDS),
             closed: Histogram::new(DURATION_BOUNDS),
         }
--- a/bins/agent/src/rollout/engine.rs
+++ b/bins/agent/src/rollout/engine.rs
@@ -5,19 +5,30 @@
 
 use bytes::Bytes;
 use node::http::{self, Body, Client, Request, StatusCode};
-use platform::engine::{self, OrderResult, Report};
+use platform::engine::{self, Order, OrderResult, Report};
 use weights::ChunkIndex;
 
-/// Timeout of a request; the engine is on the same VM.
-const TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout of a report; the engine is on the same VM.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum response size, in bytes; the largest response is a chunk of weights.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
 
-/// Client of the engine on this VM; clones share connections.
-#[derive(Clone)]
+/// Client of the engine on this VM.
 pub(super) struct Engine {
+    address: SocketAddr,
+    /// Connections for reports.
+    reports: Client,
+}
+
+/// A connection to the engine that sends one request after another.
+///
+/// Responses of the engine don't name their request: nothing else may use the connection, and it must be dropped after
+/// an unexpected response.
+pub(super) struct Connection {
     address: SocketAddr,
     http: Client,
+    /// Timeout of each request.
+    timeout: Duration,
 }
 
 /// A failed request to the engine.
@@ -43,7 +54,7 @@
     pub(super) fn new(address: SocketAddr) -> Self {
         Self {
             address,
-            http: Client::new(),
+            reports: Client::new(),
         }
     }
 
@@ -51,21 +62,45 @@
         self.address
     }
 
+    /// Returns a connection that nothing else uses; it is opened with its first request.
+    pub(super) fn connect(&self, timeout: Duration) -> Connection {
+        Connection {
+            address: self.address,
+            http: Client::new(),
+            timeout,
+        }
+    }
+
+    /// Returns the engine's state.
+    pub(super) async fn report(&self) -> Result<Report, Error> {
+        let (status, body) = send(
+            &self.reports,
+            self.address,
+            engine::report(),
+            REPORT_TIMEOUT,
+        )
+        .await?;
+        Ok(engine::decode_report(&require_ok(status, body)?)?)
+    }
+}
+
+impl Connection {
     /// Returns the engine's state.
     pub(super) async fn report(&self) -> Result<Report, Error> {
-        let body = self.fetch(engine::report()).await?;
-        Ok(engine::decode_report(&body)?)
+        let (status, body) = self.send(engine::report()).await?;
+        Ok(engine::decode_report(&require_ok(status, body)?)?)
     }
 
     /// Returns the indices of the staged chunks of `model`.
     pub(super) async fn staged_chunks(&self, model: &str) -> Result<Vec<ChunkIndex>, Error> {
-        let body = self.fetch(engine::staged_list(model)).await?;
-        Ok(engine::decode_staged(&body)?)
+        let (status, body) = self.send(engine::staged_list(model)).await?;
+        Ok(engine::decode_staged(&require_ok(status, body)?)?)
     }
 
     /// Returns the current content of a staged chunk, which may be corrupt.
     pub(super) async fn read_staged(&self, model: &str, index: ChunkIndex) -> Result<Bytes, Error> {
-        self.fetch(engine::staged(model, index)).await
+        let (status, body) = self.send(engine::staged(model, index)).await?;
+        require_ok(status, body)
     }
 
     /// Stages a chunk.
@@ -82,28 +117,35 @@
         }
     }
 
-    /// Orders the engine to load the staged chunks as `version`.
-    pub(super) async fn start(&self, model: &str, version: u64) -> Result<OrderResult, Error> {
-        let (status, _) = self.send(engine::start(model, version)).await?;
+    /// Orders the engine to load the staged chunks.
+    pub(super) async fn start(&self, order: &Order<'_>) -> Result<OrderResult, Error> {
+        let (status, _) = self.send(engine::start(order)).await?;
         Ok(engine::order_result(status))
     }
 
-    /// Sends a request and returns the body of a response with status 200.
-    async fn fetch(&self, request: Request<Body>) -> Result<Bytes, Error> {
-        let (status, body) = self.send(request).await?;
-        match status {
-            StatusCode::OK => Ok(body),
-            status => Err(Error::Status(status)),
-        }
+    async fn send(&self, request: Request<Body>) -> Result<(StatusCode, Bytes), Error> {
+        send(&self.http, self.address, request, self.timeout).await
     }
+}
 
-    async fn send(&self, request: Request<Body>) -> Result<(StatusCode, Bytes), Error> {
-        let response = self
-            .http
-            .send(self.address, request, Instant::now() + TIMEOUT)
-            .await?;
-        let status = response.status();
-        let body = response.into_body().collect(MAX_RESPONSE_BYTES).await?;
-        Ok((status, body))
+async fn send(
+    http: &Client,
+    address: SocketAddr,
+    request: Request<Body>,
+    timeout: Duration,
+) -> Result<(StatusCode, Bytes), Error> {
+    let response = http
+        .send(address, request, Instant::now() + timeout)
+        .await?;
+    let status = response.status();
+    let body = response.into_body().collect(MAX_RESPONSE_BYTES).await?;
+    Ok((status, body))
+}
+
+/// Returns the body of a response with status 200.
+fn require_ok(status: StatusCode, body: Bytes) -> Result<Bytes, Error> {
+    match status {
+        StatusCode::OK => Ok(body),
+        status => Err(Error::Status(status)),
     }
 }
--- a/bins/agent/src/rollout/loads.rs
+++ b/bins/agent/src/rollout/loads.rs
@@ -99,7 +99,11 @@
     loop {
         let closing = state.closing.get();
         match state.engine.report().await {
-            Ok(report) => record_report(state, report),
+            Ok(report) => {
+                let now = Instant::now();
+                state.settling.borrow_mut().report_answered(now);
+                record_report(state, report);
+            }
             Err(error) => {
                 let now = Instant::now();
                 if state
--- a/bins/agent/src/rollout/state.rs
+++ b/bins/agent/src/rollout/state.rs
@@ -10,7 +10,7 @@
 use dispatch::{Origin, Target, WeightSource};
 use node::event;
 use platform::engine::Report;
-use rollout::{Position, Rollout};
+use rollout::{Position, Rollout, Settling};
 
 use super::Settings;
 use super::engine::Engine;
@@ -50,6 +50,12 @@
     targets_read_for: Cell<Option<Option<u64>>>,
     /// Whether entries should send requests to other targets because an order is about to be sent.
     pub(super) closing: Cell<bool>,
+    /// Requests to the engine that may still take effect although they have no response.
+    pub(super) settling: RefCell<Settling>,
+    /// Fencing token of this process's orders, which grows with each agent that starts on this VM.
+    pub(super) fencing_token: u64,
+    /// Start of the engine that has seen the fencing token of a later agent, if any.
+    pub(super) superseded_at: Cell<Option<u64>>,
     /// Metrics of the loads that this agent orders.
     pub(super) metrics: LoadMetrics,
 }
@@ -68,6 +74,10 @@
             targets: RefCell::default(),
             targets_read_for: Cell::new(None),
             closing: Cell::new(false),
+            settling: RefCell::new(Settling::new(Instant::now())),
+            // The agent and the engine share the VM, and a restarted engine forgets the tokens that it has seen.
+            fencing_token: node::time::uptime().as_millis() as u64,
+            superseded_at: Cell::new(None),
             metrics: LoadMetrics::default(),
         })
     }
--- a/bins/agent/src/rollout/switch.rs
+++ b/bins/agent/src/rollout/switch.rs
@@ -1,4 +1,4 @@
-//! Stages a version in the engine and orders the engine to load it.
+//! Loads a version into the engine when its turn comes.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -6,20 +6,45 @@
 use burst::Version;
 use bytes::Bytes;
 use node::event;
+use node::time::uptime;
 use platform::engine::OrderResult;
 use rollout::Step;
 
-use super::engine::Error;
+use super::staging::{Content, Error, Outcome, Session, Uploaded};
 use super::state::State;
-use crate::metrics::Change;
 use crate::transfer::Holdings;
 
 /// Time between closing the target to new requests and sending the order, in which requests queued in the engine start.
 const CLOSE_LEAD: Duration = Duration::from_millis(250);
 /// Delay after a failed attempt.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Delay after finding that earlier requests may still take effect in the engine.
+const SETTLE_DELAY: Duration = Duration::from_millis(50);
 /// Maximum time between two checks of the rollout.
 const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Verifications before the target opens again; one may expire because the process was paused.
+const MAX_VERIFICATIONS: u32 = 3;
+
+/// Closes the target to new requests until it is dropped.
+struct Closing<'a> {
+    state: &'a State,
+    since: Instant,
+}
+
+impl<'a> Closing<'a> {
+    fn start(state: &'a State, now: Instant) -> Self {
+        state.closing.set(true);
+        state.changed.notify();
+        Self { state, since: now }
+    }
+}
+
+impl Drop for Closing<'_> {
+    fn drop(&mut self) {
+        self.state.closing.set(false);
+        self.state.changed.notify();
+    }
+}
 
 /// Loads versions when the engine's turn comes; never returns.
 pub(super) async fn run(state: Rc<State>, holdings: Rc<Holdings>) {
@@ -44,97 +69,123 @@
         return;
     };
     let version = holdings.named_version(&model, &number.to_string());
-    let Some(chunks) = version.and_then(|version| chunks_of(holdings, &version)) else {
+    let content = version.and_then(|version| {
+        let chunks = chunks_of(holdings, &version)?;
+        Some(Content {
+            model,
+            number,
+            version,
+            chunks,
+        })
+    });
+    let Some(content) = content else {
         event!(event::WEIGHTS_MISSING, version = number);
         compio::time::sleep(RETRY_DELAY).await;
         return;
     };
-    state.closing.set(true);
-    state.changed.notify();
-    let closed_at = Instant::now();
-    let order_at = closed_at + CLOSE_LEAD;
-    let result = stage_chunks(state, &model, chunks).await;
-    if let Err(error) = &result {
-        log_unknown(state, &model, number, Change::Upload, error);
+    if !may_load(state, Instant::now(), &content) {
+        compio::time::sleep(SETTLE_DELAY).await;
+        return;
+    }
+    let result = stage_and_order(state, &content).await;
+    if !apply_result(state, &content, &result) {
+        compio::time::sleep(RETRY_DELAY).await;
     }
+}
+
+/// Returns whether nothing else changes what the engine holds at `now`: no late request of another version, and no later
+/// agent.
+fn may_load(state: &State, now: Instant, content: &Content) -> bool {
+    let manifest = content.version.digest();
+    let report = state.report.borrow();
+    let born = report.as_ref().and_then(|(_, report)| report.born);
+    let superseded = state.superseded_at.get();
+    let may_stage = state.settling.borrow().may_stage(now, manifest);
+    may_stage && (superseded.is_none() || superseded != born)
+}
+
+/// Stages and verifies the chunks and orders the engine to load them. The target closes before the verification, so that
+/// requests go to other targets until the engine has loaded.
+async fn stage_and_order(state: &State, content: &Content) -> Result<OrderResult, Error> {
+    let session = Session::open(state, content).await?;
+    let mut session = session.upload().await?;
+    let closing = Closing::start(state, Instant::now());
+    for _ in 0..MAX_VERIFICATIONS {
+        match verify_and_order(session, content, &closing).await? {
+            Outcome::Answered(result) => return Ok(result),
+            Outcome::Expired(expired) => session = expired,
+        }
+    }
+    Err(Error::Expired(MAX_VERIFICATIONS))
+}
+
+async fn verify_and_order<'a>(
+    session: Session<'a, Uploaded>,
+    content: &Content,
+    closing: &Closing<'_>,
+) -> Result<Outcome<'a>, Error> {
+    let session = session.verify(uptime()).await?;
+    let order_at = closing.since + CLOSE_LEAD;
     compio::time::sleep(order_at.saturating_duration_since(Instant::now())).await;
-    let result = match result {
-        Ok(()) => order(state, &model, number, closed_at).await,
-        Err(error) => Err(error),
-    };
-    state.closing.set(false);
+    let since = session.verified_since();
+    let (orders, born) = (session.report().orders, session.report().born);
+    let outcome = session.order(uptime()).await?;
+    if let Outcome::Answered(result) = &outcome {
+        let (age, closed) = (uptime().saturating_sub(since), closing.since.elapsed());
+        closing.state.metrics.record_order(*result, age, closed);
+        event!(
+            event::ORDER_ANSWERED,
+            pin = content.pin(),
+            answer = format_args!("{result:?}"),
+            chunk_age_ms = age.as_millis(),
+            closed_ms = closed.as_millis(),
+            orders = orders,
+            born = born.unwrap_or_default()
+        );
+    }
+    Ok(outcome)
+}
+
+/// Records the result of an attempt to load `content` and returns whether the engine loads or has loaded it.
+fn apply_result(state: &State, content: &Content, result: &Result<OrderResult, Error>) -> bool {
+    let now = Instant::now();
+    // A status that reads may have, too, isn't certain to be the response to the order.
+    if matches!(result, Ok(OrderResult::Done) | Err(_)) {
+        let manifest = content.version.digest();
+        state.settling.borrow_mut().response_lost(now, manifest);
+    }
     match result {
         Ok(accepted @ (OrderResult::Begun | OrderResult::Done)) => {
             event!(
                 event::ORDERED,
-                pin = format_args!("{model}@{number}"),
-                number = 0,
+                pin = content.pin(),
+                number = state.fencing_token,
                 answer = format_args!("{accepted:?}")
             );
-            state
-                .rollout
-                .borrow_mut()
-                .order_sent(Instant::now(), number);
-        }
-        Ok(refused) => {
-            event!(
-                event::ORDER_FAILED,
-                version = number,
-                error = format_args!("{refused:?}")
-            );
-            compio::time::sleep(RETRY_DELAY).await;
-        }
-        Err(error) => {
-            event!(event::ORDER_FAILED, version = number, error = error);
-            compio::time::sleep(RETRY_DELAY).await;
         }
+        Ok(refused) => log_failed(content, &format!("{refused:?}")),
+        Err(error) => log_failed(content, &error.to_string()),
     }
-    state.changed.notify();
-}
-
-/// Orders the engine to load the staged chunks, of which the first was written at `staged_at`, when the target closed.
-async fn order(
-    state: &State,
-    model: &str,
-    number: u64,
-    staged_at: Instant,
-) -> Result<OrderResult, Error> {
-    let result = state.engine.start(model, number).await;
-    match &result {
-        Ok(answer) => log_answer(state, model, number, *answer, staged_at.elapsed()),
-        Err(error) => log_unknown(state, model, number, Change::Order, error),
+    if matches!(result, Ok(OrderResult::Fenced)) {
+        let report = state.report.borrow();
+        let born = report.as_ref().and_then(|(_, report)| report.born);
+        state.superseded_at.set(born);
+        event!(event::SUPERSEDED, number = state.fencing_token);
     }
-    result
-}
-
-/// Logs the engine's response to an order, with the engine's state when it last reported.
-fn log_answer(state: &State, model: &str, number: u64, answer: OrderResult, age: Duration) {
-    state.metrics.record_order(answer, age, age);
-    let report = state.report.borrow();
-    let report = report.as_ref().map(|(_, report)| report);
-    event!(
-        event::ORDER_ANSWERED,
-        pin = format_args!("{model}@{number}"),
-        answer = format_args!("{answer:?}"),
-        chunk_age_ms = age.as_millis(),
-        closed_ms = age.as_millis(),
-        orders = report.map_or(0, |report| report.orders),
-        born = report.and_then(|report| report.born).unwrap_or_default()
+    let may_load = matches!(
+        result,
+        Ok(OrderResult::Begun | OrderResult::Done) | Err(Error::Order(_))
     );
+    if may_load {
+        let mut rollout = state.rollout.borrow_mut();
+        rollout.order_sent(now, content.number);
+        state.changed.notify();
+    }
+    may_load
 }
 
-/// Logs a failed request if it may have taken effect.
-fn log_unknown(state: &State, model: &str, number: u64, change: Change, error: &Error) {
-    if !error.is_unknown() {
-        return;
-    }
-    event!(
-        event::OUTCOME_UNKNOWN,
-        pin = format_args!("{model}@{number}"),
-        request = change.label(),
-        error = error
-    );
-    state.metrics.record_unknown(change);
+fn log_failed(content: &Content, error: &str) {
+    event!(event::ORDER_FAILED, version = content.number, error = error);
 }
 
 /// Returns all chunks of `version`, or `None` if one is no longer held.
@@ -144,13 +195,3 @@
     let digests = (0..version.chunk_count()).map(|chunk| version.chunk_digest(chunk));
     digests.map(|digest| holdings.chunk(&digest)).collect()
 }
-
-/// Stages all chunks in the engine.
-///
-/// This runs just before the order, because staged chunks may become corrupt over time.
-async fn stage_chunks(state: &State, model: &str, chunks: Vec<Bytes>) -> Result<(), Error> {
-    for (index, bytes) in (0..).zip(chunks) {
-        state.engine.stage(model, index, bytes).await?;
-    }
-    Ok(())
-}
--- a/bins/agent/src/rollout/weights.rs
+++ b/bins/agent/src/rollout/weights.rs
@@ -35,6 +35,8 @@
 const MAX_DRAW_DELAY: Duration = Duration::from_secs(2);
 /// Timeout of a manifest request to another agent.
 const PEER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of a request for staged chunks; without a response they are fetched from elsewhere.
+const STAGED_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of equal manifests that the origin must send before one is accepted; it may send a corrupt one.
 const REQUIRED_COPIES: usize = 2;
 
@@ -284,7 +286,8 @@
 ///
 /// An engine that existed from the start has the first version staged; after a restart of the agent it may have others.
 async fn adopt_staged(state: &State, holdings: &Holdings, model: &str, version: &Version) {
-    let staged = match state.engine.staged_chunks(model).await {
+    let connection = state.engine.connect(STAGED_TIMEOUT);
+    let staged = match connection.staged_chunks(model).await {
         Ok(staged) => staged,
         Err(error) => {
             event!(event::STAGED_UNREAD, error = error);
@@ -295,7 +298,7 @@
         if index >= version.chunk_count() || holdings.contains(&version.chunk_digest(index)) {
             continue;
         }
-        match state.engine.read_staged(model, index).await {
+        match connection.read_staged(model, index).await {
             Ok(bytes) => match version.verify_chunk(index, bytes) {
                 Ok(content) => holdings.insert(content, true),
                 // A chunk that differs means that another version is staged.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`run`] to set up the event loop and the log. Inside the event loop, [`listen`] and [`bind_udp`] open ports,
 //! [`connect`] opens connections, [`http`] provides an HTTP/1.1 server and client, [`operator`] serves the operator
 //! port, and [`signal::shutdown`] resolves when the process is asked to stop. [`Backoff`] computes the delays between
-//! retries, and [`time::format_utc`] formats timestamps.
+//! retries, [`time::uptime`] is a clock that goes on in suspension, and [`time::format_utc`] formats timestamps.
 
 pub mod arguments;
 mod backoff;
--- a/crates/node/src/time.rs
+++ b/crates/node/src/time.rs
@@ -1,4 +1,17 @@
-//! Timestamps in human-readable form.
+//! The time since boot, and timestamps in human-readable form.
+
+use std::time::Duration;
+
+/// Time since the VM booted.
+pub type Uptime = Duration;
+
+/// Returns the time since the VM booted, including the time for which the VM was suspended.
+///
+/// [`std::time::Instant`] may stop while the VM is suspended.
+pub fn uptime() -> Uptime {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
 
 /// Formats a time in milliseconds since the Unix epoch, in the form `2026-12-03T20:41:23Z`.
 ///
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -3,10 +3,11 @@
 //! Every engine must serve a named version within a bound, and an engine serves nothing while it loads. The [`Rollout`]
 //! of each agent therefore schedules its engine's load within the bound, at a [`Position`] in an order that all agents
 //! compute alike from the ids of the live targets, without communication. A [`ManifestSearch`] decides whom to ask for
-//! a version's manifest. [`Subscribers`] tracks which entries receive the engine's load, and when.
+//! a version's manifest. [`Settling`] decides when a lost request can no longer take effect. [`Subscribers`] tracks which entries receive the engine's load, and when.
 
 mod position;
 mod search;
+mod settling;
 mod subscribers;
 
 use std::collections::BTreeMap;
@@ -14,6 +15,7 @@
 
 pub use position::Position;
 pub use search::{ManifestSearch, SearchRound};
+pub use settling::Settling;
 pub use subscribers::{LoadChange, Subscribers};
 
 /// Fraction of the bound at which the last engine loads; the rest is reserved for an order that must be repeated.
