agent: accept only manifests that list all chunks the engine loads

The engine loads the number of chunks that the configuration names. A manifest that lists fewer, twice alike from the origin or once from another agent, was accepted because it was only compared with its copy or itself. The agent then staged and verified all chunks that it lists, and the engine loaded the rest from the version staged before.

agent::version_manifest_short failed before with "loaded Load { version: 2, wrong: [OtherVersion(31)] }". Manifests are compared with the configured number of chunks now, those of other agents, too.

--- a/bins/agent/src/rollout/state.rs
+++ b/bins/agent/src/rollout/state.rs
@@ -93,6 +93,13 @@
         self.source.borrow().as_ref()?.origin
     }
 
+    /// Returns the number of chunks that the engine loads, if known.
+    pub(super) fn chunk_count(&self) -> Option<u32> {
+        let source = self.source.borrow();
+        let count = source.as_ref().map(|source| source.pieces);
+        count.filter(|count| *count > 0)
+    }
+
     /// Returns the size of a chunk in bytes; 0 while the source is unknown.
     pub(super) fn chunk_bytes(&self) -> u32 {
         let source = self.source.borrow();
--- a/bins/agent/src/rollout/switch.rs
+++ b/bins/agent/src/rollout/switch.rs
@@ -124,7 +124,9 @@
     content: &Content,
     closing: &Closing<'_>,
 ) -> Result<Outcome<'a>, Error> {
+    let verify_at = Instant::now();
     let session = session.verify(uptime()).await?;
+    let verify_time = verify_at.elapsed();
     let order_at = closing.since + CLOSE_LEAD;
     compio::time::sleep(order_at.saturating_duration_since(Instant::now())).await;
     let since = session.verified_since();
@@ -138,6 +140,7 @@
             pin = content.pin(),
             answer = format_args!("{result:?}"),
             chunk_age_ms = age.as_millis(),
+            verify_ms = verify_time.as_millis(),
             closed_ms = closed.as_millis(),
             orders = orders,
             born = born.unwrap_or_default()
--- a/bins/agent/src/rollout/weights.rs
+++ b/bins/agent/src/rollout/weights.rs
@@ -56,6 +56,8 @@
     Request(#[from] hyper::http::Error),
     #[error(transparent)]
     Inconsistent(#[from] burst::Error),
+    #[error("manifest lists {listed} chunks, but the engine loads {loaded}")]
+    ChunkCount { listed: u32, loaded: u32 },
 }
 
 /// Creates the transfer of this agent, which draws from `origin`.
@@ -177,7 +179,8 @@
     while state.wanted_version() == version {
         let round = search.next_round(Instant::now());
         for peer in round.peers.iter().filter_map(|index| peers.get(*index)) {
-            match fetch_from_peer(http, *peer, model, version).await {
+            let fetched = fetch_from_peer(http, *peer, model, version).await;
+            match fetched.and_then(|manifest| check_count(state, manifest)) {
                 Ok(manifest) => return Some(manifest),
                 Err(Error::Status(StatusCode::NOT_FOUND)) => {}
                 Err(error) => log_manifest_failed(model, version, *peer, &error),
@@ -185,7 +188,8 @@
         }
         if round.origin {
             let origin = state.origin()?.address;
-            match fetch_from_origin(http, origin, model, version).await {
+            let fetched = fetch_from_origin(http, origin, model, version).await;
+            match fetched.and_then(|manifest| check_count(state, manifest)) {
                 Ok(manifest) => {
                     search.origin_answered();
                     let count = copies.entry(manifest.digest()).or_default();
@@ -206,6 +210,17 @@
     None
 }
 
+/// Checks that `manifest` lists all chunks that the engine loads.
+///
+/// In place of a chunk that it doesn't list, the engine would load one of another version.
+fn check_count(state: &State, manifest: Version) -> Result<Version, Error> {
+    let listed = manifest.chunk_count();
+    match state.chunk_count() {
+        Some(loaded) if loaded != listed => Err(Error::ChunkCount { listed, loaded }),
+        _ => Ok(manifest),
+    }
+}
+
 fn log_manifest_failed(model: &str, version: u64, from: SocketAddr, error: &Error) {
     event!(
         event::MANIFEST_FAILED,
