entry: box the replacement's stream in the steps of a stream

clippy's large_enum_variant was red since the resume half holds an OpenStream instead of an InitialResponse. resume returns the boxed stream that begin has. No change in behaviour; 75 tests of streams and framing pass.

--- a/bins/entry/src/ingress/stream.rs
+++ b/bins/entry/src/ingress/stream.rs
@@ -38,7 +38,7 @@
 /// An attempt that is to replace the current one.
 struct Replacement {
     /// Resolves to the first events of the replacement, or to its failure.
-    opening: LocalBoxFuture<'static, Result<(PlacedRequest, OpenStream), FailedAttempt>>,
+    opening: LocalBoxFuture<'static, Result<(PlacedRequest, Box<OpenStream>), FailedAttempt>>,
     cause: Cause,
 }
 
@@ -61,7 +61,7 @@
     /// No events arrived for the stall time.
     Stalled,
     /// The replacement sent its first events or failed.
-    ReplacementReady(Result<(PlacedRequest, OpenStream), FailedAttempt>),
+    ReplacementReady(Result<(PlacedRequest, Box<OpenStream>), FailedAttempt>),
 }
 
 /// A response body that forwards a stream to the caller; dropping it ends the attempt on the target.
@@ -285,7 +285,10 @@
     }
 
     /// Switches to the replacement if it sent events, and otherwise stays with the current attempt.
-    fn finish_replacement(&mut self, result: Result<(PlacedRequest, OpenStream), FailedAttempt>) {
+    fn finish_replacement(
+        &mut self,
+        result: Result<(PlacedRequest, Box<OpenStream>), FailedAttempt>,
+    ) {
         let cause = self.replacement.take().map(|replacement| replacement.cause);
         self.hedge_at = Instant::now() + stall_time(&self.call);
         if let Ok((placed, opened)) = result
@@ -329,7 +332,7 @@
         &self,
         mut work: RequestContext,
         mut failure: Failure,
-    ) -> Option<(PlacedRequest, OpenStream)> {
+    ) -> Option<(PlacedRequest, Box<OpenStream>)> {
         let last = self.attempt.events.last();
         let content_type = self.content_type.as_ref();
         let resume = async |placed: &PlacedRequest| {
@@ -353,7 +356,12 @@
     }
 
     /// Switches to another attempt, skipping the events that the current one sent in the meantime.
-    fn switch_to(&mut self, placed: PlacedRequest, mut opened: OpenStream, reason: &'static str) {
+    fn switch_to(
+        &mut self,
+        placed: PlacedRequest,
+        mut opened: Box<OpenStream>,
+        reason: &'static str,
+    ) {
         let last = self.attempt.events.last();
         opened.skip_through(last);
         let target = &placed.place().target;
@@ -421,7 +429,7 @@
 /// Returns the first events of the replacement, or its failure; never resolves without a replacement.
 async fn replacement_opened(
     replacement: &mut Option<Replacement>,
-) -> Result<(PlacedRequest, OpenStream), FailedAttempt> {
+) -> Result<(PlacedRequest, Box<OpenStream>), FailedAttempt> {
     match replacement {
         Some(replacement) => (&mut replacement.opening).await,
         None => pending().await,
--- a/bins/entry/src/ingress/stream_attempt.rs
+++ b/bins/entry/src/ingress/stream_attempt.rs
@@ -85,9 +85,9 @@
     placed: &PlacedRequest,
     last: Option<u64>,
     content_type: Option<&HeaderValue>,
-) -> Result<OpenStream, Failure> {
+) -> Result<Box<OpenStream>, Failure> {
     let opened = match begin(gateway, call, placed, last).await? {
-        InitialResponse::Stream(opened) => *opened,
+        InitialResponse::Stream(opened) => opened,
         InitialResponse::Other(_) => return Err(Failure::Error),
     };
     let found = opened.headers.get(header::CONTENT_TYPE);
