entry: keep what the store's older copy would take back

After the store came back from an older copy, the entry listed it anew and believed it: the configuration of the copy came into force again, a target that was gone or draining got requests since the copy showed it as ready, and one that had registered after the copy was made was removed at once.

The version of the configuration in force never decreases in one process (event 272). The heartbeat is a setting; 1.2 s without it.

The watch of the configuration is cancelled, too, when another reader learns of the restore; else the new configuration came up to 1.8 s later.

--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -32,4 +32,4 @@
 pub use serve::serve;
 pub use settings::{Bounds, Settings};
 pub use subscriptions::Subscriptions;
-pub use targets::{Registrations, Removal};
+pub use targets::{Insertion, Registrations, Removal};
--- a/bins/entry/src/ingress/settings.rs
+++ b/bins/entry/src/ingress/settings.rs
@@ -6,6 +6,9 @@
 use dispatch::RetryLimit;
 use node::settings::Fields;
 
+/// Default interval at which targets renew their registrations, in milliseconds.
+const HEARTBEAT_MS: u64 = 1200;
+
 /// Settings of the ingress, read from the settings file.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -37,6 +40,8 @@
     pub store_recovery: Duration,
     /// Time within which requests must stop going to a target that leaves.
     pub target_drain: Duration,
+    /// Interval at which targets renew their registrations.
+    pub heartbeat: Duration,
     /// Time within which a newly named version of weights must have replaced all older ones.
     pub version_deadline: Duration,
     /// Limit on retries over all entries.
@@ -72,6 +77,7 @@
         let grace = fields.seconds("grace_s", 0.0..=3600.0);
         let store_recovery = fields.millis("contact_ms", 100..=3_600_000, None);
         let target_drain = fields.millis("drain_ms", 0..=3_600_000, None);
+        let heartbeat = fields.millis("heartbeat_ms", 1..=3_600_000, Some(HEARTBEAT_MS));
         let version_deadline = fields.millis("version_ms", 0..=3_600_000, None);
         let ratio = fields.number("repeat_ratio", 0.0..=100.0, None);
         let extra = fields.number("repeat_extra", 0.0..=1e6, None);
@@ -80,6 +86,7 @@
             grace: grace?,
             store_recovery: store_recovery?,
             target_drain: target_drain?,
+            heartbeat: heartbeat?,
             version_deadline: version_deadline?,
             retries: RetryLimit {
                 ratio: ratio?,
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use dispatch::Target;
 use futures::future::{Either, select};
 use node::{Notify, event};
 use platform::{Listing, Object, ReadError, Update, config, target, versions};
@@ -13,7 +14,7 @@
 use super::gateway::Gateway;
 use super::reader::Reader;
 use super::relays::Source;
-use super::targets::{Registrations, Removal};
+use super::targets::{Insertion, Registrations, Removal};
 
 /// Wait of a watch of the configuration, as a fraction of the time after a store outage within which the deployment's
 /// bounds must hold again. A call that the store never answers must end within that time.
@@ -34,7 +35,8 @@
 
 /// Follows all kinds of objects that the ingress needs; never returns.
 pub(super) async fn run(gateway: Rc<Gateway>) {
-    let targets = RefCell::new(Registrations::default());
+    let heartbeat = gateway.settings.bounds.heartbeat;
+    let targets = RefCell::new(Registrations::new(heartbeat));
     let connectivity_changed = Notify::default();
     let configs = follow_config(
         Reader::new(&gateway, config::KIND, &connectivity_changed),
@@ -69,9 +71,13 @@
     loop {
         let failing = reader.is_failing();
         let source = reader.select_source(Instant::now());
-        let read = match source {
-            Source::Shared => reader.next(SHARED_CONFIG_WAIT).await,
-            Source::Store | Source::Relay(_) => reader.next(wait).await,
+        let wait = match source {
+            Source::Shared => SHARED_CONFIG_WAIT,
+            Source::Store | Source::Relay(_) => wait,
+        };
+        let Some(read) = read(&mut reader, wait, connectivity_changed).await else {
+            // Another reader learned that the store came back from an older copy.
+            continue;
         };
         gateway.set_store_reachable(!reader.is_failing());
         if reader.is_failing() != failing {
@@ -94,7 +100,7 @@
     let mut first = true;
     loop {
         // Versions are few and small, so every entry reads them from the store, and learns when each of them was named.
-        match read(&mut reader, connectivity_changed).await {
+        match read(&mut reader, WATCH_WAIT, connectivity_changed).await {
             Some(Ok(update)) => {
                 apply_versions(gateway, &update.listing, std::mem::take(&mut first))
             }
@@ -113,11 +119,12 @@
 ) {
     loop {
         let source = reader.select_source(Instant::now());
-        let read = read(&mut reader, connectivity_changed).await;
+        let read = read(&mut reader, WATCH_WAIT, connectivity_changed).await;
         let now = Instant::now();
         match read {
             Some(Ok(update)) => {
-                targets.borrow_mut().record_success(now);
+                let revision = update.listing.revision;
+                targets.borrow_mut().record_success(now, revision);
                 let change_count = gateway.change_count();
                 apply_targets(gateway, &mut targets.borrow_mut(), &update);
                 let membership_changed =
@@ -150,10 +157,11 @@
 /// Reads the next update; returns `None` if `connectivity_changed` cancelled the call.
 async fn read(
     reader: &mut Reader<'_>,
+    wait: Duration,
     connectivity_changed: &Notify,
 ) -> Option<Result<Update, ReadError>> {
     let cancelled = connectivity_changed.changed(connectivity_changed.count());
-    match select(pin!(reader.next(WATCH_WAIT)), pin!(cancelled)).await {
+    match select(pin!(reader.next(wait)), pin!(cancelled)).await {
         Either::Left((read, _)) => Some(read),
         Either::Right(_) => None,
     }
@@ -169,6 +177,16 @@
     };
     match config::decode(object) {
         Ok(config) => {
+            let in_force = gateway.config().map(|config| config.version);
+            if let Some(in_force) = in_force.filter(|version| *version > config.version) {
+                // The store came back from an older copy; operators write the newer configuration again.
+                event!(
+                    event::CONFIG_OUTDATED,
+                    version = config.version,
+                    in_force = in_force
+                );
+                return;
+            }
             let config = Rc::new(config);
             event!(
                 event::CONFIG_IN_FORCE,
@@ -235,21 +253,16 @@
 fn apply_target(gateway: &Gateway, targets: &mut Registrations, object: &Object) {
     match target::decode(object) {
         Ok(target) => {
-            event!(
-                event::TARGET_REGISTERED,
-                target = target.id,
-                address = target.address,
-                draining = target.draining,
-                weights = format_args!("{:?}", target.weights)
-            );
-            if targets.insert(&target.id) {
-                gateway.record_change();
+            log_registration(&target);
+            let id = target.id.clone();
+            match targets.insert(Instant::now(), target, object.revision) {
+                Insertion::New(target) => {
+                    gateway.record_change();
+                    put_target(gateway, target);
+                }
+                Insertion::Known(target) => put_target(gateway, target),
+                Insertion::Unconfirmed => event!(event::TARGET_UNCONFIRMED, target = id),
             }
-            let (id, cold) = (target.id.clone(), target.cold_period);
-            gateway.update(|scheduler, now| {
-                scheduler.put_target(target);
-                scheduler.set_cold_period(now, &id, cold);
-            });
         }
         Err(error) => {
             // A malformed object describes no usable target, and an earlier registration may be out of date.
@@ -259,14 +272,40 @@
     }
 }
 
-/// Removes targets that did not register again after a store outage.
+fn log_registration(target: &Target) {
+    event!(
+        event::TARGET_REGISTERED,
+        target = target.id,
+        address = target.address,
+        draining = target.draining,
+        weights = format_args!("{:?}", target.weights)
+    );
+}
+
+fn put_target(gateway: &Gateway, target: Target) {
+    let (id, cold) = (target.id.clone(), target.cold_period);
+    gateway.update(|scheduler, now| {
+        scheduler.put_target(target);
+        scheduler.set_cold_period(now, &id, cold);
+    });
+}
+
+/// Removes targets that did not register again after a store outage, and adds those that left before the store came back
+/// from an older copy but turn out to be live.
 async fn expire(gateway: &Gateway, targets: &RefCell<Registrations>) {
     loop {
         compio::time::sleep(EXPIRY_CHECK_INTERVAL).await;
-        let gone = targets.borrow_mut().expire(Instant::now());
+        let now = Instant::now();
+        let gone = targets.borrow_mut().expire(now);
         for id in gone {
             event!(event::TARGET_REMOVED, target = id, gone = true);
             gateway.update(|scheduler, _| scheduler.remove_target(&id));
         }
+        let confirmed = targets.borrow_mut().confirm(now);
+        for target in confirmed {
+            log_registration(&target);
+            gateway.record_change();
+            put_target(gateway, target);
+        }
     }
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -83,6 +83,8 @@
     TARGET_LIMITED = 264 Info "target-limited";
     ANSWER_TOO_LARGE = 265 Warn "answer-too-large";
     STORE_RESTORED = 270 Warn "store-restored";
+    TARGET_UNCONFIRMED = 271 Info "target-unconfirmed";
+    CONFIG_OUTDATED = 272 Info "config-outdated";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
