claims: give up the claims of a history that the platform lost

After the platform came back from an older copy, an agent ignored the claim table, whose revision was lower than the one it held, and each of its writes conflicted: it believed in its claims, and once their intervals had ended no key of the service ran until the revisions had caught up. Another agent could take the slots with intervals that overlap those of renewals that the copy lacks, and run a key a second time.

The table holds the era in which it was written. An owner that learns of a newer era gives its claims up; a table of an earlier era, or one that a late write put into the new one, has no owners and is started anew: all intervals of the new era begin 15 s after that write or later, above any that the copy may lack. Until then earlier owners run and answer the keys of their own intervals, and keys without an owner are refused or answered as unknown.

--- a/bins/agent/src/claims.rs
+++ b/bins/agent/src/claims.rs
@@ -125,7 +125,10 @@
     if shared.is_leaving() {
         shared.claims.borrow_mut().stop();
     }
-    let (revision, table) = match platform.get(KIND, service).await {
+    let read = platform.get(KIND, service).await;
+    let era = platform.era().unwrap_or(0);
+    shared.claims.borrow_mut().set_era(era);
+    let (revision, table) = match read {
         Ok(Some(object)) => match serde_json::from_str::<Table>(object.value.get()) {
             Ok(table) => (object.revision.ordinal(), table),
             Err(error) => {
@@ -137,7 +140,7 @@
                 return StepResult::Failed;
             }
         },
-        Ok(None) => (0, Table::default()),
+        Ok(None) => (Revision::new(era, 0).ordinal(), Table::default()),
         Err(error) => return failed(&error),
     };
     let (live, down) = members(&shared.view.borrow(), service);
@@ -154,17 +157,17 @@
 }
 
 async fn write_table(shared: &Shared, platform: &Client, write: &Write) -> StepResult {
-    let condition = match write.base {
-        0 => Condition::Absent,
-        revision => Condition::Revision(Revision::from_ordinal(revision)),
+    let condition = match Revision::from_ordinal(write.base) {
+        Revision { number: 0, .. } => Condition::Absent,
+        revision => Condition::Revision(revision),
     };
     let name = &shared.settings.service;
     match platform.put(KIND, name, &write.table, condition).await {
         Ok(Put::Accepted(revision)) => {
-            shared
-                .claims
-                .borrow_mut()
-                .observe(revision.ordinal(), &write.table);
+            let mut claims = shared.claims.borrow_mut();
+            // If the store came back from an older copy meanwhile, the table is one of an earlier era there.
+            claims.set_era(revision.era);
+            claims.observe(revision.ordinal(), &write.table);
             StepResult::Done
         }
         // The next read returns what the other agent wrote.
--- a/bins/agent/tests/claims.rs
+++ b/bins/agent/tests/claims.rs
@@ -15,6 +15,7 @@
 use platform::{Object, Revision};
 use serde_json::json;
 use serde_json::value::to_raw_value;
+use yare::parameterized;
 
 /// A platform that stores one claim table with its revision and can fail.
 #[derive(Default)]
@@ -24,10 +25,19 @@
     responses_to_lose: Cell<u32>,
     /// Whether every request fails.
     down: Cell<bool>,
+    /// Number of times that the platform came back from an older copy.
+    era: Cell<u64>,
 }
 
 impl Platform {
     fn handle(&self, request: &Request<bytes::Bytes>) -> Response<Body> {
+        let mut response = self.handle_without_era(request);
+        let era = self.era.get().into();
+        response.headers_mut().insert("store-era", era);
+        response
+    }
+
+    fn handle_without_era(&self, request: &Request<bytes::Bytes>) -> Response<Body> {
         if self.down.get() {
             return response(StatusCode::SERVICE_UNAVAILABLE, "");
         }
@@ -261,3 +271,45 @@
         wait_until(3_000, "keys don't run again", || begin(0) == Decision::Run).await;
     });
 }
+
+/// Guards against an owner that believes in claims which the platform lost when it came back from an older copy, and
+/// against slots whose claims are never renewed again because the revisions of the copy are lower.
+#[parameterized(
+    table_older = { true },
+    table_missing = { false },
+)]
+fn slots_after_restore(table_in_copy: bool) {
+    with_platform(|platform, address| async move {
+        let (first, _task) = start_claims("vm-1", address);
+        wait_until(3_000, "vm-1 doesn't own all slots", || {
+            owned_slots(&first) == 0xffff
+        })
+        .await;
+        let copy = platform.table.borrow().clone().filter(|_| table_in_copy);
+        let revision = || platform.table.borrow().as_ref().map(|held| held.0);
+        let copied = revision();
+        wait_until(5_000, "vm-1 doesn't renew", || revision() > copied).await;
+        platform.table.replace(copy);
+        platform.era.set(1);
+        let dropped = Instant::now();
+        wait_until(5_000, "vm-1 believes in its lost claims", || {
+            owned_slots(&first) == 0
+        })
+        .await;
+        wait_until(6_000, "vm-1 doesn't claim the slots anew", || {
+            owned_slots(&first) == 0xffff
+        })
+        .await;
+        let begin = || {
+            let key = uuid::Uuid::now_v7();
+            let mut claims = first.claims.borrow_mut();
+            let decision = claims.begin("clerks", key, now());
+            claims.finish("clerks", key, now(), Outcome::NotRun);
+            decision
+        };
+        wait_until(20_000, "keys don't run again", || {
+            dropped.elapsed() > Duration::from_secs(12) && begin() == Decision::Run
+        })
+        .await;
+    });
+}
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -5,7 +5,8 @@
 //! the owner may run. Intervals of successive epochs are disjoint, so at most one process may ever run a key. That
 //! process has an [`Owner`], which decides about each call and remembers the keys that ran.
 //!
-//! Safety doesn't depend on clocks: `now` only determines where intervals end. Times are durations since the Unix
+//! Safety doesn't depend on clocks: `now` only determines where intervals end. The exception is a platform that comes back
+//! from an older copy, whose table may lack the last intervals: the intervals of the new era start [`ERA_GAP`] later. Times are durations since the Unix
 //! epoch, in whole milliseconds.
 //!
 //! ```
@@ -43,6 +44,11 @@
 /// Time from a renewal to the end of the renewed interval.
 pub const TERM: Duration = Duration::from_secs(10);
 
+/// Time from the first write of a new era to the start of the intervals that are claimed in it.
+///
+/// Every interval of an earlier era ends within a term after the restore; the rest is for clocks that differ.
+pub const ERA_GAP: Duration = Duration::from_secs(15);
+
 /// Time between two renewals of an interval.
 pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(3);
 
--- a/crates/claim/src/owner.rs
+++ b/crates/claim/src/owner.rs
@@ -55,6 +55,8 @@
 pub struct Owner {
     holder: Holder,
     revision: Option<u64>,
+    /// Era of the platform's store.
+    era: u64,
     table: Table,
     slots: Vec<SlotState>,
     history: KeyHistory,
@@ -85,6 +87,7 @@
         Self {
             holder: Holder::new(name, instance),
             revision: None,
+            era: 0,
             table: Table::default(),
             slots: vec![SlotState::default(); usize::from(SLOT_COUNT)],
             history: KeyHistory::default(),
@@ -154,6 +157,22 @@
         renewals.fold(next, Duration::min)
     }
 
+    /// Sets the era of the platform's store, which rises when the store comes back from an older copy.
+    ///
+    /// The claims of earlier eras are given up: the copy may lack them, and other agents may claim the slots. The process
+    /// still runs the keys of its intervals until they end, because the intervals of the new era start later.
+    pub fn set_era(&mut self, era: u64) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        self.revision = None;
+        self.table = Table::default();
+        for slot in &mut self.slots {
+            slot.observe(&Claim::default(), false);
+        }
+    }
+
     /// Updates the claims from a table that was read, watched or written successfully, with its revision.
     ///
     /// A missing object is equivalent to the empty table at revision 0.
@@ -163,9 +182,13 @@
         }
         self.revision = Some(revision);
         self.table = table.clone();
+        let current = table.era() == self.era;
         for (slot, index) in self.slots.iter_mut().zip(0..SLOT_COUNT) {
             let claim = table.claim(index);
-            slot.observe(claim, claim.holder.as_ref() == Some(&self.holder));
+            slot.observe(
+                claim,
+                current && claim.holder.as_ref() == Some(&self.holder),
+            );
         }
     }
 
@@ -204,6 +227,9 @@
         }
         let base = self.revision?;
         self.expire_keys(now);
+        if self.table.era() != self.era {
+            return self.plan_era(base, now, live);
+        }
         let must_release =
             self.must_release(now) && live.iter().any(|name| *name != self.holder.name);
         let needs_renewal = self.needs_renewal(now);
@@ -260,6 +286,17 @@
         }
     }
 
+    /// Returns the write that starts the current era in a table of an earlier one.
+    fn plan_era(&mut self, base: u64, now: Duration, live: &[String]) -> Option<Write> {
+        self.last_plan = Some(now);
+        if self.stopping || !live.contains(&self.holder.name) {
+            return None;
+        }
+        let mut table = self.table.clone();
+        table.begin_era(self.era, now);
+        Some(Write { base, table })
+    }
+
     fn plan_slot(
         &mut self,
         table: &mut Table,
--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{KEY_RETENTION, SLOT_COUNT, millis};
+use crate::{ERA_GAP, KEY_RETENTION, SLOT_COUNT, millis};
 
 /// The claims of a service, stored as the platform's object `claims/{service}`.
 ///
@@ -26,6 +26,9 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct Table {
+    /// Era of the platform's store in which the table was written. A table of an earlier era may lack the last claims.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    era: u64,
     slots: [Claim; SLOT_COUNT as usize],
 }
 
@@ -102,6 +105,26 @@
         &self.slots[usize::from(slot)]
     }
 
+    /// Returns the era of the platform's store in which the table was written.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Starts a new era of the platform's store: no slot has an owner, and the next intervals start above all those that
+    /// were claimed in earlier eras and that the table may lack.
+    pub fn begin_era(&mut self, era: u64, now: Duration) {
+        self.era = era;
+        for claim in &mut self.slots {
+            if let Some(holder) = claim.holder.take() {
+                let from_ms = claim.from_ms;
+                claim.prior = Some(Prior { holder, from_ms });
+            }
+            claim.until_ms = claim.until_ms.max(millis(now + ERA_GAP));
+            claim.epoch += 1;
+            claim.wanted_by = None;
+        }
+    }
+
     /// Assigns `slot` to `holder` in a new epoch, and returns the epoch.
     ///
     /// The interval starts at the end of the previous one, so it is empty if `until` is not later. The first interval
@@ -187,3 +210,7 @@
         Ok(claim)
     }
 }
+
+fn is_zero(era: &u64) -> bool {
+    *era == 0
+}
--- a/crates/claim/tests/owner.rs
+++ b/crates/claim/tests/owner.rs
@@ -8,6 +8,9 @@
 
 const NOW: Duration = Duration::from_millis(1_760_000_000_000);
 
+/// Added to revisions of era 1; they are higher than all of era 0.
+const NEXT_ERA: u64 = 1 << 40;
+
 fn key(time: Duration, tail: u64) -> Uuid {
     let millis = time.as_millis() << 80;
     Uuid::from_u128(millis | 0x7000_8000_0000_0000_0000 | u128::from(tail))
@@ -263,3 +266,77 @@
     ));
     assert_eq!(second.begin("a", late, NOW), Decision::Run);
 }
+
+/// Guards against a second run of a key after the platform came back from an older copy: the copy lacks the renewal by
+/// which the first owner may run it, and its slots look free to the second.
+#[parameterized(
+    table_older = { true },
+    table_missing = { false },
+)]
+fn set_era_keys_run_once(table_in_copy: bool) {
+    let (mut first, revision, mut copy) = sole_owner();
+    let renewed = NOW + TERM - Duration::from_millis(1);
+    plan_and_apply(&mut first, renewed, &["vm-1"]).unwrap();
+    let late = key(renewed + TERM / 2, 1);
+    if !table_in_copy {
+        copy = Table::default();
+    }
+
+    let mut second = Owner::new("vm-2", 2);
+    second.set_era(1);
+    second.observe(NEXT_ERA + revision, &copy);
+    let live = ["vm-2"];
+    let down = ["vm-1".to_owned()];
+    let mut now = renewed;
+    let mut started = Vec::new();
+    while now < renewed + 4 * TERM {
+        if let Some(write) = second.plan(now, &live.map(String::from), &down) {
+            second.observe(write.base + 1, &write.table);
+        }
+        now += Duration::from_millis(500);
+        if second.begin("a", late, now) == Decision::Run {
+            panic!("the second owner runs a key of the first");
+        }
+        started.push(second.begin("a", key(now, 2), now) == Decision::Run);
+    }
+    assert_eq!(first.begin("a", late, renewed), Decision::Run);
+    assert!(
+        !started[0],
+        "keys run before the intervals of the lost claims end"
+    );
+    assert!(started[started.len() - 1], "keys don't run again");
+}
+
+/// Guards against an owner that believes in its claims after the platform came back from an older copy, and against a
+/// table of an earlier era that a late write put into the new one.
+#[test]
+fn set_era_drops_claims() {
+    let (mut owner, revision, table) = sole_owner();
+    assert_eq!(owner.owned_slots(), u16::MAX);
+    owner.set_era(1);
+    assert_eq!(owner.owned_slots(), 0);
+    let live = ["vm-1".to_owned()];
+    assert_eq!(
+        owner.plan(NOW, &live, &[]),
+        None,
+        "the table isn't read yet"
+    );
+    owner.observe(NEXT_ERA + revision, &table);
+    assert_eq!(owner.owned_slots(), 0);
+    let (_, started) = plan_and_apply(&mut owner, NOW, &["vm-1"]).unwrap();
+    assert_eq!((started.era(), owner.owned_slots()), (1, 0));
+    let (_, claimed) = plan_and_apply(&mut owner, NOW, &["vm-1"]).unwrap();
+    assert_eq!((claimed.era(), owner.owned_slots()), (1, u16::MAX));
+}
+
+/// Guards against a stopping process, or one that accepts no work, that starts an era and so delays the calls of others.
+#[test]
+fn plan_era_only_if_live() {
+    let (mut owner, revision, table) = sole_owner();
+    owner.set_era(1);
+    owner.observe(NEXT_ERA + revision, &table);
+    assert_eq!(owner.plan(NOW, &["vm-2".into()], &[]), None);
+    owner.stop();
+    assert_eq!(owner.plan(NOW, &["vm-1".into()], &[]), None);
+    assert!(owner.is_released());
+}
