--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -84,6 +84,8 @@
     ANSWER_TOO_LARGE = 265 Warn "answer-too-large";
     ERROR_ANSWER = 266 Info "error-answer";
     STORE_RESTORED = 270 Warn "store-restored";
+    TARGET_UNCONFIRMED = 271 Info "target-unconfirmed";
+    CONFIG_OUTDATED = 272 Info "config-outdated";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
