entry: send nothing to failure domains that operators evacuate

Operators ask with an object `evacuations/` and the name of a failure domain that its targets get nothing more until the object is removed. No entry read the kind.

Change: entries with `evacuation_ms` in their settings follow the kind, from the same sources as registrations and with watches of at most 0.4 of that bound, so that a watch that is never answered doesn't hold up the next one beyond it. An evacuated domain's targets are not eligible: no placement, repeat, second attempt or moved stream goes there. What they run ends as it would. Requests that no other target may take are refused at once as `evacuated` with a time to come back, also those that wait already, and also when all domains are evacuated: operators asked for it, and a caller who is told can do something else. While the store can't be read, what is known holds. Nothing is written: the store's answer to the operator is the acknowledgement. Events 268 and 269 and the gauge `carobport_ingress_evacuated_domains` show it.

--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -9,6 +9,7 @@
 mod call;
 mod disconnect;
 mod error;
+mod evacuations;
 pub mod events;
 mod gateway;
 mod hedge;
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -195,6 +195,12 @@
         }
     }
 
+    /// Updates the metric of evacuated failure domains.
+    pub(super) fn record_evacuations(&self) {
+        let count = self.view(|scheduler| scheduler.evacuated_domains().count());
+        self.metrics.set_evacuated_domains(count);
+    }
+
     /// Waits until permit queries are due and returns them.
     pub(super) async fn next_permit_queries(&self) -> Vec<PermitQuery> {
         loop {
--- a/bins/entry/src/ingress/metrics.rs
+++ b/bins/entry/src/ingress/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
@@ -25,6 +26,7 @@
     callers_left: Counter,
     outdated_answers: Counter,
     limited_attempts: Counter,
+    evacuated_domains: Gauge,
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -44,6 +46,7 @@
             callers_left: Counter::default(),
             outdated_answers: Counter::default(),
             limited_attempts: Counter::default(),
+            evacuated_domains: Gauge::default(),
         };
         let registry = registry.sub_registry_with_prefix("carobport_ingress");
         registry.register(
@@ -87,6 +90,11 @@
             "Requests sent to targets that take a limited number of them",
             metrics.limited_attempts.clone(),
         );
+        registry.register(
+            "evacuated_domains",
+            "Failure domains that operators evacuate",
+            metrics.evacuated_domains.clone(),
+        );
         metrics
     }
 
@@ -121,6 +129,10 @@
         self.outdated_answers.inc();
     }
 
+    pub(super) fn set_evacuated_domains(&self, count: usize) {
+        self.evacuated_domains.set(count as i64);
+    }
+
     pub(super) fn count_limited_attempt(&self) {
         self.limited_attempts.inc();
     }
--- a/bins/entry/src/ingress/settings.rs
+++ b/bins/entry/src/ingress/settings.rs
@@ -41,6 +41,8 @@
     pub target_drain: Duration,
     /// Time within which a newly named version of weights must have replaced all older ones.
     pub version_deadline: Duration,
+    /// Time within which requests must stop going to an evacuated failure domain; `None` if none is ever evacuated.
+    pub evacuation: Option<Duration>,
     /// Limit on retries over all entries.
     pub retries: RetryLimit,
 }
@@ -77,6 +79,7 @@
         let store_recovery = fields.millis("contact_ms", 100..=3_600_000, None);
         let target_drain = fields.millis("drain_ms", 0..=3_600_000, None);
         let version_deadline = fields.millis("version_ms", 0..=3_600_000, None);
+        let evacuation = fields.millis("evacuation_ms", 0..=3_600_000, Some(0));
         let ratio = fields.number("repeat_ratio", 0.0..=100.0, None);
         let extra = fields.number("repeat_extra", 0.0..=1e6, None);
         let window = fields.seconds("repeat_window_s", 0.001..=3600.0);
@@ -85,6 +88,7 @@
             store_recovery: store_recovery?,
             target_drain: target_drain?,
             version_deadline: version_deadline?,
+            evacuation: evacuation.map(|bound| (!bound.is_zero()).then_some(bound))?,
             retries: RetryLimit {
                 ratio: ratio?,
                 extra_per_window: extra?,
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -10,6 +10,7 @@
 use node::{Notify, event};
 use platform::{Listing, Object, ReadError, Update, config, target, versions};
 
+use super::evacuations;
 use super::gateway::Gateway;
 use super::reader::Reader;
 use super::relays::Source;
@@ -53,7 +54,12 @@
         &connectivity_changed,
     );
     let expired = expire(&gateway, &targets);
-    futures::join!(configs, named, registered, expired);
+    let evacuated = async {
+        if let Some(bound) = gateway.settings.bounds.evacuation {
+            evacuations::follow(&gateway, bound, &connectivity_changed).await;
+        }
+    };
+    futures::join!(configs, named, registered, expired, evacuated);
 }
 
 /// Follows the configuration with short watches, which detect a store outage early.
@@ -94,7 +100,7 @@
     let mut first = true;
     loop {
         // Versions are few and small, so every entry reads them from the store, and learns when each of them was named.
-        match read(&mut reader, connectivity_changed).await {
+        match read(&mut reader, connectivity_changed, WATCH_WAIT).await {
             Some(Ok(update)) => {
                 apply_versions(gateway, &update.listing, std::mem::take(&mut first))
             }
@@ -113,7 +119,7 @@
 ) {
     loop {
         let source = reader.select_source(Instant::now());
-        let read = read(&mut reader, connectivity_changed).await;
+        let read = read(&mut reader, connectivity_changed, WATCH_WAIT).await;
         let now = Instant::now();
         match read {
             Some(Ok(update)) => {
@@ -147,13 +153,14 @@
     }
 }
 
-/// Reads the next update; returns `None` if `connectivity_changed` cancelled the call.
-async fn read(
+/// Reads the next update with a watch of up to `wait`; returns `None` if `connectivity_changed` cancelled the call.
+pub(super) async fn read(
     reader: &mut Reader<'_>,
     connectivity_changed: &Notify,
+    wait: Duration,
 ) -> Option<Result<Update, ReadError>> {
     let cancelled = connectivity_changed.changed(connectivity_changed.count());
-    match select(pin!(reader.next(WATCH_WAIT)), pin!(cancelled)).await {
+    match select(pin!(reader.next(wait)), pin!(cancelled)).await {
         Either::Left((read, _)) => Some(read),
         Either::Right(_) => None,
     }
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -52,6 +52,8 @@
     NoTarget,
     /// No target of the service is in a region that may serve the request.
     NoHome,
+    /// The targets that may serve the request are in failure domains that operators evacuate, or accept no requests.
+    Evacuated,
     /// All targets are busy and the request would not be served on time.
     Overload,
     /// Every eligible target is paused or has reached its rate limit.
@@ -68,6 +70,7 @@
         match self {
             Self::NoTarget => "no-target",
             Self::NoHome => "no-home",
+            Self::Evacuated => "evacuated",
             Self::Overload => "overload",
             Self::Paused => "paused",
             Self::Refused => "refused",
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -1,6 +1,7 @@
 //! Placement, queueing and rejection of one entry's requests.
 
 mod choice;
+mod evacuations;
 mod permits;
 mod rejection;
 
@@ -48,6 +49,8 @@
 pub struct Scheduler {
     domain: String,
     regions: RegionMap,
+    /// Evacuated failure domains, and when this entry learned of each.
+    evacuations: BTreeMap<String, Instant>,
     config: Option<Rc<Config>>,
     versions: RequiredVersions,
     targets: BTreeMap<TargetId, TargetState>,
@@ -135,6 +138,7 @@
         Self {
             domain: domain.into(),
             regions: RegionMap::new(),
+            evacuations: BTreeMap::new(),
             config: None,
             versions,
             targets: BTreeMap::new(),
--- a/crates/dispatch/src/scheduler/choice.rs
+++ b/crates/dispatch/src/scheduler/choice.rs
@@ -150,6 +150,7 @@
             || !state.is_accepting(now)
             || work.tried_targets.contains(&target.id)
             || !self.is_home(target, work)
+            || self.is_evacuated(target)
         {
             return false;
         }
--- a/crates/dispatch/src/scheduler/rejection.rs
+++ b/crates/dispatch/src/scheduler/rejection.rs
@@ -39,6 +39,7 @@
             |target: &Target| target.service == work.service && self.is_home(target, work);
         match work.tried_targets.is_empty() {
             true if work.homes.is_some() && !targets.any(at_home) => Reason::NoHome,
+            true if self.is_kept_by_evacuation(work) => Reason::Evacuated,
             true => Reason::NoTarget,
             false => Reason::Refused,
         }
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -5,6 +5,7 @@
 mod concurrent;
 mod config;
 mod demand;
+mod evacuations;
 mod health;
 mod homes;
 mod limit;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -82,6 +82,8 @@
     SOURCE_CHANGED = 263 Info "source-changed";
     TARGET_LIMITED = 264 Info "target-limited";
     ANSWER_TOO_LARGE = 265 Warn "answer-too-large";
+    EVACUATION_BEGUN = 268 Info "evacuation-begun";
+    EVACUATION_ENDED = 269 Info "evacuation-ended";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
