--- a/bins/entry/src/ingress/metrics.rs
+++ b/bins/entry/src/ingress/metrics.rs
@@ -28,6 +28,7 @@
     outdated_answers: Counter,
     limited_attempts: Counter,
     store_era: Gauge,
+    evacuated_domains: Gauge,
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -55,6 +56,7 @@
             outdated_answers: Counter::default(),
             limited_attempts: Counter::default(),
             store_era: Gauge::default(),
+            evacuated_domains: Gauge::default(),
         };
         let registry = registry.sub_registry_with_prefix("carobport_ingress");
         registry.register(
@@ -108,6 +110,11 @@
             "Number of times that the store came back from an older copy",
             metrics.store_era.clone(),
         );
+        registry.register(
+            "evacuated_domains",
+            "Failure domains that operators evacuate",
+            metrics.evacuated_domains.clone(),
+        );
         metrics
     }
 
@@ -148,6 +155,10 @@
         self.outdated_answers.inc();
     }
 
+    pub(super) fn set_evacuated_domains(&self, count: usize) {
+        self.evacuated_domains.set(count as i64);
+    }
+
     pub(super) fn count_limited_attempt(&self) {
         self.limited_attempts.inc();
     }
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -11,6 +11,7 @@
 use node::{Notify, event};
 use platform::{Listing, Object, ReadError, Update, config, target, versions};
 
+use super::evacuations;
 use super::gateway::Gateway;
 use super::reader::Reader;
 use super::relays::Source;
@@ -55,7 +56,12 @@
         &connectivity_changed,
     );
     let expired = expire(&gateway, &targets);
-    futures::join!(configs, named, registered, expired);
+    let evacuated = async {
+        if let Some(bound) = gateway.settings.bounds.evacuation {
+            evacuations::follow(&gateway, bound, &connectivity_changed).await;
+        }
+    };
+    futures::join!(configs, named, registered, expired, evacuated);
 }
 
 /// Follows the configuration with short watches, which detect a store outage early.
@@ -154,8 +160,8 @@
     }
 }
 
-/// Reads the next update; returns `None` if `connectivity_changed` cancelled the call.
-async fn read(
+/// Reads the next update with a watch of up to `wait`; returns `None` if `connectivity_changed` cancelled the call.
+pub(super) async fn read(
     reader: &mut Reader<'_>,
     wait: Duration,
     connectivity_changed: &Notify,
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -86,6 +86,8 @@
     STORE_RESTORED = 270 Warn "store-restored";
     TARGET_UNCONFIRMED = 271 Info "target-unconfirmed";
     CONFIG_OUTDATED = 272 Info "config-outdated";
+    EVACUATION_BEGUN = 268 Info "evacuation-begun";
+    EVACUATION_ENDED = 269 Info "evacuation-ended";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
