entry: a target's own client error doesn't count against its health

They end the attempt as `rejected`; 503 still counts as an error, as it does for requests that may run again.

--- a/bins/entry/src/ingress/attempt.rs
+++ b/bins/entry/src/ingress/attempt.rs
@@ -102,7 +102,7 @@
         self.metrics.count_error_answer(taken_for);
         let event = match verdict {
             Verdict::Foreign => event::FOREIGN_ANSWER,
-            Verdict::Own | Verdict::Withheld => event::ERROR_ANSWER,
+            Verdict::Own | Verdict::Withheld(_) => event::ERROR_ANSWER,
             // The event of the failed attempt names the target, and refusals are frequent under overload.
             Verdict::NotRun(_) => return,
         };
--- a/bins/entry/src/ingress/verdict.rs
+++ b/bins/entry/src/ingress/verdict.rs
@@ -11,7 +11,7 @@
     Own,
     /// It is the target's own error, but its status would tell the caller that the request did not run, which the
     /// target has not declared.
-    Withheld,
+    Withheld(Failure),
     /// The request has not run and never will.
     NotRun(Failure),
     /// It belongs to another request, names none, or contradicts itself; the request may have run.
@@ -47,7 +47,9 @@
             true if may_declare_not_run(status) => Self::NotRun(Failure::Refused),
             true => Self::Foreign,
             false if !is_named || !head.sealed || head.encoded => Self::Foreign,
-            false if promises_not_run(status) && !subject.repeatable => Self::Withheld,
+            false if promises_not_run(status) && !subject.repeatable => {
+                Self::Withheld(error_failure(status))
+            }
             false => Self::Own,
         }
     }
@@ -56,8 +58,7 @@
     pub fn failure(self) -> Option<Failure> {
         match self {
             Self::Own => None,
-            Self::Withheld => Some(Failure::Error),
-            Self::NotRun(failure) => Some(failure),
+            Self::Withheld(failure) | Self::NotRun(failure) => Some(failure),
             Self::Foreign => Some(Failure::Broken),
         }
     }
@@ -66,9 +67,19 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Own => "own",
-            Self::Withheld => "withheld",
+            Self::Withheld(_) => "withheld",
             Self::NotRun(failure) => failure.name(),
             Self::Foreign => "foreign",
         }
     }
 }
+
+/// Returns the failure of an attempt that a target ended with an error of its own.
+///
+/// A client error, such as a timeout of the request, doesn't show that the target fails.
+fn error_failure(status: StatusCode) -> Failure {
+    match status.is_server_error() {
+        true => Failure::Error,
+        false => Failure::Rejected,
+    }
+}
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -32,8 +32,10 @@
     Outdated,
     /// The target ran the request with other weights than expected.
     OtherWeights,
-    /// The target answered with an error.
+    /// The target answered with a server error.
     Error,
+    /// The target answered with a client error.
+    Rejected,
 }
 
 /// Failure statistics and ejection state of a target.
@@ -60,6 +62,7 @@
             Self::Outdated => "outdated",
             Self::OtherWeights => "other-weights",
             Self::Error => "error",
+            Self::Rejected => "rejected",
         }
     }
 
@@ -119,8 +122,12 @@
     /// Counts a failure; returns whether it caused an ejection.
     pub fn record_failure(&mut self, now: Instant, failure: Failure) -> bool {
         match failure {
-            // The target is busy or has changed its weights; its load reports decide whether it gets requests.
-            Failure::Refused | Failure::Misdirected | Failure::Outdated | Failure::OtherWeights => {
+            // The target works, but is busy, has changed its weights or rejects this request.
+            Failure::Refused
+            | Failure::Misdirected
+            | Failure::Outdated
+            | Failure::OtherWeights
+            | Failure::Rejected => {
                 return false;
             }
             Failure::NotConnected | Failure::Unreachable => self.streak = EJECTION_STREAK,
--- a/crates/dispatch/tests/dispatch/health.rs
+++ b/crates/dispatch/tests/dispatch/health.rs
@@ -16,6 +16,8 @@
     late = { Failure::Late, 3, true },
     refused = { Failure::Refused, 20, false },
     misdirected = { Failure::Misdirected, 20, false },
+    other_weights = { Failure::OtherWeights, 20, false },
+    rejected = { Failure::Rejected, 20, false },
 )]
 fn failure_ejects(failure: Failure, times: usize, ejected: bool) {
     let now = Instant::now();
