rollout: a settled request stays settled

Settling kept a request that it had found settled, and took it for one that may still take effect after each later gap in the engine's reports, so that another version waited 1 s more after every pause. It now drops the request with the report that settles it.

--- a/bins/agent/src/rollout/switch.rs
+++ b/bins/agent/src/rollout/switch.rs
@@ -83,7 +83,7 @@
         compio::time::sleep(RETRY_DELAY).await;
         return;
     };
-    if !may_load(state, Instant::now(), &content) {
+    if !may_load(state, &content) {
         compio::time::sleep(SETTLE_DELAY).await;
         return;
     }
@@ -93,14 +93,13 @@
     }
 }
 
-/// Returns whether nothing else changes what the engine holds at `now`: no late request of another version, and no later
-/// agent.
-fn may_load(state: &State, now: Instant, content: &Content) -> bool {
+/// Returns whether nothing else changes what is staged: no late request of another version, and no later agent.
+fn may_load(state: &State, content: &Content) -> bool {
     let manifest = content.version.digest();
     let report = state.report.borrow();
     let born = report.as_ref().and_then(|(_, report)| report.born);
     let superseded = state.superseded_at.get();
-    let may_stage = state.settling.borrow().may_stage(now, manifest);
+    let may_stage = state.settling.borrow().may_stage(manifest);
     may_stage && (superseded.is_none() || superseded != born)
 }
 
--- a/crates/rollout/src/settling.rs
+++ b/crates/rollout/src/settling.rs
@@ -48,10 +48,11 @@
 
     /// Records that a request for the version with `manifest` has no certain response.
     pub fn response_lost(&mut self, now: Instant, manifest: Digest) {
-        let same = |pending: Pending| pending.manifest == Some(manifest);
-        let pending = self.pending(now).filter(|pending| !same(*pending));
+        let is_only_version = self
+            .pending
+            .is_none_or(|pending| pending.manifest == Some(manifest));
         self.pending = Some(Pending {
-            manifest: pending.is_none().then_some(manifest),
+            manifest: is_only_version.then_some(manifest),
             since: now,
         });
     }
@@ -61,31 +62,18 @@
         let unbroken = self
             .reports
             .filter(|reports| now.saturating_duration_since(reports.last) <= MAX_REPORT_INTERVAL);
-        self.reports = Some(Reports {
-            since: unbroken.map_or(now, |reports| reports.since),
-            last: now,
+        let since = unbroken.map_or(now, |reports| reports.since);
+        self.reports = Some(Reports { since, last: now });
+        self.pending = self.pending.filter(|pending| {
+            now.saturating_duration_since(since.max(pending.since)) < SETTLE_TIME
         });
     }
 
     /// Returns whether chunks of the version with `manifest` may be staged.
     ///
     /// Late requests of the same version are harmless: they write the same chunks or repeat the same order.
-    pub fn may_stage(&self, now: Instant, manifest: Digest) -> bool {
-        self.pending(now)
-            .is_none_or(|pending| pending.manifest == Some(manifest))
-    }
-
-    /// Returns the requests that may still take effect at `now`.
-    fn pending(&self, now: Instant) -> Option<Pending> {
+    pub fn may_stage(&self, manifest: Digest) -> bool {
         self.pending
-            .filter(|pending| !self.is_settled(now, *pending))
-    }
-
-    fn is_settled(&self, now: Instant, pending: Pending) -> bool {
-        self.reports.is_some_and(|reports| {
-            let since = reports.since.max(pending.since);
-            let is_current = now.saturating_duration_since(reports.last) <= MAX_REPORT_INTERVAL;
-            is_current && reports.last.saturating_duration_since(since) >= SETTLE_TIME
-        })
+            .is_none_or(|pending| pending.manifest == Some(manifest))
     }
 }
