entry: keep evacuations that a restored store lacks

What callers and operators would see: after the store came back from a copy that is older than an evacuation, entries sent requests to the evacuated failure domain again, although operators had not taken it back.

Cause: an entry took an evacuation that a whole list lacks for taken back.

Change: one that is missing from the first list of a new era of the store stays in force for 10 s, so that operators can write it again. A removal in the new era ends it at once.

--- a/bins/entry/src/ingress/evacuations.rs
+++ b/bins/entry/src/ingress/evacuations.rs
@@ -1,5 +1,6 @@
 //! Follows the operators' evacuations of failure domains.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use node::{Notify, event};
@@ -15,57 +16,104 @@
 /// Minimum wait of a watch.
 const MIN_WAIT: Duration = Duration::from_millis(100);
 
+/// Time for which an evacuation stays in force that a store restored from an older copy lacks. Operators write again
+/// what is missing, or take it back meanwhile.
+const RESTORE_GRACE: Duration = Duration::from_secs(10);
+
+/// Tells which evacuations were taken back, and which of them a restored store only lacks.
+#[derive(Default)]
+struct Tracker {
+    /// Era of the store that was last read.
+    era: Option<u64>,
+    /// Failure domains whose evacuation the restored store lacks, with the time at which it ends.
+    missing: BTreeMap<String, Instant>,
+}
+
 /// Follows evacuations, which must be in force within `bound`; never returns.
 ///
 /// While the store can't be read, the known evacuations stay in force.
 pub(super) async fn follow(gateway: &Gateway, bound: Duration, connectivity_changed: &Notify) {
     let mut reader = Reader::new(gateway, evacuations::KIND, connectivity_changed);
+    let mut tracker = Tracker::default();
     let wait = bound.mul_f64(WAIT_FACTOR).max(MIN_WAIT);
     loop {
         reader.select_source(Instant::now());
         match read(&mut reader, wait, connectivity_changed).await {
-            Some(Ok(update)) => apply(gateway, &update),
+            Some(Ok(update)) => apply(gateway, &mut tracker, &update),
             Some(Err(failed)) => compio::time::sleep(failed.pause).await,
             None => {}
         }
+        for domain in tracker.expired(Instant::now()) {
+            end(gateway, &domain);
+        }
     }
 }
 
-fn apply(gateway: &Gateway, update: &Update) {
+fn apply(gateway: &Gateway, tracker: &mut Tracker, update: &Update) {
     for object in &update.listing.objects {
         let domain = evacuations::domain(object);
         if gateway.update(|scheduler, now| scheduler.begin_evacuation(now, domain)) {
             event!(event::EVACUATION_BEGUN, domain = domain);
         }
     }
-    for domain in ended(gateway, update) {
-        let age = gateway.update(|scheduler, now| scheduler.end_evacuation(now, &domain));
-        if let Some(age) = age {
-            event!(
-                event::EVACUATION_ENDED,
-                domain = domain,
-                age_ms = age.as_millis()
-            );
-        }
+    let known: Vec<String> =
+        gateway.view(|scheduler| scheduler.evacuated_domains().cloned().collect());
+    for domain in tracker.ended(Instant::now(), known, update) {
+        end(gateway, &domain);
     }
     gateway.record_evacuations();
 }
 
-/// Returns the failure domains whose evacuation was taken back.
-fn ended(gateway: &Gateway, update: &Update) -> Vec<String> {
-    let listing = &update.listing;
-    if !update.whole {
-        return listing.deleted.clone();
+fn end(gateway: &Gateway, domain: &str) {
+    let age = gateway.update(|scheduler, now| scheduler.end_evacuation(now, domain));
+    if let Some(age) = age {
+        event!(
+            event::EVACUATION_ENDED,
+            domain = domain,
+            age_ms = age.as_millis()
+        );
     }
-    let is_listed = |domain: &String| {
-        let mut objects = listing.objects.iter();
-        objects.any(|object| evacuations::domain(object) == domain)
-    };
-    gateway.view(|scheduler| {
-        let evacuated = scheduler.evacuated_domains();
-        evacuated
-            .filter(|domain| !is_listed(domain))
-            .cloned()
+    gateway.record_evacuations();
+}
+
+impl Tracker {
+    /// Returns those of the `known` evacuations that were taken back according to `update`.
+    fn ended(&mut self, now: Instant, known: Vec<String>, update: &Update) -> Vec<String> {
+        let listing = &update.listing;
+        for object in &listing.objects {
+            self.missing.remove(evacuations::domain(object));
+        }
+        if !update.whole {
+            for domain in &listing.deleted {
+                self.missing.remove(domain);
+            }
+            return listing.deleted.clone();
+        }
+        let is_listed = |domain: &String| {
+            let mut objects = listing.objects.iter();
+            objects.any(|object| evacuations::domain(object) == domain)
+        };
+        let unlisted = known.into_iter().filter(|domain| !is_listed(domain));
+        let era = listing.revision.era;
+        let restored = self
+            .era
+            .replace(era)
+            .is_some_and(|previous| previous != era);
+        if restored {
+            let until = now + RESTORE_GRACE;
+            for domain in unlisted {
+                self.missing.entry(domain).or_insert(until);
+            }
+            return Vec::new();
+        }
+        unlisted
+            .filter(|domain| !self.missing.contains_key(domain))
             .collect()
-    })
+    }
+
+    /// Removes and returns the missing evacuations that no longer hold.
+    fn expired(&mut self, now: Instant) -> Vec<String> {
+        let expired = self.missing.extract_if(.., |_, until| *until <= now);
+        expired.map(|(domain, _)| domain).collect()
+    }
 }
