dispatch: AllowedRegions in place of Homes

Cause: "home" also names the failure domain from which a chunk of weights is drawn, and the restriction has a usual name.

Change: types, fields, the reason no-allowed-region and the tests that name it. No behaviour changes.

--- a/bins/entry/src/ingress/call.rs
+++ b/bins/entry/src/ingress/call.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use dispatch::{Config, Homes, RequestContext, RequestKind};
+use dispatch::{AllowedRegions, Config, RequestContext, RequestKind};
 use hyper::Uri;
 use node::http::{Body, HeaderMap, Method, Request, Response, StatusCode, header, response};
 use platform::request::{Caller, Instructions};
@@ -28,7 +28,7 @@
     pub(super) deadline: Instant,
     attempts: u32,
     priority: u8,
-    homes: Option<Rc<Homes>>,
+    allowed_regions: Option<Rc<AllowedRegions>>,
     workspace: Option<String>,
     method: Method,
     uri: Uri,
@@ -106,9 +106,9 @@
             priority: tenant
                 .and_then(|tenant| tenant.priority)
                 .unwrap_or(route.priority),
-            homes: Homes::intersect(
-                route.homes.as_ref(),
-                tenant.and_then(|tenant| tenant.homes.as_ref()),
+            allowed_regions: AllowedRegions::intersect(
+                route.allowed_regions.as_ref(),
+                tenant.and_then(|tenant| tenant.allowed_regions.as_ref()),
             ),
             workspace: tenant.map(|tenant| tenant.name.clone()),
             method: parts.method,
@@ -139,7 +139,7 @@
             output_tokens: self.caller.output,
             model: self.caller.model.clone(),
             weights_version: None,
-            homes: self.homes.clone(),
+            allowed_regions: self.allowed_regions.clone(),
             attempts_left: self.attempts,
             tried_targets: Vec::new(),
         }
--- a/crates/dispatch/src/config.rs
+++ b/crates/dispatch/src/config.rs
@@ -8,7 +8,7 @@
 use quota::Limit;
 use serde::{Deserialize, Serialize};
 
-use crate::region::Homes;
+use crate::region::AllowedRegions;
 
 /// One version of the configuration, indexed for request routing.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -49,7 +49,7 @@
     /// Whether requests are accepted without an API key.
     pub anonymous: bool,
     /// Regions whose targets may serve the route's requests; `None` for all regions.
-    pub homes: Option<Rc<Homes>>,
+    pub allowed_regions: Option<Rc<AllowedRegions>>,
 }
 
 /// Whether a request may be retried without the caller's consent.
@@ -149,7 +149,7 @@
     /// Priority of its requests; overrides that of the route.
     pub priority: Option<u8>,
     /// Regions whose targets may serve the tenant's requests; `None` for all regions.
-    pub homes: Option<Rc<Homes>>,
+    pub allowed_regions: Option<Rc<AllowedRegions>>,
 }
 
 /// Bounds on the size of callers' requests and on the time callers may take to send them.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,7 +23,7 @@
     Config, Engine, Limits, Model, Origin, RequestKind, Route, Service, Tenant, WeightSource,
 };
 pub use health::{Failure, Health};
-pub use region::{Homes, Region, RegionMap};
+pub use region::{AllowedRegions, Region, RegionMap};
 pub use request::{Reason, RequestContext, RequestId};
 pub use scheduler::{Decision, Outcome, PermitQuery, Placement, Scheduler};
 pub use target::{Load, Target, TargetId};
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use crate::region::Homes;
+use crate::region::AllowedRegions;
 use crate::request::{RequestContext, RequestId};
 
 /// Share of the objective that a request may spend in the queue; the target needs the rest.
@@ -27,7 +27,7 @@
 
 /// The regions that a request is restricted to. The targets of one class may have room while those of another have
 /// none.
-pub(crate) type Class = Option<Rc<Homes>>;
+pub(crate) type Class = Option<Rc<AllowedRegions>>;
 
 /// Waiting requests in order of urgency.
 #[derive(Debug, Default)]
@@ -69,7 +69,7 @@
         let mut counts: BTreeMap<&Class, usize> = BTreeMap::new();
         let mut keys = Vec::new();
         for (key, work) in &self.waiting {
-            let count = counts.entry(&work.homes).or_default();
+            let count = counts.entry(&work.allowed_regions).or_default();
             if *count < max {
                 *count += 1;
                 keys.push(*key);
@@ -110,14 +110,14 @@
 
     /// Estimates the time that `work` would wait behind the requests of its class ahead of it.
     pub(crate) fn expected_wait(&self, now: Instant, work: &RequestContext) -> Option<Duration> {
-        let placements = self.placements.get(&work.homes);
+        let placements = self.placements.get(&work.allowed_regions);
         let interval = placements
             .filter(|placements| placements.is_recent(now))?
             .interval?;
         let ahead = self
             .waiting
             .range(..QueueKey::of(RequestId::MAX, work))
-            .filter(|(_, other)| other.homes == work.homes)
+            .filter(|(_, other)| other.allowed_regions == work.allowed_regions)
             .count();
         Some(Duration::from_secs_f64(
             (interval * ahead as f64).min(3600.0),
--- a/crates/dispatch/src/region.rs
+++ b/crates/dispatch/src/region.rs
@@ -13,19 +13,19 @@
 ///
 /// ```
 /// use std::rc::Rc;
-/// use dispatch::Homes;
+/// use dispatch::AllowedRegions;
 ///
-/// let route = Rc::new(Homes::new(["levis".into(), "beauce".into()]));
-/// let tenant = Rc::new(Homes::new(["beauce".into()]));
-/// let both = Homes::intersect(Some(&route), Some(&tenant)).unwrap();
+/// let route = Rc::new(AllowedRegions::new(["levis".into(), "beauce".into()]));
+/// let tenant = Rc::new(AllowedRegions::new(["beauce".into()]));
+/// let both = AllowedRegions::intersect(Some(&route), Some(&tenant)).unwrap();
 /// assert!(both.contains("beauce"));
 /// assert!(!both.contains("levis"));
-/// assert_eq!(Homes::intersect(None, None), None);
+/// assert_eq!(AllowedRegions::intersect(None, None), None);
 /// ```
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Homes(BTreeSet<Region>);
+pub struct AllowedRegions(BTreeSet<Region>);
 
-impl Homes {
+impl AllowedRegions {
     /// Returns a restriction to `regions`.
     pub fn new(regions: impl IntoIterator<Item = Region>) -> Self {
         Self(regions.into_iter().collect())
@@ -43,7 +43,7 @@
                 let both = route.0.intersection(&tenant.0).cloned();
                 Some(Rc::new(Self(both.collect())))
             }
-            (homes, None) | (None, homes) => homes.cloned(),
+            (allowed_regions, None) | (None, allowed_regions) => allowed_regions.cloned(),
         }
     }
 }
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::config::RequestKind;
-use crate::region::Homes;
+use crate::region::AllowedRegions;
 use crate::target::TargetId;
 
 /// Number of a request in the scheduler, unique within an entry's process.
@@ -38,7 +38,7 @@
     /// Version of the weights that the target must hold, if a stream is to be continued.
     pub weights_version: Option<u64>,
     /// Regions whose targets may serve the request; `None` for all regions.
-    pub homes: Option<Rc<Homes>>,
+    pub allowed_regions: Option<Rc<AllowedRegions>>,
     /// Number of targets that the request may still be sent to.
     pub attempts_left: u32,
     /// Targets that the request was sent to.
@@ -51,7 +51,7 @@
     /// No target of the service accepts requests.
     NoTarget,
     /// No target of the service is in a region that may serve the request.
-    NoHome,
+    NoAllowedRegion,
     /// The targets that may serve the request are in failure domains that operators evacuate, or accept no requests.
     Evacuated,
     /// All targets are busy and the request would not be served on time.
@@ -69,7 +69,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::NoTarget => "no-target",
-            Self::NoHome => "no-home",
+            Self::NoAllowedRegion => "no-allowed-region",
             Self::Evacuated => "evacuated",
             Self::Overload => "overload",
             Self::Paused => "paused",
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -492,7 +492,7 @@
                 0 => Backlog::Allowed,
                 _ => Backlog::None,
             };
-            let class = work.homes.clone();
+            let class = work.allowed_regions.clone();
             let consecutive_busy = busy_counts.entry(class.clone()).or_default();
             let choice = match *consecutive_busy < MAX_CONSECUTIVE_BUSY {
                 true => self.choose(now, &work, backlog),
--- a/crates/dispatch/src/scheduler/choice.rs
+++ b/crates/dispatch/src/scheduler/choice.rs
@@ -149,7 +149,7 @@
         if target.service != work.service
             || !state.is_accepting(now)
             || work.tried_targets.contains(&target.id)
-            || !self.is_home(target, work)
+            || !self.is_in_allowed_region(target, work)
             || self.is_evacuated(target)
         {
             return false;
@@ -169,10 +169,10 @@
     /// Returns whether `target` is in a region that may serve a request.
     ///
     /// A target whose failure domain is in no known region only serves requests without such a restriction.
-    pub(super) fn is_home(&self, target: &Target, work: &RequestContext) -> bool {
-        work.homes.as_ref().is_none_or(|homes| {
+    pub(super) fn is_in_allowed_region(&self, target: &Target, work: &RequestContext) -> bool {
+        work.allowed_regions.as_ref().is_none_or(|allowed_regions| {
             let region = self.regions.get(&target.domain);
-            region.is_some_and(|region| homes.contains(region))
+            region.is_some_and(|region| allowed_regions.contains(region))
         })
     }
 
--- a/crates/dispatch/src/scheduler/evacuations.rs
+++ b/crates/dispatch/src/scheduler/evacuations.rs
@@ -40,7 +40,7 @@
         targets.any(|target| {
             target.service == work.service
                 && self.is_evacuated(target)
-                && self.is_home(target, work)
+                && self.is_in_allowed_region(target, work)
         })
     }
 }
--- a/crates/dispatch/src/scheduler/rejection.rs
+++ b/crates/dispatch/src/scheduler/rejection.rs
@@ -35,10 +35,13 @@
     /// Returns why no target accepts a request.
     pub(super) fn no_target_reason(&self, work: &RequestContext) -> Reason {
         let mut targets = self.targets.values().map(|state| &state.target);
-        let at_home =
-            |target: &Target| target.service == work.service && self.is_home(target, work);
+        let in_allowed_region = |target: &Target| {
+            target.service == work.service && self.is_in_allowed_region(target, work)
+        };
         match work.tried_targets.is_empty() {
-            true if work.homes.is_some() && !targets.any(at_home) => Reason::NoHome,
+            true if work.allowed_regions.is_some() && !targets.any(in_allowed_region) => {
+                Reason::NoAllowedRegion
+            }
             true if self.is_kept_by_evacuation(work) => Reason::Evacuated,
             true => Reason::NoTarget,
             false => Reason::Refused,
--- a/crates/dispatch/tests/dispatch/homes.rs
+++ b/crates/dispatch/tests/dispatch/allowed_regions.rs
@@ -4,8 +4,8 @@
 use std::time::Instant;
 
 use dispatch::{
-    Decision, Failure, Homes, Load, Outcome, Reason, RegionMap, RequestContext, RequestKind,
-    Scheduler,
+    AllowedRegions, Decision, Failure, Load, Outcome, Reason, RegionMap, RequestContext,
+    RequestKind, Scheduler,
 };
 use yare::parameterized;
 
@@ -24,14 +24,14 @@
     scheduler
 }
 
-fn homes(regions: &[&str]) -> Option<Rc<Homes>> {
+fn allowed_regions(regions: &[&str]) -> Option<Rc<AllowedRegions>> {
     let regions = regions.iter().map(|region| (*region).to_owned());
-    Some(Rc::new(Homes::new(regions)))
+    Some(Rc::new(AllowedRegions::new(regions)))
 }
 
-fn at_home(work: RequestContext, regions: &[&str]) -> RequestContext {
+fn in_allowed_region(work: RequestContext, regions: &[&str]) -> RequestContext {
     RequestContext {
-        homes: homes(regions),
+        allowed_regions: allowed_regions(regions),
         ..work
     }
 }
@@ -43,25 +43,25 @@
     elsewhere = { &["e"], None },
     none = { &[], None },
 )]
-fn choose_home(regions: &[&str], expected: Option<&str>) {
+fn choose_allowed_region(regions: &[&str], expected: Option<&str>) {
     let now = Instant::now();
     for base in [streaming(now), plain(now, RequestKind::NonIdempotent, 2)] {
         let mut scheduler = with_regions();
         scheduler.put_target(target("a", &base.service, "north"));
         scheduler.put_target(target("b", &base.service, "south"));
         scheduler.put_target(target("c", &base.service, "other"));
-        let place = submit(&mut scheduler, now, at_home(base, regions));
+        let place = submit(&mut scheduler, now, in_allowed_region(base, regions));
         assert_eq!(place.map(|place| place.target).as_deref(), expected);
     }
 }
 
 // Guards against requests that wait until their deadline for a region without targets.
 #[test]
-fn no_home_rejected() {
+fn no_allowed_region_rejected() {
     let now = Instant::now();
     let mut scheduler = with_regions();
     scheduler.put_target(target("a", "desk", "north"));
-    let work = at_home(plain(now, RequestKind::Idempotent, 2), &["s"]);
+    let work = in_allowed_region(plain(now, RequestKind::Idempotent, 2), &["s"]);
     scheduler.submit(now, work);
     let decisions = scheduler.poll(now);
     let [
@@ -74,20 +74,20 @@
     else {
         panic!("{decisions:?}");
     };
-    assert_eq!(reason, Reason::NoHome);
+    assert_eq!(reason, Reason::NoAllowedRegion);
     assert!(retry_after > ms(0));
 }
 
 // Guards against retries and second attempts outside of a request's regions.
 #[test]
-fn retry_at_home() {
+fn retry_in_allowed_region() {
     let now = Instant::now();
     let mut scheduler = with_regions();
     for (id, domain) in [("a", "north"), ("b", "south"), ("c", "south")] {
         scheduler.put_target(target(id, "drafts", domain));
     }
     fill_budget(&mut scheduler, now);
-    let work = at_home(streaming(now), &["s"]);
+    let work = in_allowed_region(streaming(now), &["s"]);
     let first = submit(&mut scheduler, now, work).unwrap();
     let mut again = first.work.clone();
     again.attempts_left = 3;
@@ -112,15 +112,15 @@
 
 // Guards against streams that are moved out of their regions, when their target is about to change its weights.
 #[parameterized(
-    home = { &["n", "s"], true },
+    allowed = { &["n", "s"], true },
     elsewhere = { &["n"], false },
 )]
-fn move_stays_home(regions: &[&str], moved: bool) {
+fn move_stays_in_allowed_region(regions: &[&str], moved: bool) {
     let start = Instant::now();
     let mut scheduler = with_regions();
     scheduler.put_target(target("a", "drafts", "north"));
     fill_budget(&mut scheduler, start);
-    let work = at_home(streaming(start), regions);
+    let work = in_allowed_region(streaming(start), regions);
     let place = submit(&mut scheduler, start, work).unwrap();
     scheduler.record_first_event(start, place.request, Some(1));
     scheduler.put_target(target("b", "drafts", "south"));
@@ -143,7 +143,7 @@
     scheduler.put_target(target("a", "drafts", "north"));
     let placed = fill_engines(&mut scheduler, start);
     assert!(placed.len() >= SLOTS as usize);
-    let northern = |now| at_home(streaming(now), &["n"]);
+    let northern = |now| in_allowed_region(streaming(now), &["n"]);
     for _ in 0..100 {
         scheduler.submit(start, northern(start));
     }
@@ -157,7 +157,7 @@
     }
     scheduler.put_target(target("b", "drafts", "south"));
     let late = scheduler.submit(now, northern(now));
-    let southern = scheduler.submit(now, at_home(streaming(now), &["s"]));
+    let southern = scheduler.submit(now, in_allowed_region(streaming(now), &["s"]));
     let decisions = scheduler.poll(now);
     let rejected = |decision: &Decision| matches!(decision, Decision::Reject { request, .. } if *request == late);
     assert!(decisions.iter().any(rejected), "{decisions:?}");
--- a/crates/dispatch/tests/dispatch/config.rs
+++ b/crates/dispatch/tests/dispatch/config.rs
@@ -21,7 +21,7 @@
             .collect(),
         max_attempts: 1,
         anonymous: false,
-        homes: None,
+        allowed_regions: None,
     }
 }
 
@@ -37,7 +37,7 @@
     let tenant = Tenant {
         name: "club".into(),
         priority: Some(0),
-        homes: None,
+        allowed_regions: None,
     };
     Config::new(
         3,
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -1,13 +1,13 @@
 //! Tests of request scheduling.
 
 mod admission;
+mod allowed_regions;
 mod budget;
 mod concurrent;
 mod config;
 mod demand;
 mod evacuations;
 mod health;
-mod homes;
 mod limit;
 mod load;
 mod moves;
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -101,7 +101,7 @@
         output_tokens: 100,
         model: Some("lm".into()),
         weights_version: None,
-        homes: None,
+        allowed_regions: None,
         attempts_left: 2,
         tried_targets: Vec::new(),
     }
