--- a/bins/agent/tests/process/faults.rs
+++ b/bins/agent/tests/process/faults.rs
@@ -289,3 +289,31 @@
         assert_eq!(env.status().await["fencing_number"], 1);
     });
 }
+
+/// Guards against a fencing number that is given out twice because the platform came back from a copy that lacks the write
+/// of the first one.
+#[test]
+fn number_after_restore() {
+    with_env("plain", json!({}), |env| async move {
+        let number = async || {
+            wait_until("the number", async || {
+                !env.status().await["fencing_number"].is_null()
+            })
+            .await;
+            env.status().await["fencing_number"].as_u64().unwrap()
+        };
+        // The agent of a repeatable service writes nothing else to the platform.
+        env.publish(1, true, None);
+        let agent = Process::agent(&env.settings);
+        let first = number().await;
+        drop(agent);
+        env.set_switches(&env.platform, json!({"copy_age_ms": 60_000}))
+            .await;
+        let restart = json!({"down_ms": 0});
+        env.send_to_standin(&env.platform, "POST /control/restart", None, restart)
+            .await;
+        let _agent = Process::agent(&env.settings);
+        let second = number().await;
+        assert!(second > first, "{second} after {first}");
+    });
+}
--- a/bins/agent/tests/process/support.rs
+++ b/bins/agent/tests/process/support.rs
@@ -428,7 +428,8 @@
         assert_eq!(status, 200, "{body:?}");
     }
 
-    async fn send_to_standin(
+    /// Sends a call to a stand-in, with a fencing number if there is one; returns `None` without a response.
+    pub async fn send_to_standin(
         &self,
         standin: &Process,
         call: &str,
--- a/bins/load/tests/matrix.rs
+++ b/bins/load/tests/matrix.rs
@@ -4,12 +4,13 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-const FAULTS: [&str; 9] = [
+const FAULTS: [&str; 10] = [
     "VM dies",
     "Link stalls",
     "Corrupted chunk",
     "Version changes in flight",
     "Platform down or slow",
+    "Platform comes back from an older copy",
     "Store down or slow",
     "Answer lost after the write",
     "Lease expires while the holder is paused",
