entry: use a restored registration a heartbeat after the store would have removed it

The store removes a registration after three heartbeats without a renewal. It now waits for four. Found by reading; the case of the unit test that covers the time (insert_departed) now demands the fourth.

--- a/bins/entry/src/ingress/targets.rs
+++ b/bins/entry/src/ingress/targets.rs
@@ -18,8 +18,9 @@
 const REREGISTRATION_TIME: Duration = Duration::from_secs(2);
 /// Minimum duration of a store outage during which registrations may have expired.
 const MIN_OUTAGE: Duration = Duration::from_millis(1500);
-/// Number of heartbeats without a renewal after which the store removes a registration.
-const HEARTBEATS_TO_EXPIRY: u32 = 3;
+/// Number of heartbeats without a renewal after which this entry has seen the store remove a registration. The store removes
+/// it after three; one more is for the entry to read that, since it gathers changes.
+const HEARTBEATS_TO_REMOVAL: u32 = 4;
 /// Time for which departures are remembered; longer than the age of any copy from which the store may come back.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
 
@@ -29,8 +30,8 @@
 /// The registered targets, those whose registration is missing, and those that left recently.
 #[derive(Clone, Debug)]
 pub struct Registrations {
-    /// Time without a renewal after which the store removes a registration.
-    expiry: Duration,
+    /// Time without a renewal after which this entry has seen the store remove a registration.
+    time_to_removal: Duration,
     present: BTreeMap<String, Known>,
     missing: BTreeMap<String, Instant>,
     departed: BTreeMap<String, Departure>,
@@ -93,7 +94,7 @@
     /// Returns an empty record; targets renew their registrations every `heartbeat`.
     pub fn new(heartbeat: Duration) -> Self {
         Self {
-            expiry: heartbeat * HEARTBEATS_TO_EXPIRY,
+            time_to_removal: heartbeat * HEARTBEATS_TO_REMOVAL,
             present: BTreeMap::new(),
             missing: BTreeMap::new(),
             departed: BTreeMap::new(),
@@ -135,7 +136,7 @@
         }
         let departure = self.departure_before(now, &target, revision.era);
         if let Some(departure) = departure.filter(|_| copied && known.is_none()) {
-            let until = now + self.expiry;
+            let until = now + self.time_to_removal;
             target.draining |= departure.last.draining;
             let (id, held) = (target.id.clone(), (until, target));
             self.unconfirmed.entry(id).or_insert(held);
--- a/bins/entry/tests/ingress/targets.rs
+++ b/bins/entry/tests/ingress/targets.rs
@@ -106,8 +106,8 @@
     assert_eq!(registrations.remove(now + ms(2_000), "a"), Removal::Gone);
 }
 
-// Guards against requests to a target that left and that only the copy shows, and against passing over one for good that
-// registers again, starts again or turns out to be live.
+// Guards against requests to a target that left and that only the copy shows, even if the entry reads late that the store
+// removed it after three heartbeats, and against passing over one for good that registers again, starts again or is live.
 #[parameterized(
     copied = { 5, Revision::new(2, 7), false },
     earlier_start = { 4, Revision::new(2, 7), false },
@@ -132,11 +132,11 @@
     assert_eq!(inserted, Insertion::Unconfirmed);
     let again = registrations.insert(restored + ms(500), registered.clone(), revision);
     assert_eq!(again, Insertion::Unconfirmed);
-    let expiry = restored + 3 * HEARTBEAT;
-    assert!(registrations.confirm(expiry - ms(1)).is_empty());
-    let confirmed = registrations.confirm(expiry);
+    let removed = restored + 4 * HEARTBEAT;
+    assert!(registrations.confirm(removed - ms(1)).is_empty());
+    let confirmed = registrations.confirm(removed);
     assert_eq!(confirmed, std::slice::from_ref(&registered));
-    let known = registrations.insert(expiry, registered.clone(), revision);
+    let known = registrations.insert(removed, registered.clone(), revision);
     assert_eq!(known, Insertion::Known(registered));
 }
 
