--- a/bins/agent/src/rollout/weights.rs
+++ b/bins/agent/src/rollout/weights.rs
@@ -35,6 +35,8 @@
 const MAX_DRAW_DELAY: Duration = Duration::from_secs(2);
 /// Timeout of a manifest request to another agent.
 const PEER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of a request for staged chunks; without a response they are fetched from elsewhere.
+const STAGED_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of equal manifests that the origin must send before one is accepted; it may send a corrupt one.
 const REQUIRED_COPIES: usize = 2;
 
@@ -54,6 +56,8 @@
     Request(#[from] hyper::http::Error),
     #[error(transparent)]
     Inconsistent(#[from] burst::Error),
+    #[error("manifest lists {listed} chunks, but the engine loads {loaded}")]
+    ChunkCount { listed: u32, loaded: u32 },
 }
 
 /// Creates the transfer of this agent, which draws from `origin`.
@@ -175,7 +179,8 @@
     while state.wanted_version() == version {
         let round = search.next_round(Instant::now());
         for peer in round.peers.iter().filter_map(|index| peers.get(*index)) {
-            match fetch_from_peer(http, *peer, model, version).await {
+            let fetched = fetch_from_peer(http, *peer, model, version).await;
+            match fetched.and_then(|manifest| check_count(state, manifest)) {
                 Ok(manifest) => return Some(manifest),
                 Err(Error::Status(StatusCode::NOT_FOUND)) => {}
                 Err(error) => log_manifest_failed(model, version, *peer, &error),
@@ -183,7 +188,8 @@
         }
         if round.origin {
             let origin = state.origin()?.address;
-            match fetch_from_origin(http, origin, model, version).await {
+            let fetched = fetch_from_origin(http, origin, model, version).await;
+            match fetched.and_then(|manifest| check_count(state, manifest)) {
                 Ok(manifest) => {
                     search.origin_answered();
                     let count = copies.entry(manifest.digest()).or_default();
@@ -204,6 +210,17 @@
     None
 }
 
+/// Checks that `manifest` lists all chunks that the engine loads.
+///
+/// In place of a chunk that it doesn't list, the engine would load one of another version.
+fn check_count(state: &State, manifest: Version) -> Result<Version, Error> {
+    let listed = manifest.chunk_count();
+    match state.chunk_count() {
+        Some(loaded) if loaded != listed => Err(Error::ChunkCount { listed, loaded }),
+        _ => Ok(manifest),
+    }
+}
+
 fn log_manifest_failed(model: &str, version: u64, from: SocketAddr, error: &Error) {
     event!(
         event::MANIFEST_FAILED,
@@ -284,7 +301,8 @@
 ///
 /// An engine that existed from the start has the first version staged; after a restart of the agent it may have others.
 async fn adopt_staged(state: &State, holdings: &Holdings, model: &str, version: &Version) {
-    let staged = match state.engine.staged_chunks(model).await {
+    let connection = state.engine.connect(STAGED_TIMEOUT);
+    let staged = match connection.staged_chunks(model).await {
         Ok(staged) => staged,
         Err(error) => {
             event!(event::STAGED_UNREAD, error = error);
@@ -295,7 +313,7 @@
         if index >= version.chunk_count() || holdings.contains(&version.chunk_digest(index)) {
             continue;
         }
-        match state.engine.read_staged(model, index).await {
+        match connection.read_staged(model, index).await {
             Ok(bytes) => match version.verify_chunk(index, bytes) {
                 Ok(content) => holdings.insert(content, true),
                 // A chunk that differs means that another version is staged.
--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -9,6 +9,7 @@
 mod call;
 mod disconnect;
 mod error;
+mod evacuations;
 pub mod events;
 mod gateway;
 mod hedge;
@@ -26,6 +27,7 @@
 mod subscriptions;
 mod targets;
 mod unary;
+pub mod verdict;
 
 pub use gateway::Gateway;
 pub use relays::{Relays, Source};
--- a/bins/entry/src/ingress/metrics.rs
+++ b/bins/entry/src/ingress/metrics.rs
@@ -20,6 +20,7 @@
 pub(super) struct Metrics {
     refusals: Family<ReasonLabel, Counter>,
     failed_attempts: Family<ReasonLabel, Counter>,
+    error_answers: Family<VerdictLabel, Counter>,
     first_byte: Histogram,
     streams_resumed: Counter,
     streams_cut: Counter,
@@ -27,6 +28,7 @@
     outdated_answers: Counter,
     limited_attempts: Counter,
     store_era: Gauge,
+    evacuated_domains: Gauge,
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -35,11 +37,18 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+struct VerdictLabel {
+    taken_for: &'static str,
+}
+
 impl Metrics {
     pub(super) fn new(registry: &mut Registry) -> Self {
         let metrics = Self {
             refusals: Family::default(),
             failed_attempts: Family::default(),
+            error_answers: Family::default(),
             first_byte: Histogram::new(FIRST_BYTE_BOUNDS),
             streams_resumed: Counter::default(),
             streams_cut: Counter::default(),
@@ -47,6 +56,7 @@
             outdated_answers: Counter::default(),
             limited_attempts: Counter::default(),
             store_era: Gauge::default(),
+            evacuated_domains: Gauge::default(),
         };
         let registry = registry.sub_registry_with_prefix("carobport_ingress");
         registry.register(
@@ -59,6 +69,11 @@
             "Attempts without an answer to pass on",
             metrics.failed_attempts.clone(),
         );
+        registry.register(
+            "error_answers",
+            "Answers of targets with an error status",
+            metrics.error_answers.clone(),
+        );
         registry.register_with_unit(
             "first_byte",
             "Time from a request's arrival to the first byte of a target's answer",
@@ -95,6 +110,11 @@
             "Number of times that the store came back from an older copy",
             metrics.store_era.clone(),
         );
+        registry.register(
+            "evacuated_domains",
+            "Failure domains that operators evacuate",
+            metrics.evacuated_domains.clone(),
+        );
         metrics
     }
 
@@ -109,6 +129,12 @@
             .inc();
     }
 
+    pub(super) fn count_error_answer(&self, taken_for: &'static str) {
+        self.error_answers
+            .get_or_create(&VerdictLabel { taken_for })
+            .inc();
+    }
+
     pub(super) fn observe_first_byte(&self, time: Duration) {
         self.first_byte.observe(time.as_secs_f64());
     }
@@ -129,6 +155,10 @@
         self.outdated_answers.inc();
     }
 
+    pub(super) fn set_evacuated_domains(&self, count: usize) {
+        self.evacuated_domains.set(count as i64);
+    }
+
     pub(super) fn count_limited_attempt(&self) {
         self.limited_attempts.inc();
     }
--- a/bins/entry/src/ingress/settings.rs
+++ b/bins/entry/src/ingress/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dispatch::RetryLimit;
+use dispatch::{RegionMap, RetryLimit};
 use node::settings::Fields;
 
 /// Default interval at which targets renew their registrations, in milliseconds.
@@ -16,6 +16,8 @@
     pub name: String,
     /// Failure domain of the VM.
     pub domain: String,
+    /// Region of each failure domain.
+    pub regions: RegionMap,
     /// Port for callers.
     pub caller_listen: SocketAddr,
     /// Port for the balancer's readiness checks.
@@ -44,6 +46,8 @@
     pub heartbeat: Duration,
     /// Time within which a newly named version of weights must have replaced all older ones.
     pub version_deadline: Duration,
+    /// Time within which requests must stop going to an evacuated failure domain; `None` if none is ever evacuated.
+    pub evacuation: Option<Duration>,
     /// Limit on retries over all entries.
     pub retries: RetryLimit,
 }
@@ -53,6 +57,7 @@
         let address = "an address such as \"10.0.0.1:8080\"";
         let name = fields.text("name");
         let domain = fields.text("domain");
+        let regions = fields.required("regions", "an object of regions by failure domain");
         let caller_listen = fields.required("caller_listen", address);
         let ready_listen = fields.required("ready_listen", address);
         let operator_listen = fields.required("operator_listen", address);
@@ -62,6 +67,7 @@
         Some(Self {
             name: name?,
             domain: domain?,
+            regions: regions?,
             caller_listen: caller_listen?,
             ready_listen: ready_listen?,
             operator_listen: operator_listen?,
@@ -79,6 +85,7 @@
         let target_drain = fields.millis("drain_ms", 0..=3_600_000, None);
         let heartbeat = fields.millis("heartbeat_ms", 1..=3_600_000, Some(HEARTBEAT_MS));
         let version_deadline = fields.millis("version_ms", 0..=3_600_000, None);
+        let evacuation = fields.millis("evacuation_ms", 0..=3_600_000, Some(0));
         let ratio = fields.number("repeat_ratio", 0.0..=100.0, None);
         let extra = fields.number("repeat_extra", 0.0..=1e6, None);
         let window = fields.seconds("repeat_window_s", 0.001..=3600.0);
@@ -88,6 +95,7 @@
             target_drain: target_drain?,
             heartbeat: heartbeat?,
             version_deadline: version_deadline?,
+            evacuation: evacuation.map(|bound| (!bound.is_zero()).then_some(bound))?,
             retries: RetryLimit {
                 ratio: ratio?,
                 extra_per_window: extra?,
--- a/bins/entry/src/ingress/stream.rs
+++ b/bins/entry/src/ingress/stream.rs
@@ -18,6 +18,7 @@
 use futures::stream::unfold;
 use futures::{FutureExt, select_biased};
 use node::event;
+use node::http::header::{self, HeaderValue};
 use node::http::{Body, Response};
 
 use super::call::Call;
@@ -37,7 +38,7 @@
 /// An attempt that is to replace the current one.
 struct Replacement {
     /// Resolves to the first events of the replacement, or to its failure.
-    opening: LocalBoxFuture<'static, Result<(PlacedRequest, InitialResponse), FailedAttempt>>,
+    opening: LocalBoxFuture<'static, Result<(PlacedRequest, Box<OpenStream>), FailedAttempt>>,
     cause: Cause,
 }
 
@@ -60,7 +61,21 @@
     /// No events arrived for the stall time.
     Stalled,
     /// The replacement sent its first events or failed.
-    ReplacementReady(Result<(PlacedRequest, InitialResponse), FailedAttempt>),
+    ReplacementReady(Result<(PlacedRequest, Box<OpenStream>), FailedAttempt>),
+}
+
+/// Why no target began a stream.
+enum OpenError {
+    /// A target responded with an error status.
+    Answered(Response<Bytes>),
+    /// No target answered.
+    Unanswered(RequestError),
+}
+
+impl From<RequestError> for OpenError {
+    fn from(error: RequestError) -> Self {
+        Self::Unanswered(error)
+    }
 }
 
 /// A response body that forwards a stream to the caller; dropping it ends the attempt on the target.
@@ -68,6 +83,8 @@
     gateway: Rc<Gateway>,
     call: Rc<Call>,
     attempt: StreamAttempt,
+    /// Content type of the response to the caller.
+    content_type: Option<HeaderValue>,
     /// The request to submit if the attempt fails.
     work: RequestContext,
     first_events: Bytes,
@@ -84,16 +101,14 @@
 /// Serves a request whose response is a stream.
 pub(super) async fn serve(gateway: &Rc<Gateway>, call: Call, guard: InProgress) -> Response<Body> {
     let mut disconnect_guard = DisconnectGuard::new(gateway, &call);
-    let mut error_response = None;
     let last = call.caller.last_event;
-    let (placed, opened) = match open(gateway, &call, call.work(), last, &mut error_response).await
-    {
+    let (placed, opened) = match open(gateway, &call, call.work(), last).await {
         Ok(opened) => opened,
         Err(error) => {
             disconnect_guard.disarm();
-            return match error_response {
-                Some(response) => response.map(Body::from),
-                None => gateway.fail_request(&call, error),
+            return match error {
+                OpenError::Answered(response) => response.map(Body::from),
+                OpenError::Unanswered(error) => gateway.fail_request(&call, &error),
             };
         }
     };
@@ -107,14 +122,13 @@
     response
 }
 
-/// Tries targets until one sends its first events; stores a target's own error response in `error_response`.
+/// Tries targets until one sends its first events.
 async fn open(
     gateway: &Rc<Gateway>,
     call: &Call,
     work: RequestContext,
     last_event: Option<u64>,
-    error_response: &mut Option<Response<Bytes>>,
-) -> Result<(PlacedRequest, OpenStream), RequestError> {
+) -> Result<(PlacedRequest, OpenStream), OpenError> {
     let mut last_possible_run = None;
     let mut next = gateway.submit(work).await;
     loop {
@@ -126,8 +140,7 @@
             Ok((placed, InitialResponse::Stream(opened))) => return Ok((placed, *opened)),
             Ok((placed, InitialResponse::Other(response))) => {
                 placed.fail(Failure::Error);
-                *error_response = Some(response);
-                return Err(RequestError::MayHaveRun(Failure::Error));
+                return Err(OpenError::Answered(response));
             }
             Err(failed) => failed,
         };
@@ -151,6 +164,7 @@
             gateway: Rc::clone(gateway),
             hedge_at: Instant::now() + stall_time(&call),
             call: Rc::new(call),
+            content_type: opened.headers.get(header::CONTENT_TYPE).cloned(),
             work: placed.place().work.clone(),
             attempt: StreamAttempt {
                 placed,
@@ -217,8 +231,10 @@
 
     /// Waits for the first of: events, a replacement, a move, a stall.
     async fn step(&mut self) -> Step {
-        let hedge_at =
-            (self.replacement.is_none() && self.work.may_repeat()).then_some(self.hedge_at);
+        let may_hedge = self.replacement.is_none()
+            && self.work.may_repeat()
+            && self.attempt.events.is_resumable();
+        let hedge_at = may_hedge.then_some(self.hedge_at);
         let deadline = self.call.deadline;
         let target = &self.attempt.placed.place().target;
         let mut next = pin!(self.attempt.events.next(deadline, target).fuse());
@@ -257,12 +273,18 @@
 
     /// Starts a replacement that resumes after the last event while the current attempt continues.
     fn start_replacement(&mut self, placed: PlacedRequest, cause: Cause) {
+        if !self.attempt.events.is_resumable() {
+            return;
+        }
         self.work = placed.place().work.clone();
         let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
         let last = self.attempt.events.last();
+        let content_type = self.content_type.clone();
         let opening = async move {
-            match stream_attempt::begin(&gateway, &call, &placed, last).await {
-                Ok(beginning) => Ok((placed, beginning)),
+            match stream_attempt::resume(&gateway, &call, &placed, last, content_type.as_ref())
+                .await
+            {
+                Ok(opened) => Ok((placed, opened)),
                 Err(failure) => Err((failure, placed.end(Outcome::Failed(failure)))),
             }
         };
@@ -275,37 +297,34 @@
     /// Switches to the replacement if it sent events, and otherwise stays with the current attempt.
     fn finish_replacement(
         &mut self,
-        result: Result<(PlacedRequest, InitialResponse), FailedAttempt>,
+        result: Result<(PlacedRequest, Box<OpenStream>), FailedAttempt>,
     ) {
         let cause = self.replacement.take().map(|replacement| replacement.cause);
         self.hedge_at = Instant::now() + stall_time(&self.call);
-        match result {
-            Ok((placed, InitialResponse::Stream(opened))) => {
-                let reason = match cause {
-                    Some(Cause::Moved) => "moved",
-                    Some(Cause::Stalled) | None => Failure::Late.name(),
-                };
-                self.switch_to(placed, *opened, reason);
-            }
-            Ok((placed, InitialResponse::Other(_))) => placed.fail(Failure::Error),
-            Err(_) => {}
+        if let Ok((placed, opened)) = result
+            && self.attempt.events.is_resumable()
+        {
+            let reason = match cause {
+                Some(Cause::Moved) => "moved",
+                Some(Cause::Stalled) | None => Failure::Late.name(),
+            };
+            self.switch_to(placed, opened, reason);
         }
     }
 
     /// Resumes at another target after the current attempt failed, or aborts the response.
     async fn resume(&mut self, failure: Failure) -> io::Result<()> {
         self.attempt.placed.fail(failure);
+        if !self.attempt.events.is_resumable() {
+            return Err(self.abort(failure.name()));
+        }
         self.moved = None;
         let replaced = match self.replacement.take() {
             Some(replacement) => Some(replacement.opening.await),
             None => None,
         };
         let next = match replaced {
-            Some(Ok((placed, InitialResponse::Stream(opened)))) => Some((placed, *opened)),
-            Some(Ok((placed, InitialResponse::Other(_)))) => {
-                placed.fail(Failure::Error);
-                None
-            }
+            Some(Ok(opened)) => Some(opened),
             Some(Err((failure, work))) => self.reopen(work, failure).await,
             None => self.reopen(self.resumable_work(), failure).await,
         };
@@ -323,19 +342,16 @@
         &self,
         mut work: RequestContext,
         mut failure: Failure,
-    ) -> Option<(PlacedRequest, OpenStream)> {
+    ) -> Option<(PlacedRequest, Box<OpenStream>)> {
         let last = self.attempt.events.last();
-        let begin = async |placed: &PlacedRequest| {
-            stream_attempt::begin(&self.gateway, &self.call, placed, last).await
+        let content_type = self.content_type.as_ref();
+        let resume = async |placed: &PlacedRequest| {
+            stream_attempt::resume(&self.gateway, &self.call, placed, last, content_type).await
         };
         loop {
             let placed = self.gateway.retry(work, failure).await?.ok()?;
-            match hedge::attempt(placed, stall_time(&self.call), begin).await {
-                Ok((placed, InitialResponse::Stream(opened))) => return Some((placed, *opened)),
-                Ok((placed, InitialResponse::Other(_))) => {
-                    placed.fail(Failure::Error);
-                    return None;
-                }
+            match hedge::attempt(placed, stall_time(&self.call), resume).await {
+                Ok(opened) => return Some(opened),
                 Err(failed) => (failure, work) = failed,
             }
         }
@@ -350,7 +366,12 @@
     }
 
     /// Switches to another attempt, skipping the events that the current one sent in the meantime.
-    fn switch_to(&mut self, placed: PlacedRequest, mut opened: OpenStream, reason: &'static str) {
+    fn switch_to(
+        &mut self,
+        placed: PlacedRequest,
+        mut opened: Box<OpenStream>,
+        reason: &'static str,
+    ) {
         let last = self.attempt.events.last();
         opened.skip_through(last);
         let target = &placed.place().target;
@@ -418,7 +439,7 @@
 /// Returns the first events of the replacement, or its failure; never resolves without a replacement.
 async fn replacement_opened(
     replacement: &mut Option<Replacement>,
-) -> Result<(PlacedRequest, InitialResponse), FailedAttempt> {
+) -> Result<(PlacedRequest, Box<OpenStream>), FailedAttempt> {
     match replacement {
         Some(replacement) => (&mut replacement.opening).await,
         None => pending().await,
--- a/bins/entry/src/ingress/stream_attempt.rs
+++ b/bins/entry/src/ingress/stream_attempt.rs
@@ -8,6 +8,7 @@
 use dispatch::Failure;
 use futures::future::{Either, select};
 use node::event;
+use node::http::header::{self, HeaderValue};
 use node::http::{HeaderMap, Response, ResponseBody, StatusCode};
 
 use super::call::Call;
@@ -71,6 +72,38 @@
     }
 }
 
+/// Sends a request to a target that is to continue the stream of `call` after the event `last`, which the caller has
+/// received in a response with the `content_type`.
+///
+/// # Errors
+///
+/// Returns why the target can't continue the stream, as [`begin`] does. A response with an error status, of another
+/// type, or that doesn't begin with the next event is a failure: no byte of it belongs to the stream.
+pub(super) async fn resume(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    placed: &PlacedRequest,
+    last: Option<u64>,
+    content_type: Option<&HeaderValue>,
+) -> Result<Box<OpenStream>, Failure> {
+    let opened = match begin(gateway, call, placed, last).await? {
+        InitialResponse::Stream(opened) => opened,
+        InitialResponse::Other(_) => return Err(Failure::Error),
+    };
+    let found = opened.headers.get(header::CONTENT_TYPE);
+    let of_another_type = found
+        .zip(content_type)
+        .is_some_and(|(found, expected)| media_type(found) != media_type(expected));
+    let error = match opened.events.last() > last {
+        true if !of_another_type => return Ok(opened),
+        true => "the resumed stream has another content type",
+        false => "the resumed stream doesn't begin with the next event",
+    };
+    let target = &placed.place().target;
+    event!(event::STREAM_MALFORMED, target = target, error = error);
+    Err(Failure::Broken)
+}
+
 async fn open(
     gateway: &Rc<Gateway>,
     call: &Call,
@@ -80,7 +113,7 @@
     let deadline = call.deadline;
     let place = placed.place();
     let target_response = gateway.attempt(call, placed, deadline, last_event).await?;
-    let headers = platform::response::forwarded_headers(&target_response.headers);
+    let mut headers = platform::response::forwarded_headers(&target_response.headers);
     if !target_response.status.is_success() {
         let body = target_response.body.collect(MAX_ERROR_BYTES).await;
         let mut response = Response::new(body.map_err(|_| Failure::Broken)?);
@@ -88,10 +121,12 @@
         *response.headers_mut() = headers;
         return Ok(InitialResponse::Other(response));
     }
+    // Another target may continue the stream with more or fewer bytes.
+    headers.remove(header::CONTENT_LENGTH);
     let version = target_response.head.version;
     let required = place.work.weights_version;
     if required.is_some() && version.is_some() && version != required {
-        return Err(Failure::Misdirected);
+        return Err(Failure::OtherWeights);
     }
     let mut events = EventStream {
         body: target_response.body,
@@ -100,6 +135,15 @@
         last_event_at: Instant::now(),
     };
     let first = events.next(deadline, &place.target).await?;
+    if !events.splitter.has_events() && !is_framed(&target_response.headers) {
+        let error = "the connection was closed before the first event";
+        event!(
+            event::STREAM_MALFORMED,
+            target = place.target,
+            error = error
+        );
+        return Err(Failure::Broken);
+    }
     placed.record_first_event(version);
     gateway.check_version(call, placed, version);
     Ok(InitialResponse::Stream(Box::new(OpenStream {
@@ -123,19 +167,22 @@
         target: &str,
     ) -> Result<Option<Bytes>, Failure> {
         self.body.set_deadline(deadline);
+        let malformed = |error| {
+            event!(event::STREAM_MALFORMED, target = target, error = error);
+            Failure::Broken
+        };
         loop {
+            if let Some(error) = self.splitter.error() {
+                return Err(malformed(error));
+            }
             match self.body.next().await {
-                Ok(Some(chunk)) => match self.splitter.push(&chunk) {
-                    Ok(events) if events.is_empty() => {}
-                    Ok(events) => {
+                Ok(Some(chunk)) => {
+                    let events = self.splitter.push(&chunk).map_err(malformed)?;
+                    if !events.is_empty() {
                         self.last_event_at = Instant::now();
                         return Ok(Some(events));
                     }
-                    Err(error) => {
-                        event!(event::STREAM_MALFORMED, target = target, error = error);
-                        return Err(Failure::Broken);
-                    }
-                },
+                }
                 Ok(None) => {
                     let rest = self.splitter.finish().ok_or(Failure::Broken)?;
                     return Ok(Some(rest).filter(|rest| !rest.is_empty()));
@@ -146,6 +193,11 @@
         }
     }
 
+    /// Returns whether another target may resume the stream after [`EventStream::last`].
+    pub(super) fn is_resumable(&self) -> bool {
+        self.splitter.is_resumable()
+    }
+
     /// Returns the id of the last event that was returned, or after which the stream resumes.
     pub(super) fn last(&self) -> Option<u64> {
         self.splitter.last()
@@ -158,3 +210,14 @@
         self.first_events = self.events.splitter.skip_through(last, &self.first_events);
     }
 }
+
+/// Returns whether a response declares the end of its body. Otherwise the body ends when the connection is closed.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+/// Returns the media type of a `Content-Type` value in lower case, without its parameters.
+fn media_type(content_type: &HeaderValue) -> Option<String> {
+    let media_type = content_type.to_str().ok()?.split(';').next()?;
+    Some(media_type.trim().to_ascii_lowercase())
+}
