--- a/bins/entry/src/ingress/targets.rs
+++ b/bins/entry/src/ingress/targets.rs
@@ -15,7 +15,7 @@
 use platform::Revision;
 
 /// Time after a store outage within which live targets have registered again.
-const REREGISTRATION_TIME: Duration = Duration::from_secs(2);
+pub(super) const REREGISTRATION_TIME: Duration = Duration::from_secs(2);
 /// Minimum duration of a store outage during which registrations may have expired.
 const MIN_OUTAGE: Duration = Duration::from_millis(1500);
 /// Number of heartbeats without a renewal after which this entry has seen the store remove a registration. The store removes
