agent: truncated responses of a plain service, after every byte

The agent's own forwarding was tested with one truncated response. Now it is cut after every byte of head and body, with a length, in chunks, and without either and reset, for calls that stream and for keyed calls whose response is stored. All six cases pass on the code as it is: no cut response is answered as a complete one, and none is stored.

--- a/bins/agent/tests/process/main.rs
+++ b/bins/agent/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! Runs agents as processes, with stand-ins for the engine, the plain service, the platform and the store.
 
+mod cuts;
 mod faults;
 mod support;
 
