--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -22,7 +22,7 @@
 use super::buffering::BufferedBytes;
 use super::call::{Call, Refusal};
 use super::disconnect::DisconnectGuard;
-use super::error::{Rejection, RequestError};
+use super::error::{LastAttempt, Rejection, RequestError};
 use super::metrics::Metrics;
 use super::placed::PlacedRequest;
 use super::relay::Relay;
@@ -31,6 +31,8 @@
 
 /// Timeout for connecting to a target.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of a call to the store, in addition to the wait of a watch.
+pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Interval between scheduler polls while requests are queued.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between scheduler polls while the queue is empty.
@@ -60,6 +62,10 @@
     change_count: Cell<u64>,
     /// Whether the last read of the configuration succeeded.
     store_reachable: Cell<bool>,
+    /// Newest era of the store that the readers have been notified of.
+    store_era: Cell<Option<u64>>,
+    /// Client of the store; those of other servers of the same objects share the newest era with it.
+    pub(super) store: platform::Client,
     draining: Cell<bool>,
     refusing: Cell<bool>,
     /// When the scheduler was last polled.
@@ -84,7 +90,9 @@
         let versions = RequiredVersions::new(settings.bounds.version_deadline);
         let retries = settings.bounds.retries;
         let seed = rand::rng().random();
-        let scheduler = Scheduler::new(&settings.domain, versions, retries, seed);
+        let store = platform::Client::new(settings.platform, STORE_TIMEOUT);
+        let mut scheduler = Scheduler::new(&settings.domain, versions, retries, seed);
+        scheduler.set_regions(settings.regions.clone());
         Rc::new_cyclic(|me| Self {
             me: me.clone(),
             relays: RefCell::new(Relays::new(settings.load_listen)),
@@ -100,6 +108,8 @@
             buffered: BufferedBytes::default(),
             change_count: Cell::default(),
             store_reachable: Cell::new(false),
+            store_era: Cell::default(),
+            store,
             draining: Cell::new(false),
             refusing: Cell::new(false),
             last_poll: Cell::new(Instant::now()),
@@ -194,6 +204,12 @@
         }
     }
 
+    /// Updates the metric of evacuated failure domains.
+    pub(super) fn record_evacuations(&self) {
+        let count = self.view(|scheduler| scheduler.evacuated_domains().count());
+        self.metrics.set_evacuated_domains(count);
+    }
+
     /// Waits until permit queries are due and returns them.
     pub(super) async fn next_permit_queries(&self) -> Vec<PermitQuery> {
         loop {
@@ -226,6 +242,17 @@
         self.store_reachable.set(reachable);
     }
 
+    /// Records the newest era of the store in any response; returns whether it has risen.
+    pub(super) fn record_store_era(&self) -> bool {
+        let Some(era) = self.store.era() else {
+            return false;
+        };
+        self.relay.set_era(era);
+        self.metrics.set_store_era(era);
+        let known = self.store_era.replace(Some(era));
+        known.is_some_and(|known| known < era)
+    }
+
     /// Polls the scheduler while requests are queued or after load reports, and cancels streams that have not begun and
     /// whose target's weights have become too old; never returns.
     pub async fn poll_periodically(self: Rc<Self>) {
@@ -295,7 +322,7 @@
         let id = self.scheduler.borrow_mut().submit(Instant::now(), work);
         self.wait_for_placement(id)
             .await
-            .map_err(RequestError::NotRun)
+            .map_err(RequestError::unsent)
     }
 
     /// Retries `work` after `failure`; `last_possible_run` holds the last failure after which the request may have run.
@@ -309,6 +336,7 @@
         if !failure.is_not_run() {
             *last_possible_run = Some(failure);
         }
+        let last_attempt = LastAttempt::new(&work, failure);
         let rejection = match self.retry(work, failure).await {
             Some(Ok(placed)) => return Ok(placed),
             Some(Err(rejection)) => rejection,
@@ -317,7 +345,11 @@
                 retry_after: self.retry_after(call.deadline),
             },
         };
-        Err(RequestError::after(*last_possible_run, rejection))
+        Err(RequestError::after(
+            last_attempt,
+            *last_possible_run,
+            rejection,
+        ))
     }
 
     /// Resubmits a request after a failed attempt; returns `None` if it may not be retried.
@@ -342,17 +374,27 @@
 
     /// Logs and counts a refusal issued by the entry, and returns its response.
     pub(super) fn refuse(&self, id: &str, refusal: &Refusal) -> Response<Body> {
-        self.refuse_after(id, refusal, Duration::ZERO)
+        self.refuse_after(id, refusal, Duration::ZERO, None)
     }
 
-    fn refuse_after(&self, id: &str, refusal: &Refusal, age: Duration) -> Response<Body> {
+    fn refuse_after(
+        &self,
+        id: &str,
+        refusal: &Refusal,
+        age: Duration,
+        last_attempt: Option<&LastAttempt>,
+    ) -> Response<Body> {
         self.metrics.count_refusal(refusal.reason);
         let scheduler = self.scheduler.borrow();
+        let failure = last_attempt.map(|last| last.failure.name());
         event!(
             event::REQUEST_REFUSED,
             request = id,
             status = refusal.status.as_u16(),
             reason = refusal.reason,
+            target = last_attempt.map_or("none", |last| &*last.target),
+            attempts = last_attempt.map_or(0, |last| last.number),
+            failure = failure.unwrap_or("none"),
             age_ms = age.as_millis(),
             waiting = scheduler.waiting_count(),
             in_progress = scheduler.in_progress(),
@@ -363,8 +405,9 @@
     }
 
     /// Returns the error response to a request that no target answered.
-    pub(super) fn fail_request(&self, call: &Call, error: RequestError) -> Response<Body> {
-        self.refuse_after(&call.caller.id, &error.refusal(), call.arrived.elapsed())
+    pub(super) fn fail_request(&self, call: &Call, error: &RequestError) -> Response<Body> {
+        let (refusal, age) = (error.refusal(), call.arrived.elapsed());
+        self.refuse_after(&call.caller.id, &refusal, age, error.last_attempt.as_ref())
     }
 
     /// Logs and counts a response whose weights were already too old to begin it when its first event arrived.
--- a/bins/entry/src/ingress/metrics.rs
+++ b/bins/entry/src/ingress/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
@@ -19,12 +20,15 @@
 pub(super) struct Metrics {
     refusals: Family<ReasonLabel, Counter>,
     failed_attempts: Family<ReasonLabel, Counter>,
+    error_answers: Family<VerdictLabel, Counter>,
     first_byte: Histogram,
     streams_resumed: Counter,
     streams_cut: Counter,
     callers_left: Counter,
     outdated_answers: Counter,
     limited_attempts: Counter,
+    store_era: Gauge,
+    evacuated_domains: Gauge,
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -33,17 +37,26 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+struct VerdictLabel {
+    taken_for: &'static str,
+}
+
 impl Metrics {
     pub(super) fn new(registry: &mut Registry) -> Self {
         let metrics = Self {
             refusals: Family::default(),
             failed_attempts: Family::default(),
+            error_answers: Family::default(),
             first_byte: Histogram::new(FIRST_BYTE_BOUNDS),
             streams_resumed: Counter::default(),
             streams_cut: Counter::default(),
             callers_left: Counter::default(),
             outdated_answers: Counter::default(),
             limited_attempts: Counter::default(),
+            store_era: Gauge::default(),
+            evacuated_domains: Gauge::default(),
         };
         let registry = registry.sub_registry_with_prefix("carobport_ingress");
         registry.register(
@@ -56,6 +69,11 @@
             "Attempts without an answer to pass on",
             metrics.failed_attempts.clone(),
         );
+        registry.register(
+            "error_answers",
+            "Answers of targets with an error status",
+            metrics.error_answers.clone(),
+        );
         registry.register_with_unit(
             "first_byte",
             "Time from a request's arrival to the first byte of a target's answer",
@@ -87,6 +105,16 @@
             "Requests sent to targets that take a limited number of them",
             metrics.limited_attempts.clone(),
         );
+        registry.register(
+            "store_era",
+            "Number of times that the store came back from an older copy",
+            metrics.store_era.clone(),
+        );
+        registry.register(
+            "evacuated_domains",
+            "Failure domains that operators evacuate",
+            metrics.evacuated_domains.clone(),
+        );
         metrics
     }
 
@@ -101,6 +129,12 @@
             .inc();
     }
 
+    pub(super) fn count_error_answer(&self, taken_for: &'static str) {
+        self.error_answers
+            .get_or_create(&VerdictLabel { taken_for })
+            .inc();
+    }
+
     pub(super) fn observe_first_byte(&self, time: Duration) {
         self.first_byte.observe(time.as_secs_f64());
     }
@@ -121,7 +155,15 @@
         self.outdated_answers.inc();
     }
 
+    pub(super) fn set_evacuated_domains(&self, count: usize) {
+        self.evacuated_domains.set(count as i64);
+    }
+
     pub(super) fn count_limited_attempt(&self) {
         self.limited_attempts.inc();
     }
+
+    pub(super) fn set_store_era(&self, era: u64) {
+        self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
+    }
 }
--- a/crates/dispatch/src/scheduler/choice.rs
+++ b/crates/dispatch/src/scheduler/choice.rs
@@ -8,7 +8,7 @@
 use crate::admission::Admission;
 use crate::config::Engine;
 use crate::request::RequestContext;
-use crate::target::{TargetId, TargetState};
+use crate::target::{Target, TargetId, TargetState};
 
 /// Maximum number of requests beyond its slots that an engine may hold, so that a freed slot is reused at once.
 const MAX_ENGINE_BACKLOG: u32 = 2;
@@ -68,7 +68,7 @@
         let mut limited = Vec::new();
         let choice = self.search(now, work, backlog, &mut limited);
         if !matches!(choice, Choice::Target(_)) {
-            self.want_permits(&limited);
+            self.want_permits(now, &limited);
         }
         choice
     }
@@ -149,6 +149,8 @@
         if target.service != work.service
             || !state.is_accepting(now)
             || work.tried_targets.contains(&target.id)
+            || !self.is_home(target, work)
+            || self.is_evacuated(target)
         {
             return false;
         }
@@ -164,6 +166,16 @@
         }
     }
 
+    /// Returns whether `target` is in a region that may serve a request.
+    ///
+    /// A target whose failure domain is in no known region only serves requests without such a restriction.
+    pub(super) fn is_home(&self, target: &Target, work: &RequestContext) -> bool {
+        work.homes.as_ref().is_none_or(|homes| {
+            let region = self.regions.get(&target.domain);
+            region.is_some_and(|region| homes.contains(region))
+        })
+    }
+
     /// Returns the estimated time to the first token plus penalties, in milliseconds, or `None` if there is no room.
     fn engine_cost(
         &self,
@@ -177,8 +189,7 @@
             Backlog::Allowed => engine.slots + backlog_places(engine, work),
             Backlog::None => engine.slots,
         };
-        let entries = self.entries.unwrap_or(DEFAULT_ENTRIES_FOR_PLACES);
-        if occupancy.requests >= f64::from(places) || !state.has_free_share(now, places, entries) {
+        if occupancy.requests >= f64::from(places) || !self.has_free_place(now, state, places) {
             return None;
         }
         let mut time = engine.time_to_first_token(occupancy, f64::from(work.prompt_tokens));
@@ -202,6 +213,19 @@
         Some(time.as_secs_f64() * 1000.0)
     }
 
+    /// Returns whether one of the target's free `places` is for this entry.
+    ///
+    /// The permits of a rate-limited target already divide it among the entries. A permit that its entry doesn't use
+    /// for lack of a share expires, and no other entry gets it.
+    fn has_free_place(&self, now: Instant, state: &TargetState, places: u32) -> bool {
+        let entries = self.entries.unwrap_or(DEFAULT_ENTRIES_FOR_PLACES);
+        if state.has_free_share(now, places, entries) {
+            return true;
+        }
+        let cold = self.cold_limit(&state.target.service);
+        self.admissions.limit(now, &state.target, cold).is_some()
+    }
+
     /// Returns the load per slot plus penalties, or `None` if there is no room.
     fn plain_cost(&self, now: Instant, state: &TargetState) -> Option<f64> {
         let slots = f64::from(state.target.slots.max(1));
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -82,6 +82,12 @@
     SOURCE_CHANGED = 263 Info "source-changed";
     TARGET_LIMITED = 264 Info "target-limited";
     ANSWER_TOO_LARGE = 265 Warn "answer-too-large";
+    ERROR_ANSWER = 266 Info "error-answer";
+    STORE_RESTORED = 270 Warn "store-restored";
+    TARGET_UNCONFIRMED = 271 Info "target-unconfirmed";
+    CONFIG_OUTDATED = 272 Info "config-outdated";
+    EVACUATION_BEGUN = 268 Info "evacuation-begun";
+    EVACUATION_ENDED = 269 Info "evacuation-ended";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
@@ -109,6 +115,10 @@
     ORDER_FAILED = 361 Warn "order-failed";
     WEIGHTS_MISSING = 362 Error "weights-missing";
     STAGED_UNREAD = 363 Info "staged-unread";
+    ORDER_ANSWERED = 364 Info "order-answered";
+    OUTCOME_UNKNOWN = 365 Warn "outcome-unknown";
+    UNEXPECTED_ORDER = 366 Error "unexpected-order";
+    STAGED_DIFFERS = 367 Warn "staged-differs";
     STANDIN_SERVING = 600 Info "standin-serving";
     STANDIN_SWITCHED = 601 Info "standin-switched";
     STANDIN_RESTARTED = 602 Info "standin-restarted";
