--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -83,11 +83,11 @@
     TARGET_LIMITED = 264 Info "target-limited";
     ANSWER_TOO_LARGE = 265 Warn "answer-too-large";
     ERROR_ANSWER = 266 Info "error-answer";
+    EVACUATION_BEGUN = 268 Info "evacuation-begun";
+    EVACUATION_ENDED = 269 Info "evacuation-ended";
     STORE_RESTORED = 270 Warn "store-restored";
     TARGET_UNCONFIRMED = 271 Info "target-unconfirmed";
     CONFIG_OUTDATED = 272 Info "config-outdated";
-    EVACUATION_BEGUN = 268 Info "evacuation-begun";
-    EVACUATION_ENDED = 269 Info "evacuation-ended";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
