--- a/bins/agent/src/rollout/staging.rs
+++ b/bins/agent/src/rollout/staging.rs
@@ -58,6 +58,14 @@
     since: Uptime,
 }
 
+/// Outcome of a verification.
+pub(super) enum Verification<'a> {
+    /// All staged chunks have the digests of the version.
+    Verified(Session<'a, Verified>),
+    /// The verification took too long for an order.
+    Expired(Session<'a, Uploaded>),
+}
+
 /// Outcome of an order.
 pub(super) enum Outcome<'a> {
     /// The engine responded.
@@ -113,9 +121,15 @@
 }
 
 impl<'a> Session<'a, Uploaded> {
-    /// Reads all staged chunks and uploads those that differ once more; `now` is the present time.
-    pub(super) async fn verify(self, now: Uptime) -> Result<Session<'a, Verified>, Error> {
+    /// Reads all staged chunks and uploads those that differ once more, until no order could follow in time.
+    ///
+    /// `clock` returns the present time.
+    pub(super) async fn verify(self, clock: fn() -> Uptime) -> Result<Verification<'a>, Error> {
+        let since = clock();
         for (index, bytes) in (0..).zip(&self.content.chunks) {
+            if !is_current(since, clock()) {
+                return Ok(Verification::Expired(self));
+            }
             let Some(found) = self.difference(index).await? else {
                 continue;
             };
@@ -132,7 +146,7 @@
             }
         }
         self.check_list().await?;
-        Ok(self.with_stage(Verified { since: now }))
+        Ok(Verification::Verified(self.with_stage(Verified { since })))
     }
 
     /// Returns what is staged in place of a chunk of the version, or `None` if it is staged.
@@ -163,14 +177,9 @@
 }
 
 impl<'a> Session<'a, Verified> {
-    /// Returns whether the chunks were verified recently enough for an order at `now`.
-    fn is_current(&self, now: Uptime) -> bool {
-        now.saturating_sub(self.stage.since) < MAX_VERIFICATION_AGE
-    }
-
     /// Orders the engine to load the staged chunks, unless their verification has expired at `now`.
     pub(super) async fn order(self, now: Uptime) -> Result<Outcome<'a>, Error> {
-        if !self.is_current(now) {
+        if !is_current(self.stage.since, now) {
             return Ok(Outcome::Expired(self.with_stage(Uploaded)));
         }
         let order = Order {
@@ -235,3 +244,8 @@
         self.state.metrics.record_unknown(change);
     }
 }
+
+/// Returns whether chunks verified since `since` may be ordered at `now`.
+fn is_current(since: Uptime, now: Uptime) -> bool {
+    now.saturating_sub(since) < MAX_VERIFICATION_AGE
+}
--- a/bins/agent/src/rollout/switch.rs
+++ b/bins/agent/src/rollout/switch.rs
@@ -10,7 +10,7 @@
 use platform::engine::OrderResult;
 use rollout::Step;
 
-use super::staging::{Content, Error, Outcome, Session, Uploaded};
+use super::staging::{Content, Error, Outcome, Session, Uploaded, Verification};
 use super::state::State;
 use crate::transfer::Holdings;
 
@@ -23,7 +23,9 @@
 /// Maximum time between two checks of the rollout.
 const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Verifications before the target opens again; one may expire because the process was paused.
-const MAX_VERIFICATIONS: u32 = 3;
+const MAX_VERIFICATIONS: u32 = 2;
+/// Delay after verifications that all expired: the engine is too slow, and the target should serve requests meanwhile.
+const SLOW_ENGINE_DELAY: Duration = Duration::from_secs(3);
 
 /// Closes the target to new requests until it is dropped.
 struct Closing<'a> {
@@ -89,7 +91,11 @@
     }
     let result = stage_and_order(state, &content).await;
     if !apply_result(state, &content, &result) {
-        compio::time::sleep(RETRY_DELAY).await;
+        let delay = match result {
+            Err(Error::Expired(_)) => SLOW_ENGINE_DELAY,
+            _ => RETRY_DELAY,
+        };
+        compio::time::sleep(delay).await;
     }
 }
 
@@ -124,7 +130,10 @@
     closing: &Closing<'_>,
 ) -> Result<Outcome<'a>, Error> {
     let verify_at = Instant::now();
-    let session = session.verify(uptime()).await?;
+    let session = match session.verify(uptime).await? {
+        Verification::Verified(session) => session,
+        Verification::Expired(session) => return Ok(Outcome::Expired(session)),
+    };
     let verify_time = verify_at.elapsed();
     let order_at = closing.since + CLOSE_LEAD;
     compio::time::sleep(order_at.saturating_duration_since(Instant::now())).await;
