--- a/bins/agent/src/fencing_number.rs
+++ b/bins/agent/src/fencing_number.rs
@@ -3,8 +3,8 @@
 //! While the platform is unavailable, orders carry a provisional number: one more than the highest number that the
 //! engine has accepted. It is higher than the number of every earlier agent, and no other agent can send orders in the
 //! meantime, because this process holds the order port. A number from the platform must be higher than the engine's
-//! highest too; otherwise the object is written again. The number holds the era of the platform's store in its high bits, so
-//! a store that comes back from an older copy gives none out again.
+//! highest too; otherwise the object is written again. The number holds the era of the platform's store in its high
+//! bits, so a store that comes back from an older copy gives none out again.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -100,7 +100,8 @@
     Some(number)
 }
 
-/// Writes the object once and returns the ordinal of its revision. If the outcome is unknown, reads the object to determine it.
+/// Writes the object once and returns the ordinal of its revision. If the outcome is unknown, reads the object to
+/// determine it.
 async fn write_object(name: &str, taken: &Taken, platform: &Client) -> Result<u64, Error> {
     match platform.put(KIND, name, taken, Condition::Any).await {
         Ok(Put::Accepted(revision)) => Ok(revision.ordinal()),
--- a/bins/agent/src/rollout/staging.rs
+++ b/bins/agent/src/rollout/staging.rs
@@ -1,9 +1,9 @@
 //! A session that stages a version in the engine, verifies it, and orders the engine to load it.
 //!
-//! The engine loads what is staged at the moment it accepts the order, and checks nothing. A session is [`Opened`], then
-//! [`Uploaded`], then [`Verified`], and only a verified session can order. All its requests go over one connection:
-//! the reads prove that the engine has handled the uploads before them, and show a response that belongs to an earlier
-//! request.
+//! The engine loads what is staged at the moment it accepts the order, and checks nothing. A session is [`Opened`],
+//! then [`Uploaded`], then [`Verified`], and only a verified session can order. All its requests go over one
+//! connection: the reads prove that the engine has handled the uploads before them, and show a response that belongs to
+//! an earlier request.
 
 use std::time::Duration;
 
--- a/bins/agent/src/rollout/switch.rs
+++ b/bins/agent/src/rollout/switch.rs
@@ -109,8 +109,8 @@
     may_stage && (superseded.is_none() || superseded != born)
 }
 
-/// Stages and verifies the chunks and orders the engine to load them. The target closes before the verification, so that
-/// requests go to other targets until the engine has loaded.
+/// Stages and verifies the chunks and orders the engine to load them. The target closes before the verification, so
+/// that requests go to other targets until the engine has loaded.
 async fn stage_and_order(state: &State, content: &Content) -> Result<OrderResult, Error> {
     let session = Session::open(state, content).await?;
     let mut session = session.upload().await?;
@@ -183,16 +183,16 @@
         state.superseded_at.set(born);
         event!(event::SUPERSEDED, number = state.fencing_token);
     }
-    let may_load = matches!(
+    let may_have_begun = matches!(
         result,
         Ok(OrderResult::Begun | OrderResult::Done) | Err(Error::Order(_))
     );
-    if may_load {
+    if may_have_begun {
         let mut rollout = state.rollout.borrow_mut();
         rollout.order_sent(now, content.number);
         state.changed.notify();
     }
-    may_load
+    may_have_begun
 }
 
 fn log_failed(content: &Content, error: &str) {
--- a/bins/agent/tests/process/faults.rs
+++ b/bins/agent/tests/process/faults.rs
@@ -290,8 +290,8 @@
     });
 }
 
-/// Guards against a fencing number that is given out twice because the platform came back from a copy that lacks the write
-/// of the first one.
+/// Guards against a fencing number that is given out twice because the platform came back from a copy that lacks the
+/// write of the first one.
 #[test]
 fn number_after_restore() {
     with_env("plain", json!({}), |env| async move {
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -296,8 +296,8 @@
     });
 }
 
-/// Removes targets that did not register again after a store outage, and adds those that left before the store came back
-/// from an older copy but turn out to be live.
+/// Removes targets that did not register again after a store outage, and adds those that left before the store came
+/// back from an older copy but turn out to be live.
 async fn expire(gateway: &Gateway, targets: &RefCell<Registrations>) {
     loop {
         compio::time::sleep(EXPIRY_CHECK_INTERVAL).await;
--- a/bins/entry/src/ingress/targets.rs
+++ b/bins/entry/src/ingress/targets.rs
@@ -4,8 +4,8 @@
 //! live target registers again soon after an outage. Until then, a missing registration does not show that the target
 //! is gone. The same holds for targets that registered after the copy was made.
 //!
-//! A copy also holds registrations that were removed or changed after it was made. A target that has left in this way is
-//! not used until it writes its registration anew, or until the store would have removed a registration that nobody
+//! A copy also holds registrations that were removed or changed after it was made. A target that has left in this way
+//! is not used until it writes its registration anew, or until the store would have removed a registration that nobody
 //! renews.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,8 +18,8 @@
 const REREGISTRATION_TIME: Duration = Duration::from_secs(2);
 /// Minimum duration of a store outage during which registrations may have expired.
 const MIN_OUTAGE: Duration = Duration::from_millis(1500);
-/// Number of heartbeats without a renewal after which this entry has seen the store remove a registration. The store removes
-/// it after three; one more is for the entry to read that, since it gathers changes.
+/// Number of heartbeats without a renewal after which this entry has seen the store remove a registration. The store
+/// removes it after three; one more is for the entry to read that, since it gathers changes.
 const HEARTBEATS_TO_REMOVAL: u32 = 4;
 /// Time for which departures are remembered; longer than the age of any copy from which the store may come back.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
--- a/bins/entry/tests/ingress/events.rs
+++ b/bins/entry/tests/ingress/events.rs
@@ -102,8 +102,8 @@
     assert_eq!(result, Some(Error::TooLong));
 }
 
-// Guards against losing whole events that arrive in the same chunk as a malformed one: `last` had advanced over them, so
-// the stream resumed without them.
+// Guards against losing whole events that arrive in the same chunk as a malformed one: `last` had advanced over them,
+// so the stream resumed without them.
 #[parameterized(
     gap = { stream(7..=8), Error::Gap { last: 5, found: 7 } },
     too_long = { long_event(6) + &event(7), Error::TooLong },
@@ -120,8 +120,8 @@
     assert!(splitter.finish().is_none());
 }
 
-// Guards against an error that depends on how the network splits a stream: an event beyond the maximum size was returned
-// if it arrived at once.
+// Guards against an error that depends on how the network splits a stream: an event beyond the maximum size was
+// returned if it arrived at once.
 #[parameterized(
     first = { None },
     resumed = { Some(5) },
--- a/bins/entry/tests/ingress/targets.rs
+++ b/bins/entry/tests/ingress/targets.rs
@@ -106,8 +106,9 @@
     assert_eq!(registrations.remove(now + ms(2_000), "a"), Removal::Gone);
 }
 
-// Guards against requests to a target that left and that only the copy shows, even if the entry reads late that the store
-// removed it after three heartbeats, and against passing over one for good that registers again, starts again or is live.
+// Guards against requests to a target that left and that only the copy shows, even if the entry reads late that the
+// store removed it after three heartbeats, and against passing over one for good that registers again, starts again or
+// is live.
 #[parameterized(
     copied = { 5, Revision::new(2, 7), false },
     earlier_start = { 4, Revision::new(2, 7), false },
@@ -158,8 +159,8 @@
     assert!(registrations.confirm(now + ms(9_000)).is_empty());
 }
 
-// Guards against requests to a draining target that the copy shows as ready, and against a target that started again and
-// is taken for the one that drained.
+// Guards against requests to a draining target that the copy shows as ready, and against a target that started again
+// and is taken for the one that drained.
 #[parameterized(
     copied = { 5, 7, true },
     written_since = { 5, 9, false },
--- a/bins/standin/tests/platform.rs
+++ b/bins/standin/tests/platform.rs
@@ -121,8 +121,8 @@
     });
 }
 
-// Guards against a simulated restore that keeps lost writes, keeps the era or gives out new revisions, and against a watch
-// that goes on from a revision which the copy doesn't have.
+// Guards against a simulated restore that keeps lost writes, keeps the era or gives out new revisions, and against a
+// watch that goes on from a revision which the copy doesn't have.
 #[test]
 fn restart_from_copy() {
     with_platform(|process, client| async move {
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -5,9 +5,9 @@
 //! the owner may run. Intervals of successive epochs are disjoint, so at most one process may ever run a key. That
 //! process has an [`Owner`], which decides about each call and remembers the keys that ran.
 //!
-//! Safety doesn't depend on clocks: `now` only determines where intervals end. The exception is a platform that comes back
-//! from an older copy, whose table may lack the last intervals: the intervals of the new era start [`ERA_GAP`] later. Times are durations since the Unix
-//! epoch, in whole milliseconds.
+//! Safety doesn't depend on clocks: `now` only determines where intervals end. The exception is a platform that comes
+//! back from an older copy, whose table may lack the last intervals: the intervals of the new era start [`ERA_GAP`]
+//! later. Times are durations since the Unix epoch, in whole milliseconds.
 //!
 //! ```
 //! use std::time::Duration;
--- a/crates/claim/src/owner.rs
+++ b/crates/claim/src/owner.rs
@@ -159,8 +159,8 @@
 
     /// Sets the era of the platform's store, which rises when the store comes back from an older copy.
     ///
-    /// The claims of earlier eras are given up: the copy may lack them, and other agents may claim the slots. The process
-    /// still runs the keys of its intervals until they end, because the intervals of the new era start later.
+    /// The claims of earlier eras are given up: the copy may lack them, and other agents may claim the slots. The
+    /// process still runs the keys of its intervals until they end, because the intervals of the new era start later.
     pub fn set_era(&mut self, era: u64) {
         if era <= self.era {
             return;
--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -110,8 +110,8 @@
         self.era
     }
 
-    /// Starts a new era of the platform's store: no slot has an owner, and the next intervals start above all those that
-    /// were claimed in earlier eras and that the table may lack.
+    /// Starts a new era of the platform's store: no slot has an owner, and the next intervals start above all those
+    /// that were claimed in earlier eras and that the table may lack.
     pub fn begin_era(&mut self, era: u64, now: Duration) {
         self.era = era;
         for claim in &mut self.slots {
--- a/crates/claim/tests/owner.rs
+++ b/crates/claim/tests/owner.rs
@@ -329,7 +329,8 @@
     assert_eq!((claimed.era(), owner.owned_slots()), (1, u16::MAX));
 }
 
-/// Guards against a stopping process, or one that accepts no work, that starts an era and so delays the calls of others.
+/// Guards against a stopping process, or one that accepts no work, that starts an era and so delays the calls of
+/// others.
 #[test]
 fn plan_era_only_if_live() {
     let (mut owner, revision, table) = sole_owner();
--- a/crates/dispatch/src/region.rs
+++ b/crates/dispatch/src/region.rs
@@ -36,7 +36,8 @@
         self.0.contains(region)
     }
 
-    /// Returns the restriction of a request to which both `route` and `tenant` apply, or `None` if neither restricts it.
+    /// Returns the restriction of a request to which both `route` and `tenant` apply, or `None` if neither restricts
+    /// it.
     pub fn intersect(route: Option<&Rc<Self>>, tenant: Option<&Rc<Self>>) -> Option<Rc<Self>> {
         match (route, tenant) {
             (Some(route), Some(tenant)) => {
--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -67,8 +67,8 @@
     }
 }
 
-/// Simulates `count` entries, each with requests waiting unless `fault` says otherwise, that share a target with a limit of `limit`
-/// requests per second, and returns the arrival times of all requests.
+/// Simulates `count` entries, each with requests waiting unless `fault` says otherwise, that share a target with a
+/// limit of `limit` requests per second, and returns the arrival times of all requests.
 fn simulate(count: usize, limit: f64, fault: Fault, seed: u64) -> Vec<Instant> {
     let mut random = SmallRng::seed_from_u64(seed);
     let target: TargetStart = ("target".into(), Some(1));
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -3,7 +3,8 @@
 //! Every engine must serve a named version within a bound, and an engine serves nothing while it loads. The [`Rollout`]
 //! of each agent therefore schedules its engine's load within the bound, at a [`Position`] in an order that all agents
 //! compute alike from the ids of the live targets, without communication. A [`ManifestSearch`] decides whom to ask for
-//! a version's manifest. [`Settling`] decides when a lost request can no longer take effect. [`Subscribers`] tracks which entries receive the engine's load, and when.
+//! a version's manifest. [`Settling`] decides when a lost request can no longer take effect. [`Subscribers`] tracks
+//! which entries receive the engine's load, and when.
 
 mod position;
 mod search;
