observability of crashes: which requests a target crashed on, and the parts of their prompts

241 attempt-failed tells whether the response had begun; 273 target-crashed names each request that a target crashed on and the parts of its prompt; carobport_ingress_target_crashes_total counts them. The entry decodes the list of a prompt's parts. After a connection broke it opens another one: only a VM on which no process listens refuses it.

--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -7,6 +7,7 @@
 mod attempt;
 pub mod buffering;
 mod call;
+mod crashes;
 mod disconnect;
 mod error;
 mod evacuations;
--- a/bins/entry/src/ingress/call.rs
+++ b/bins/entry/src/ingress/call.rs
@@ -136,6 +136,7 @@
             objective: self.objective,
             deadline: self.deadline,
             prompt_tokens: self.caller.prompt,
+            prompt: self.caller.prompt_parts.clone(),
             output_tokens: self.caller.output,
             model: self.caller.model.clone(),
             weights_version: None,
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -21,6 +21,7 @@
 use super::Settings;
 use super::buffering::BufferedBytes;
 use super::call::{Call, Refusal};
+use super::crashes::CrashChecks;
 use super::disconnect::DisconnectGuard;
 use super::error::{LastAttempt, Rejection, RequestError};
 use super::metrics::Metrics;
@@ -56,6 +57,8 @@
     /// Notifies streams that have not begun and whose target's weights have become too old to begin them.
     outdated_senders: RefCell<HashMap<RequestId, oneshot::Sender<()>>>,
     in_progress: Rc<Cell<usize>>,
+    /// Targets that are being checked for a crash.
+    pub(super) crash_checks: CrashChecks,
     /// Bytes buffered for responses that are still incomplete.
     pub(super) buffered: BufferedBytes,
     /// Number of weights versions and targets that this process has discovered.
@@ -105,6 +108,7 @@
             move_senders: RefCell::default(),
             outdated_senders: RefCell::default(),
             in_progress: Rc::default(),
+            crash_checks: CrashChecks::default(),
             buffered: BufferedBytes::default(),
             change_count: Cell::default(),
             store_reachable: Cell::new(false),
--- a/bins/entry/src/ingress/metrics.rs
+++ b/bins/entry/src/ingress/metrics.rs
@@ -27,6 +27,7 @@
     callers_left: Counter,
     outdated_answers: Counter,
     limited_attempts: Counter,
+    target_crashes: Counter,
     store_era: Gauge,
     evacuated_domains: Gauge,
 }
@@ -55,6 +56,7 @@
             callers_left: Counter::default(),
             outdated_answers: Counter::default(),
             limited_attempts: Counter::default(),
+            target_crashes: Counter::default(),
             store_era: Gauge::default(),
             evacuated_domains: Gauge::default(),
         };
@@ -105,6 +107,11 @@
             "Requests sent to targets that take a limited number of them",
             metrics.limited_attempts.clone(),
         );
+        registry.register(
+            "target_crashes",
+            "Targets that crashed while they began a request of this entry",
+            metrics.target_crashes.clone(),
+        );
         registry.register(
             "store_era",
             "Number of times that the store came back from an older copy",
@@ -163,6 +170,10 @@
         self.limited_attempts.inc();
     }
 
+    pub(super) fn count_crash(&self) {
+        self.target_crashes.inc();
+    }
+
     pub(super) fn set_store_era(&self, era: u64) {
         self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
     }
--- a/bins/entry/src/ingress/placed.rs
+++ b/bins/entry/src/ingress/placed.rs
@@ -9,12 +9,19 @@
 
 use super::gateway::Gateway;
 
+/// Time after its first event for which an attempt must last before its prompt counts as harmless to the target.
+const SURVIVAL_TIME: Duration = Duration::from_millis(300);
+
 /// A request placed on a target; dropping it before the attempt ended releases the place and records the attempt as
 /// abandoned.
 pub(super) struct PlacedRequest {
     gateway: Rc<Gateway>,
     place: Placement,
     placed_at: Instant,
+    /// When the first event arrived.
+    began_at: Cell<Option<Instant>>,
+    /// Whether the target has outlived the beginning of the response.
+    survived: Cell<bool>,
     /// Whether the scheduler was told that the target is late.
     late_recorded: Cell<bool>,
     ended: Cell<bool>,
@@ -26,6 +33,8 @@
             gateway,
             place,
             placed_at: Instant::now(),
+            began_at: Cell::default(),
+            survived: Cell::default(),
             late_recorded: Cell::new(false),
             ended: Cell::new(false),
         }
@@ -42,9 +51,19 @@
 
     /// Records that the first event arrived.
     pub(super) fn record_first_event(&self, version: Option<u64>) {
+        self.began_at.set(Some(Instant::now()));
         self.gateway.record_first_event(self.place.request, version);
     }
 
+    /// Records that further events arrived at `now`.
+    pub(super) fn record_progress(&self, now: Instant) {
+        let began_at = self.began_at.get();
+        let lasted = began_at.map(|began_at| now.saturating_duration_since(began_at));
+        if lasted.is_some_and(|lasted| lasted >= SURVIVAL_TIME) {
+            self.survived.set(true);
+        }
+    }
+
     /// Places a second attempt for `work` because the target has been silent for `silence`.
     ///
     /// Returns `None` if no target has room now. The attempt at this place continues.
@@ -98,6 +117,9 @@
         self.gateway.remove_channels(id);
         if let Outcome::Failed(failure) = outcome {
             self.log_failure(failure);
+            if failure == Failure::Broken && !self.survived.get() {
+                self.gateway.check_crash(&self.place);
+            }
         }
         let ejected = self
             .gateway
@@ -118,6 +140,7 @@
             failure = failure.name(),
             load = self.place.load,
             attempt = work.tried_targets.len(),
+            began = self.began_at.get().is_some(),
             attempts_left = work.attempts_left,
             age_ms = now.saturating_duration_since(work.arrived).as_millis(),
             left_ms = work.deadline.saturating_duration_since(now).as_millis()
--- a/bins/entry/src/ingress/stream.rs
+++ b/bins/entry/src/ingress/stream.rs
@@ -255,7 +255,9 @@
 
     /// Restarts the stall timer after events arrived and cancels a replacement that was started because of a stall.
     fn record_progress(&mut self) {
-        self.hedge_at = Instant::now() + stall_time(&self.call);
+        let now = Instant::now();
+        self.hedge_at = now + stall_time(&self.call);
+        self.attempt.placed.record_progress(now);
         self.replacement = self
             .replacement
             .take()
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use quarantine::Prompt;
+
 use crate::config::RequestKind;
 use crate::region::AllowedRegions;
 use crate::target::TargetId;
@@ -31,6 +33,8 @@
     pub deadline: Instant,
     /// Number of prompt tokens; 0 for services without engines.
     pub prompt_tokens: u32,
+    /// Parts of the prompt; empty for services without engines.
+    pub prompt: Prompt,
     /// Expected number of generated tokens.
     pub output_tokens: u32,
     /// Model whose weights the target must hold.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -88,6 +88,7 @@
     STORE_RESTORED = 270 Warn "store-restored";
     TARGET_UNCONFIRMED = 271 Info "target-unconfirmed";
     CONFIG_OUTDATED = 272 Info "config-outdated";
+    TARGET_CRASHED = 273 Warn "target-crashed";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
