quarantine of prompt parts that crash engines

What callers saw: with one part of a prompt that crashes every engine which begins to write on it, 28 to 39 more such requests reached engines after contact_ms from the fifth crash, 39 engines crashed in 22 s, and 25 to 40 in 100 sound requests of the same caller or first part were served.

Cause: a crash was counted against the target alone. Nothing tied it to what the target was asked, so the same input was sent on, by the entry's own retries and by each further request.

Change: entries report the prompts of the requests on which a target crashed, before or within 0.3 s of their first event, and those that targets survived. Agents pass this evidence on between entries. A part that three crashes of different requests have in common, and that no target survived in the 10 s before or since, is quarantined at all entries: requests with it are refused at once, and those that have not begun are cancelled. A part is not blamed for crashes that a part with more of them explains. After the quarantine, of a minute, doubled with each further crash, one entry at a time tries one request. A request whose connection broke at two targets before it began isn't sent to a third.

--- a/bins/agent/src/rollout.rs
+++ b/bins/agent/src/rollout.rs
@@ -7,6 +7,7 @@
 //! sends it to subscribed entries.
 
 mod engine;
+mod evidence;
 mod loads;
 mod serve;
 mod settings;
--- a/bins/agent/src/rollout/loads.rs
+++ b/bins/agent/src/rollout/loads.rs
@@ -13,6 +13,7 @@
 use quota::Issuer;
 use wire::{Datagram, DatagramSocket, Load, NamedVersion, PermitQuery};
 
+use super::evidence::EvidenceRelay;
 use super::state::State;
 
 /// Interval at which the list of the failure domain's entries is sent to each of them.
@@ -30,6 +31,7 @@
     subscribers: RefCell<Subscribers>,
     /// Issues permits for targets with a request limit.
     issuer: RefCell<Issuer<SocketAddr>>,
+    evidence: EvidenceRelay,
 }
 
 impl Entries {
@@ -49,6 +51,7 @@
         send_loads(&state, &socket, &entries),
         receive(&state, &socket, &entries),
         send_entry_lists(&socket, &entries.subscribers),
+        entries.evidence.send_changes(&socket),
     );
 }
 
@@ -73,6 +76,18 @@
                 let grant = entries.grant(now, entry, query);
                 socket.send(&grant, &[entry]).await;
             }
+            Datagram::Evidence {
+                evidence,
+                subscribe,
+            } => {
+                entries.evidence.merge(now, &evidence);
+                if subscribe {
+                    let summary = entries.evidence.subscribe(now, entry);
+                    for datagram in Datagram::evidence(&summary) {
+                        socket.send(&datagram, &[entry]).await;
+                    }
+                }
+            }
             // Loads, lists of entries and grants are only sent to entries.
             Datagram::Load(_) | Datagram::Entries(_) | Datagram::Grant { .. } => {}
         }
--- a/bins/entry/src/ingress/call.rs
+++ b/bins/entry/src/ingress/call.rs
@@ -142,6 +142,7 @@
             weights_version: None,
             allowed_regions: self.allowed_regions.clone(),
             attempts_left: self.attempts,
+            broken_attempts: 0,
             tried_targets: Vec::new(),
         }
     }
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -21,7 +21,7 @@
 use super::Settings;
 use super::buffering::BufferedBytes;
 use super::call::{Call, Refusal};
-use super::crashes::CrashChecks;
+use super::crashes::{CrashChecks, PendingEvidence};
 use super::disconnect::DisconnectGuard;
 use super::error::{LastAttempt, Rejection, RequestError};
 use super::metrics::Metrics;
@@ -54,11 +54,12 @@
     scheduler: RefCell<Scheduler>,
     decision_senders: RefCell<HashMap<RequestId, oneshot::Sender<Decision>>>,
     move_senders: RefCell<HashMap<RequestId, oneshot::Sender<PlacedRequest>>>,
-    /// Notifies streams that have not begun and whose target's weights have become too old to begin them.
-    outdated_senders: RefCell<HashMap<RequestId, oneshot::Sender<()>>>,
+    /// Cancels streams that have not begun and must not begin any more, and tells them why.
+    cancel_senders: RefCell<HashMap<RequestId, oneshot::Sender<Failure>>>,
     in_progress: Rc<Cell<usize>>,
     /// Targets that are being checked for a crash.
     pub(super) crash_checks: CrashChecks,
+    pub(super) pending_evidence: PendingEvidence,
     /// Bytes buffered for responses that are still incomplete.
     pub(super) buffered: BufferedBytes,
     /// Number of weights versions and targets that this process has discovered.
@@ -106,9 +107,10 @@
             scheduler: RefCell::new(scheduler),
             decision_senders: RefCell::default(),
             move_senders: RefCell::default(),
-            outdated_senders: RefCell::default(),
+            cancel_senders: RefCell::default(),
             in_progress: Rc::default(),
             crash_checks: CrashChecks::default(),
+            pending_evidence: PendingEvidence::default(),
             buffered: BufferedBytes::default(),
             change_count: Cell::default(),
             store_reachable: Cell::new(false),
@@ -258,7 +260,7 @@
     }
 
     /// Polls the scheduler while requests are queued or after load reports, and cancels streams that have not begun and
-    /// whose target's weights have become too old; never returns.
+    /// must not begin any more; never returns.
     pub async fn poll_periodically(self: Rc<Self>) {
         let mut last_check = Instant::now();
         loop {
@@ -275,17 +277,17 @@
             let now = Instant::now();
             if now.saturating_duration_since(last_check) >= IDLE_POLL_INTERVAL {
                 last_check = now;
-                self.end_outdated(now);
+                self.cancel_unservable(now);
             }
         }
     }
 
-    fn end_outdated(&self, now: Instant) {
-        let outdated = self.scheduler.borrow().outdated_streams(now);
-        for id in outdated {
-            let sender = self.outdated_senders.borrow_mut().remove(&id);
+    fn cancel_unservable(&self, now: Instant) {
+        let unservable = self.scheduler.borrow().unservable_streams(now);
+        for (id, failure) in unservable {
+            let sender = self.cancel_senders.borrow_mut().remove(&id);
             // The receiver is gone if the attempt has ended in the meantime.
-            let _ = sender.map(|sender| sender.send(()));
+            let _ = sender.map(|sender| sender.send(failure));
         }
     }
 
@@ -333,10 +335,11 @@
     pub(super) async fn retry_or_fail(
         self: &Rc<Self>,
         call: &Call,
-        work: RequestContext,
+        mut work: RequestContext,
         failure: Failure,
         last_possible_run: &mut Option<Failure>,
     ) -> Result<PlacedRequest, RequestError> {
+        work.broken_attempts += u32::from(failure == Failure::Broken);
         if !failure.is_not_run() {
             *last_possible_run = Some(failure);
         }
@@ -411,6 +414,7 @@
     /// Returns the error response to a request that no target answered.
     pub(super) fn fail_request(&self, call: &Call, error: &RequestError) -> Response<Body> {
         let (refusal, age) = (error.refusal(), call.arrived.elapsed());
+        self.log_quarantine(call);
         self.refuse_after(&call.caller.id, &refusal, age, error.last_attempt.as_ref())
     }
 
@@ -447,17 +451,17 @@
         receiver
     }
 
-    /// Returns a receiver that resolves when the target's weights have become too old to begin the stream `id`.
-    pub(super) fn watch_outdated(&self, id: RequestId) -> oneshot::Receiver<()> {
+    /// Returns a receiver that resolves when the stream `id` must not begin any more, to the reason.
+    pub(super) fn watch_cancel(&self, id: RequestId) -> oneshot::Receiver<Failure> {
         let (sender, receiver) = oneshot::channel();
-        self.outdated_senders.borrow_mut().insert(id, sender);
+        self.cancel_senders.borrow_mut().insert(id, sender);
         receiver
     }
 
     /// Removes the notification channels of the ended attempt `id`.
     pub(super) fn remove_channels(&self, id: RequestId) {
         self.move_senders.borrow_mut().remove(&id);
-        self.outdated_senders.borrow_mut().remove(&id);
+        self.cancel_senders.borrow_mut().remove(&id);
     }
 
     /// Places a second attempt for `work` while the first one continues, or returns `None` if no target has room.
--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -1,6 +1,6 @@
 //! Subscriptions to agents for the load of their engines, and permit queries.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -8,6 +8,7 @@
 use dispatch::{Load, WeightSource};
 use node::event;
 use platform::target;
+use quarantine::Evidence;
 use wire::{Datagram, DatagramSocket, NamedVersion, Subscription};
 
 use super::gateway::Gateway;
@@ -17,6 +18,17 @@
 const SUBSCRIBE_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between checks for newly named versions and newly registered targets.
 const CHANGE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Number of agents that an entry gets evidence of crashes from.
+const EVIDENCE_SOURCES: usize = 4;
+/// Number of agents of each failure domain that an entry sends evidence of crashes to. It is larger than
+/// [`EVIDENCE_SOURCES`] because entries don't always see the same agents.
+const EVIDENCE_SINKS: usize = 8;
+/// Interval between two requests for the evidence of other entries; agents forget an entry after three intervals.
+const EVIDENCE_SUBSCRIBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of such requests after which the entry repeats what it knows.
+const SUMMARY_ROUNDS: u32 = 4;
+/// Pause between two sends of evidence, so that crashes that come together share a datagram.
+const EVIDENCE_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of versions in one datagram; further versions go into further datagrams.
 const VERSIONS_PER_DATAGRAM: usize = 8;
 
@@ -25,7 +37,9 @@
     futures::join!(
         subscribe(&gateway, &socket),
         receive(&gateway, &socket),
-        send_permit_queries(&gateway, &socket)
+        send_permit_queries(&gateway, &socket),
+        send_evidence(&gateway, &socket),
+        exchange_evidence(&gateway, &socket),
     );
 }
 
@@ -45,6 +59,67 @@
     }
 }
 
+/// Tells agents which prompts are blamed for crashes that this entry saw, or are innocent of them.
+async fn send_evidence(gateway: &Gateway, socket: &DatagramSocket) {
+    loop {
+        let evidence = gateway.next_evidence().await;
+        send_to_sinks(gateway, socket, &evidence).await;
+        compio::time::sleep(EVIDENCE_INTERVAL).await;
+    }
+}
+
+async fn send_to_sinks(gateway: &Gateway, socket: &DatagramSocket, evidence: &[Evidence]) {
+    let sinks = engine_agents(gateway).into_values();
+    let sinks: Vec<SocketAddr> = sinks
+        .flat_map(|agents| agents.into_iter().take(EVIDENCE_SINKS))
+        .collect();
+    for datagram in Datagram::evidence(evidence) {
+        socket.send(&datagram, &sinks).await;
+    }
+}
+
+/// Asks some agents again and again for the evidence of other entries, and repeats what this entry knows, because
+/// datagrams get lost and agents start anew.
+async fn exchange_evidence(gateway: &Gateway, socket: &DatagramSocket) {
+    for round in 0u32.. {
+        gateway.update_quarantine_seat();
+        let subscribe = Datagram::Evidence {
+            evidence: Vec::new(),
+            subscribe: true,
+        };
+        socket.send(&subscribe, &evidence_sources(gateway)).await;
+        if round % SUMMARY_ROUNDS == 0 {
+            let now = Instant::now();
+            let summary = gateway.view(|scheduler| scheduler.quarantine().summary(now));
+            send_to_sinks(gateway, socket, &summary).await;
+        }
+        compio::time::sleep(EVIDENCE_SUBSCRIBE_INTERVAL).await;
+    }
+}
+
+/// Returns the agents that this entry gets evidence from: those of its own failure domain, if it has any.
+fn evidence_sources(gateway: &Gateway) -> Vec<SocketAddr> {
+    let mut agents = engine_agents(gateway);
+    let own = agents.remove(&gateway.settings.domain);
+    let others = || agents.into_values().flatten().collect();
+    let agents = own.unwrap_or_else(others).into_iter();
+    agents.take(EVIDENCE_SOURCES).collect()
+}
+
+/// Returns the agents of VMs that run engines, by failure domain.
+fn engine_agents(gateway: &Gateway) -> BTreeMap<String, BTreeSet<SocketAddr>> {
+    let port = gateway.settings.load_listen.port();
+    let mut agents: BTreeMap<String, BTreeSet<SocketAddr>> = BTreeMap::new();
+    gateway.view(|scheduler| {
+        for target in scheduler.engines() {
+            let agent = SocketAddr::new(target.address.ip(), port);
+            let domain = agents.entry(target.domain.clone()).or_default();
+            domain.insert(agent);
+        }
+    });
+    agents
+}
+
 async fn subscribe(gateway: &Gateway, socket: &DatagramSocket) {
     let mut subscribed = Subscriptions::default();
     loop {
@@ -113,16 +188,10 @@
     let port = gateway.settings.load_listen.port();
     let mut agents: BTreeMap<String, BTreeMap<SocketAddr, bool>> = BTreeMap::new();
     gateway.view(|scheduler| {
-        let Some(config) = scheduler.config() else {
-            return;
-        };
-        for target in scheduler.targets() {
-            let service = config.services.get(&target.service);
-            if service.is_some_and(|service| service.engine.is_some()) {
-                let agent = SocketAddr::new(target.address.ip(), port);
-                let agents = agents.entry(target.service.clone()).or_default();
-                agents.insert(agent, target.domain == gateway.settings.domain);
-            }
+        for target in scheduler.engines() {
+            let agent = SocketAddr::new(target.address.ip(), port);
+            let agents = agents.entry(target.service.clone()).or_default();
+            agents.insert(agent, target.domain == gateway.settings.domain);
         }
     });
     agents
@@ -139,6 +208,7 @@
             (_, Datagram::Grant { target, grant }) => {
                 gateway.update(|scheduler, now| scheduler.apply_grant(now, &target, &grant));
             }
+            (_, Datagram::Evidence { evidence, .. }) => gateway.merge_evidence(&evidence),
             // Only agents handle subscriptions and permit queries.
             (_, Datagram::Subscribe(_) | Datagram::Ask(_)) => {}
         }
--- a/bins/entry/src/ingress/metrics.rs
+++ b/bins/entry/src/ingress/metrics.rs
@@ -28,6 +28,7 @@
     outdated_answers: Counter,
     limited_attempts: Counter,
     target_crashes: Counter,
+    quarantined_parts: Gauge,
     store_era: Gauge,
     evacuated_domains: Gauge,
 }
@@ -57,6 +58,7 @@
             outdated_answers: Counter::default(),
             limited_attempts: Counter::default(),
             target_crashes: Counter::default(),
+            quarantined_parts: Gauge::default(),
             store_era: Gauge::default(),
             evacuated_domains: Gauge::default(),
         };
@@ -112,6 +114,11 @@
             "Targets that crashed while they began a request of this entry",
             metrics.target_crashes.clone(),
         );
+        registry.register(
+            "quarantined_parts",
+            "Parts of prompts that crashed several targets",
+            metrics.quarantined_parts.clone(),
+        );
         registry.register(
             "store_era",
             "Number of times that the store came back from an older copy",
@@ -170,6 +177,10 @@
         self.limited_attempts.inc();
     }
 
+    pub(super) fn set_quarantined_parts(&self, count: usize) {
+        self.quarantined_parts.set(count as i64);
+    }
+
     pub(super) fn count_crash(&self) {
         self.target_crashes.inc();
     }
--- a/bins/entry/src/ingress/placed.rs
+++ b/bins/entry/src/ingress/placed.rs
@@ -60,7 +60,14 @@
         let began_at = self.began_at.get();
         let lasted = began_at.map(|began_at| now.saturating_duration_since(began_at));
         if lasted.is_some_and(|lasted| lasted >= SURVIVAL_TIME) {
-            self.survived.set(true);
+            self.record_survival();
+        }
+    }
+
+    /// Records that the target has survived the beginning of the response.
+    fn record_survival(&self) {
+        if !self.survived.replace(true) {
+            self.gateway.record_survival(&self.place.work.prompt);
         }
     }
 
@@ -115,11 +122,15 @@
         }
         let (id, target) = (self.place.request, &self.place.target);
         self.gateway.remove_channels(id);
-        if let Outcome::Failed(failure) = outcome {
-            self.log_failure(failure);
-            if failure == Failure::Broken && !self.survived.get() {
-                self.gateway.check_crash(&self.place);
+        match outcome {
+            Outcome::Answered => self.record_survival(),
+            Outcome::Failed(failure) => {
+                self.log_failure(failure);
+                if failure == Failure::Broken && !self.survived.get() {
+                    self.gateway.check_crash(&self.place);
+                }
             }
+            Outcome::Abandoned => {}
         }
         let ejected = self
             .gateway
--- a/bins/entry/src/ingress/relays.rs
+++ b/bins/entry/src/ingress/relays.rs
@@ -74,16 +74,29 @@
         self.failures.insert(relay, now);
     }
 
-    /// Returns the source to read from now.
-    pub fn source(&self, now: Instant) -> Source {
+    /// Returns the rank of this entry among the live entries of its domain, and their number.
+    pub fn rank(&self, now: Instant) -> (usize, usize) {
+        let live = self.live(now);
+        let rank = live.iter().position(|entry| *entry == self.own_address);
+        (rank.unwrap_or_default(), live.len())
+    }
+
+    /// Returns the live entries of the domain, in an order that is the same at all of them.
+    fn live(&self, now: Instant) -> Vec<SocketAddr> {
         let live = self.last_seen.iter();
         let live = live.filter(|(_, at)| now.saturating_duration_since(**at) < ENTRY_TIMEOUT);
-        let mut candidates: Vec<SocketAddr> = live.map(|(entry, _)| *entry).collect();
-        candidates.push(self.own_address);
+        let mut live: Vec<SocketAddr> = live.map(|(entry, _)| *entry).collect();
+        live.push(self.own_address);
+        live.sort_by_key(|entry| (hash_address(entry), *entry));
+        live
+    }
+
+    /// Returns the source to read from now.
+    pub fn source(&self, now: Instant) -> Source {
+        let mut candidates = self.live(now);
         if candidates.len() <= MAX_DIRECT_READERS {
             return Source::Store;
         }
-        candidates.sort_by_key(|entry| (hash_address(entry), *entry));
         candidates.truncate(RELAYS_PER_DOMAIN);
         if candidates.contains(&self.own_address) {
             return Source::Shared;
--- a/bins/entry/src/ingress/stream_attempt.rs
+++ b/bins/entry/src/ingress/stream_attempt.rs
@@ -53,7 +53,8 @@
 
 /// Sends a request to its target and waits for the first whole event of the response.
 ///
-/// The attempt fails if the target's weights become too old to begin the stream before that event arrives.
+/// The attempt fails if the stream must not begin any more before that event arrives: the target's weights have become
+/// too old, or a part of the prompt was quarantined.
 ///
 /// # Errors
 ///
@@ -64,11 +65,11 @@
     placed: &PlacedRequest,
     last_event: Option<u64>,
 ) -> Result<InitialResponse, Failure> {
-    let outdated = gateway.watch_outdated(placed.place().request);
+    let cancelled = gateway.watch_cancel(placed.place().request);
     let response = pin!(open(gateway, call, placed, last_event));
-    match select(response, outdated).await {
+    match select(response, cancelled).await {
         Either::Left((response, _)) => response,
-        Either::Right(_) => Err(Failure::Outdated),
+        Either::Right((failure, _)) => Err(failure.unwrap_or(Failure::Outdated)),
     }
 }
 
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -30,6 +30,8 @@
     Late,
     /// The answer had not begun when the target's weights became too old to begin it.
     Outdated,
+    /// A part of the request's prompt was quarantined before the answer had begun.
+    Quarantined,
     /// The target ran the request with other weights than expected.
     OtherWeights,
     /// The target answered with a server error.
@@ -60,6 +62,7 @@
             Self::Broken => "broken",
             Self::Late => "late",
             Self::Outdated => "outdated",
+            Self::Quarantined => "quarantined",
             Self::OtherWeights => "other-weights",
             Self::Error => "error",
             Self::Rejected => "rejected",
@@ -122,10 +125,11 @@
     /// Counts a failure; returns whether it caused an ejection.
     pub fn record_failure(&mut self, now: Instant, failure: Failure) -> bool {
         match failure {
-            // The target works, but is busy, has changed its weights or rejects this request.
+            // The target works, but is busy, has changed its weights, or the request is to blame.
             Failure::Refused
             | Failure::Misdirected
             | Failure::Outdated
+            | Failure::Quarantined
             | Failure::OtherWeights
             | Failure::Rejected => {
                 return false;
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -45,6 +45,8 @@
     pub allowed_regions: Option<Rc<AllowedRegions>>,
     /// Number of targets that the request may still be sent to.
     pub attempts_left: u32,
+    /// Number of attempts whose connection broke before the response began.
+    pub broken_attempts: u32,
     /// Targets that the request was sent to.
     pub tried_targets: Vec<TargetId>,
 }
@@ -62,6 +64,8 @@
     Overload,
     /// Every eligible target is paused or has reached its rate limit.
     Paused,
+    /// A part of the prompt is quarantined, because engines crash on it.
+    Quarantined,
     /// Every eligible target refused the request.
     Refused,
     /// The deadline passed while the request waited.
@@ -77,6 +81,7 @@
             Self::Evacuated => "evacuated",
             Self::Overload => "overload",
             Self::Paused => "paused",
+            Self::Quarantined => "quarantined",
             Self::Refused => "refused",
             Self::Expired => "expired",
         }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -3,19 +3,22 @@
 mod choice;
 mod evacuations;
 mod permits;
+mod quarantine;
 mod rejection;
+mod streams;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use ::quarantine::Quarantine;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
 use crate::admission::AdmissionTable;
 use crate::budget::{Budget, RetryLimit};
-use crate::config::{Config, RequestKind};
+use crate::config::Config;
 use crate::health::Failure;
 use crate::path::NetworkPaths;
 use crate::queue::{Class, Queue};
@@ -29,15 +32,12 @@
 
 /// Minimum time that must be left before the deadline for an attempt.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
+/// Number of targets whose connection may break under a request that has not begun. It may itself be why they fail.
+const MAX_BROKEN_ATTEMPTS: u32 = 2;
 /// A request whose attempt got no connection is retried while it has tried at most this many targets.
 const MAX_UNCONNECTED_ATTEMPTS: usize = 3;
 /// Number of entries assumed for dividing the retry budget until the actual number is known.
 const DEFAULT_ENTRIES_FOR_RETRIES: usize = 32;
-/// Time for which a target must have accepted no requests before its streams are moved; short ones end by themselves.
-const MOVE_DELAY: Duration = Duration::from_millis(200);
-/// Time before the bound of a version at which requests that have not begun on older weights are cancelled, so that
-/// their targets learn of it in time.
-const BEGIN_MARGIN: Duration = Duration::from_millis(300);
 /// Maximum number of waiting requests of a class that are considered in one poll.
 const MAX_SCANNED: usize = 64;
 /// Number of consecutive requests without room at any target after which the search stops. The rest of those considered
@@ -56,6 +56,7 @@
     targets: BTreeMap<TargetId, TargetState>,
     admissions: AdmissionTable,
     paths: NetworkPaths,
+    quarantine: Quarantine,
     queues: BTreeMap<String, Queue>,
     retry_budgets: HashMap<String, Budget>,
     retry_limit: RetryLimit,
@@ -144,6 +145,7 @@
             targets: BTreeMap::new(),
             admissions: AdmissionTable::default(),
             paths: NetworkPaths::default(),
+            quarantine: Quarantine::default(),
             queues: BTreeMap::new(),
             retry_budgets: HashMap::new(),
             retry_limit,
@@ -228,6 +230,15 @@
         self.targets.values().map(|state| &state.target)
     }
 
+    /// Returns the targets whose service has engines.
+    pub fn engines(&self) -> impl Iterator<Item = &Target> {
+        self.targets().filter(|target| {
+            let config = self.config.as_ref();
+            let service = config.and_then(|config| config.services.get(&target.service));
+            service.is_some_and(|service| service.engine.is_some())
+        })
+    }
+
     /// Returns the target with the given id.
     pub fn target(&self, id: &str) -> Option<&Target> {
         self.targets.get(id).map(|state| &state.target)
@@ -304,7 +315,8 @@
             true => work.tried_targets.len() < MAX_UNCONNECTED_ATTEMPTS + 1,
             false => work.attempts_left > 0,
         };
-        if !allowed || !left || now + MIN_ATTEMPT_TIME >= work.deadline {
+        let suspect = work.broken_attempts >= MAX_BROKEN_ATTEMPTS;
+        if !allowed || !left || suspect || now + MIN_ATTEMPT_TIME >= work.deadline {
             return None;
         }
         if !unsent && !self.retry_budget(now, &work.service).try_take(now) {
@@ -318,7 +330,8 @@
     /// As for a retry, the request's kind must allow it to run again, and an attempt, enough time and a retry in the
     /// budget must be left.
     pub fn place_concurrent(&mut self, now: Instant, work: RequestContext) -> Option<Placement> {
-        if !work.may_repeat() || now + MIN_ATTEMPT_TIME >= work.deadline {
+        let quarantined = self.quarantine.check(now, &work.prompt).is_some();
+        if !work.may_repeat() || quarantined || now + MIN_ATTEMPT_TIME >= work.deadline {
             return None;
         }
         let Choice::Target(target) = self.choose(now, &work, Backlog::None) else {
@@ -360,29 +373,6 @@
         }
     }
 
-    /// Returns the streams that have not begun and whose targets' weights have become too old to begin them.
-    ///
-    /// How long a request stays in its target's queue or behind other prompts cannot be predicted. Only streams are
-    /// returned, because nothing shows whether an answer that arrives as a whole has begun.
-    pub fn outdated_streams(&self, now: Instant) -> Vec<RequestId> {
-        let outdated = |placed: &PlacedRequest| {
-            let model = placed.work.model.as_ref()?;
-            let current = match self.targets.get(&placed.target) {
-                Some(state) => state.target.weights.get(model).copied(),
-                None => placed.weights,
-            };
-            Some(current? < self.versions.oldest_allowed(model, now + BEGIN_MARGIN))
-        };
-        let waiting = |placed: &PlacedRequest| {
-            !placed.started && matches!(placed.work.kind, RequestKind::Streaming { .. })
-        };
-        self.placed
-            .iter()
-            .filter(|(_, placed)| waiting(placed) && outdated(placed).unwrap_or(false))
-            .map(|(id, _)| *id)
-            .collect()
-    }
-
     /// Records the end of an attempt; returns whether its target was ejected for it.
     pub fn record_end(&mut self, now: Instant, id: RequestId, outcome: Outcome) -> bool {
         let Some(placed) = self.placed.remove(&id) else {
@@ -435,39 +425,6 @@
         decisions
     }
 
-    /// Moves streams away from targets that wait for them to end before changing their weights.
-    ///
-    /// While an engine waits for a few long answers, its other slots are idle. A stream is moved only to a target that
-    /// has room and the same weights, so the caller notices only a short pause.
-    fn move_streams(&mut self, now: Instant, decisions: &mut Vec<Decision>) {
-        let is_due = |state: &&TargetState| {
-            let since = state.closed_since();
-            since.is_some_and(|since| now.saturating_duration_since(since) >= MOVE_DELAY)
-        };
-        let runs: Vec<(RequestId, u64)> = self
-            .targets
-            .values()
-            .filter(is_due)
-            .flat_map(|state| state.running_streams())
-            .filter_map(|(request, run)| Some((request, run.version?)))
-            .collect();
-        for (request, version) in runs {
-            let Some(placed) = self.placed.get(&request) else {
-                continue;
-            };
-            let mut work = placed.work.clone();
-            work.weights_version = Some(version);
-            work.output_tokens /= 2;
-            let Some(place) = self.place_concurrent(now, work) else {
-                continue;
-            };
-            if let Some(placed) = self.placed.get_mut(&request) {
-                placed.work.attempts_left = 0;
-            }
-            decisions.push(Decision::Move { request, place });
-        }
-    }
-
     fn poll_service(&mut self, now: Instant, service: &str, decisions: &mut Vec<Decision>) {
         let Some(queue) = self.queues.get(service) else {
             return;
@@ -486,6 +443,10 @@
                 decisions.push(self.reject(now, key.request, &work, Reason::Expired));
                 continue;
             }
+            if self.quarantine.check(now, &work.prompt).is_some() {
+                decisions.push(self.reject_quarantined(now, key.request, &work));
+                continue;
+            }
             let waited = work.arrived < now;
             let queued = self.queues.get(service).map_or(0, Queue::len);
             let backlog = match queued {
@@ -541,6 +502,11 @@
     fn enqueue(&mut self, now: Instant, work: RequestContext) -> RequestId {
         self.last_id += 1;
         let id = self.last_id;
+        if self.quarantine.admit(now, &work.prompt).is_err() {
+            let rejected = self.reject_quarantined(now, id, &work);
+            self.pending_rejections.push(rejected);
+            return id;
+        }
         let queue = self.queues.entry(work.service.clone()).or_default();
         let wait = queue.expected_wait(now, &work);
         if queue.len() > 0 && wait.is_some_and(|wait| now + wait > Queue::wait_deadline(&work)) {
--- a/crates/dispatch/tests/dispatch/outdated.rs
+++ b/crates/dispatch/tests/dispatch/outdated.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use dispatch::{Load, RequestContext, RequestId, RequestKind, Scheduler};
+use dispatch::{Failure, Load, RequestContext, RequestId, RequestKind, Scheduler};
 
 use crate::support::{BOUND, idle_load, ms, scheduler, streaming, submit, target};
 
@@ -32,10 +32,13 @@
     let (scheduler, request) = with_request(now, RequestKind::Streaming { resumable: true });
     assert!(
         scheduler
-            .outdated_streams(now + BOUND - ms(1_000))
+            .unservable_streams(now + BOUND - ms(1_000))
             .is_empty()
     );
-    assert_eq!(scheduler.outdated_streams(now + BOUND - ms(200)), [request]);
+    assert_eq!(
+        scheduler.unservable_streams(now + BOUND - ms(200)),
+        [(request, Failure::Outdated)]
+    );
 }
 
 // Guards against missing a request whose engine is no longer registered but still serves the requests that it holds.
@@ -44,7 +47,10 @@
     let now = Instant::now();
     let (mut scheduler, request) = with_request(now, RequestKind::Streaming { resumable: false });
     scheduler.remove_target("a");
-    assert_eq!(scheduler.outdated_streams(now + BOUND), [request]);
+    assert_eq!(
+        scheduler.unservable_streams(now + BOUND),
+        [(request, Failure::Outdated)]
+    );
 }
 
 // Guards against cancelling an answer that began in time.
@@ -53,7 +59,7 @@
     let now = Instant::now();
     let (mut scheduler, request) = with_request(now, RequestKind::Streaming { resumable: true });
     scheduler.record_first_event(now, request, Some(1));
-    assert!(scheduler.outdated_streams(now + BOUND).is_empty());
+    assert!(scheduler.unservable_streams(now + BOUND).is_empty());
 }
 
 // Guards against cancelling an answer that arrives as a whole, because it may have begun in time.
@@ -61,7 +67,7 @@
 fn outdated_not_whole_answers() {
     let now = Instant::now();
     let (scheduler, _) = with_request(now, RequestKind::Idempotent);
-    assert!(scheduler.outdated_streams(now + BOUND).is_empty());
+    assert!(scheduler.unservable_streams(now + BOUND).is_empty());
 }
 
 // Guards against cancelling a request whose engine has loaded the new weights in the meantime.
@@ -74,5 +80,5 @@
         ..idle_load()
     };
     scheduler.report_answer_load(now + ms(4_000), "a", loaded);
-    assert!(scheduler.outdated_streams(now + BOUND).is_empty());
+    assert!(scheduler.unservable_streams(now + BOUND).is_empty());
 }
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -104,6 +104,7 @@
         weights_version: None,
         allowed_regions: None,
         attempts_left: 2,
+        broken_attempts: 0,
         tried_targets: Vec::new(),
     }
 }
@@ -120,6 +121,7 @@
         output_tokens: 0,
         model: None,
         attempts_left,
+        broken_attempts: 0,
         ..streaming(now)
     }
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -89,6 +89,9 @@
     TARGET_UNCONFIRMED = 271 Info "target-unconfirmed";
     CONFIG_OUTDATED = 272 Info "config-outdated";
     TARGET_CRASHED = 273 Warn "target-crashed";
+    PART_QUARANTINED = 274 Warn "part-quarantined";
+    PART_RELEASED = 275 Info "part-released";
+    REQUEST_QUARANTINED = 276 Info "request-quarantined";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -4,6 +4,9 @@
 //! For a few seconds after each subscription, the agent sends [`Datagram::Load`] whenever its engine's load changes. A
 //! lost datagram needs no retransmission, because the next one replaces it.
 //!
+//! An entry that sees a target crash tells some agents of each failure domain which prompts it was serving, and these tell
+//! the entries that want to know. Agents keep this [`Datagram::Evidence`] for entries that missed it or start later.
+//!
 //! A subscription carries the part of the configuration that the agent needs. If every agent read the configuration
 //! from the store, a large one would saturate the links between regions just when these transfer a new version of the
 //! weights.
@@ -11,11 +14,14 @@
 use std::net::SocketAddr;
 
 use dispatch::WeightSource;
+use quarantine::Evidence;
 use quota::{AdvertisedLimit, Grant, PermitRequest, Role, TargetStart};
 use serde::{Deserialize, Serialize};
 
 /// Maximum size of an encoded datagram, in bytes.
 pub const MAX_DATAGRAM: usize = 1200;
+/// Maximum number of parts whose evidence fits into a datagram.
+const PARTS_PER_DATAGRAM: usize = 4;
 
 /// A message between an entry and an agent over UDP.
 #[derive(Clone, Debug, PartialEq)]
@@ -36,6 +42,13 @@
         /// Permits granted.
         grant: Grant,
     },
+    /// Parts of prompts that are blamed for crashes, as far as the sender knows them.
+    Evidence {
+        /// What the sender knows; several datagrams carry what doesn't fit into one.
+        evidence: Vec<Evidence>,
+        /// Whether the sender, an entry, wants what the agent knows and learns.
+        subscribe: bool,
+    },
 }
 
 /// Request for permits to use a target.
@@ -126,6 +139,15 @@
         }
     }
 
+    /// Returns the datagrams that carry `evidence`.
+    pub fn evidence(evidence: &[Evidence]) -> impl Iterator<Item = Self> {
+        let chunks = evidence.chunks(PARTS_PER_DATAGRAM);
+        chunks.map(|chunk| Self::Evidence {
+            evidence: chunk.to_vec(),
+            subscribe: false,
+        })
+    }
+
     /// Decodes a datagram.
     ///
     /// # Errors
