--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -60,6 +60,13 @@
     pub weights: Option<BTreeMap<String, u64>>,
 }
 
+impl Load {
+    /// Returns the number of requests on the target.
+    fn requests(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 /// The scheduler's state of a target.
 #[derive(Debug)]
 pub(crate) struct TargetState {
@@ -139,7 +146,7 @@
         let is_visible =
             |own: &&OwnRequest| now.saturating_duration_since(own.sent) >= LOAD_REPORT_DELAY;
         let own = self.own_requests.values().filter(is_visible).count() as u32;
-        let others = (load.running + load.waiting).saturating_sub(own);
+        let others = load.requests().saturating_sub(own);
         if let Some(weights) = &load.weights
             && self.target.weights != *weights
         {
@@ -199,7 +206,7 @@
             return true;
         };
         let load = &report.load;
-        let free = places.saturating_sub(load.running + load.waiting);
+        let free = places.saturating_sub(load.requests());
         let share = f64::from(free) / entries.max(1) as f64;
         let share = share.floor() + f64::from(u8::from(report.random_fraction < share.fract()));
         f64::from(self.sent_since_load) < share + f64::from(self.ended_since_load)
@@ -208,7 +215,7 @@
     /// Returns the number of requests on the target, of this entry and others.
     pub(crate) fn request_count(&self, now: Instant) -> u32 {
         let others = self.fresh_load(now).map_or(0, |report| report.others);
-        others + self.own_requests.len() as u32
+        others.saturating_add(self.own_requests.len() as u32)
     }
 
     /// Returns whether the target accepts requests, according to its registration and last load report.
