a planned stop answers the requests that are unfinished at its end

Cause: the entry stopped waiting 0.7 s before the end of the grace and closed the connections of what was left.

Change: Cutoff ends the work that has no response yet. A request of which nothing was sent to a target gets 503, any other 504; on the interface of the project not-run or the new outcome unknown/stopped. Work that the end of another request makes possible doesn't begin any more. With a short grace, the entry refuses from half of it on. Streams that have begun can't be completed and are still cut.

--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -8,12 +8,13 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use node::Cutoff;
 use node::http::header::{self, HeaderValue};
 use node::http::{Body, Client, Request, Response};
 use prometheus_client::registry::Registry;
 use route::{
     Action, Answering, Done, Failure, InFlight, Outcome, Reason, Refusal, RequestId, Router,
-    Submission,
+    Submission, Unknown,
 };
 
 use crate::call::Call;
@@ -50,6 +51,8 @@
     ready: Cell<bool>,
     draining: Cell<bool>,
     refusing: Cell<bool>,
+    /// Ends the requests that have no outcome when the drain timeout has passed.
+    cutoff: Cutoff,
 }
 
 /// A request from its submission to the router until its outcome.
@@ -60,6 +63,8 @@
     id: RequestId,
     actions: UnboundedReceiver<Action>,
     labels: RequestLabels,
+    /// Whether it was sent to a target, which may have run it.
+    sent: Rc<Cell<bool>>,
     /// Whether the outcome was recorded, or the response body has taken over recording it.
     ended: bool,
 }
@@ -81,6 +86,7 @@
             ready: Cell::new(false),
             draining: Cell::new(false),
             refusing: Cell::new(false),
+            cutoff: Cutoff::default(),
         })
     }
 
@@ -124,6 +130,11 @@
         self.refusing.set(true);
     }
 
+    /// Answers all requests that have no outcome yet; responses that have begun continue.
+    pub fn cut_off(&self) {
+        self.cutoff.reach();
+    }
+
     /// Applies changes of the shared state to the router as they arrive; never returns.
     pub async fn apply_changes(self: Rc<Self>) {
         loop {
@@ -180,7 +191,13 @@
             Ok(pending) => pending,
             Err((refusal, detail)) => return self.refuse(&labels, &refusal, detail),
         };
-        pending.serve(&call, started, guard).await
+        let sent = Rc::clone(&pending.sent);
+        let response = self.cutoff.limit(pending.serve(&call, started, guard));
+        match response.await {
+            Some(response) => response,
+            None if sent.get() => response::from_outcome(&Outcome::Unknown(Unknown::Stopped)),
+            None => self.refuse(&labels, &draining_refusal(), None),
+        }
     }
 
     /// Polls the router and delivers its actions to the pending requests.
@@ -241,7 +258,7 @@
         labels: RequestLabels,
     ) -> Result<PendingRequest, (Refusal, Option<&'static str>)> {
         if self.refusing.get() {
-            return Err((Refusal::retry(Reason::Draining, DRAINING_RETRY_AFTER), None));
+            return Err((draining_refusal(), None));
         }
         let mut router = self.router.borrow_mut();
         let admission = router
@@ -270,6 +287,7 @@
             id,
             actions,
             labels,
+            sent: Rc::default(),
             ended: false,
         })
     }
@@ -312,6 +330,11 @@
     }
 }
 
+/// Returns the refusal of a request that did not run because the entry stops.
+fn draining_refusal() -> Refusal {
+    Refusal::retry(Reason::Draining, DRAINING_RETRY_AFTER)
+}
+
 impl PendingRequest {
     /// Executes the router's actions until the request has a response or a final outcome.
     async fn serve(mut self, call: &Call, started: Instant, guard: InProgress) -> Response<Body> {
@@ -325,6 +348,7 @@
                     return response::from_outcome(done.outcome());
                 }
             };
+            self.sent.set(true);
             match gateway.attempt(call, &in_flight).await {
                 Ok(response) => {
                     gateway
--- a/bins/entry/src/ingress/attempt.rs
+++ b/bins/entry/src/ingress/attempt.rs
@@ -49,6 +49,7 @@
         }
         let request = call.target_request(&place.target, place.work.weights_version, last_event);
         let sent = Instant::now();
+        call.sent.set(true);
         let response = match self.client.send(place.address, request, deadline).await {
             Ok(response) => response,
             Err(Error::NotWritten { .. }) if sent.elapsed() >= CONNECT_TIMEOUT => {
--- a/bins/entry/src/ingress/call.rs
+++ b/bins/entry/src/ingress/call.rs
@@ -1,5 +1,6 @@
 //! Admitted requests of callers, and error responses issued by the entry.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -34,6 +35,8 @@
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+    /// Whether it was sent to a target, which may have run it.
+    pub(super) sent: Cell<bool>,
 }
 
 /// An error response that the entry issues itself.
@@ -115,6 +118,7 @@
             uri,
             headers: parts.headers,
             body,
+            sent: Cell::new(false),
             caller,
         })
     }
--- a/bins/entry/src/ingress/error.rs
+++ b/bins/entry/src/ingress/error.rs
@@ -68,7 +68,7 @@
             Cause::NotRun(rejection) => {
                 Refusal::unavailable(rejection.reason, rejection.retry_after)
             }
-            Cause::MayHaveRun(failure @ (Failure::Late | Failure::Outdated)) => {
+            Cause::MayHaveRun(failure @ (Failure::Late | Failure::Outdated | Failure::Stopped)) => {
                 Refusal::new(StatusCode::GATEWAY_TIMEOUT, failure.name())
             }
             Cause::MayHaveRun(failure) => Refusal::new(StatusCode::BAD_GATEWAY, failure.name()),
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -13,7 +13,7 @@
 use futures::channel::oneshot;
 use node::http::header::{self, HeaderValue};
 use node::http::{Body, Client, Request, Response};
-use node::{Notify, event};
+use node::{Cutoff, Notify, event};
 use prometheus_client::registry::Registry;
 use quota::{AdvertisedLimit, Limit, TargetStart};
 use rand::RngExt;
@@ -38,6 +38,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between scheduler polls while the queue is empty.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Reason of refusals by an entry that is stopping.
+const STOPPING: &str = "stopping";
 /// Time after which a caller may retry at another entry because this one is stopping.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -72,6 +74,8 @@
     pub(super) store: platform::Client,
     draining: Cell<bool>,
     refusing: Cell<bool>,
+    /// Ends the requests that are not answered at the end of a planned stop.
+    cutoff: Cutoff,
     /// When the scheduler was last polled.
     last_poll: Cell<Instant>,
     /// Whether load reports have arrived since the last poll.
@@ -118,6 +122,7 @@
             store,
             draining: Cell::new(false),
             refusing: Cell::new(false),
+            cutoff: Cutoff::default(),
             last_poll: Cell::new(Instant::now()),
             load_reported: Cell::new(false),
             permit_queries: RefCell::default(),
@@ -150,6 +155,30 @@
         self.refusing.set(true);
     }
 
+    /// Answers all requests that have no response yet; streams that have begun continue.
+    pub fn cut_off(&self) {
+        self.cutoff.reach();
+    }
+
+    /// Returns the result of `work` for `call`, or an error if the process has to stop first.
+    ///
+    /// A request of which nothing was sent to a target has not run.
+    pub(super) async fn until_cutoff<T>(
+        &self,
+        call: &Call,
+        work: impl Future<Output = T>,
+    ) -> Result<T, RequestError> {
+        let result = self.cutoff.limit(work).await;
+        result.ok_or_else(|| {
+            let rejection = Rejection {
+                reason: STOPPING,
+                retry_after: STOPPING_RETRY_AFTER,
+            };
+            let possible_run = call.sent.get().then_some(Failure::Stopped);
+            RequestError::after(None, possible_run, rejection)
+        })
+    }
+
     /// Returns the JSON object served at `/status`.
     pub fn status(&self) -> serde_json::Value {
         let scheduler = self.scheduler.borrow();
@@ -299,15 +328,16 @@
         let random = rand::rng().random();
         let mut answer = match Call::admit(request, config.as_deref(), now, random) {
             Ok(call) if self.refusing.get() => {
-                let stopping = Refusal::unavailable("stopping", STOPPING_RETRY_AFTER);
+                let stopping = Refusal::unavailable(STOPPING, STOPPING_RETRY_AFTER);
                 self.refuse(&call.caller.id, &stopping)
             }
             Ok(call) if call.is_stream() => super::stream::serve(&self, call, guard).await,
             Ok(call) => {
                 let mut disconnect_guard = DisconnectGuard::new(&self, &call);
-                let answer = super::unary::serve(&self, &call).await;
+                let answer = self.until_cutoff(&call, super::unary::serve(&self, &call));
+                let answer = answer.await;
                 disconnect_guard.disarm();
-                answer
+                answer.unwrap_or_else(|error| self.fail_request(&call, &error))
             }
             Err((id, refusal)) => self.refuse(&id, &refusal),
         };
--- a/bins/entry/src/ingress/serve.rs
+++ b/bins/entry/src/ingress/serve.rs
@@ -97,18 +97,21 @@
 }
 
 /// Resolves once `stop` has resolved and all requests are finished or the grace period is over.
+///
+/// Requests that are still unanswered then get an answer that says so: a connection that is closed without one leaves
+/// their callers to guess.
 async fn drain(gateway: &Gateway, stop: impl Future<Output = ()>) {
     stop.await;
-    let end = Instant::now() + gateway.settings.bounds.grace.saturating_sub(EXIT_RESERVE);
+    let time = gateway.settings.bounds.grace.saturating_sub(EXIT_RESERVE);
+    let end = Instant::now() + time;
     gateway.start_draining();
-    event!(
-        event::DRAINING,
-        wait_ms = BALANCER_DETECTION_TIME.as_millis()
-    );
-    compio::time::sleep(BALANCER_DETECTION_TIME).await;
+    let wait = BALANCER_DETECTION_TIME.min(time / 2);
+    event!(event::DRAINING, wait_ms = wait.as_millis());
+    compio::time::sleep(wait).await;
     gateway.start_refusing();
     event!(event::REFUSING, in_progress = gateway.in_progress());
     while gateway.in_progress() > 0 && Instant::now() < end {
         compio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
+    gateway.cut_off();
 }
--- a/bins/entry/src/ingress/stream.rs
+++ b/bins/entry/src/ingress/stream.rs
@@ -102,7 +102,12 @@
 pub(super) async fn serve(gateway: &Rc<Gateway>, call: Call, guard: InProgress) -> Response<Body> {
     let mut disconnect_guard = DisconnectGuard::new(gateway, &call);
     let last = call.caller.last_event;
-    let (placed, opened) = match open(gateway, &call, call.work(), last).await {
+    let opened = gateway.until_cutoff(&call, open(gateway, &call, call.work(), last));
+    let opened = match opened.await {
+        Ok(opened) => opened,
+        Err(error) => Err(OpenError::Unanswered(error)),
+    };
+    let (placed, opened) = match opened {
         Ok(opened) => opened,
         Err(error) => {
             disconnect_guard.disarm();
--- a/bins/entry/src/serve.rs
+++ b/bins/entry/src/serve.rs
@@ -108,7 +108,8 @@
     }
 }
 
-/// Resolves after `stop` once no request is in progress or the drain timeout has passed.
+/// Resolves after `stop` once no request is in progress or the drain timeout has passed; requests without an outcome get
+/// one then.
 ///
 /// The port stays open until then, so that callers that the balancer still sends here get a refusal with a retry time
 /// instead of a refused connection.
@@ -127,4 +128,5 @@
     while gateway.in_progress() > 0 && Instant::now() < end {
         compio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
+    gateway.cut_off();
 }
--- a/bins/entry/tests/entry/shutdown.rs
+++ b/bins/entry/tests/entry/shutdown.rs
@@ -49,6 +49,32 @@
     });
 }
 
+/// Guards against a planned stop that ends while a request is in progress and cuts it off without an outcome.
+#[test]
+fn shutdown_answers_unfinished_requests() {
+    with_entry(|fixture| async move {
+        let never = Rc::new(Cell::new(false));
+        let patient = r#"{"kind":"service","name":"desk","owner":"o","class":"urgent","backend":"plain",
+            "repeatable":true,"deadline_ms":20000}"#;
+        let patient = serde_json::from_str(patient).unwrap();
+        fixture.shared.put_catalog(99, patient);
+        fixture.agent("t0", "desk", 0, move |_| {
+            vec![Step::Wait(Rc::clone(&never))]
+        });
+        let unfinished = Rc::clone(&fixture);
+        let unfinished = compio::runtime::spawn(async move {
+            let response = unfinished
+                .call("/v1/desk/x", &[("carobport-deadline-ms", "20000")])
+                .await;
+            summary(&response)
+        });
+        compio::time::sleep(Duration::from_millis(50)).await;
+        fixture.stop.take();
+        let outcome = unfinished.await.unwrap();
+        assert_eq!(outcome, (504, "unknown".into(), "stopped".into(), false));
+    });
+}
+
 /// Guards against invalid settings that are reported one at a time.
 #[test]
 fn settings_all_findings() {
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -32,6 +32,8 @@
     Outdated,
     /// A part of the request's prompt was quarantined before the answer had begun.
     Quarantined,
+    /// The entry had to stop before the answer arrived.
+    Stopped,
     /// The target ran the request with other weights than expected.
     OtherWeights,
     /// The target answered with a server error.
@@ -63,6 +65,7 @@
             Self::Late => "late",
             Self::Outdated => "outdated",
             Self::Quarantined => "quarantined",
+            Self::Stopped => "stopped",
             Self::OtherWeights => "other-weights",
             Self::Error => "error",
             Self::Rejected => "rejected",
@@ -125,11 +128,12 @@
     /// Counts a failure; returns whether it caused an ejection.
     pub fn record_failure(&mut self, now: Instant, failure: Failure) -> bool {
         match failure {
-            // The target works, but is busy, has changed its weights, or the request is to blame.
+            // The target works, but is busy, has changed its weights, or the attempt ended for another reason.
             Failure::Refused
             | Failure::Misdirected
             | Failure::Outdated
             | Failure::Quarantined
+            | Failure::Stopped
             | Failure::OtherWeights
             | Failure::Rejected => {
                 return false;
--- a/crates/quarantine/tests/fleet.rs
+++ b/crates/quarantine/tests/fleet.rs
@@ -182,7 +182,7 @@
             .into_iter()
             .map(|(_, entry, parts)| self.entries[entry].evidence(now, parts));
         let mut told: Vec<_> = told.collect();
-        if step % SUMMARY_STEPS == 0 {
+        if step.is_multiple_of(SUMMARY_STEPS) {
             told.extend(self.entries.iter().map(|table| table.summary(now)));
         }
         for evidence in told {
--- a/crates/route/src/outcome.rs
+++ b/crates/route/src/outcome.rs
@@ -35,6 +35,9 @@
     /// `reported`: the target's agent reports that it doesn't know the outcome.
     #[error("reported")]
     Reported,
+    /// `stopped`: the entry had to stop before the response arrived.
+    #[error("stopped")]
+    Stopped,
     /// `cut`: the response was truncated after its first byte.
     #[error("cut")]
     Cut,
@@ -121,7 +124,7 @@
     /// Returns the HTTP status code of the outcome.
     pub fn status(self) -> u16 {
         match self {
-            Self::TimedOut => 504,
+            Self::TimedOut | Self::Stopped => 504,
             Self::Lost | Self::Reported | Self::Cut => 502,
         }
     }
