idle connections aren't kept longer than this project's servers keep them

The HTTP server closes a connection that was idle for 10 s without having announced it, and the client kept idle ones for 20 s unless the peer announced less.

--- a/crates/node/src/http/pool.rs
+++ b/crates/node/src/http/pool.rs
@@ -13,8 +13,9 @@
 
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
-/// Time after which an idle connection is no longer reused; shorter than the usual keep-alive timeout of servers.
-const MAX_IDLE_TIME: Duration = Duration::from_secs(20);
+/// Time after which an idle connection is no longer reused; shorter than the header timeout of this crate's server, which
+/// closes idle connections without having announced it.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(8);
 /// Safety margin: a connection is no longer reused this long before the peer's idle timeout.
 const IDLE_MARGIN: Duration = Duration::from_millis(1500);
 /// Timeout for a connection to become ready after its last response was read.
--- a/crates/node/tests/http.rs
+++ b/crates/node/tests/http.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use compio::io::{AsyncRead, AsyncWriteExt};
+use futures::future::join_all;
 use node::http::{Body, Client, Error, Limits, Request, Response, StatusCode, response, serve};
 use yare::parameterized;
 
@@ -50,10 +51,14 @@
 }
 
 fn with_server<F: Future<Output = ()>>(test: impl FnOnce(SocketAddr) -> F) {
+    with_limits(limits(), test);
+}
+
+fn with_limits<F: Future<Output = ()>>(limits: Limits, test: impl FnOnce(SocketAddr) -> F) {
     node::run("test", async {
         let listener = node::listen(loopback()).unwrap();
         let address = listener.local_addr().unwrap();
-        let server = serve(listener, limits(), handler, std::future::pending());
+        let server = serve(listener, limits, handler, std::future::pending());
         let server = compio::runtime::spawn(server);
         test(address).await;
         server.cancel().await;
@@ -197,6 +202,29 @@
     });
 }
 
+// Guards against a request on a kept connection at the moment at which our own servers close it for having been idle: the
+// request may then have run or not.
+#[test]
+fn client_idle_closed_by_server() {
+    const CLIENTS: u64 = 200;
+    let send = async |client: &Client, address| {
+        let deadline = Instant::now() + Duration::from_secs(5);
+        let answer = client.send(address, get("/wait/1"), deadline).await?;
+        answer.into_body().collect(100).await
+    };
+    with_limits(Limits::default(), |address| async move {
+        let idle = Limits::default().header_timeout - Duration::from_millis(60);
+        let requests = (0..CLIENTS).map(|number| async move {
+            let client = Client::new();
+            send(&client, address).await.unwrap();
+            compio::time::sleep(idle + Duration::from_micros(number * 600)).await;
+            send(&client, address).await.err()
+        });
+        let lost: Vec<Error> = join_all(requests).await.into_iter().flatten().collect();
+        assert!(lost.is_empty(), "{} of {CLIENTS}: {}", lost.len(), lost[0]);
+    });
+}
+
 // Guards against reuse of a connection whose last response wasn't read to its end.
 #[test]
 fn client_unread_answer_not_reused() {
