a crash is told by the target's start as of the request's placement

Two entries derived different ids for the same crash when one of them had already dropped the target's registration, so that two crashes could count as three. Found in the review; the placement now carries the start.

--- a/bins/entry/src/ingress/crashes.rs
+++ b/bins/entry/src/ingress/crashes.rs
@@ -69,8 +69,7 @@
     /// Checks whether the target at `place` has crashed, after the connection of a request broke there before its
     /// response had lasted.
     pub(super) fn check_crash(self: &Rc<Self>, place: &Placement) {
-        let started_at_ms = self.view(|scheduler| scheduler.target(&place.target)?.started_at_ms);
-        let crash = crash_id(&place.target, started_at_ms);
+        let crash = crash_id(&place.target, place.started_at_ms);
         if !self.crash_checks.add(place, crash) {
             return;
         }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -113,6 +113,8 @@
     pub target: TargetId,
     /// Address of the target.
     pub address: SocketAddr,
+    /// Start time of the target, if known.
+    pub started_at_ms: Option<u64>,
     /// Estimated number of requests on the target, not counting this one.
     pub load: u32,
 }
@@ -544,6 +546,7 @@
             request,
             target: id.into(),
             address: state.target.address,
+            started_at_ms: state.target.started_at_ms,
             work,
             load,
         })
--- a/crates/dispatch/tests/dispatch/demand.rs
+++ b/crates/dispatch/tests/dispatch/demand.rs
@@ -51,7 +51,7 @@
     Grant(usize, TargetStart, Grant),
     Load(usize, Load),
     Request,
-    Answer(usize, Placement, Instant),
+    Answer(usize, Box<Placement>, Instant),
 }
 
 struct Fleet {
@@ -172,7 +172,7 @@
             if let Decision::Send(place) = decision {
                 self.send(now, Event::Request);
                 let answered = now + SERVICE_TIME + ms(MAX_TRANSIT_MS);
-                self.send(answered, Event::Answer(number, place, now));
+                self.send(answered, Event::Answer(number, Box::new(place), now));
             }
         }
         for query in self.entries[number].permit_queries(now) {
