--- a/crates/wire/tests/format.rs
+++ b/crates/wire/tests/format.rs
@@ -7,6 +7,7 @@
 
 use dispatch::{Origin, WeightSource};
 use gossip::{Delta, Digest, Key, KeyRange, Node, Phase, Record, Target, Value, Version};
+use quarantine::{CrashReport, Evidence};
 use quota::{AdvertisedLimit, Grant, PermitRequest, Role};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -196,6 +197,35 @@
     assert_encoding(&Datagram::Entries(entries), "0201000a010203903f");
 }
 
+// Guards against evidence of crashes that a process of another release decodes differently, and against datagrams that are
+// too long to be sent when all numbers are large.
+#[test]
+fn format_evidence() {
+    let evidence = |part, crashes: usize, crash| Evidence {
+        part,
+        crashes: vec![crash; crashes],
+        cleared_ms: Some(300),
+    };
+    let small = CrashReport {
+        crash: 7,
+        own_part: 300,
+        age_ms: 400,
+    };
+    let datagram = Datagram::Evidence {
+        evidence: vec![evidence(0xdead, 1, small)],
+        subscribe: true,
+    };
+    assert_encoding(&datagram, "0501adbd030107ac02900301ac0201");
+    let large = CrashReport {
+        crash: u64::MAX,
+        own_part: u64::MAX,
+        age_ms: u32::MAX,
+    };
+    let all = vec![evidence(u64::MAX, 8, large); 9];
+    let sent = Datagram::evidence(&all).map(|datagram| datagram.encode().unwrap());
+    assert_eq!(sent.count(), 3);
+}
+
 // Guards against permit requests that a process of another release decodes differently.
 #[test]
 fn format_ask() {
