a target that leaves after an outage of the store gets no requests beyond its bound

Cause: after an outage the entry keeps targets whose registration is missing for 2 s, since it may have lapsed meanwhile. The watch of registrations returns with the first change only, so the outage counted as ended when a target left, seconds after the store was back.

Change: when the watch of the configuration, which is short, finds the store reachable again, the outage has ended for the registrations, too.

Result: target_removed_after_outage fails before (9 of 20 requests reach the target that left) and passes after.

--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -141,6 +141,8 @@
                 targets.borrow_mut().record_failure(now);
                 compio::time::sleep(failed.pause).await;
             }
+            // An outage has begun or ended, or the store came back from an older copy.
+            None if gateway.is_store_reachable() => targets.borrow_mut().record_reachable(now),
             None => targets.borrow_mut().record_failure(now),
         }
     }
--- a/bins/entry/src/ingress/targets.rs
+++ b/bins/entry/src/ingress/targets.rs
@@ -110,13 +110,20 @@
         self.failing_since.get_or_insert(now);
     }
 
-    /// Records a call to the store that succeeded at `now` and returned its state at `revision`.
-    pub fn record_success(&mut self, now: Instant, revision: Revision) {
+    /// Records that the store is reachable at `now`, as a call of another kind showed.
+    ///
+    /// A watch of registrations returns with the first change, which may come long after the end of an outage.
+    pub fn record_reachable(&mut self, now: Instant) {
         if let Some(since) = self.failing_since.take()
             && now.saturating_duration_since(since) >= MIN_OUTAGE
         {
             self.recovered_at = Some(now);
         }
+    }
+
+    /// Records a call to the store that succeeded at `now` and returned its state at `revision`.
+    pub fn record_success(&mut self, now: Instant, revision: Revision) {
+        self.record_reachable(now);
         let Some(start) = self.era_start else {
             self.era_start = Some(revision);
             return;
