--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -22,6 +22,7 @@
 mod relays;
 mod serve;
 mod settings;
+mod stop;
 mod store;
 mod stream;
 mod stream_attempt;
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -28,6 +28,7 @@
 use super::placed::PlacedRequest;
 use super::relay::Relay;
 use super::relays::Relays;
+use super::stop::{STOPPING, STOPPING_RETRY_AFTER};
 use crate::in_progress::InProgress;
 
 /// Timeout for connecting to a target.
@@ -38,11 +39,6 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between scheduler polls while the queue is empty.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Reason of refusals by an entry that is stopping.
-const STOPPING: &str = "stopping";
-/// Time after which a caller may retry at another entry because this one is stopping.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(200);
-
 /// The scheduler, the requests that wait for its decisions, and the connections to targets.
 pub struct Gateway {
     me: Weak<Self>,
@@ -75,7 +71,7 @@
     draining: Cell<bool>,
     refusing: Cell<bool>,
     /// Ends the requests that are not answered at the end of a planned stop.
-    cutoff: Cutoff,
+    pub(super) cutoff: Cutoff,
     /// When the scheduler was last polled.
     last_poll: Cell<Instant>,
     /// Whether load reports have arrived since the last poll.
@@ -155,30 +151,6 @@
         self.refusing.set(true);
     }
 
-    /// Answers all requests that have no response yet; streams that have begun continue.
-    pub fn cut_off(&self) {
-        self.cutoff.reach();
-    }
-
-    /// Returns the result of `work` for `call`, or an error if the process has to stop first.
-    ///
-    /// A request of which nothing was sent to a target has not run.
-    pub(super) async fn until_cutoff<T>(
-        &self,
-        call: &Call,
-        work: impl Future<Output = T>,
-    ) -> Result<T, RequestError> {
-        let result = self.cutoff.limit(work).await;
-        result.ok_or_else(|| {
-            let rejection = Rejection {
-                reason: STOPPING,
-                retry_after: STOPPING_RETRY_AFTER,
-            };
-            let possible_run = call.sent.get().then_some(Failure::Stopped);
-            RequestError::after(None, possible_run, rejection)
-        })
-    }
-
     /// Returns the JSON object served at `/status`.
     pub fn status(&self) -> serde_json::Value {
         let scheduler = self.scheduler.borrow();
