review: requests run with revoked and unknown keys once no key is left

Cause: the configuration keeps tenants by API key, so one whose tenants have no keys left counts as one without tenants. Change: case 1 of the review, a script with stand-ins of the store, workers and clients; nothing of the product changes.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Builds the stand-ins and drivers of the cases, with the standard library alone, into target/review/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+for source in review/*/case.rs; do
+    number=$(basename "$(dirname "$source")")
+    rustc --edition 2024 -O -o "target/review/case$number" "$source"
+done
