--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -664,3 +664,59 @@
     };
     std::process::exit(code)
 }
+
+/// Sockets of a client behind a slow link.
+pub mod slow {
+    use std::io;
+    use std::net::{SocketAddrV4, TcpStream};
+    use std::os::fd::FromRawFd;
+
+    #[repr(C)]
+    struct Address {
+        family: u16,
+        port: u16,
+        ip: [u8; 4],
+        zero: [u8; 8],
+    }
+
+    unsafe extern "C" {
+        fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+        fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+        fn connect(socket: i32, address: *const Address, length: u32) -> i32;
+    }
+
+    const AF_INET: i32 = 2;
+    const SOCK_STREAM: i32 = 1;
+    const SOL_SOCKET: i32 = 1;
+    const SO_RCVBUF: i32 = 8;
+    const IPPROTO_TCP: i32 = 6;
+    const TCP_MAXSEG: i32 = 2;
+
+    /// Connects with the segment size of an Ethernet link and a receive window of `window` bytes.
+    pub fn connect_with_window(peer: SocketAddrV4, window: i32) -> io::Result<TcpStream> {
+        let address = Address {
+            family: AF_INET as u16,
+            port: peer.port().to_be(),
+            ip: peer.ip().octets(),
+            zero: [0; 8],
+        };
+        let segment = 1460;
+        // SAFETY: the descriptor is new and owned by the returned stream; all pointers are to live values of the
+        // lengths given.
+        unsafe {
+            let socket = socket(AF_INET, SOCK_STREAM, 0);
+            if socket < 0 {
+                return Err(io::Error::last_os_error());
+            }
+            let stream = TcpStream::from_raw_fd(socket);
+            let length = size_of::<i32>() as u32;
+            if setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &window, length) < 0
+                || setsockopt(socket, IPPROTO_TCP, TCP_MAXSEG, &segment, length) < 0
+                || connect(socket, &address, size_of::<Address>() as u32) < 0
+            {
+                return Err(io::Error::last_os_error());
+            }
+            Ok(stream)
+        }
+    }
+}
