review: script of the weights named while an entry is frozen

Change: a script for case 3 with stand-ins of engines and of the origin; the common stand-ins start agents too.

--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -2,6 +2,8 @@
 //! project's own programs. Only the standard library is used.
 #![allow(dead_code)]
 
+pub mod engine;
+
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read, Write};
@@ -516,10 +518,14 @@
     /// Starts `target/release/carobport-entry` with the settings of a small deployment, in the form of
     /// `deploy/entry.json` and with the bounds of the site.
     pub fn start(store: SocketAddr) -> io::Result<Self> {
-        let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
-        std::fs::create_dir_all(&folder)?;
+        let loads = free_port()?.port();
+        Self::start_with_loads(store, loads)
+    }
+
+    /// Starts the entry with the port on which agents report their loads.
+    pub fn start_with_loads(store: SocketAddr, loads: u16) -> io::Result<Self> {
+        let folder = temporary_folder()?;
         let (callers, ready, operators) = (free_port()?, free_port()?, free_port()?);
-        let loads = free_port()?;
         let settings = format!(
             r#"{{
   "interface": "platform",
@@ -529,7 +535,7 @@
   "caller_listen": "{callers}",
   "ready_listen": "{ready}",
   "operator_listen": "{operators}",
-  "load_listen": "{loads}",
+  "load_listen": "127.0.0.1:{loads}",
   "platform": "{store}",
   "bounds": {{
     "grace_s": 8,
@@ -546,14 +552,11 @@
         );
         let file = folder.join("settings.conf");
         std::fs::write(&file, settings)?;
-        let log = File::create(folder.join("entry.log"))?;
-        let child = Command::new("target/release/carobport-entry")
-            .arg("--settings")
-            .arg(&file)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+        let child = start_program(
+            "target/release/carobport-entry",
+            &file,
+            &folder.join("entry.log"),
+        )?;
         Ok(Self {
             child,
             callers,
@@ -589,12 +592,7 @@
 
     /// Sends SIGTERM, as the platform does for a planned stop.
     pub fn terminate(&self) -> io::Result<()> {
-        let id = self.child.id().to_string();
-        Command::new("kill")
-            .arg("-TERM")
-            .arg(id)
-            .status()
-            .map(|_| ())
+        signal(self.child.id(), "-TERM")
     }
 
     /// Lines of the entry's log that contain one of `words`.
@@ -615,6 +613,94 @@
     }
 }
 
+/// An agent as a process of its own, started with the command of the deploy file; it is killed when dropped.
+pub struct Agent {
+    child: Child,
+}
+
+impl Agent {
+    /// Starts `target/release/carobport-agent` beside `engine`, with settings in the form of `deploy/agent.json`.
+    ///
+    /// `chunks` and `loads` are the ports that all agents and entries use.
+    pub fn start(
+        number: usize,
+        engine: SocketAddr,
+        service: &str,
+        store: SocketAddr,
+        chunks: u16,
+        loads: u16,
+    ) -> io::Result<Self> {
+        let (folder, ip, operators) = (temporary_folder()?, engine.ip(), free_port()?.port());
+        let settings = format!(
+            r#"{{
+  "interface": "platform",
+  "name": "side-north-a-{number}",
+  "domain": "north-a",
+  "regions": {{"north-a": "north", "midlands-a": "midlands", "south-a": "south"}},
+  "engine": "{engine}",
+  "service": "{service}",
+  "chunk_listen": "{ip}:{chunks}",
+  "operator_listen": "{ip}:{operators}",
+  "load_listen": "{ip}:{loads}",
+  "platform": "{store}",
+  "link_mbps": 7.3,
+  "version_ms": 8000
+}}
+"#
+        );
+        let file = folder.join(format!("agent-{number}.conf"));
+        std::fs::write(&file, settings)?;
+        let log = folder.join(format!("agent-{number}.log"));
+        let child = start_program("target/release/carobport-agent", &file, &log)?;
+        Ok(Self { child })
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn start_program(program: &str, settings: &Path, log: &Path) -> io::Result<Child> {
+    let log = File::create(log)?;
+    Command::new(program)
+        .arg("--settings")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()
+}
+
+/// Sends a signal to a process that this test started.
+pub fn signal(process: u32, name: &str) -> io::Result<()> {
+    let id = process.to_string();
+    Command::new("kill").arg(name).arg(id).status().map(|_| ())
+}
+
+/// Returns the folder for settings and logs of this run.
+fn temporary_folder() -> io::Result<PathBuf> {
+    let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    Ok(folder)
+}
+
+/// Returns two ports that are free on the first three loopback addresses, for TCP and UDP.
+pub fn shared_ports() -> io::Result<(u16, u16)> {
+    let free = || -> io::Result<u16> {
+        let port = free_port()?.port();
+        for host in 2..=3 {
+            let address = SocketAddr::from(([127, 0, 0, host], port));
+            TcpListener::bind(address)?;
+            UdpSocket::bind(address)?;
+        }
+        Ok(port)
+    };
+    Ok((free()?, free()?))
+}
+
 /// Returns a loopback address whose port is free for TCP and UDP.
 fn free_port() -> io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -664,59 +750,3 @@
     };
     std::process::exit(code)
 }
-
-/// Sockets of a client behind a slow link.
-pub mod slow {
-    use std::io;
-    use std::net::{SocketAddrV4, TcpStream};
-    use std::os::fd::FromRawFd;
-
-    #[repr(C)]
-    struct Address {
-        family: u16,
-        port: u16,
-        ip: [u8; 4],
-        zero: [u8; 8],
-    }
-
-    unsafe extern "C" {
-        fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
-        fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
-        fn connect(socket: i32, address: *const Address, length: u32) -> i32;
-    }
-
-    const AF_INET: i32 = 2;
-    const SOCK_STREAM: i32 = 1;
-    const SOL_SOCKET: i32 = 1;
-    const SO_RCVBUF: i32 = 8;
-    const IPPROTO_TCP: i32 = 6;
-    const TCP_MAXSEG: i32 = 2;
-
-    /// Connects with the segment size of an Ethernet link and a receive window of `window` bytes.
-    pub fn connect_with_window(peer: SocketAddrV4, window: i32) -> io::Result<TcpStream> {
-        let address = Address {
-            family: AF_INET as u16,
-            port: peer.port().to_be(),
-            ip: peer.ip().octets(),
-            zero: [0; 8],
-        };
-        let segment = 1460;
-        // SAFETY: the descriptor is new and owned by the returned stream; all pointers are to live values of the
-        // lengths given.
-        unsafe {
-            let socket = socket(AF_INET, SOCK_STREAM, 0);
-            if socket < 0 {
-                return Err(io::Error::last_os_error());
-            }
-            let stream = TcpStream::from_raw_fd(socket);
-            let length = size_of::<i32>() as u32;
-            if setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &window, length) < 0
-                || setsockopt(socket, IPPROTO_TCP, TCP_MAXSEG, &segment, length) < 0
-                || connect(socket, &address, size_of::<Address>() as u32) < 0
-            {
-                return Err(io::Error::last_os_error());
-            }
-            Ok(stream)
-        }
-    }
-}
