A key is still needed once no tenant holds one

Cause: the decoder flattened tenants into pairs of key and tenant, and Config::has_tenants asked whether there was a pair. So a configuration whose tenants hold no keys counted as one without tenants, whose callers need none.

Change: Config holds the tenants by key as an option, which is None only without the field `tenants`; an empty list or tenants with no keys require a key that nobody holds. Event 250 names the number of keys in force.

--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -201,7 +201,10 @@
                 version = config.version,
                 revision = object.revision.number,
                 era = object.revision.era,
-                routes = config.route_count()
+                routes = config.route_count(),
+                keys = config
+                    .key_count()
+                    .map_or_else(|| "unused".to_owned(), |count| count.to_string())
             );
             gateway.update(|scheduler, _| scheduler.set_config(config));
         }
--- a/crates/dispatch/src/config.rs
+++ b/crates/dispatch/src/config.rs
@@ -21,8 +21,8 @@
     pub limits: Limits,
     /// Routes by host in lower case, the longest prefix first.
     routes: HashMap<String, Vec<Route>>,
-    /// Tenants by API key.
-    tenants: HashMap<String, Tenant>,
+    /// Tenants by API key; `None` if the configuration knows no tenants, and requests need no key.
+    tenants: Option<HashMap<String, Tenant>>,
 }
 
 /// Destination and settings for requests with a given host and path prefix.
@@ -166,13 +166,14 @@
 }
 
 impl Config {
-    /// Builds a configuration. `routes` are pairs of host and route, `tenants` pairs of API key and tenant.
+    /// Builds a configuration. `routes` are pairs of host and route; `tenants` are by API key, and `None` if requests need
+    /// no key.
     pub fn new(
         version: u64,
         services: BTreeMap<String, Service>,
         limits: Limits,
         routes: impl IntoIterator<Item = (String, Route)>,
-        tenants: impl IntoIterator<Item = (String, Tenant)>,
+        tenants: Option<HashMap<String, Tenant>>,
     ) -> Self {
         let mut by_host: HashMap<String, Vec<Route>> = HashMap::new();
         for (host, route) in routes {
@@ -189,7 +190,7 @@
             services,
             limits,
             routes: by_host,
-            tenants: tenants.into_iter().collect(),
+            tenants,
         }
     }
 
@@ -207,12 +208,19 @@
 
     /// Returns the tenant that holds `key`.
     pub fn tenant(&self, key: &str) -> Option<&Tenant> {
-        self.tenants.get(key)
+        self.tenants.as_ref()?.get(key)
     }
 
-    /// Returns whether any tenants are configured, in which case requests need an API key.
+    /// Returns whether requests need the API key of a tenant.
+    ///
+    /// They still do when no tenant holds a key any more. Otherwise revoking the last key would admit every caller.
     pub fn has_tenants(&self) -> bool {
-        !self.tenants.is_empty()
+        self.tenants.is_some()
+    }
+
+    /// Returns the number of API keys, or `None` if requests need none.
+    pub fn key_count(&self) -> Option<usize> {
+        self.tenants.as_ref().map(HashMap::len)
     }
 
     /// Returns the number of routes.
--- a/crates/dispatch/tests/dispatch/config.rs
+++ b/crates/dispatch/tests/dispatch/config.rs
@@ -1,6 +1,6 @@
 //! Tests of the lookup of routes and tenants.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use dispatch::{Config, Limits, RequestKind, Route, Tenant};
@@ -44,7 +44,7 @@
         BTreeMap::new(),
         Limits::default(),
         routes.map(|(host, route)| (host.to_owned(), route)),
-        [("key".to_owned(), tenant)],
+        Some([("key".to_owned(), tenant)].into()),
     )
 }
 
@@ -85,3 +85,15 @@
     assert!(config.tenant("other").is_none());
     assert!(config.has_tenants());
 }
+
+// Guards against a configuration whose last API key was revoked and that then requires no key.
+#[parameterized(
+    no_keys = { Some([].into()), Some(0) },
+    no_tenants = { None, None },
+)]
+fn tenants_without_keys(tenants: Option<HashMap<String, Tenant>>, keys: Option<usize>) {
+    let config = Config::new(1, BTreeMap::new(), Limits::default(), [], tenants);
+    assert_eq!(config.has_tenants(), keys.is_some());
+    assert_eq!(config.key_count(), keys);
+    assert!(config.tenant("key").is_none());
+}
--- a/crates/dispatch/tests/dispatch/demand.rs
+++ b/crates/dispatch/tests/dispatch/demand.rs
@@ -243,7 +243,7 @@
     };
     let mut entry = Scheduler::new("north", RequiredVersions::new(BOUND), retries, seed);
     entry.set_entries(count);
-    let config = Config::new(2, services, Limits::default(), [], []);
+    let config = Config::new(2, services, Limits::default(), [], None);
     entry.set_config(Rc::new(config));
     for kind in [Kind::Engine, Kind::Plain] {
         let (id, service) = limited_target(kind);
--- a/crates/dispatch/tests/dispatch/limit.rs
+++ b/crates/dispatch/tests/dispatch/limit.rs
@@ -113,7 +113,7 @@
         ("desk".to_owned(), Service::default()),
     ]);
     let mut entry = scheduler();
-    let config = Config::new(2, services, Limits::default(), [], []);
+    let config = Config::new(2, services, Limits::default(), [], None);
     entry.set_config(Rc::new(config));
     for (id, domain) in [("a", "north"), ("b", CUT_DOMAIN)] {
         entry.put_target(engine_at(id, domain));
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -50,7 +50,7 @@
         ("drafts".to_owned(), engines),
         ("desk".to_owned(), Service::default()),
     ]);
-    Rc::new(Config::new(1, services, Limits::default(), [], []))
+    Rc::new(Config::new(1, services, Limits::default(), [], None))
 }
 
 pub fn scheduler() -> Scheduler {
