A version read after a stall counts as named when the stall began

Cause: entries, and agents that read the store themselves, took the moment at which they read a version for the moment at which it was named. The answer to the watch waits in the socket of a process that doesn't run. Agents also kept the first age that they were told, so nothing corrected it.

Change: node::Stalls detects times in which a process didn't run, by the clock that goes on in suspension. A version read in or just after a stall is dated at its start; an entry first waits 0.3 s for agents, which know the true age if another entry was awake. Rollout keeps the earliest of several times. Event 106 tells of stalls.

--- a/bins/agent/src/rollout/watch.rs
+++ b/bins/agent/src/rollout/watch.rs
@@ -6,12 +6,14 @@
 //! large; both are read from the store only while no entry sends them.
 
 use std::collections::BTreeMap;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures::future::join;
-use node::{Backoff, event};
-use platform::{Client, Error, Follower, Listing, config, target, versions};
+use futures::future::{Either, join, select};
+use node::time::uptime;
+use node::{Backoff, Stalls, event};
+use platform::{Client, Error, Follower, Listing, ReadError, Update, config, target, versions};
 
 use super::state::State;
 
@@ -57,13 +59,34 @@
             compio::time::sleep(ENTRY_INFO_CHECK_INTERVAL).await;
             continue;
         }
-        match follower.next(WATCH_WAIT).await {
-            Ok(update) => add_versions(state, &update.listing, std::mem::take(&mut first)),
+        let mut stalls = Stalls::new(uptime());
+        match read_next(&mut follower, &mut stalls).await {
+            Ok(update) => {
+                let unread = stalls.unread_time(uptime());
+                let age = (!std::mem::take(&mut first)).then_some(unread);
+                add_versions(state, &update.listing, age);
+            }
             Err(failed) => compio::time::sleep(failed.pause).await,
         }
     }
 }
 
+/// Reads the next update and records the stalls of this process meanwhile.
+async fn read_next(follower: &mut Follower, stalls: &mut Stalls) -> Result<Update, ReadError> {
+    let mut read = pin!(follower.next(WATCH_WAIT));
+    loop {
+        let beat = pin!(compio::time::sleep(Stalls::INTERVAL));
+        match select(read.as_mut(), beat).await {
+            Either::Left((read, _)) => return read,
+            Either::Right(_) => {
+                if let Some(stall) = stalls.beat(uptime()) {
+                    event!(event::STALLED, ms = stall.as_millis());
+                }
+            }
+        }
+    }
+}
+
 /// Reads the targets at the start until the model is known and this agent's engine is registered, after a version was
 /// named, and while chunks are missing. Reads the configuration with them if no entry sends it.
 async fn refresh_targets(state: &State, client: &Client, mut backoff: Backoff) {
@@ -152,12 +175,11 @@
     }
 }
 
-/// Records the required versions of `listing`; those of the first listing were named at an unknown time.
-fn add_versions(state: &State, listing: &Listing, first: bool) {
+/// Records the required versions of `listing`, which were named at most `age` ago, or at an unknown time if `None`.
+fn add_versions(state: &State, listing: &Listing, age: Option<Duration>) {
     for object in &listing.objects {
         match versions::decode(object) {
             Ok(named) if state.model().is_none_or(|model| model == named.model) => {
-                let age = (!first).then_some(Duration::ZERO);
                 state.add_named_version(Instant::now(), &named.model, named.version, age);
             }
             Ok(_) => {}
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -8,7 +8,8 @@
 
 use dispatch::Target;
 use futures::future::{Either, select};
-use node::{Notify, event};
+use node::time::uptime;
+use node::{Notify, Stalls, event};
 use platform::{Listing, Object, ReadError, Update, config, target, versions};
 
 use super::evacuations;
@@ -32,13 +33,16 @@
 /// entries, as a fraction of the time within which requests must stop going to a target that leaves.
 const LONG_BATCH_FACTOR: f64 = 0.4;
 /// Interval between checks for targets that did not register again.
-const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const EXPIRY_CHECK_INTERVAL: Duration = Stalls::INTERVAL;
+/// Time in which agents tell an entry that was stalled which versions were named meanwhile, and when.
+const AGENT_REPORT_TIME: Duration = Duration::from_millis(300);
 
 /// Follows all kinds of objects that the ingress needs; never returns.
 pub(super) async fn run(gateway: Rc<Gateway>) {
     let heartbeat = gateway.settings.bounds.heartbeat;
     let targets = RefCell::new(Registrations::new(heartbeat));
     let connectivity_changed = Notify::default();
+    let stalls = RefCell::new(Stalls::new(uptime()));
     let configs = follow_config(
         Reader::new(&gateway, config::KIND, &connectivity_changed),
         &gateway,
@@ -47,6 +51,7 @@
     let named = follow_versions(
         Reader::new(&gateway, versions::KIND, &connectivity_changed),
         &gateway,
+        &stalls,
         &connectivity_changed,
     );
     let registered = follow_targets(
@@ -55,7 +60,7 @@
         &targets,
         &connectivity_changed,
     );
-    let expired = expire(&gateway, &targets);
+    let expired = expire(&gateway, &targets, &stalls);
     let evacuated = async {
         if let Some(bound) = gateway.settings.bounds.evacuation {
             evacuations::follow(&gateway, bound, &connectivity_changed).await;
@@ -102,13 +107,22 @@
 }
 
 /// Follows the versions that operators name.
-async fn follow_versions(mut reader: Reader<'_>, gateway: &Gateway, connectivity_changed: &Notify) {
+async fn follow_versions(
+    mut reader: Reader<'_>,
+    gateway: &Gateway,
+    stalls: &RefCell<Stalls>,
+    connectivity_changed: &Notify,
+) {
     let mut first = true;
     loop {
         // Versions are few and small, so every entry reads them from the store, and learns when each of them was named.
         match read(&mut reader, WATCH_WAIT, connectivity_changed).await {
             Some(Ok(update)) => {
-                apply_versions(gateway, &update.listing, std::mem::take(&mut first))
+                let age = match std::mem::take(&mut first) {
+                    true => None,
+                    false => Some(age_at_read(stalls).await),
+                };
+                apply_versions(gateway, &update.listing, age);
             }
             Some(Err(failed)) => compio::time::sleep(failed.pause).await,
             None => {}
@@ -116,6 +130,20 @@
     }
 }
 
+/// Returns how long ago at most a version was named that has just been read.
+///
+/// After a stall it may have been named at any time since the stall began. Agents that another entry told know better,
+/// so this waits until they have reported it, in which case the age told by them stays in force.
+async fn age_at_read(stalls: &RefCell<Stalls>) -> Duration {
+    let unread = stalls.borrow().unread_time(uptime());
+    if unread.is_zero() {
+        return Duration::ZERO;
+    }
+    let named_since = uptime().saturating_sub(unread);
+    compio::time::sleep(AGENT_REPORT_TIME).await;
+    uptime().saturating_sub(named_since)
+}
+
 /// Follows the registrations of targets.
 async fn follow_targets(
     mut reader: Reader<'_>,
@@ -212,14 +240,16 @@
     }
 }
 
-/// Applies the named versions; those of the first list were named at an unknown time.
-fn apply_versions(gateway: &Gateway, listing: &Listing, first: bool) {
+/// Applies the named versions, which were named `age` ago, or at an unknown time if `None`.
+fn apply_versions(gateway: &Gateway, listing: &Listing, age: Option<Duration>) {
     for object in &listing.objects {
         match versions::decode(object) {
             Ok(named) => {
-                let is_new = gateway.update(|scheduler, now| match first {
-                    true => scheduler.add_undated_version(&named.model, named.version),
-                    false => scheduler.require_version(now, &named.model, named.version),
+                let is_new = gateway.update(|scheduler, now| {
+                    match age.and_then(|age| now.checked_sub(age)) {
+                        Some(at) => scheduler.require_version(at, &named.model, named.version),
+                        None => scheduler.add_undated_version(&named.model, named.version),
+                    }
                 });
                 if is_new {
                     gateway.record_change();
@@ -227,7 +257,10 @@
                         event::VERSION_NAMED,
                         model = named.model,
                         version = named.version,
-                        age_ms = if first { "unknown" } else { "0" }
+                        age_ms = age.map_or_else(
+                            || "unknown".to_owned(),
+                            |age| age.as_millis().to_string()
+                        )
                     );
                 }
             }
@@ -303,9 +336,14 @@
 
 /// Removes targets that did not register again after a store outage, and adds those that left before the store came
 /// back from an older copy but turn out to be live.
-async fn expire(gateway: &Gateway, targets: &RefCell<Registrations>) {
+///
+/// It runs all the time, so it also detects stalls of this process.
+async fn expire(gateway: &Gateway, targets: &RefCell<Registrations>, stalls: &RefCell<Stalls>) {
     loop {
         compio::time::sleep(EXPIRY_CHECK_INTERVAL).await;
+        if let Some(stall) = stalls.borrow_mut().beat(uptime()) {
+            event!(event::STALLED, ms = stall.as_millis());
+        }
         let now = Instant::now();
         let gone = targets.borrow_mut().expire(now);
         for id in gone {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -40,6 +40,7 @@
     NO_SIGNAL_HANDLER = 103 Error "no-signal-handler";
     LINES_LEFT_OUT = 104 Warn "lines-left-out";
     SETTINGS_CHANGED = 105 Info "settings-changed";
+    STALLED = 106 Info "stalled";
     ACCEPT_FAILED = 110 Warn "accept-failed";
     CONNECTION_FAILED = 111 Debug "connection-failed";
     DRAIN_CUT = 112 Warn "drain-cut";
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,7 +4,8 @@
 //! [`run`] to set up the event loop and the log. Inside the event loop, [`listen`] and [`bind_udp`] open ports,
 //! [`connect`] opens connections, [`http`] provides an HTTP/1.1 server and client, [`operator`] serves the operator
 //! port, and [`signal::shutdown`] resolves when the process is asked to stop. [`Cutoff`] ends the work
-//! in progress when it stops. [`Backoff`] computes the delays between retries, [`time::uptime`] is a clock that goes on in suspension, and [`time::format_utc`] formats timestamps.
+//! in progress when it stops. [`Backoff`] computes the delays between retries, [`time::uptime`] is a clock that goes on in
+//! suspension, [`Stalls`] detects times in which the process did not run, and [`time::format_utc`] formats timestamps.
 
 pub mod arguments;
 mod backoff;
@@ -19,6 +20,7 @@
 pub mod settings;
 pub mod signal;
 mod socket;
+mod stall;
 pub mod time;
 
 pub use backoff::Backoff;
@@ -28,3 +30,4 @@
 pub use runtime::{block_on, run};
 pub use service::run_service;
 pub use socket::{bind_udp, connect, listen, shutdown_write};
+pub use stall::Stalls;
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -108,18 +108,22 @@
         self.position
     }
 
-    /// Adds a version named at `now` and returns whether it is newer than all known ones.
+    /// Adds a version named at `named_at` or earlier and returns whether it is newer than all known ones.
     ///
-    /// If the version was added without a time before, this sets its time.
-    pub fn require_version(&mut self, now: Instant, version: VersionNumber) -> bool {
-        let mut unseen = self.named.iter_mut().filter(|named| !named.seen);
-        if let Some(found) = unseen.find(|named| named.version == version) {
-            found.at = now;
-            found.seen = true;
+    /// If the version was added without a time before, this sets its time. Of several times the earliest one counts: a
+    /// process that learns of a version late takes it for newer than it is.
+    pub fn require_version(&mut self, named_at: Instant, version: VersionNumber) -> bool {
+        let mut known = self.named.iter_mut();
+        if let Some(known) = known.find(|named| named.version == version) {
+            known.at = match known.seen {
+                true => known.at.min(named_at),
+                false => named_at,
+            };
+            known.seen = true;
         }
         self.insert(Named {
             version,
-            at: now,
+            at: named_at,
             seen: true,
         })
     }
--- a/crates/rollout/tests/rollout.rs
+++ b/crates/rollout/tests/rollout.rs
@@ -225,6 +225,22 @@
     }
 }
 
+// Guards against an engine that loads a version too late because the first process that told of it had learned of it
+// late. An entry that had been frozen told an age of 0 for a version that was named 4 s before.
+#[parameterized(
+    earlier = { 4_000, 3_200 },
+    later = { 0, 7_200 },
+)]
+fn require_version_again(earlier_ms: u64, load_ms: u64) {
+    let now = Instant::now() + BOUND;
+    let mut rollout = serving(6, 7);
+    assert!(rollout.require_version(now, 2));
+    assert!(!rollout.require_version(now - ms(earlier_ms), 2));
+    assert!(!rollout.require_version(now + ms(1_000), 2));
+    rollout.chunks_complete(now, 2);
+    assert_eq!(rollout.next_step(now), Step::Wait(Some(now + ms(load_ms))));
+}
+
 // Guards against an agent that learns of an older version after the newest one and gives its engine the bound of the
 // newest, although the older one is due earlier.
 #[test]
