A watch whose answer was lost is replaced soon

Cause: the watch waited on its connection until its 29 s were over; nothing noticed that it knew less than the others.

Change: a response to the short watch of the configuration shows the store's revision, which covers all kinds. A reader that knows an older one, and whose watch doesn't return within 0.5 s, asks again with a short watch.

--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -30,6 +30,7 @@
 mod targets;
 mod unary;
 pub mod verdict;
+mod watches;
 
 pub use gateway::Gateway;
 pub use relays::{Relays, Source};
--- a/bins/entry/src/ingress/evacuations.rs
+++ b/bins/entry/src/ingress/evacuations.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use node::{Notify, event};
+use node::event;
 use platform::{Update, evacuations};
 
 use super::gateway::Gateway;
 use super::reader::Reader;
 use super::store::read;
+use super::watches::Watches;
 
 /// Wait of a watch, as a fraction of the time within which an evacuation must be in force. A call that is never
 /// answered must end, and the next one succeed, within that time.
@@ -32,13 +33,13 @@
 /// Follows evacuations, which must be in force within `bound`; never returns.
 ///
 /// While the store can't be read, the known evacuations stay in force.
-pub(super) async fn follow(gateway: &Gateway, bound: Duration, connectivity_changed: &Notify) {
-    let mut reader = Reader::new(gateway, evacuations::KIND, connectivity_changed);
+pub(super) async fn follow(gateway: &Gateway, bound: Duration, watches: &Watches) {
+    let mut reader = Reader::new(gateway, evacuations::KIND, watches);
     let mut tracker = Tracker::default();
     let wait = bound.mul_f64(WAIT_FACTOR).max(MIN_WAIT);
     loop {
         reader.select_source(Instant::now());
-        match read(&mut reader, wait, connectivity_changed).await {
+        match read(&mut reader, wait, watches).await {
             Some(Ok(update)) => apply(gateway, &mut tracker, &update),
             Some(Err(failed)) => compio::time::sleep(failed.pause).await,
             None => {}
--- a/bins/entry/src/ingress/reader.rs
+++ b/bins/entry/src/ingress/reader.rs
@@ -2,11 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use node::{Backoff, Notify, event};
-use platform::{Client, Follower, ReadError, Update};
+use node::{Backoff, event};
+use platform::{Client, Follower, ReadError, Revision, Update};
 
 use super::gateway::{Gateway, STORE_TIMEOUT};
 use super::relays::Source;
+use super::watches::Watches;
 
 /// Timeout of a call to another entry of the domain, in addition to the wait of a watch.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(500);
@@ -15,6 +16,8 @@
 /// Maximum wait of a watch at the store whose responses are served to other entries, which would wait as long if the
 /// connection became unresponsive.
 const SHARED_WAIT: Duration = Duration::from_secs(3);
+/// Wait of a watch that checks whether an earlier one missed a change.
+const CHECK_WAIT: Duration = Duration::from_millis(500);
 /// Minimum and maximum pause after a failed call; the pause doubles with each failure.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
@@ -25,28 +28,48 @@
     follower: Follower,
     source: Source,
     /// Notified when the store came back from an older copy.
-    connectivity_changed: &'a Notify,
+    watches: &'a Watches,
+    /// Revision of the store up to which no change can have been missed, or is being checked for.
+    checked: Revision,
+    /// Whether the next read checks for changes up to `checked`.
+    checking: bool,
 }
 
 impl<'a> Reader<'a> {
     /// Returns a reader of objects of `kind` that has not read anything yet.
     ///
-    /// It notifies `connectivity_changed` when it is the first to learn that the store came back from an older copy.
-    pub(super) fn new(
-        gateway: &'a Gateway,
-        kind: &'static str,
-        connectivity_changed: &'a Notify,
-    ) -> Self {
+    /// It notifies `watches` when it is the first to learn that the store came back from an older copy.
+    pub(super) fn new(gateway: &'a Gateway, kind: &'static str, watches: &'a Watches) -> Self {
         let backoff = Backoff::new(BACKOFF.0, BACKOFF.1);
         Self {
             gateway,
             kind,
             follower: Follower::new(&client(gateway, Source::Store), kind, backoff),
             source: Source::Store,
-            connectivity_changed,
+            watches,
+            checked: Revision::default(),
+            checking: false,
         }
     }
 
+    /// Returns the newest revision of the store up to which this reader knows all changes, or `None` if the next read must
+    /// not be interrupted for newer ones.
+    ///
+    /// Watches of relays are so short that they need no checks. A first list, and a check itself, may take long at a slow
+    /// store and would never end if each change interrupted them.
+    pub(super) fn known(&self) -> Option<Revision> {
+        let newest = self.follower.newest();
+        let is_short = matches!(self.source, Source::Relay(_)) || self.checking;
+        let interruptible = !is_short && newest > Revision::default();
+        interruptible.then(|| newest.max(self.checked))
+    }
+
+    /// Makes the next read check soon whether a change up to `revision` was missed.
+    pub(super) fn check(&mut self, revision: Revision) {
+        self.checked = revision;
+        self.checking = true;
+    }
+
     /// Returns whether the last read failed.
     pub(super) fn is_failing(&self) -> bool {
         self.follower.is_failing()
@@ -82,10 +105,15 @@
             Source::Shared => wait.min(SHARED_WAIT),
             Source::Relay(_) => RELAY_WAIT,
         };
+        let wait = match self.checking {
+            true => wait.min(CHECK_WAIT),
+            false => wait,
+        };
         let read = self.follower.next(wait).await;
+        self.checking &= read.is_err();
         let now = Instant::now();
         if self.gateway.record_store_era() {
-            self.connectivity_changed.notify();
+            self.watches.connectivity_changed.notify();
         }
         match (&read, self.source) {
             (Ok(update), Source::Shared) => {
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -9,7 +9,7 @@
 use dispatch::Target;
 use futures::future::{Either, select};
 use node::time::uptime;
-use node::{Notify, Stalls, event};
+use node::{Stalls, event};
 use platform::{Listing, Object, ReadError, Update, config, target, versions};
 
 use super::evacuations;
@@ -17,6 +17,7 @@
 use super::reader::Reader;
 use super::relays::Source;
 use super::targets::{Insertion, Registrations, Removal};
+use super::watches::Watches;
 
 /// Wait of a watch of the configuration, as a fraction of the time after a store outage within which the deployment's
 /// bounds must hold again. A call that the store never answers must end within that time.
@@ -41,29 +42,29 @@
 pub(super) async fn run(gateway: Rc<Gateway>) {
     let heartbeat = gateway.settings.bounds.heartbeat;
     let targets = RefCell::new(Registrations::new(heartbeat));
-    let connectivity_changed = Notify::default();
+    let watches = Watches::default();
     let stalls = RefCell::new(Stalls::new(uptime()));
     let configs = follow_config(
-        Reader::new(&gateway, config::KIND, &connectivity_changed),
+        Reader::new(&gateway, config::KIND, &watches),
         &gateway,
-        &connectivity_changed,
+        &watches,
     );
     let named = follow_versions(
-        Reader::new(&gateway, versions::KIND, &connectivity_changed),
+        Reader::new(&gateway, versions::KIND, &watches),
         &gateway,
         &stalls,
-        &connectivity_changed,
+        &watches,
     );
     let registered = follow_targets(
-        Reader::new(&gateway, target::KIND, &connectivity_changed),
+        Reader::new(&gateway, target::KIND, &watches),
         &gateway,
         &targets,
-        &connectivity_changed,
+        &watches,
     );
     let expired = expire(&gateway, &targets, &stalls);
     let evacuated = async {
         if let Some(bound) = gateway.settings.bounds.evacuation {
-            evacuations::follow(&gateway, bound, &connectivity_changed).await;
+            evacuations::follow(&gateway, bound, &watches).await;
         }
     };
     futures::join!(configs, named, registered, expired, evacuated);
@@ -71,9 +72,10 @@
 
 /// Follows the configuration with short watches, which detect a store outage early.
 ///
-/// When an outage starts or ends, or the store came back from an older copy, `connectivity_changed` cancels the long
-/// watches of the other kinds, which would otherwise wait for a response that never arrives.
-async fn follow_config(mut reader: Reader<'_>, gateway: &Gateway, connectivity_changed: &Notify) {
+/// When an outage starts or ends, or the store came back from an older copy, `watches` cancels the long watches of the
+/// other kinds, which would otherwise wait for a response that never arrives. It also tells them of changes that they may
+/// have missed.
+async fn follow_config(mut reader: Reader<'_>, gateway: &Gateway, watches: &Watches) {
     let wait = gateway
         .settings
         .bounds
@@ -86,19 +88,22 @@
             Source::Shared => SHARED_CONFIG_WAIT,
             Source::Store | Source::Relay(_) => wait,
         };
-        let Some(read) = read(&mut reader, wait, connectivity_changed).await else {
+        let Some(read) = read(&mut reader, wait, watches).await else {
             // Another reader learned that the store came back from an older copy.
             continue;
         };
         gateway.set_store_reachable(!reader.is_failing());
         if reader.is_failing() != failing {
-            connectivity_changed.notify();
+            watches.connectivity_changed.notify();
         }
         match read {
             Ok(update) => {
                 if source == Source::Shared {
                     gateway.relay.record_response(Instant::now());
                 }
+                if !matches!(source, Source::Relay(_)) {
+                    watches.record_revision(update.listing.revision);
+                }
                 apply_config(gateway, &update.listing);
             }
             Err(failed) => compio::time::sleep(failed.pause).await,
@@ -111,12 +116,12 @@
     mut reader: Reader<'_>,
     gateway: &Gateway,
     stalls: &RefCell<Stalls>,
-    connectivity_changed: &Notify,
+    watches: &Watches,
 ) {
     let mut first = true;
     loop {
         // Versions are few and small, so every entry reads them from the store, and learns when each of them was named.
-        match read(&mut reader, WATCH_WAIT, connectivity_changed).await {
+        match read(&mut reader, WATCH_WAIT, watches).await {
             Some(Ok(update)) => {
                 let age = match std::mem::take(&mut first) {
                     true => None,
@@ -149,11 +154,11 @@
     mut reader: Reader<'_>,
     gateway: &Gateway,
     targets: &RefCell<Registrations>,
-    connectivity_changed: &Notify,
+    watches: &Watches,
 ) {
     loop {
         let source = reader.select_source(Instant::now());
-        let read = read(&mut reader, WATCH_WAIT, connectivity_changed).await;
+        let read = read(&mut reader, WATCH_WAIT, watches).await;
         let now = Instant::now();
         match read {
             Some(Ok(update)) => {
@@ -190,16 +195,33 @@
     }
 }
 
-/// Reads the next update with a watch of up to `wait`; returns `None` if `connectivity_changed` cancelled the call.
+/// Reads the next update with a watch of up to `wait`; returns `None` if a change of the store's connectivity cancelled the
+/// call.
+///
+/// A watch whose response may have been lost is replaced by a short one.
 pub(super) async fn read(
     reader: &mut Reader<'_>,
     wait: Duration,
-    connectivity_changed: &Notify,
+    watches: &Watches,
 ) -> Option<Result<Update, ReadError>> {
-    let cancelled = connectivity_changed.changed(connectivity_changed.count());
-    match select(pin!(reader.next(wait)), pin!(cancelled)).await {
-        Either::Left((read, _)) => Some(read),
-        Either::Right(_) => None,
+    let connectivity = &watches.connectivity_changed;
+    let seen = connectivity.count();
+    loop {
+        let overtaken = reader.known().map(|known| watches.overtaken(known));
+        let overtaken = async {
+            match overtaken {
+                Some(overtaken) => overtaken.await,
+                None => std::future::pending().await,
+            }
+        };
+        let (cancelled, overtaken) = (pin!(connectivity.changed(seen)), pin!(overtaken));
+        let interrupted = select(cancelled, overtaken);
+        let revision = match select(pin!(reader.next(wait)), interrupted).await {
+            Either::Left((read, _)) => return Some(read),
+            Either::Right((Either::Left(_), _)) => return None,
+            Either::Right((Either::Right((revision, _)), _)) => revision,
+        };
+        reader.check(revision);
     }
 }
 
