dispatch: under overload, places go by rank, workspace and first arrival

Cause: a free place went to whichever request of an entry was there when it fell free. Each entry sees few requests, so ordering its queue by rank decided little, and requests that may wait longer won. The least urgent rank could starve at few entries, a workspace at ten times its usual rate took the places of others, and a caller that came back in time went behind those that came later. Change: entries count what was placed and rejected by urgency. While requests are rejected, less urgent ones are held back in part and leave the engines' queues to the others; an urgency that is placed less than half as often as all is served first. Urgency is the rank and whether the workspace exceeds its share by cost (RequestContext::workspace). Within an urgency the caller's first arrival decides, as long as the objective can be met. A retry time is drawn earlier where few requests of the urgency were rejected.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,11 +11,13 @@
 mod engine;
 mod health;
 mod path;
+mod pressure;
 mod queue;
 mod region;
 mod request;
 mod scheduler;
 mod target;
+mod usage;
 mod versions;
 
 pub use budget::{Budget, RetryLimit};
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -23,6 +23,8 @@
     pub kind: RequestKind,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
+    /// Workspace that holds the caller's key; `None` if the request needs none.
+    pub workspace: Option<Rc<str>>,
     /// Time of arrival at the entry.
     pub arrived: Instant,
     /// Time that the caller had already waited, in earlier attempts.
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -5,6 +5,7 @@
 mod permits;
 mod quarantine;
 mod rejection;
+mod reserve;
 mod streams;
 
 use std::collections::{BTreeMap, HashMap};
@@ -450,19 +451,20 @@
                 continue;
             }
             let waited = work.arrived < now;
-            let queued = self.queues.get(service).map_or(0, Queue::len);
-            let backlog = match queued {
-                0 => Backlog::Allowed,
-                _ => Backlog::None,
-            };
             let class = work.allowed_regions.clone();
             let consecutive_busy = busy_counts.entry(class.clone()).or_default();
-            let choice = match *consecutive_busy < MAX_CONSECUTIVE_BUSY {
-                true => self.choose(now, &work, backlog),
+            let held_back = self.is_held_back(now, key, &work);
+            let choice = match *consecutive_busy < MAX_CONSECUTIVE_BUSY && !held_back {
+                true => {
+                    let backlog = self.backlog(now, key, &work);
+                    self.choose(now, &work, backlog)
+                }
                 false => Choice::Busy,
             };
-            // A request that is restricted to a few targets does not show whether the others have room.
-            let restricted = work.weights_version.is_some() || !work.tried_targets.is_empty();
+            // A request that is restricted to a few targets, or leaves free places to more urgent ones, does not show
+            // whether the others have room.
+            let restricted =
+                held_back || work.weights_version.is_some() || !work.tried_targets.is_empty();
             *consecutive_busy = match choice {
                 Choice::Busy if restricted => *consecutive_busy,
                 Choice::Busy => *consecutive_busy + 1,
@@ -474,20 +476,21 @@
                         decisions.push(Decision::Send(place));
                     }
                     if let Some(queue) = self.queues.get_mut(service) {
+                        queue.record_decision(now, &class, key.urgency, false);
                         queue.record_placement(now, class, waited);
                     }
                 }
                 Choice::Busy if Queue::wait_deadline(&work) > now => {
                     if let Some(queue) = self.queues.get_mut(service) {
-                        queue.push(key.request, work);
+                        queue.push(key, work);
                     }
                 }
                 Choice::Busy => {
-                    decisions.push(self.reject(now, key.request, &work, Reason::Overload))
+                    decisions.push(self.reject_overload(now, key, &work));
                 }
                 Choice::Paused(until) if Queue::wait_deadline(&work) > until => {
                     if let Some(queue) = self.queues.get_mut(service) {
-                        queue.push(key.request, work);
+                        queue.push(key, work);
                     }
                 }
                 Choice::Paused(until) => {
@@ -509,13 +512,15 @@
             self.pending_rejections.push(rejected);
             return id;
         }
+        let cost = self.cost(&work);
         let queue = self.queues.entry(work.service.clone()).or_default();
-        let wait = queue.expected_wait(now, &work);
+        let key = queue.key(now, id, &work, cost);
+        let wait = queue.expected_wait(now, key, &work);
         if queue.len() > 0 && wait.is_some_and(|wait| now + wait > Queue::wait_deadline(&work)) {
-            let rejected = self.reject(now, id, &work, Reason::Overload);
+            let rejected = self.reject_overload(now, key, &work);
             self.pending_rejections.push(rejected);
         } else {
-            queue.push(id, work);
+            queue.push(key, work);
         }
         id
     }
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -12,6 +12,7 @@
 mod load;
 mod moves;
 mod outdated;
+mod overload;
 mod path;
 mod placement;
 mod retry;
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -93,6 +93,7 @@
         service: "drafts".into(),
         kind: RequestKind::Streaming { resumable: true },
         priority: 1,
+        workspace: None,
         arrived: now,
         prior_wait: Duration::ZERO,
         objective: OBJECTIVE,
