entry: refusals name service and route, and overload has a begin and an end

Cause: a line 240 named neither service nor route, so that a log didn't tell which part of a deployment turned callers away, and nothing said when an entry began to hold requests back or stopped. Change: event 240 has the fields service and route, `none` if no route admitted the request.

--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -16,6 +16,7 @@
 mod hedge;
 mod loads;
 mod metrics;
+mod overload;
 mod placed;
 mod reader;
 mod relay;
--- a/bins/entry/src/ingress/call.rs
+++ b/bins/entry/src/ingress/call.rs
@@ -19,6 +19,8 @@
 #[derive(Debug)]
 pub(super) struct Call {
     pub(super) caller: Caller,
+    /// Name of the route that admitted it.
+    pub(super) route: String,
     pub(super) service: String,
     pub(super) kind: RequestKind,
     pub(super) objective: Duration,
@@ -97,6 +99,7 @@
             .path_and_query
             .map_or_else(|| Uri::from_static("/"), Uri::from);
         Ok(Self {
+            route: route.name.clone(),
             service: service.into(),
             kind: route.kind,
             objective: route.objective,
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -25,6 +25,7 @@
 use super::disconnect::DisconnectGuard;
 use super::error::{LastAttempt, Rejection, RequestError};
 use super::metrics::Metrics;
+use super::overload::OverloadedServices;
 use super::placed::PlacedRequest;
 use super::relay::Relay;
 use super::relays::Relays;
@@ -58,6 +59,7 @@
     /// Targets that are being checked for a crash.
     pub(super) crash_checks: CrashChecks,
     pub(super) pending_evidence: PendingEvidence,
+    pub(super) overloaded_services: RefCell<OverloadedServices>,
     /// Bytes buffered for responses that are still incomplete.
     pub(super) buffered: BufferedBytes,
     /// Number of weights versions and targets that this process has discovered.
@@ -111,6 +113,7 @@
             in_progress: Rc::default(),
             crash_checks: CrashChecks::default(),
             pending_evidence: PendingEvidence::default(),
+            overloaded_services: RefCell::default(),
             buffered: BufferedBytes::default(),
             change_count: Cell::default(),
             store_reachable: Cell::new(false),
@@ -279,6 +282,7 @@
             if now.saturating_duration_since(last_check) >= IDLE_POLL_INTERVAL {
                 last_check = now;
                 self.cancel_unservable(now);
+                self.record_overload(now);
             }
         }
     }
@@ -301,7 +305,7 @@
         let mut answer = match Call::admit(request, config.as_deref(), now, random) {
             Ok(call) if self.refusing.get() => {
                 let stopping = Refusal::unavailable(STOPPING, STOPPING_RETRY_AFTER);
-                self.refuse(&call.caller.id, &stopping)
+                self.refuse(&call.caller.id, Some(&call), &stopping, None)
             }
             Ok(call) if call.is_stream() => super::stream::serve(&self, call, guard).await,
             Ok(call) => {
@@ -311,7 +315,7 @@
                 disconnect_guard.disarm();
                 answer.unwrap_or_else(|error| self.fail_request(&call, &error))
             }
-            Err((id, refusal)) => self.refuse(&id, &refusal),
+            Err((id, refusal)) => self.refuse(&id, None, &refusal, None),
         };
         if self.draining.get() {
             // The balancer sends the caller's next connection to another entry.
@@ -381,16 +385,13 @@
             .retry_after(Instant::now(), deadline)
     }
 
-    /// Logs and counts a refusal issued by the entry, and returns its response.
-    pub(super) fn refuse(&self, id: &str, refusal: &Refusal) -> Response<Body> {
-        self.refuse_after(id, refusal, Duration::ZERO, None)
-    }
-
-    fn refuse_after(
+    /// Logs and counts a refusal issued by the entry, and returns its response; `call` is the request with the given
+    /// `id` if the configuration admitted it.
+    fn refuse(
         &self,
         id: &str,
+        call: Option<&Call>,
         refusal: &Refusal,
-        age: Duration,
         last_attempt: Option<&LastAttempt>,
     ) -> Response<Body> {
         self.metrics.count_refusal(refusal.reason);
@@ -401,10 +402,12 @@
             request = id,
             status = refusal.status.as_u16(),
             reason = refusal.reason,
+            service = call.map_or("none", |call| &*call.service),
+            route = call.map_or("none", |call| &*call.route),
             target = last_attempt.map_or("none", |last| &*last.target),
             attempts = last_attempt.map_or(0, |last| last.number),
             failure = failure.unwrap_or("none"),
-            age_ms = age.as_millis(),
+            age_ms = call.map_or(0, |call| call.arrived.elapsed().as_millis()),
             waiting = scheduler.waiting_count(),
             in_progress = scheduler.in_progress(),
             config = scheduler.config().map_or(0, |config| config.version),
@@ -415,9 +418,10 @@
 
     /// Returns the error response to a request that no target answered.
     pub(super) fn fail_request(&self, call: &Call, error: &RequestError) -> Response<Body> {
-        let (refusal, age) = (error.refusal(), call.arrived.elapsed());
+        let refusal = error.refusal();
         self.log_quarantine(call);
-        self.refuse_after(&call.caller.id, &refusal, age, error.last_attempt.as_ref())
+        let last_attempt = error.last_attempt.as_ref();
+        self.refuse(&call.caller.id, Some(call), &refusal, last_attempt)
     }
 
     /// Logs and counts a response whose weights were already too old to begin it when its first event arrived.
--- a/bins/entry/src/ingress/metrics.rs
+++ b/bins/entry/src/ingress/metrics.rs
@@ -31,6 +31,7 @@
     quarantined_parts: Gauge,
     store_era: Gauge,
     evacuated_domains: Gauge,
+    overloaded_services: Gauge,
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -61,6 +62,7 @@
             quarantined_parts: Gauge::default(),
             store_era: Gauge::default(),
             evacuated_domains: Gauge::default(),
+            overloaded_services: Gauge::default(),
         };
         let registry = registry.sub_registry_with_prefix("carobport_ingress");
         registry.register(
@@ -129,6 +131,11 @@
             "Failure domains that operators evacuate",
             metrics.evacuated_domains.clone(),
         );
+        registry.register(
+            "overloaded_services",
+            "Services whose less urgent requests are held back",
+            metrics.overloaded_services.clone(),
+        );
         metrics
     }
 
@@ -173,6 +180,10 @@
         self.evacuated_domains.set(count as i64);
     }
 
+    pub(super) fn set_overloaded_services(&self, count: usize) {
+        self.overloaded_services.set(count as i64);
+    }
+
     pub(super) fn count_limited_attempt(&self) {
         self.limited_attempts.inc();
     }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -93,6 +93,8 @@
     PART_QUARANTINED = 274 Warn "part-quarantined";
     PART_RELEASED = 275 Info "part-released";
     REQUEST_QUARANTINED = 276 Info "request-quarantined";
+    OVERLOAD_BEGAN = 282 Info "overload-began";
+    OVERLOAD_ENDED = 283 Info "overload-ended";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
