--- a/bins/entry/src/ingress/call.rs
+++ b/bins/entry/src/ingress/call.rs
@@ -19,6 +19,8 @@
 #[derive(Debug)]
 pub(super) struct Call {
     pub(super) caller: Caller,
+    /// Name of the route that admitted it.
+    pub(super) route: String,
     pub(super) service: String,
     pub(super) kind: RequestKind,
     pub(super) objective: Duration,
@@ -30,7 +32,7 @@
     attempts: u32,
     priority: u8,
     allowed_regions: Option<Rc<AllowedRegions>>,
-    workspace: Option<String>,
+    workspace: Option<Rc<str>>,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -97,6 +99,7 @@
             .path_and_query
             .map_or_else(|| Uri::from_static("/"), Uri::from);
         Ok(Self {
+            route: route.name.clone(),
             service: service.into(),
             kind: route.kind,
             objective: route.objective,
@@ -113,7 +116,7 @@
                 route.allowed_regions.as_ref(),
                 tenant.and_then(|tenant| tenant.allowed_regions.as_ref()),
             ),
-            workspace: tenant.map(|tenant| tenant.name.clone()),
+            workspace: tenant.map(|tenant| Rc::from(&*tenant.name)),
             method: parts.method,
             uri,
             headers: parts.headers,
@@ -135,6 +138,7 @@
             service: self.service.clone(),
             kind: self.kind,
             priority: self.priority,
+            workspace: self.workspace.clone(),
             arrived: self.arrived,
             prior_wait: self.prior_wait,
             objective: self.objective,
