clients: crowds whose bodies stop short of their end fill the memory

Cause: nothing showed what clients outside the limits take of a process. An entry collects bodies without a total, and the ports for health checks and operators collect bodies of 4 MiB that they have no use for.

--- a/bins/load/src/process.rs
+++ b/bins/load/src/process.rs
@@ -141,6 +141,25 @@
         })
     }
 
+    /// Reads the highest resident memory so far, in bytes, from `/proc`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of reading the file; it is gone once the process was waited for.
+    pub fn peak_memory(&self) -> io::Result<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        Ok(status_field(&status, "VmHWM:") * 1024)
+    }
+
+    /// Counts the open descriptors in `/proc`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of reading the directory; it is gone once the process was waited for.
+    pub fn descriptors(&self) -> io::Result<usize> {
+        Ok(fs::read_dir(format!("/proc/{}/fd", self.child.id()))?.count())
+    }
+
     fn signal(&self, signal: Signal) {
         if let Some(pid) = Pid::from_raw(self.child.id().cast_signed()) {
             // Fails only when the process has exited, which the caller finds by waiting for it.
