http: request bodies and connections of a port have limits in all

Cause: a server collected each body up to its own limit, or read one of up to twice the limit, without a total, and 4,096 connections could take all descriptors of a process. A crowd whose bodies stopped short of their end filled the memory.

Change: a body reserves its memory before it is read or its buffer grows; the reservation is kept until the request has ended. A body that finds no memory for 0.9 s is refused with 503 and Retry-After. While one waits, the body that has stood still longest gives way with 408. One body at a time may exceed the memory, so that a body of the legal size is always served. A body over the limit is refused with 413 as soon as that is known; what arrives within a second afterwards is discarded, up to 256 KiB, so that the caller gets the response. hyper buffers at most twice the limit on heads and 8 KiB. Connections are limited to five eighths of the descriptors; when they are used up, the one that stands still longest is closed, never one whose request is in progress. Ports for health checks, operators and entries have a share of their own and take bodies of 16 KiB. Events 113 and 114, metrics.

--- a/bins/agent/src/chunk_server.rs
+++ b/bins/agent/src/chunk_server.rs
@@ -45,6 +45,7 @@
     };
     let limits = Limits {
         max_body_bytes: 0,
+        port: "chunks",
         drain_timeout: DRAIN_TIMEOUT,
         linger: LINGER,
         ..Limits::default()
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -44,6 +44,8 @@
     ACCEPT_FAILED = 110 Warn "accept-failed";
     CONNECTION_FAILED = 111 Debug "connection-failed";
     DRAIN_CUT = 112 Warn "drain-cut";
+    CALLER_REFUSED = 113 Info "caller-refused";
+    CONNECTION_EVICTED = 114 Info "connection-evicted";
     DRAINING = 200 Info "draining";
     REFUSING = 201 Info "refusing";
     CROSSED_ANSWER = 202 Error "crossed-answer";
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -1,15 +1,21 @@
 //! HTTP/1.1 server and client on the compio event loop, with their body type.
 
+mod admission;
 mod body;
 mod client;
+mod connections;
 mod informational;
+pub mod intake;
+mod metrics;
 mod pool;
 mod server;
 mod stream;
 
 pub use body::{Body, BodySender};
 pub use client::{Client, Error, ResponseBody};
+pub use connections::{ConnectionId, Connections, Phase};
 pub use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
+pub use metrics::Metrics;
 pub use server::{Limits, StaticHeaders, serve, serve_with_dynamic_limits};
 
 /// Returns a response with `status` and `body`.
--- a/crates/node/src/http/body.rs
+++ b/crates/node/src/http/body.rs
@@ -10,6 +10,8 @@
 use futures::{SinkExt, Stream, StreamExt};
 use hyper::body::{Frame, SizeHint};
 
+use super::admission::RequestGuard;
+
 /// Body of an outgoing request or response.
 ///
 /// If a streamed body yields an error, the connection is closed before the end of the body, so that the receiver can
@@ -19,7 +21,11 @@
 /// let body = node::http::Body::from("text");
 /// assert_eq!(body.len(), Some(4));
 /// ```
-pub struct Body(BodyKind);
+pub struct Body {
+    kind: BodyKind,
+    /// The request that this body answers, if the server counts it.
+    guard: Option<RequestGuard>,
+}
 
 enum BodyKind {
     Full(Option<Bytes>),
@@ -34,12 +40,22 @@
 impl Body {
     /// Returns an empty body.
     pub fn empty() -> Self {
-        Self(BodyKind::Full(None))
+        Self::from_kind(BodyKind::Full(None))
     }
 
     /// Returns a body that streams the items of `stream`.
     pub fn stream(stream: impl Stream<Item = io::Result<Bytes>> + 'static) -> Self {
-        Self(BodyKind::Stream(stream.boxed_local()))
+        Self::from_kind(BodyKind::Stream(stream.boxed_local()))
+    }
+
+    /// Keeps `guard` until the body is dropped.
+    pub(super) fn with_guard(mut self, guard: RequestGuard) -> Self {
+        self.guard = Some(guard);
+        self
+    }
+
+    fn from_kind(kind: BodyKind) -> Self {
+        Self { kind, guard: None }
     }
 
     /// Returns a streamed body and its sender, which waits while `capacity` pieces are buffered.
@@ -59,7 +75,7 @@
     /// Returns the length in bytes, or `None` for a streamed body.
     #[expect(clippy::len_without_is_empty, reason = "a stream's length is unknown")]
     pub fn len(&self) -> Option<usize> {
-        match &self.0 {
+        match &self.kind {
             BodyKind::Full(bytes) => Some(bytes.as_ref().map_or(0, Bytes::len)),
             BodyKind::Stream(_) => None,
         }
@@ -95,9 +111,8 @@
 
 impl From<Bytes> for Body {
     fn from(bytes: Bytes) -> Self {
-        Self(BodyKind::Full(
-            Some(bytes).filter(|bytes| !bytes.is_empty()),
-        ))
+        let bytes = Some(bytes).filter(|bytes| !bytes.is_empty());
+        Self::from_kind(BodyKind::Full(bytes))
     }
 }
 
@@ -127,7 +142,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        match &mut self.0 {
+        match &mut self.kind {
             BodyKind::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             BodyKind::Stream(stream) => stream
                 .poll_next_unpin(cx)
@@ -136,7 +151,7 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self.0, BodyKind::Full(None))
+        matches!(self.kind, BodyKind::Full(None))
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/node/src/http/stream.rs
+++ b/crates/node/src/http/stream.rs
@@ -2,12 +2,15 @@
 
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use hyper::rt::{Read, ReadBufCursor, Write};
 
+use super::admission::Connection;
+
 /// Number of consecutive reads that complete immediately before the stream yields to other tasks.
 const MAX_CONSECUTIVE_READS: u32 = 16;
 
@@ -17,6 +20,8 @@
     inner: HyperStream<TcpStream>,
     socket: TcpStream,
     consecutive_reads: u32,
+    /// The connection that received bytes are recorded for, if it is a server's.
+    connection: Option<Rc<Connection>>,
 }
 
 impl Stream {
@@ -26,6 +31,15 @@
             inner: HyperStream::new_plain(socket.clone()),
             socket,
             consecutive_reads: 0,
+            connection: None,
+        }
+    }
+
+    /// Wraps the socket of a server's connection.
+    pub fn accepted(socket: TcpStream, connection: Rc<Connection>) -> Self {
+        Self {
+            connection: Some(connection),
+            ..Self::new(socket)
         }
     }
 }
@@ -42,11 +56,14 @@
             return Poll::Pending;
         }
         let read = Read::poll_read(Pin::new(&mut self.inner), cx, buf);
-        self.consecutive_reads = if read.is_ready() {
-            self.consecutive_reads + 1
-        } else {
-            0
-        };
+        if read.is_pending() {
+            self.consecutive_reads = 0;
+            return read;
+        }
+        self.consecutive_reads += 1;
+        if let Some(connection) = &self.connection {
+            connection.receive();
+        }
         read
     }
 }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -9,7 +9,7 @@
 use prometheus_client::registry::Registry;
 use serde_json::Value;
 
-use crate::http::{self, Body, Limits, json, response};
+use crate::http::{self, Body, Limits, Metrics, json, response};
 
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -35,7 +35,8 @@
     let operator = &operator;
     let handler =
         |_: SocketAddr, request: Request<Bytes>| async move { operator.respond(&request) };
-    http::serve(listener, Limits::default(), handler, shutdown).await;
+    let limits = Limits::internal("operators", &Metrics::default());
+    http::serve(listener, limits, handler, shutdown).await;
 }
 
 impl<S: Fn() -> Value, H: Fn() -> bool> Operator<S, H> {
--- a/crates/node/src/settings/fields.rs
+++ b/crates/node/src/settings/fields.rs
@@ -104,6 +104,13 @@
         }
     }
 
+    /// Reads an optional object; if it is missing, its fields have their defaults.
+    pub fn optional_object<T: Settings>(&mut self, name: &'static str) -> Option<T> {
+        let empty = Value::Object(Map::new());
+        let value = self.lookup(name).unwrap_or(&empty);
+        read_object(value, &self.pointer_to(name), self.findings)
+    }
+
     /// Reads a required array of objects.
     pub fn objects<T: Settings>(&mut self, name: &'static str) -> Option<Vec<T>> {
         let allowed = "an array of objects";
--- a/crates/node/tests/http.rs
+++ b/crates/node/tests/http.rs
@@ -119,6 +119,47 @@
     });
 }
 
+// Guards against an unfinished body that keeps the memory from others, and against a request that is refused for lack of memory
+// without a promise and a time to come back.
+#[parameterized(
+    gives_way = { 200, "HTTP/1.1 408", "HTTP/1.1 200" },
+    stays = { 60_000, "", "HTTP/1.1 503" },
+)]
+fn serve_body_memory(stall_ms: u64, unfinished: &'static str, next: &'static str) {
+    const BODY: usize = 60_000;
+    let limits = Limits {
+        max_body_bytes: BODY,
+        body_timeout: Duration::from_secs(60),
+        body_memory: 65_536,
+        stall_timeout: Duration::from_millis(stall_ms),
+        ..limits()
+    };
+    with_limits(limits, |address| async move {
+        let head = format!("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: {BODY}\r\n\r\n");
+        let [short, whole] = [BODY - 1, BODY].map(|length| head.clone() + &"x".repeat(length));
+        let mut first = node::connect(address).await.unwrap();
+        first.write_all(short.into_bytes()).await.unwrap();
+        compio::time::sleep(Duration::from_millis(50)).await;
+        let mut second = node::connect(address).await.unwrap();
+        second.write_all(whole.into_bytes()).await.unwrap();
+        let answer = first_bytes(&mut second).await;
+        assert!(answer.starts_with(next), "{answer}");
+        let refused = next.ends_with("503");
+        assert_eq!(answer.contains("retry-after: 1"), refused, "{answer}");
+        let answer = first_bytes(&mut first).await;
+        assert!(answer.starts_with(unfinished), "{answer}");
+        assert_eq!(answer.is_empty(), unfinished.is_empty(), "{answer}");
+    });
+}
+
+/// Returns the first bytes that arrive, or an empty text if none do for 2 s.
+async fn first_bytes(stream: &mut compio::net::TcpStream) -> String {
+    let read = stream.read(Vec::with_capacity(4096));
+    let read = compio::time::timeout(Duration::from_secs(2), read).await;
+    let bytes = read.map_or_else(|_| Vec::new(), |read| read.1);
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 // Guards against clients that occupy a connection without ever completing the headers.
 #[test]
 fn serve_slow_header_closes() {
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -135,3 +135,39 @@
         prop_assert_eq!(parse::<Port>(&text).is_ok(), valid);
     }
 }
+
+#[derive(Debug, PartialEq)]
+struct Desk(Open);
+
+impl Settings for Desk {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        fields.optional_object("open").map(Self)
+    }
+}
+
+#[derive(Debug, PartialEq)]
+struct Open(Duration);
+
+impl Settings for Open {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        fields.millis("wait_ms", 1..=100, Some(7)).map(Self)
+    }
+}
+
+// Guards against an optional object that is required after all, and against one whose errors are passed over.
+#[parameterized(
+    missing = { "{}", Ok(7) },
+    set = { r#"{"open": {"wait_ms": 9}}"#, Ok(9) },
+    unknown = { r#"{"open": {"wait": 9}}"#, Err("/open/wait") },
+    outside = { r#"{"open": {"wait_ms": 101}}"#, Err("/open/wait_ms") },
+)]
+fn optional_object_fields(text: &str, expected: Result<u64, &str>) {
+    match (parse::<Desk>(text), expected) {
+        (Ok(Desk(Open(wait))), Ok(ms)) => assert_eq!(wait, Duration::from_millis(ms)),
+        (Err(findings), Err(pointer)) => {
+            let pointers: Vec<_> = findings.iter().map(|finding| &finding.pointer).collect();
+            assert_eq!(pointers, [pointer]);
+        }
+        (read, expected) => panic!("{read:?} in place of {expected:?}"),
+    }
+}
