entry: relays that are behind are waited for, in turn

Cause: two relays that answered 503, because the store was down or the link to it full, sent every entry of their domain to the store within 0.3 s. All of them then read the configuration over one link between regions, gave up after 0.8 s and began anew. Change: a reader distinguishes relays that are silent from those that are behind. It asks the latter again, and reads the store itself after 0.8 s and 0.15 s more for each entry before it in the domain's order; a failure of the store begins the wait anew.

--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -33,7 +33,7 @@
 mod watches;
 
 pub use gateway::Gateway;
-pub use relays::{Relays, Source};
+pub use relays::{Failure, Relays, Source};
 pub use serve::serve;
 pub use settings::{Bounds, Settings};
 pub use subscriptions::Subscriptions;
