burst: draws start one after the other, as fast as the origin's link carries them

Cause: all agents drew at once and shared the origin's link, so that many parts were nearly whole and none was when the origin went away. Agents waited 0.4 s at the next owner before each first draw. Failed draws were repeated only every 1.2 s while the origin was away, because a search at another agent was held for 0.4 s and paused the part for 0.2 s.

Change: all agents compute one order of draws. A stripe is due when the link has carried those before it; three missing ones may be drawn earlier, 16 requested from other agents. A transfer that starts late takes the order's start from the age of the version. Pauses of failed draws are bounded by half of the time that the link takes for the missing parts. A draw counts as long as bytes arrive, and the wait for an owner begins when the part is due; an owner whose draws fail counts for 8 s in place of 4 s. Probes and searches carry carobport-no-wait and aren't held. The start delay by position in the agent is gone; the order replaces it.

--- a/bins/agent/src/chunk_server.rs
+++ b/bins/agent/src/chunk_server.rs
@@ -101,7 +101,10 @@
     let Some(chunk) = version.manifest().chunks.get(index as usize).copied() else {
         return not_found(request.uri().path());
     };
-    let held = holdings.wait_for_chunk(&chunk).await;
+    let held = match request.headers().contains_key(wire::header::NO_WAIT) {
+        true => holdings.contains(&chunk),
+        false => holdings.wait_for_chunk(&chunk).await,
+    };
     if held && request.headers().contains_key(wire::header::ANNOUNCE) {
         return response(StatusCode::NO_CONTENT, Body::empty());
     }
--- a/bins/agent/src/rollout/serve.rs
+++ b/bins/agent/src/rollout/serve.rs
@@ -67,7 +67,6 @@
     let origin = Rc::new(PartOrigin {
         // Placeholder; set to the origin's address before anything is drawn.
         address: Cell::new(state.settings.engine),
-        not_before: Cell::new(Instant::now()),
     });
     let (transfer, worker) = weights::transfer(&state, Rc::clone(&holdings), Rc::clone(&origin));
     let status_state = Rc::clone(&state);
--- a/bins/agent/src/rollout/weights.rs
+++ b/bins/agent/src/rollout/weights.rs
@@ -31,8 +31,8 @@
 const TARGETS_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum time to wait for the engine's first report.
 const ENGINE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Maximum delay before an agent begins to draw.
-const MAX_DRAW_DELAY: Duration = Duration::from_secs(2);
+/// Time after which most agents have learned of a version and read its manifest.
+const MAX_START_TIME: Duration = Duration::from_millis(800);
 /// Timeout of a manifest request to another agent.
 const PEER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout of a request for staged chunks; without a response they are fetched from elsewhere.
@@ -136,13 +136,15 @@
     let manifest = find_manifest(state, http, &model, version).await?;
     holdings.add_named_version(&model, &version.to_string(), &manifest);
     adopt_staged(state, holdings, &model, &manifest).await;
-    origin
-        .not_before
-        .set(Instant::now() + draw_delay(state, source.bytes_per_s));
     transfer.set_wanted(Some(Order {
         pin: Pin::new(&model, &version.to_string(), manifest.digest()),
         plan: Plan::OriginBytes,
         origin_chunk_time: chunk_time(state, source.bytes_per_s),
+        draws_since: state
+            .rollout
+            .borrow()
+            .named_at(version)
+            .map(|named_at| named_at + MAX_START_TIME),
     }));
     Some(version)
 }
@@ -284,13 +286,6 @@
     Ok(Version::check(manifest.digest(), manifest)?)
 }
 
-/// Returns the delay after which this agent begins to draw, by its position among the agents.
-fn draw_delay(state: &State, bytes_per_s: u64) -> Duration {
-    let round = chunk_time(state, bytes_per_s) * state.members().len() as u32;
-    let fraction = state.rollout.borrow().position().fraction();
-    round.mul_f64(fraction).min(MAX_DRAW_DELAY)
-}
-
 /// Returns the time that the origin's link needs for one chunk.
 fn chunk_time(state: &State, bytes_per_s: u64) -> Duration {
     let seconds = f64::from(state.chunk_bytes()) / bytes_per_s.max(1) as f64;
--- a/bins/agent/src/staging.rs
+++ b/bins/agent/src/staging.rs
@@ -118,6 +118,7 @@
         pin: model.pin(),
         plan: model.plan,
         origin_chunk_time: Duration::ZERO,
+        draws_since: None,
     })
 }
 
--- a/bins/agent/src/transfer.rs
+++ b/bins/agent/src/transfer.rs
@@ -67,9 +67,6 @@
 pub struct PartOrigin {
     /// Address of the origin, which may change with the configuration.
     pub address: Cell<SocketAddr>,
-    /// Earliest time at which this agent may draw. Staggered starts keep the first draws of all agents from sharing the
-    /// origin's link, so that the first chunks arrive and spread sooner.
-    pub not_before: Cell<Instant>,
 }
 
 /// Weights to transfer into the engine.
@@ -81,6 +78,8 @@
     pub plan: Plan,
     /// Time that the origin's link takes to carry one chunk, or zero if unknown.
     pub origin_chunk_time: Duration,
+    /// Time at which other agents are expected to have started to draw the version, if known.
+    pub draws_since: Option<Instant>,
 }
 
 /// State of the current transfer.
--- a/bins/agent/src/transfer/fetch.rs
+++ b/bins/agent/src/transfer/fetch.rs
@@ -22,9 +22,6 @@
 /// Maximum size of a manifest in bytes; 16,384 digests as text take 1.1 MB.
 const MAX_MANIFEST: usize = 2 << 20;
 
-/// Maximum interval between checks whether this agent may draw yet.
-const DRAW_START_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Retry delay if a response asks for a retry without a delay.
 const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -51,11 +48,13 @@
 
 impl Fetcher {
     /// Fetches a chunk of `version` from another agent; `progress` is called for each piece received.
+    ///
+    /// With `no_wait`, the other agent answers at once if it doesn't hold the chunk.
     pub(super) async fn fetch_from_peer(
         &self,
         version: &Version,
         chunk: ChunkIndex,
-        peer: SocketAddr,
+        (peer, no_wait): (SocketAddr, bool),
         progress: impl Fn(),
     ) -> Answer {
         let Some(len) = version.manifest().chunk_len(chunk) else {
@@ -64,8 +63,9 @@
         let path = format!("/chunks/{}/{chunk}", version.digest());
         let (slice, _slot) = match &self.holdings.receive_slots {
             Some(slots) => {
-                let announce = (HeaderName::from_static(wire::header::ANNOUNCE), "1".into());
-                let Some((parts, _)) = self.send_to_peer(peer, &path, Some(announce)).await else {
+                let mut headers = vec![marker(wire::header::ANNOUNCE)];
+                headers.extend(no_wait.then(|| marker(wire::header::NO_WAIT)));
+                let Some((parts, _)) = self.send_to_peer(peer, &path, headers).await else {
                     return Answer::Failed;
                 };
                 progress();
@@ -101,7 +101,8 @@
             let end = len.min(bytes.len() + slice);
             let range = format!("bytes={}-{}", bytes.len(), end - 1);
             let range = (slice < len).then_some((header::RANGE, range));
-            let Some((parts, body)) = self.send_to_peer(peer, path, range).await else {
+            let headers = range.into_iter().collect();
+            let Some((parts, body)) = self.send_to_peer(peer, path, headers).await else {
                 return Answer::Failed;
             };
             progress();
@@ -122,13 +123,13 @@
         &self,
         peer: SocketAddr,
         path: &str,
-        header: Option<(HeaderName, String)>,
+        headers: Vec<(HeaderName, String)>,
     ) -> Option<(response::Parts, http::ResponseBody)> {
         let local = &self.settings.local;
         let mut request = Request::get(path)
             .header(wire::header::CHUNK_ADDRESS, local.address.to_string())
             .header(wire::header::DOMAIN, &local.domain);
-        if let Some((name, value)) = header {
+        for (name, value) in headers {
             request = request.header(name, value);
         }
         let request = request.body(Body::empty()).ok()?;
@@ -165,7 +166,6 @@
         let len = manifest.chunk_len(chunk).ok_or(Error::NoChunk(chunk))? as usize;
         let mut partial = Partial::take(&self.partials, chunk);
         if partial.bytes.len() < len {
-            self.wait_until_draw_allowed(&progress).await;
             let (origin, request) = self.draw_request(version, chunk, &mut partial.bytes)?;
             let _slot = match &self.holdings.draw_slots {
                 Some(slots) => Some(slots.acquire(&progress).await),
@@ -203,25 +203,6 @@
         Ok(Answer::Bytes(partial.bytes.split().freeze()))
     }
 
-    /// Waits until this agent may draw from an origin of whole chunks. Calls `progress` meanwhile, so that the request
-    /// doesn't count as stalled.
-    async fn wait_until_draw_allowed(&self, progress: &impl Fn()) {
-        let Origin::Parts(origin) = &self.settings.origin else {
-            return;
-        };
-        loop {
-            let remaining = origin
-                .not_before
-                .get()
-                .saturating_duration_since(Instant::now());
-            if remaining.is_zero() {
-                return;
-            }
-            compio::time::sleep(remaining.min(DRAW_START_CHECK_INTERVAL)).await;
-            progress();
-        }
-    }
-
     /// Returns the request for the missing bytes of a chunk and the address to send it to.
     ///
     /// The users' origin serves whole chunks only, so the bytes of an interrupted draw are discarded for it.
@@ -381,6 +362,11 @@
     }
 }
 
+/// Returns the header `name`, which has a meaning of its own without a value.
+fn marker(name: &'static str) -> (HeaderName, String) {
+    (HeaderName::from_static(name), "1".into())
+}
+
 /// Converts a response without a chunk to the answer that the downloader handles.
 fn answer_without_chunk(parts: &response::Parts) -> Answer {
     match parts.status {
--- a/bins/agent/src/transfer/run.rs
+++ b/bins/agent/src/transfer/run.rs
@@ -302,13 +302,8 @@
             "{}/{}/{}",
             local.name, self.settings.incarnation, self.transfer
         );
-        match previous {
-            Some(previous) => {
-                let (mut downloader, mut actions) =
-                    previous.replace(holder, order.plan, version, held, now);
-                actions.extend(downloader.set_members(&self.members, now));
-                (downloader, actions)
-            }
+        let (mut downloader, mut actions) = match previous {
+            Some(previous) => previous.replace(holder, order.plan, version, held, now),
             None => {
                 let setup = Setup {
                     seed: Digest::of(holder.as_bytes()).prefix(),
@@ -322,7 +317,12 @@
                 };
                 Downloader::start(setup, version, &self.members, held, now)
             }
+        };
+        if let Some(since) = order.draws_since {
+            downloader.set_draws_since(since);
         }
+        actions.extend(downloader.set_members(&self.members, now));
+        (downloader, actions)
     }
 
     fn set_members(&mut self, members: Members) {
@@ -393,6 +393,7 @@
         let inputs = self.handle.inputs.clone();
         let fetcher = Rc::clone(&current.fetcher);
         let version = chunks.downloader.version().clone();
+        let no_wait = chunks.downloader.expects_immediate_answer(request);
         let unstaged = chunks.stager.unstaged();
         let task = compio::runtime::spawn(async move {
             let progress = || send(&inputs, Input::Progress { transfer, request });
@@ -400,7 +401,7 @@
             let answer = match from {
                 Source::Peer(peer) => {
                     fetcher
-                        .fetch_from_peer(&version, chunk, peer, progress)
+                        .fetch_from_peer(&version, chunk, (peer, no_wait), progress)
                         .await
                 }
                 Source::Origin => fetcher.draw(&version, chunk, progress).await,
--- a/bins/agent/tests/transfer/support.rs
+++ b/bins/agent/tests/transfer/support.rs
@@ -326,6 +326,7 @@
             pin,
             plan,
             origin_chunk_time: Duration::ZERO,
+            draws_since: None,
         }));
     }
 }
--- a/crates/burst/src/downloader.rs
+++ b/crates/burst/src/downloader.rs
@@ -236,9 +236,20 @@
     pub fn progress(&mut self, request: RequestId, now: Instant) {
         if let Some(request) = self.requests.get_mut(&request) {
             request.last_progress = now;
+            if matches!(request.kind, RequestKind::Draw(_)) {
+                self.scheduler.draw_progressed(now);
+            }
         }
     }
 
+    /// Returns whether the receiver of `request` should answer at once if it doesn't hold the chunk. Otherwise it may
+    /// hold the request until the chunk arrives.
+    pub fn expects_immediate_answer(&self, request: RequestId) -> bool {
+        let request = self.requests.get(&request);
+        request
+            .is_some_and(|request| matches!(request.kind, RequestKind::Probe | RequestKind::Search))
+    }
+
     /// Handles the answer to `request`; answers to unknown requests are ignored.
     pub fn handle_answer(
         &mut self,
@@ -262,6 +273,12 @@
         actions
     }
 
+    /// Sets when the draws of all agents together began, if that was before the start of this transfer: an agent that
+    /// starts late must not wait as if nothing had been drawn yet.
+    pub fn set_draws_since(&mut self, since: Instant) {
+        self.scheduler.set_draws_since(since);
+    }
+
     /// Replaces the members.
     pub fn set_members(&mut self, members: &Members, now: Instant) -> Vec<Action> {
         self.scheduler.set_members(members);
--- a/crates/burst/src/draw.rs
+++ b/crates/burst/src/draw.rs
@@ -96,13 +96,20 @@
     }
 
     /// Records a failure; each consecutive failure doubles the delay.
-    pub(crate) fn fail(&mut self, now: Instant) {
+    ///
+    /// The delay doesn't grow beyond `interval` unless that is zero: once the origin is available again, it should send
+    /// the missing chunks soon.
+    pub(crate) fn fail(&mut self, interval: Duration, now: Instant) {
         // Failures of requests that were sent before the backoff began count once.
         if self.blocked(now).is_some() {
             return;
         }
         let delay = INITIAL_RETRY_DELAY * 2u32.pow(self.failures.min(5));
-        self.until = Some(now + delay.min(self.max_delay));
+        let max_delay = match interval.is_zero() {
+            true => self.max_delay,
+            false => interval.max(INITIAL_RETRY_DELAY).min(self.max_delay),
+        };
+        self.until = Some(now + delay.min(max_delay));
         self.failures += 1;
     }
 
--- a/crates/burst/src/scheduler.rs
+++ b/crates/burst/src/scheduler.rs
@@ -1,6 +1,7 @@
 //! Selects the chunk to request next and its source.
 
 mod owner;
+mod pace;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -9,6 +10,8 @@
 use catalog::Plan;
 use weights::ChunkIndex;
 
+use self::pace::Pace;
+
 use crate::draw::{Backoff, Permit};
 use crate::hash::Rng;
 use crate::peers::{Peers, StripeOwner};
@@ -99,7 +102,7 @@
     stripes: Stripes,
     peers: Peers,
     stripe_states: Vec<StripeState>,
-    /// Order in which stripes are tried: owned ones first, then the others, both shuffled.
+    /// Order in which stripes are tried: owned ones first, in the order of draws, then the others, shuffled.
     stripe_order: Vec<StripeIndex>,
     owned_count: usize,
     next_foreign: usize,
@@ -109,9 +112,10 @@
     /// Peers that don't know the version, with the time at which that was first observed.
     unknown_since: HashMap<SocketAddr, Instant>,
     origin_backoff: Backoff,
+    pace: Pace,
     /// Time that the origin's link takes to carry one chunk.
     origin_chunk_time: Duration,
-    /// Time of the last draw that delivered a chunk, initially the start of the transfer.
+    /// Time at which a draw last made progress, initially the start of the transfer.
     last_own_draw: Option<Instant>,
 }
 
@@ -184,6 +188,13 @@
         for state in &mut stripe_states {
             rng.shuffle(&mut state.pending);
         }
+        let missing = stripe_states.iter().map(|state| state.pending.len() as u32);
+        let pace = Pace::new(
+            &stripes,
+            setup.origin_chunk_time,
+            missing.collect(),
+            setup.max_requests,
+        );
         let mut scheduler = Self {
             plan: setup.plan,
             holder_prefix: setup.holder_prefix.clone(),
@@ -201,6 +212,7 @@
             redirected: Vec::new(),
             unknown_since: HashMap::new(),
             origin_backoff: Backoff::new(setup.max_retry_delay),
+            pace,
             origin_chunk_time: setup.origin_chunk_time,
             last_own_draw: None,
         };
@@ -241,6 +253,7 @@
         actions: &mut Vec<Action>,
     ) -> Option<(ChunkIndex, Source, RequestKind)> {
         self.last_own_draw.get_or_insert(now);
+        self.pace.start(now);
         while let Some(stripe) = self.redirected.pop() {
             if let Some(picked) = self.next_from_stripe(stripe, in_flight, now, actions) {
                 return Some(picked);
@@ -288,6 +301,7 @@
 
     pub(crate) fn received(&mut self, chunk: ChunkIndex, kind: RequestKind, now: Instant) {
         self.redirects_by_chunk.remove(&chunk);
+        self.pace.chunk_received(self.stripes.stripe_of(chunk));
         let state = self.stripe_state(chunk);
         state.pending.retain(|pending| *pending != chunk);
         state.misses = 0;
@@ -314,7 +328,7 @@
     pub(crate) fn failed(&mut self, kind: RequestKind, from: Source, now: Instant) {
         match from {
             Source::Origin => {
-                self.origin_backoff.fail(now);
+                self.origin_backoff.fail(self.pace.retry_interval(), now);
                 self.restart_owner_timeouts(now);
             }
             // A duplicate is sent to a peer that isn't known to hold the chunk, but an error still counts against that
@@ -357,9 +371,12 @@
             RequestKind::Holder => self.count_redirect(chunk, now),
             RequestKind::Probe => self.stripe_state(chunk).probed = true,
             RequestKind::Search => {
+                let until = now + time.max(SEARCH_PAUSE);
+                let retry = self.origin_backoff.blocked(now);
                 let state = self.stripe_state(chunk);
                 state.search_index += 1;
-                state.paused_until = Some(now + time.max(SEARCH_PAUSE));
+                // A search must not delay the draw.
+                state.paused_until = Some(retry.map_or(until, |retry| retry.min(until)));
             }
             RequestKind::Duplicate => {}
             RequestKind::Draw(_) => self.origin_backoff.wait_for(time, now),
@@ -421,9 +438,8 @@
     fn sort_stripes(&mut self) {
         let (mut order, mut others): (Vec<_>, Vec<_>) =
             (0..self.stripes.count()).partition(|stripe| self.peers.owner_rank(*stripe) == Some(0));
-        let mut rng = Rng::new(self.seed);
-        rng.shuffle(&mut order);
-        rng.shuffle(&mut others);
+        order.sort_by_key(|stripe| self.pace.slot(*stripe));
+        Rng::new(self.seed).shuffle(&mut others);
         self.owned_count = order.len();
         order.append(&mut others);
         self.stripe_order = order;
@@ -468,7 +484,10 @@
         }
         match self.peers.owner(stripe, now) {
             StripeOwner::Peer(peer) if !self.owner_timed_out(stripe, now) => {
-                Selection::Ask(peer, RequestKind::Owner)
+                match self.pace.request_blocked(stripe, now) {
+                    None => Selection::Ask(peer, RequestKind::Owner),
+                    Some(due) => self.wait_for_pace(stripe, due, now),
+                }
             }
             StripeOwner::Unavailable => self.pause(stripe, now + NO_OWNER_PAUSE),
             _ if in_flight.upstream >= self.max_upstream => Selection::Blocked,
@@ -516,6 +535,9 @@
         if let Some(peer) = self.upstream_owner(stripe, now) {
             return Selection::Ask(peer, RequestKind::Upstream);
         }
+        if let Some(due) = self.pace.draw_blocked(stripe, now) {
+            return self.wait_for_pace(stripe, due, now);
+        }
         let store = self.origin_backoff.blocked(now);
         let retry = match self.stripe_states[stripe as usize].permit {
             Permit::Asked { .. } => return Selection::Blocked,
@@ -559,25 +581,6 @@
         }
     }
 
-    /// Returns the number of permits that are requested, or granted for chunks that the local agent will draw itself.
-    ///
-    /// A granted stripe that is now requested from other agents doesn't count: two agents that wait for each other's
-    /// stripes could otherwise both reach the limit and be unable to request permits for their own.
-    fn pending_permits(&self, now: Instant) -> usize {
-        let stripe_states = (0..).zip(&self.stripe_states);
-        stripe_states
-            .filter(|(stripe, state)| match state.permit {
-                Permit::Asked { .. } => true,
-                Permit::Granted { .. } => {
-                    !state.pending.is_empty()
-                        && self.peers.owner(*stripe, now) == StripeOwner::Local
-                        && self.upstream_owner(*stripe, now).is_none()
-                }
-                Permit::Wanted { .. } | Permit::Refused => false,
-            })
-            .count()
-    }
-
     fn pause(&mut self, stripe: StripeIndex, until: Instant) -> Selection {
         self.stripe_states[stripe as usize].paused_until = Some(until);
         Selection::Blocked
--- a/crates/burst/src/scheduler/owner.rs
+++ b/crates/burst/src/scheduler/owner.rs
@@ -5,7 +5,7 @@
 
 use catalog::Plan;
 
-use super::Scheduler;
+use super::{Scheduler, Selection};
 use crate::StripeIndex;
 use crate::draw::Permit;
 use crate::peers::StripeOwner;
@@ -20,7 +20,7 @@
 /// Maximum additional wait, derived from the agent's seed, so that one draw can serve several agents.
 const MAX_OWNER_JITTER: Duration = Duration::from_secs(1);
 /// Time after its last draw for which an agent still counts as drawing: the origin may be unavailable to all agents.
-const DRAW_ACTIVITY_TIMEOUT: Duration = Duration::from_secs(4);
+const DRAW_ACTIVITY_TIMEOUT: Duration = Duration::from_secs(8);
 /// Maximum number of domains that draw themselves with [`Plan::TimeToReplicas`]; the fourth permit is reserved for a
 /// failure.
 const MAX_DRAWING_DOMAINS: usize = 3;
@@ -30,9 +30,12 @@
     pub(super) fn owner_timed_out(&self, stripe: StripeIndex, now: Instant) -> bool {
         let jitter = MAX_OWNER_JITTER.mul_f64((self.seed % 1000) as f64 / 1000.0);
         let state = &self.stripe_states[stripe as usize];
-        let since = state
-            .waiting_since
-            .map(|waiting_since| state.last_draw.max(Some(waiting_since)));
+        let since = state.waiting_since.map(|waiting_since| {
+            state
+                .last_draw
+                .max(Some(waiting_since))
+                .max(self.pace.due(stripe))
+        });
         since
             .flatten()
             .is_some_and(|since| now >= since + OWNER_TIMEOUT + jitter)
@@ -61,11 +64,33 @@
         match draws {
             true => self
                 .last_own_draw
+                .max(self.pace.due(stripe))
                 .map(|last_own_draw| now.min(last_own_draw + DRAW_ACTIVITY_TIMEOUT)),
             false => state.last_draw,
         }
     }
 
+    /// Sets the start of the draws of all agents together if it was earlier than that of this transfer.
+    pub(crate) fn set_draws_since(&mut self, since: Instant) {
+        self.pace.start(since);
+    }
+
+    /// Records that a draw of this agent received bytes. A draw that shares the origin's link may take longer than
+    /// other agents would wait for it without a sign of progress.
+    pub(crate) fn draw_progressed(&mut self, now: Instant) {
+        self.last_own_draw = self.last_own_draw.max(Some(now));
+    }
+
+    /// Pauses `stripe`, which is due at `due`, until then or until the windows of the pace may have moved.
+    pub(super) fn wait_for_pace(
+        &mut self,
+        stripe: StripeIndex,
+        due: Instant,
+        now: Instant,
+    ) -> Selection {
+        self.pause(stripe, due.min(now + self.pace.check_interval()))
+    }
+
     /// Returns the time that the origin's link takes to carry one chunk for each agent.
     pub(crate) fn origin_round_time(&self) -> Duration {
         self.origin_chunk_time * self.peers.len() as u32
@@ -97,4 +122,23 @@
     pub(super) fn update_draw_limit(&mut self) {
         self.max_draws = (MAX_TOTAL_DRAWS / self.peers.len()).max(1);
     }
+
+    /// Returns the number of permits that are requested, or granted for chunks that the local agent will draw itself.
+    ///
+    /// A granted stripe that is now requested from other agents doesn't count: two agents that wait for each other's
+    /// stripes could otherwise both reach the limit and be unable to request permits for their own.
+    pub(super) fn pending_permits(&self, now: Instant) -> usize {
+        let stripe_states = (0..).zip(&self.stripe_states);
+        stripe_states
+            .filter(|(stripe, state)| match state.permit {
+                Permit::Asked { .. } => true,
+                Permit::Granted { .. } => {
+                    !state.pending.is_empty()
+                        && self.peers.owner(*stripe, now) == StripeOwner::Local
+                        && self.upstream_owner(*stripe, now).is_none()
+                }
+                Permit::Wanted { .. } | Permit::Refused => false,
+            })
+            .count()
+    }
 }
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -156,6 +156,13 @@
             .map(move |named| (named.version, now.saturating_duration_since(named.at)))
     }
 
+    /// Returns when `version` was named, if this process observed it or another process told it.
+    pub fn named_at(&self, version: VersionNumber) -> Option<Instant> {
+        let mut seen = self.named.iter().filter(|named| named.seen);
+        seen.find(|named| named.version == version)
+            .map(|named| named.at)
+    }
+
     /// Returns the version whose chunks must be fetched now, or `None` when no named version is missing.
     ///
     /// This is the newest version whose chunks can arrive before the oldest version that isn't held is due. A newer
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -29,6 +29,8 @@
 pub const CHUNK_ADDRESS: &str = "carobport-chunk-address";
 /// Marks a request that only asks whether the receiver holds a chunk; the response has no content.
 pub const ANNOUNCE: &str = "carobport-announce";
+/// Marks a request for a chunk that must be answered at once if the receiver doesn't hold the chunk.
+pub const NO_WAIT: &str = "carobport-no-wait";
 /// Time since an agent was last known to download a chunk from the origin, in milliseconds; sent with
 /// [`RETRY_AFTER_MS`].
 pub const DRAWN_AGE_MS: &str = "carobport-drawn-age-ms";
