entry: event for the first event of a stream

Cause: the log shows when a request is placed and when its stream ends, but not when its first event arrives, so it does not show whether long prompts delay short ones. Change: event 286 at level debug tells rank, prompt tokens, attempt, and the time since the request was sent and since it arrived, beside its objective. Result: first-event times by prompt size and rank can be read from the entries' logs.

--- a/bins/entry/src/ingress/stream_attempt.rs
+++ b/bins/entry/src/ingress/stream_attempt.rs
@@ -150,6 +150,18 @@
         return Err(Failure::Broken);
     }
     placed.record_first_event(version);
+    let now = Instant::now();
+    event!(
+        event::STREAM_BEGUN,
+        request = call.caller.id,
+        target = place.target,
+        rank = place.work.priority,
+        prompt = place.work.prompt_tokens,
+        attempt = place.work.tried_targets.len(),
+        placed_ms = placed.age(now).as_millis(),
+        age_ms = now.saturating_duration_since(call.arrived).as_millis(),
+        objective_ms = call.objective.as_millis()
+    );
     gateway.check_version(call, placed, version);
     Ok(InitialResponse::Stream(Box::new(OpenStream {
         status: target_response.status,
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -93,6 +93,7 @@
     PART_QUARANTINED = 274 Warn "part-quarantined";
     PART_RELEASED = 275 Info "part-released";
     REQUEST_QUARANTINED = 276 Info "request-quarantined";
+    STREAM_BEGUN = 286 Debug "stream-begun";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
