dispatch: slots and slowdown that a target states

Cause: a response's X-Server-Load has four figures: running, waiting, slots, and how long work takes now. Only two were read, and a target without an agent always counted as being as fast as usual. Change: the response parser passes on slots and slowdown. A stated slowdown raises the cost of a target without an agent and halves every 0.25 s, since targets share machines whose load changes several times a second; an agent's figure holds until the next one. Stated slots go before those of the registration.

--- a/bins/entry/src/ingress/attempt.rs
+++ b/bins/entry/src/ingress/attempt.rs
@@ -157,13 +157,14 @@
     }
 
     fn apply_load(&self, target: &str, head: &Head) {
-        let Some((running, waiting)) = head.load else {
+        let Some(stated) = head.load else {
             return;
         };
         let load = Load {
-            running,
-            waiting,
-            slowdown: 1.0,
+            running: stated.running,
+            waiting: stated.waiting,
+            slots: stated.slots,
+            slowdown: stated.slowdown.unwrap_or(1.0),
             accepting: true,
             closes_in: None,
             weights: None,
--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -225,6 +225,7 @@
     let load = Load {
         running: load.running,
         waiting: load.waiting,
+        slots: None,
         slowdown: f64::from(load.pace),
         accepting: load.accepting,
         closes_in: load.closes_ms.map(|ms| Duration::from_millis(ms.into())),
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -24,7 +24,7 @@
 use crate::queue::{Class, Queue};
 use crate::region::RegionMap;
 use crate::request::{Reason, RequestContext, RequestId};
-use crate::target::{Load, Target, TargetId, TargetState};
+use crate::target::{Load, LoadSource, Target, TargetId, TargetState};
 use crate::versions::RequiredVersions;
 use choice::{Backlog, Choice};
 
@@ -283,14 +283,14 @@
             .values_mut()
             .find(|state| state.target.address == address);
         if let Some(state) = state {
-            state.record_load(now, load, self.rng.random());
+            state.record_load(now, load, LoadSource::Agent, self.rng.random());
         }
     }
 
     /// Records the load that an answer of target `id` carried.
     pub fn report_answer_load(&mut self, now: Instant, id: &str, load: Load) {
         if let Some(state) = self.targets.get_mut(id) {
-            state.record_load(now, load, self.rng.random());
+            state.record_load(now, load, LoadSource::Response, self.rng.random());
         }
     }
 
--- a/crates/dispatch/src/scheduler/choice.rs
+++ b/crates/dispatch/src/scheduler/choice.rs
@@ -25,6 +25,9 @@
 const CLOSE_TOLERANCE: Duration = Duration::from_millis(150);
 /// Load per slot that a target without an engine in another failure domain must save to be preferred.
 const CROSS_DOMAIN_LOAD: f64 = 0.5;
+/// Load per slot that a target without an engine must save for each time that work takes the usual time longer there.
+/// Below its slots, a target's load delays a request less than a slowdown does.
+const SLOWDOWN_LOAD: f64 = 0.5;
 /// Time added to a target's estimate at a failure rate of 1, and in proportion below.
 const FAILURE_PENALTY: Duration = Duration::from_millis(400);
 /// Number of entries assumed for sharing a target's places until the actual number is known. It is low because idle
@@ -228,8 +231,7 @@
 
     /// Returns the load per slot plus penalties, or `None` if there is no room.
     fn plain_cost(&self, now: Instant, state: &TargetState) -> Option<f64> {
-        let slots = f64::from(state.target.slots.max(1));
-        let load = f64::from(state.request_count(now)) / slots;
+        let load = f64::from(state.request_count(now)) / f64::from(state.slots(now));
         if load >= 1.0 + PLAIN_BACKLOG_SHARE {
             return None;
         }
@@ -237,7 +239,9 @@
             true => 0.0,
             false => CROSS_DOMAIN_LOAD,
         };
-        Some(0.1 + load + domain_load + state.health.failure_rate())
+        let slowdown = state.slowdown(now).max(1.0);
+        let slow_load = load * slowdown + SLOWDOWN_LOAD * (slowdown - 1.0);
+        Some(0.1 + slow_load + domain_load + state.health.failure_rate())
     }
 }
 
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -19,6 +19,9 @@
 const MISDIRECTED_PAUSE: Duration = Duration::from_millis(800);
 /// Time until a request that was sent appears in its target's load reports.
 const LOAD_REPORT_DELAY: Duration = Duration::from_millis(8);
+/// Time in which half of a slowdown that a response stated is over. Targets share their machines with others whose load
+/// changes several times a second.
+const SLOWDOWN_HALF_LIFE: Duration = Duration::from_millis(250);
 
 /// A target's registration.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -50,6 +53,8 @@
     pub running: u32,
     /// Number of requests in the target's own queue.
     pub waiting: u32,
+    /// Number of requests that it runs concurrently, if it differs from the registration.
+    pub slots: Option<u32>,
     /// Factor by which the target is slower than usual.
     pub slowdown: f64,
     /// Whether it accepts new requests; it does not while it changes its weights.
@@ -97,11 +102,21 @@
     pub(crate) version: Option<u64>,
 }
 
+/// Where a load report comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LoadSource {
+    /// An agent, which reports every lasting change.
+    Agent,
+    /// A response of the target; there may be no further one for a while.
+    Response,
+}
+
 /// A load report and the number of other entries' requests derived from it.
 #[derive(Clone, Debug)]
 struct LoadReport {
     at: Instant,
     load: Load,
+    source: LoadSource,
     others: u32,
     /// Random number from 0 to 1 that rounds this entry's share of places up or down.
     random_fraction: f64,
@@ -142,7 +157,13 @@
     }
 
     /// Records a load report; `random_fraction`, from 0 to 1, rounds this entry's share of the free places.
-    pub(crate) fn record_load(&mut self, now: Instant, load: Load, random_fraction: f64) {
+    pub(crate) fn record_load(
+        &mut self,
+        now: Instant,
+        load: Load,
+        source: LoadSource,
+        random_fraction: f64,
+    ) {
         let is_visible =
             |own: &&OwnRequest| now.saturating_duration_since(own.sent) >= LOAD_REPORT_DELAY;
         let own = self.own_requests.values().filter(is_visible).count() as u32;
@@ -160,6 +181,7 @@
         self.load = Some(LoadReport {
             at: now,
             load,
+            source,
             others,
             random_fraction,
         });
@@ -257,10 +279,33 @@
             requests: f64::from(self.request_count(now)),
             unread_prompt_tokens: f64::from(unread_prompt_tokens)
                 + f64::from(waiting) * engine.mean_prompt_tokens,
-            slowdown: fresh_load.map_or(1.0, |report| report.load.slowdown),
+            slowdown: self.slowdown(now),
+        }
+    }
+
+    /// Returns the factor by which the target is presumably slower than usual.
+    ///
+    /// A figure from a response describes one moment, so it approaches 1 as it ages.
+    pub(crate) fn slowdown(&self, now: Instant) -> f64 {
+        let Some(report) = self.fresh_load(now) else {
+            return 1.0;
+        };
+        match report.source {
+            LoadSource::Agent => report.load.slowdown,
+            LoadSource::Response => {
+                let age = now.saturating_duration_since(report.at).as_secs_f64();
+                let remaining = 0.5f64.powf(age / SLOWDOWN_HALF_LIFE.as_secs_f64());
+                1.0 + (report.load.slowdown - 1.0) * remaining
+            }
         }
     }
 
+    /// Returns the number of requests that the target runs concurrently, as it or its registration states.
+    pub(crate) fn slots(&self, now: Instant) -> u32 {
+        let stated = self.fresh_load(now).and_then(|report| report.load.slots);
+        stated.unwrap_or(self.target.slots).max(1)
+    }
+
     fn fresh_load(&self, now: Instant) -> Option<&LoadReport> {
         self.load
             .as_ref()
--- a/crates/dispatch/tests/dispatch/placement.rs
+++ b/crates/dispatch/tests/dispatch/placement.rs
@@ -237,3 +237,49 @@
     assert!(places(scheduler.poll(now)).is_empty());
     assert_eq!(scheduler.waiting_count(), 0);
 }
+
+// Guards against requests to a target that has just stated that its work takes three times as long, while another one
+// is half full, and against a target that is avoided for what it stated long ago.
+#[parameterized(
+    just_stated = { 0, "usual" },
+    long_ago = { 1_000, "slow" },
+)]
+fn choose_by_slowdown(age_ms: u64, expected: &str) {
+    let now = Instant::now();
+    let mut scheduler = scheduler();
+    let slow = Load {
+        slowdown: 3.0,
+        ..idle_load()
+    };
+    let half_full = Load {
+        running: SLOTS / 2,
+        ..idle_load()
+    };
+    for (id, load) in [("slow", slow), ("usual", half_full)] {
+        scheduler.put_target(target(id, "desk", "north"));
+        scheduler.report_answer_load(now, id, load);
+    }
+    let later = now + ms(age_ms);
+    let place = submit(
+        &mut scheduler,
+        later,
+        plain(later, RequestKind::Idempotent, 2),
+    )
+    .unwrap();
+    assert_eq!(place.target, expected);
+}
+
+// Guards against a target that counts as full because it registered fewer slots than it states.
+#[test]
+fn choose_by_stated_slots() {
+    let now = Instant::now();
+    let mut scheduler = scheduler();
+    scheduler.put_target(target("a", "desk", "north"));
+    let load = Load {
+        running: SLOTS * 2,
+        slots: Some(SLOTS * 4),
+        ..idle_load()
+    };
+    scheduler.report_answer_load(now, "a", load);
+    assert!(submit(&mut scheduler, now, plain(now, RequestKind::Idempotent, 2)).is_some());
+}
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -130,6 +130,7 @@
     Load {
         running: 0,
         waiting: 0,
+        slots: None,
         slowdown: 1.0,
         accepting: true,
         closes_in: None,
