dispatch: short and long prompts that share engines

Cause: an entry sent requests to engines with free slots however many prompts waited there unread, so that prompts that came together were all late; own requests that an engine had not read counted twice; and an engine knew no order among the prompts of a rank. Change: no request is placed where the unread prompts and one of mean size take longer to read than 0.6 of the service's shortest objective, less a pass. Within a rank, shorter prompts get a more urgent priority at the engine if its ten priorities suffice for all ranks; one that has waited for a quarter of its objective goes first. Own requests are subtracted from those that wait.

--- a/bins/entry/src/ingress/attempt.rs
+++ b/bins/entry/src/ingress/attempt.rs
@@ -47,7 +47,7 @@
         if self.view(|scheduler| scheduler.target_limit(now, &place.target).is_some()) {
             self.metrics.count_limited_attempt();
         }
-        let request = call.target_request(&place.target, place.work.weights_version, last_event);
+        let request = call.target_request(place, last_event);
         let sent = Instant::now();
         call.sent.set(true);
         let response = match self.client.send(place.address, request, deadline).await {
--- a/bins/entry/src/ingress/call.rs
+++ b/bins/entry/src/ingress/call.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use dispatch::{AllowedRegions, Config, RequestContext, RequestKind};
+use dispatch::{AllowedRegions, Config, Placement, RequestContext, RequestKind};
 use hyper::Uri;
 use node::http::{Body, HeaderMap, Method, Request, Response, StatusCode, header, response};
 use platform::request::{Caller, Instructions};
@@ -151,19 +151,18 @@
         }
     }
 
-    /// Returns the request to send to `target`; `last_event` is the last event that the caller received.
+    /// Returns the request to send to the target of `place`; `last_event` is the last event that the caller received.
     pub(super) fn target_request(
         &self,
-        target: &str,
-        version: Option<u64>,
+        place: &Placement,
         last_event: Option<u64>,
     ) -> Request<Body> {
         let instructions = Instructions {
-            target,
+            target: &place.target,
             left: self.deadline.saturating_duration_since(Instant::now()),
             workspace: self.workspace.as_deref(),
-            priority: self.priority,
-            version,
+            priority: place.target_priority,
+            version: place.work.weights_version,
             last_event,
         };
         let mut request = Request::new(Body::from(self.body.clone()));
--- a/crates/dispatch/src/config.rs
+++ b/crates/dispatch/src/config.rs
@@ -21,6 +21,10 @@
     pub limits: Limits,
     /// Routes by host in lower case, the longest prefix first.
     routes: HashMap<String, Vec<Route>>,
+    /// Shortest latency objective among the routes of each service.
+    shortest_objectives: BTreeMap<String, Duration>,
+    /// Largest priority value of the routes and tenants, the least urgent one.
+    lowest_rank: u8,
     /// Tenants by API key; `None` if the configuration knows no tenants, and requests need no key.
     tenants: Option<HashMap<String, Tenant>>,
 }
@@ -176,7 +180,17 @@
         tenants: Option<HashMap<String, Tenant>>,
     ) -> Self {
         let mut by_host: HashMap<String, Vec<Route>> = HashMap::new();
+        let mut shortest_objectives: BTreeMap<String, Duration> = BTreeMap::new();
+        let tenant_ranks = tenants.iter().flat_map(HashMap::values);
+        let tenant_ranks = tenant_ranks.filter_map(|tenant| tenant.priority);
+        let mut lowest_rank = tenant_ranks.max().unwrap_or(0);
         for (host, route) in routes {
+            lowest_rank = lowest_rank.max(route.priority);
+            for (service, _) in &route.backends {
+                let shortest = shortest_objectives.entry(service.clone());
+                let shortest = shortest.or_insert(route.objective);
+                *shortest = (*shortest).min(route.objective);
+            }
             by_host
                 .entry(host.to_ascii_lowercase())
                 .or_default()
@@ -190,10 +204,22 @@
             services,
             limits,
             routes: by_host,
+            shortest_objectives,
+            lowest_rank,
             tenants,
         }
     }
 
+    /// Returns the shortest latency objective among the routes of `service`, if it has any.
+    pub(crate) fn shortest_objective(&self, service: &str) -> Option<Duration> {
+        self.shortest_objectives.get(service).copied()
+    }
+
+    /// Returns the least urgent priority of the routes and tenants, which has the largest value.
+    pub(crate) fn lowest_rank(&self) -> u8 {
+        self.lowest_rank
+    }
+
     /// Returns the route with the longest prefix of `path` at `host`.
     ///
     /// Host names are compared without regard to case; a port after the name is ignored.
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -4,6 +4,9 @@
 
 use crate::config::Engine;
 
+/// Share of the objective that the reading of the prompts at an engine may take.
+const READING_OBJECTIVE_SHARE: f64 = 0.6;
+
 /// Work that an engine holds at the time of an estimate.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Occupancy {
@@ -40,6 +43,16 @@
         Duration::from_secs_f64((tokens * token_ms).clamp(0.0, 3.6e6) / 1000.0)
     }
 
+    /// Returns the number of prompt tokens that may be unread at an engine, so that those of a request with `objective`
+    /// are read on time with them; at least one prompt of mean size.
+    pub(crate) fn unread_limit(&self, objective: Duration, slowdown: f64) -> f64 {
+        let pass_ms =
+            self.step_time_ms(f64::from(self.slots)) * f64::from(self.tokens_per_event.max(1));
+        let objective_ms = objective.as_secs_f64() * 1000.0 / slowdown.max(1.0);
+        let reading_ms = objective_ms * READING_OBJECTIVE_SHARE - pass_ms;
+        (reading_ms * self.prefill_tokens_per_ms).max(self.mean_prompt_tokens)
+    }
+
     /// Estimates the time to the first token of a new request with `prompt` prompt tokens.
     pub(crate) fn time_to_first_token(&self, occupancy: Occupancy, prompt: f64) -> Duration {
         let slots = f64::from(self.slots.max(1));
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod engine;
 mod health;
 mod path;
+mod prompt;
 mod queue;
 mod region;
 mod request;
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -117,6 +117,8 @@
     pub started_at_ms: Option<u64>,
     /// Estimated number of requests on the target, not counting this one.
     pub load: u32,
+    /// Priority that the target is given with the request; 0 is the most urgent.
+    pub target_priority: u8,
 }
 
 /// How an attempt ended.
@@ -528,6 +530,7 @@
         id: &str,
     ) -> Option<Placement> {
         self.use_permit(now, id);
+        let target_priority = self.target_priority(now, &work);
         let state = self.targets.get_mut(id)?;
         let load = state.request_count(now);
         state.record_sent(now, request, work.prompt_tokens);
@@ -549,6 +552,7 @@
             started_at_ms: state.target.started_at_ms,
             work,
             load,
+            target_priority,
         })
     }
 
--- a/crates/dispatch/src/scheduler/choice.rs
+++ b/crates/dispatch/src/scheduler/choice.rs
@@ -7,6 +7,7 @@
 use super::Scheduler;
 use crate::admission::Admission;
 use crate::config::Engine;
+use crate::prompt;
 use crate::request::RequestContext;
 use crate::target::{Target, TargetId, TargetState};
 
@@ -192,6 +193,11 @@
             Backlog::Allowed => engine.slots + backlog_places(engine, work),
             Backlog::None => engine.slots,
         };
+        let unread = occupancy.unread_prompt_tokens;
+        let limit = engine.unread_limit(self.shortest_objective(work), occupancy.slowdown);
+        if unread > 0.0 && unread + engine.mean_prompt_tokens > limit {
+            return None;
+        }
         if occupancy.requests >= f64::from(places) || !self.has_free_place(now, state, places) {
             return None;
         }
@@ -216,6 +222,25 @@
         Some(time.as_secs_f64() * 1000.0)
     }
 
+    /// Returns the priority that the target is given with a request that is sent at `now`.
+    pub(super) fn target_priority(&self, now: Instant, work: &RequestContext) -> u8 {
+        let config = self.config.as_ref();
+        let service = config.and_then(|config| config.services.get(&work.service));
+        match (config, service.and_then(|service| service.engine.as_ref())) {
+            (Some(config), Some(engine)) => {
+                prompt::engine_priority(now, work, engine, config.lowest_rank())
+            }
+            _ => work.priority,
+        }
+    }
+
+    /// Returns the shortest objective of the requests that may be placed at the targets of the request's service.
+    fn shortest_objective(&self, work: &RequestContext) -> Duration {
+        let config = self.config.as_ref();
+        let shortest = config.and_then(|config| config.shortest_objective(&work.service));
+        shortest.map_or(work.objective, |shortest| shortest.min(work.objective))
+    }
+
     /// Returns whether one of the target's free `places` is for this entry.
     ///
     /// The permits of a rate-limited target already divide it among the entries. A permit that its entry doesn't use
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -53,7 +53,7 @@
     pub running: u32,
     /// Number of requests in the target's own queue.
     pub waiting: u32,
-    /// Number of requests that it runs concurrently, if it differs from the registration.
+    /// Number of requests that it runs concurrently, if stated; goes before that of the registration.
     pub slots: Option<u32>,
     /// Factor by which the target is slower than usual.
     pub slowdown: f64,
@@ -118,6 +118,8 @@
     load: Load,
     source: LoadSource,
     others: u32,
+    /// Requests of other entries that had no first event yet.
+    others_unread: u32,
     /// Random number from 0 to 1 that rounds this entry's share of places up or down.
     random_fraction: f64,
 }
@@ -166,8 +168,11 @@
     ) {
         let is_visible =
             |own: &&OwnRequest| now.saturating_duration_since(own.sent) >= LOAD_REPORT_DELAY;
-        let own = self.own_requests.values().filter(is_visible).count() as u32;
+        let visible = self.own_requests.values().filter(is_visible);
+        let own = visible.clone().count() as u32;
+        let own_unread = visible.filter(|own| own.started.is_none()).count() as u32;
         let others = load.requests().saturating_sub(own);
+        let others_unread = load.waiting.saturating_sub(own_unread).min(others);
         if let Some(weights) = &load.weights
             && self.target.weights != *weights
         {
@@ -183,6 +188,7 @@
             load,
             source,
             others,
+            others_unread,
             random_fraction,
         });
         self.sent_since_load = 0;
@@ -274,11 +280,11 @@
             .map(|own| own.prompt)
             .sum();
         let fresh_load = self.fresh_load(now);
-        let waiting = fresh_load.map_or(0, |report| report.load.waiting.min(report.others));
+        let others_unread = fresh_load.map_or(0, |report| report.others_unread);
         Occupancy {
             requests: f64::from(self.request_count(now)),
             unread_prompt_tokens: f64::from(unread_prompt_tokens)
-                + f64::from(waiting) * engine.mean_prompt_tokens,
+                + f64::from(others_unread) * engine.mean_prompt_tokens,
             slowdown: self.slowdown(now),
         }
     }
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -14,6 +14,7 @@
 mod outdated;
 mod path;
 mod placement;
+mod prompt_sizes;
 mod retry;
 mod shared;
 mod support;
