--- a/bins/entry/src/ingress/attempt.rs
+++ b/bins/entry/src/ingress/attempt.rs
@@ -47,7 +47,7 @@
         if self.view(|scheduler| scheduler.target_limit(now, &place.target).is_some()) {
             self.metrics.count_limited_attempt();
         }
-        let request = call.target_request(&place.target, place.work.weights_version, last_event);
+        let request = call.target_request(place, last_event);
         let sent = Instant::now();
         call.sent.set(true);
         let response = match self.client.send(place.address, request, deadline).await {
@@ -157,13 +157,14 @@
     }
 
     fn apply_load(&self, target: &str, head: &Head) {
-        let Some((running, waiting)) = head.load else {
+        let Some(stated) = head.load else {
             return;
         };
         let load = Load {
-            running,
-            waiting,
-            slowdown: 1.0,
+            running: stated.running,
+            waiting: stated.waiting,
+            slots: stated.slots,
+            slowdown: stated.slowdown.unwrap_or(1.0),
             accepting: true,
             closes_in: None,
             weights: None,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod health;
 mod path;
 mod pressure;
+mod prompt;
 mod queue;
 mod region;
 mod request;
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -25,7 +25,7 @@
 use crate::queue::{Class, Queue};
 use crate::region::RegionMap;
 use crate::request::{Reason, RequestContext, RequestId};
-use crate::target::{Load, Target, TargetId, TargetState};
+use crate::target::{Load, LoadSource, Target, TargetId, TargetState};
 use crate::versions::RequiredVersions;
 use choice::{Backlog, Choice};
 
@@ -118,6 +118,8 @@
     pub started_at_ms: Option<u64>,
     /// Estimated number of requests on the target, not counting this one.
     pub load: u32,
+    /// Priority that the target is given with the request; 0 is the most urgent.
+    pub target_priority: u8,
 }
 
 /// How an attempt ended.
@@ -284,14 +286,14 @@
             .values_mut()
             .find(|state| state.target.address == address);
         if let Some(state) = state {
-            state.record_load(now, load, self.rng.random());
+            state.record_load(now, load, LoadSource::Agent, self.rng.random());
         }
     }
 
     /// Records the load that an answer of target `id` carried.
     pub fn report_answer_load(&mut self, now: Instant, id: &str, load: Load) {
         if let Some(state) = self.targets.get_mut(id) {
-            state.record_load(now, load, self.rng.random());
+            state.record_load(now, load, LoadSource::Response, self.rng.random());
         }
     }
 
@@ -533,6 +535,7 @@
         id: &str,
     ) -> Option<Placement> {
         self.use_permit(now, id);
+        let target_priority = self.target_priority(now, &work);
         let state = self.targets.get_mut(id)?;
         let load = state.request_count(now);
         state.record_sent(now, request, work.prompt_tokens);
@@ -554,6 +557,7 @@
             started_at_ms: state.target.started_at_ms,
             work,
             load,
+            target_priority,
         })
     }
 
--- a/crates/dispatch/src/scheduler/choice.rs
+++ b/crates/dispatch/src/scheduler/choice.rs
@@ -7,6 +7,7 @@
 use super::Scheduler;
 use crate::admission::Admission;
 use crate::config::Engine;
+use crate::prompt;
 use crate::request::RequestContext;
 use crate::target::{Target, TargetId, TargetState};
 
@@ -25,6 +26,9 @@
 const CLOSE_TOLERANCE: Duration = Duration::from_millis(150);
 /// Load per slot that a target without an engine in another failure domain must save to be preferred.
 const CROSS_DOMAIN_LOAD: f64 = 0.5;
+/// Load per slot that a target without an engine must save for each time that work takes the usual time longer there.
+/// Below its slots, a target's load delays a request less than a slowdown does.
+const SLOWDOWN_LOAD: f64 = 0.5;
 /// Time added to a target's estimate at a failure rate of 1, and in proportion below.
 const FAILURE_PENALTY: Duration = Duration::from_millis(400);
 /// Number of entries assumed for sharing a target's places until the actual number is known. It is low because idle
@@ -189,6 +193,11 @@
             Backlog::Allowed => engine.slots + backlog_places(engine, work),
             Backlog::None => engine.slots,
         };
+        let unread = occupancy.unread_prompt_tokens;
+        let limit = engine.unread_limit(self.shortest_objective(work), occupancy.slowdown);
+        if unread > 0.0 && unread + engine.mean_prompt_tokens > limit {
+            return None;
+        }
         if occupancy.requests >= f64::from(places) || !self.has_free_place(now, state, places) {
             return None;
         }
@@ -213,6 +222,25 @@
         Some(time.as_secs_f64() * 1000.0)
     }
 
+    /// Returns the priority that the target is given with a request that is sent at `now`.
+    pub(super) fn target_priority(&self, now: Instant, work: &RequestContext) -> u8 {
+        let config = self.config.as_ref();
+        let service = config.and_then(|config| config.services.get(&work.service));
+        match (config, service.and_then(|service| service.engine.as_ref())) {
+            (Some(config), Some(engine)) => {
+                prompt::engine_priority(now, work, engine, config.lowest_rank())
+            }
+            _ => work.priority,
+        }
+    }
+
+    /// Returns the shortest objective of the requests that may be placed at the targets of the request's service.
+    fn shortest_objective(&self, work: &RequestContext) -> Duration {
+        let config = self.config.as_ref();
+        let shortest = config.and_then(|config| config.shortest_objective(&work.service));
+        shortest.map_or(work.objective, |shortest| shortest.min(work.objective))
+    }
+
     /// Returns whether one of the target's free `places` is for this entry.
     ///
     /// The permits of a rate-limited target already divide it among the entries. A permit that its entry doesn't use
@@ -228,8 +256,7 @@
 
     /// Returns the load per slot plus penalties, or `None` if there is no room.
     fn plain_cost(&self, now: Instant, state: &TargetState) -> Option<f64> {
-        let slots = f64::from(state.target.slots.max(1));
-        let load = f64::from(state.request_count(now)) / slots;
+        let load = f64::from(state.request_count(now)) / f64::from(state.slots(now));
         if load >= 1.0 + PLAIN_BACKLOG_SHARE {
             return None;
         }
@@ -237,7 +264,9 @@
             true => 0.0,
             false => CROSS_DOMAIN_LOAD,
         };
-        Some(0.1 + load + domain_load + state.health.failure_rate())
+        let slowdown = state.slowdown(now).max(1.0);
+        let slow_load = load * slowdown + SLOWDOWN_LOAD * (slowdown - 1.0);
+        Some(0.1 + slow_load + domain_load + state.health.failure_rate())
     }
 }
 
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -19,6 +19,9 @@
 const MISDIRECTED_PAUSE: Duration = Duration::from_millis(800);
 /// Time until a request that was sent appears in its target's load reports.
 const LOAD_REPORT_DELAY: Duration = Duration::from_millis(8);
+/// Time in which half of a slowdown that a response stated is over. Targets share their machines with others whose load
+/// changes several times a second.
+const SLOWDOWN_HALF_LIFE: Duration = Duration::from_millis(250);
 
 /// A target's registration.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -50,6 +53,8 @@
     pub running: u32,
     /// Number of requests in the target's own queue.
     pub waiting: u32,
+    /// Number of requests that it runs concurrently, if stated; goes before that of the registration.
+    pub slots: Option<u32>,
     /// Factor by which the target is slower than usual.
     pub slowdown: f64,
     /// Whether it accepts new requests; it does not while it changes its weights.
@@ -97,12 +102,24 @@
     pub(crate) version: Option<u64>,
 }
 
+/// Where a load report comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LoadSource {
+    /// An agent, which reports every lasting change.
+    Agent,
+    /// A response of the target; there may be no further one for a while.
+    Response,
+}
+
 /// A load report and the number of other entries' requests derived from it.
 #[derive(Clone, Debug)]
 struct LoadReport {
     at: Instant,
     load: Load,
+    source: LoadSource,
     others: u32,
+    /// Requests of other entries that had no first event yet.
+    others_unread: u32,
     /// Random number from 0 to 1 that rounds this entry's share of places up or down.
     random_fraction: f64,
 }
@@ -142,11 +159,20 @@
     }
 
     /// Records a load report; `random_fraction`, from 0 to 1, rounds this entry's share of the free places.
-    pub(crate) fn record_load(&mut self, now: Instant, load: Load, random_fraction: f64) {
+    pub(crate) fn record_load(
+        &mut self,
+        now: Instant,
+        load: Load,
+        source: LoadSource,
+        random_fraction: f64,
+    ) {
         let is_visible =
             |own: &&OwnRequest| now.saturating_duration_since(own.sent) >= LOAD_REPORT_DELAY;
-        let own = self.own_requests.values().filter(is_visible).count() as u32;
+        let visible = self.own_requests.values().filter(is_visible);
+        let own = visible.clone().count() as u32;
+        let own_unread = visible.filter(|own| own.started.is_none()).count() as u32;
         let others = load.requests().saturating_sub(own);
+        let others_unread = load.waiting.saturating_sub(own_unread).min(others);
         if let Some(weights) = &load.weights
             && self.target.weights != *weights
         {
@@ -160,7 +186,9 @@
         self.load = Some(LoadReport {
             at: now,
             load,
+            source,
             others,
+            others_unread,
             random_fraction,
         });
         self.sent_since_load = 0;
@@ -252,15 +280,38 @@
             .map(|own| own.prompt)
             .sum();
         let fresh_load = self.fresh_load(now);
-        let waiting = fresh_load.map_or(0, |report| report.load.waiting.min(report.others));
+        let others_unread = fresh_load.map_or(0, |report| report.others_unread);
         Occupancy {
             requests: f64::from(self.request_count(now)),
             unread_prompt_tokens: f64::from(unread_prompt_tokens)
-                + f64::from(waiting) * engine.mean_prompt_tokens,
-            slowdown: fresh_load.map_or(1.0, |report| report.load.slowdown),
+                + f64::from(others_unread) * engine.mean_prompt_tokens,
+            slowdown: self.slowdown(now),
+        }
+    }
+
+    /// Returns the factor by which the target is presumably slower than usual.
+    ///
+    /// A figure from a response describes one moment, so it approaches 1 as it ages.
+    pub(crate) fn slowdown(&self, now: Instant) -> f64 {
+        let Some(report) = self.fresh_load(now) else {
+            return 1.0;
+        };
+        match report.source {
+            LoadSource::Agent => report.load.slowdown,
+            LoadSource::Response => {
+                let age = now.saturating_duration_since(report.at).as_secs_f64();
+                let remaining = 0.5f64.powf(age / SLOWDOWN_HALF_LIFE.as_secs_f64());
+                1.0 + (report.load.slowdown - 1.0) * remaining
+            }
         }
     }
 
+    /// Returns the number of requests that the target runs concurrently, as it or its registration states.
+    pub(crate) fn slots(&self, now: Instant) -> u32 {
+        let stated = self.fresh_load(now).and_then(|report| report.load.slots);
+        stated.unwrap_or(self.target.slots).max(1)
+    }
+
     fn fresh_load(&self, now: Instant) -> Option<&LoadReport> {
         self.load
             .as_ref()
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -15,6 +15,7 @@
 mod overload;
 mod path;
 mod placement;
+mod prompt_sizes;
 mod retry;
 mod shared;
 mod support;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -97,6 +97,7 @@
     REQUEST_QUARANTINED = 276 Info "request-quarantined";
     OVERLOAD_BEGAN = 282 Info "overload-began";
     OVERLOAD_ENDED = 283 Info "overload-ended";
+    STREAM_BEGUN = 286 Debug "stream-begun";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
