--- a/bins/agent/src/rollout/serve.rs
+++ b/bins/agent/src/rollout/serve.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use burst::ReceiveLimiter;
 use compio::runtime::spawn;
