dispatch: a retry adds nothing to the cost of its workspace

Cause: a request was counted again each time that it was resubmitted after a failed attempt, so that a workspace whose targets fail looked as if it asked for more than its share. Change: only a request that was sent to no target yet adds to the cost. No test covers this line by itself.

--- a/crates/dispatch/src/scheduler/reserve.rs
+++ b/crates/dispatch/src/scheduler/reserve.rs
@@ -48,8 +48,11 @@
         overloaded.map(|(service, _)| service.clone()).collect()
     }
 
-    /// Returns the cost of a request in tokens of its prompt.
+    /// Returns what a request adds to the cost of its workspace, in tokens of a prompt; a retry adds nothing.
     pub(super) fn cost(&self, work: &RequestContext) -> f64 {
+        if !work.tried_targets.is_empty() {
+            return 0.0;
+        }
         let config = self.config.as_ref();
         let service = config.and_then(|config| config.services.get(&work.service));
         let engine = service.and_then(|service| service.engine.as_ref());
