entry: limits on what callers may occupy, with settings and metrics

Cause: the callers' port of an entry had no limit on all bodies together, and the ports for health checks, operators and entries collected bodies.

Change: settings `callers` (memory of bodies and of unfinished heads, connections, time for a body, time of standing still), each with a default; metrics of each port; the ports for health checks, operators and entries have small shares of their own.

--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -35,6 +35,6 @@
 pub use gateway::Gateway;
 pub use relays::{Relays, Source};
 pub use serve::serve;
-pub use settings::{Bounds, Settings};
+pub use settings::{Bounds, CallerLimits, Settings};
 pub use subscriptions::Subscriptions;
 pub use targets::{Insertion, Registrations, Removal};
--- a/bins/entry/src/ingress/relay.rs
+++ b/bins/entry/src/ingress/relay.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use compio::net::TcpListener;
 use node::Notify;
-use node::http::{self, Body, Limits, Request, Response, StatusCode, response};
+use node::http::{self, Body, Limits, Metrics, Request, Response, StatusCode, response};
 use platform::wire::{self, Call};
 use platform::{Mirror, Update};
 
@@ -133,15 +133,12 @@
 }
 
 /// Serves lists and watches to other entries; never returns.
-pub(super) async fn serve(listener: TcpListener, relay: Rc<Relay>) {
+pub(super) async fn serve(listener: TcpListener, relay: Rc<Relay>, metrics: Metrics) {
     let handler = move |_: SocketAddr, request: Request<Bytes>| {
         let relay = Rc::clone(&relay);
         async move { relay.answer(&request).await }
     };
-    let limits = Limits {
-        max_body_bytes: 0,
-        ..Limits::default()
-    };
+    let limits = Limits::internal("entries", &metrics);
     http::serve(listener, limits, handler, std::future::pending()).await;
 }
 
--- a/bins/entry/src/ingress/serve.rs
+++ b/bins/entry/src/ingress/serve.rs
@@ -7,12 +7,13 @@
 use bytes::Bytes;
 use dispatch::Config;
 use node::event;
-use node::http::{self, Limits, Request, StatusCode, response};
+use node::http::{self, Limits, Metrics, Request, StatusCode, response};
 use node::operator::{self, Operator};
 use prometheus_client::registry::Registry;
 use wire::DatagramSocket;
 
 use super::gateway::Gateway;
+use super::settings::CallerLimits;
 use super::{Settings, loads, relay, store};
 
 /// Time from the stop signal until the balancer has detected that the entry is not ready.
@@ -25,7 +26,7 @@
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time allowed for the last bytes of responses to reach callers.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
-/// Timeout of request bodies, and of idle connections while there is no configuration.
+/// Timeout of idle connections while there is no configuration.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(120);
 
 /// Serves callers until `stop` resolves and the requests in progress are finished.
@@ -41,6 +42,9 @@
     // Other entries know this one by the address of its load port, so the TCP port has the same number.
     let entries = node::listen(settings.load_listen)?;
     let mut registry = Registry::default();
+    let metrics = Metrics::default();
+    metrics.register(&mut registry);
+    let caller_limits = settings.callers;
     let gateway = Gateway::new(settings, &mut registry);
     let (status, healthy) = (Rc::clone(&gateway), Rc::clone(&gateway));
     let operator = Operator {
@@ -52,21 +56,35 @@
         compio::runtime::spawn(node::signal::log_hangups()),
         compio::runtime::spawn(Rc::clone(&gateway).poll_periodically()),
         compio::runtime::spawn(store::run(Rc::clone(&gateway))),
-        compio::runtime::spawn(relay::serve(entries, Rc::clone(&gateway.relay))),
+        compio::runtime::spawn(relay::serve(
+            entries,
+            Rc::clone(&gateway.relay),
+            metrics.clone(),
+        )),
         compio::runtime::spawn(loads::run(Rc::clone(&gateway), loads)),
-        compio::runtime::spawn(serve_ready(ready, Rc::clone(&gateway))),
+        compio::runtime::spawn(serve_ready(
+            ready,
+            Rc::clone(&gateway),
+            Limits::internal("ready", &metrics),
+        )),
         compio::runtime::spawn(operator::serve(operators, operator, std::future::pending())),
     ];
     let handler = |_, request| Rc::clone(&gateway).handle(request);
-    let limits = || limits(gateway.config().as_deref());
+    let limits = || limits(gateway.config().as_deref(), caller_limits, &metrics);
     http::serve_with_dynamic_limits(callers, limits, handler, drain(&gateway, stop)).await;
     Ok(())
 }
 
 /// Returns the limits of the callers' port for `config`.
-fn limits(config: Option<&Config>) -> Limits {
+fn limits(config: Option<&Config>, callers: CallerLimits, metrics: &Metrics) -> Limits {
     let defaults = Limits {
-        body_timeout: DEFAULT_TIMEOUT,
+        body_timeout: callers.body_timeout,
+        body_memory: callers.body_memory,
+        head_memory: callers.head_memory,
+        max_connections: callers.connections,
+        stall_timeout: callers.stall,
+        port: "callers",
+        metrics: metrics.clone(),
         header_timeout: DEFAULT_TIMEOUT,
         drain_timeout: FLUSH_TIMEOUT,
         linger: FLUSH_TIMEOUT,
@@ -84,7 +102,7 @@
     }
 }
 
-async fn serve_ready(listener: compio::net::TcpListener, gateway: Rc<Gateway>) {
+async fn serve_ready(listener: compio::net::TcpListener, gateway: Rc<Gateway>, limits: Limits) {
     let handler = move |_, request: Request<Bytes>| {
         let status = match request.uri().path() {
             platform::READY_PATH if gateway.is_ready() => StatusCode::OK,
@@ -93,7 +111,7 @@
         };
         async move { response(status, "") }
     };
-    http::serve(listener, Limits::default(), handler, std::future::pending()).await;
+    http::serve(listener, limits, handler, std::future::pending()).await;
 }
 
 /// Resolves once `stop` has resolved and all requests are finished or the grace period is over.
--- a/bins/entry/src/ingress/settings.rs
+++ b/bins/entry/src/ingress/settings.rs
@@ -4,10 +4,18 @@
 use std::time::Duration;
 
 use dispatch::{RegionMap, RetryLimit};
+use node::http::Limits;
 use node::settings::Fields;
 
 /// Default interval at which targets renew their registrations, in milliseconds.
 const HEARTBEAT_MS: u64 = 1200;
+/// Default number of connections of callers, if the descriptors allow it. Each takes about 60 KB once bytes have arrived on
+/// it, and the smallest VMs have 112 MB.
+const MAX_CONNECTIONS: usize = 1024;
+/// Default timeout for receiving a request body, in milliseconds.
+const BODY_TIMEOUT_MS: u64 = 120_000;
+/// Default time after which an unfinished request that stands still may give way, in milliseconds.
+const STALL_MS: u64 = 1_000;
 
 /// Settings of the ingress, read from the settings file.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,6 +39,23 @@
     pub platform: SocketAddr,
     /// Bounds set by the deployment.
     pub bounds: Bounds,
+    /// Limits on what callers may occupy.
+    pub callers: CallerLimits,
+}
+
+/// Limits on what callers may occupy, in addition to the limits of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CallerLimits {
+    /// Memory for all request bodies together, in bytes.
+    pub body_memory: usize,
+    /// Memory for all unfinished heads together, in bytes.
+    pub head_memory: usize,
+    /// Maximum number of connections.
+    pub connections: usize,
+    /// Timeout for receiving a request body.
+    pub body_timeout: Duration,
+    /// Time without progress after which an unfinished request gives way if others need its memory or its connection.
+    pub stall: Duration,
 }
 
 /// Bounds set by the deployment.
@@ -64,6 +89,7 @@
         let load_listen = fields.required("load_listen", address);
         let platform = fields.required("platform", address);
         let bounds = fields.object("bounds");
+        let callers = fields.optional_object("callers");
         Some(Self {
             name: name?,
             domain: domain?,
@@ -74,6 +100,43 @@
             load_listen: load_listen?,
             platform: platform?,
             bounds: bounds?,
+            callers: callers?,
+        })
+    }
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        let limits = Limits::default();
+        Self {
+            body_memory: limits.body_memory,
+            head_memory: limits.head_memory,
+            connections: limits.max_connections.min(MAX_CONNECTIONS),
+            body_timeout: Duration::from_millis(BODY_TIMEOUT_MS),
+            stall: Duration::from_millis(STALL_MS),
+        }
+    }
+}
+
+impl node::settings::Settings for CallerLimits {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let defaults = Self::default();
+        let memory = 65_536..=1 << 40;
+        let body_memory = fields.number(
+            "body_memory_bytes",
+            memory.clone(),
+            Some(defaults.body_memory),
+        );
+        let head_memory = fields.number("head_memory_bytes", memory, Some(defaults.head_memory));
+        let connections = fields.number("connections", 1..=1 << 20, Some(defaults.connections));
+        let body_timeout = fields.millis("body_timeout_ms", 100..=3_600_000, Some(BODY_TIMEOUT_MS));
+        let stall = fields.millis("stall_ms", 10..=3_600_000, Some(STALL_MS));
+        Some(Self {
+            body_memory: body_memory?,
+            head_memory: head_memory?,
+            connections: connections?,
+            body_timeout: body_timeout?,
+            stall: stall?,
         })
     }
 }
