--- a/crates/dispatch/src/pressure.rs
+++ b/crates/dispatch/src/pressure.rs
@@ -81,13 +81,6 @@
         }
     }
 
-    /// Returns the share of recent requests of `urgency` that was rejected.
-    pub(crate) fn rejected_share(&self, now: Instant, urgency: Urgency) -> f64 {
-        self.0
-            .get(&urgency)
-            .map_or(0.0, |counts| counts.rejected_share(now))
-    }
-
     /// Returns the largest rejected share among the requests more urgent than `urgency`.
     fn rejected_before(&self, now: Instant, urgency: Urgency) -> f64 {
         let before = self.0.range(..urgency);
