http: a response whose status is none is no response

Cause: 101 and statuses from 600 on were passed on with the target's signature, 101 leaving the caller's connection in another protocol; a stored answer whose status is none was given out as 200. 000, 00, 0, 099, 1000, +20 and abc became 502 before.

Change: the HTTP client takes only 200 to 599 for the status of a final response and closes the connection otherwise, for all peers: targets, the store, the origin, engines and other processes. A stored answer without a usable status is reported as unknown.

--- a/bins/agent/src/call/once.rs
+++ b/bins/agent/src/call/once.rs
@@ -133,11 +133,15 @@
         admitted.err().unwrap_or(Refusal::Closed)
     }
 
-    /// Counts an answered call and returns the response that `answer` holds.
+    /// Counts an answered call and returns the response that `answer` holds, or that the outcome is unknown if its status
+    /// is none.
     fn stored_response(&self, answer: &Answer) -> Response<Body> {
+        let Ok(status) = StatusCode::from_u16(answer.status) else {
+            return Unknown::Backend.response();
+        };
         self.shared.metrics.record_call("answered", "");
         let mut response = Response::new(Body::from(answer.body.clone()));
-        *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+        *response.status_mut() = status;
         for (name, value) in &answer.headers {
             if let (Ok(name), Ok(value)) = (
                 HeaderName::from_bytes(name.as_bytes()),
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -13,7 +13,7 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{HOST, HeaderMap, HeaderValue};
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 
 use super::pool::{Connection, Pool};
 use super::stream::Stream;
@@ -95,7 +95,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::NotWritten`] or [`Error::Unknown`].
+    /// Returns [`Error::NotWritten`] or [`Error::Unknown`], the latter also for a response whose status is not that of a
+    /// final response.
     pub async fn send(
         &self,
         peer: SocketAddr,
@@ -125,6 +126,10 @@
                         &"too many informational responses (1xx)",
                     ));
                 }
+                Ok(Either::Left((Ok(response), _))) if !is_final(response.status()) => {
+                    let reason = format_args!("{} is no final status", response.status().as_u16());
+                    return Err(unknown_error(peer, &reason));
+                }
                 Ok(Either::Left((Ok(response), _))) => {
                     let pool = (!self.single_use).then(|| self.pool.clone());
                     let lease = Some((connection, pool));
@@ -302,6 +307,13 @@
     }
 }
 
+/// Returns whether a response with `status` ends a request (RFC 9110, section 15).
+///
+/// 101 would switch the connection to another protocol, which no request asks for.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns the idle timeout in a `Keep-Alive` header such as `timeout=5`.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/node/tests/http.rs
+++ b/crates/node/tests/http.rs
@@ -338,6 +338,35 @@
     .unwrap();
 }
 
+// Guards against a response whose status is none, or that leaves the connection in another protocol, from any peer: the
+// store, the origin, an engine or another process of the system.
+#[parameterized(
+    zero = { "000" },
+    upgrade = { "101" },
+    unassigned = { "600" },
+    last = { "999" },
+)]
+fn client_status_not_final(status: &'static str) {
+    let listener = std::net::TcpListener::bind(loopback()).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        use std::io::{BufRead, BufReader, Write};
+        let (mut stream, _) = listener.accept().unwrap();
+        let lines = BufReader::new(stream.try_clone().unwrap()).lines();
+        assert!(lines.map(Result::unwrap).any(|line| line.is_empty()));
+        write!(
+            stream,
+            "HTTP/1.1 {status} Text\r\ncontent-length: 2\r\n\r\nok"
+        )
+        .unwrap();
+    });
+    node::run("test", async move {
+        let error = text(&Client::new(), address, "/").await.unwrap_err();
+        assert!(matches!(error, Error::Unknown { .. }), "{error}");
+    })
+    .unwrap();
+}
+
 // Guards against a deadline that never fires because the next piece of the body is always available.
 #[test]
 fn client_endless_body_ends_at_deadline() {
