dispatch: replay of prompt sizes passes the linter

Cause: clippy refuses a tuple type that it finds too complex and a remainder compared with zero in the new replay test. Change: a type alias for the first events of a pass, and is_multiple_of; the test decides the same as before.

--- a/crates/dispatch/tests/dispatch/prompt_sizes.rs
+++ b/crates/dispatch/tests/dispatch/prompt_sizes.rs
@@ -50,6 +50,9 @@
     unwritten: f64,
 }
 
+/// Entry, number, prompt tokens and arrival of a request whose first event arrived.
+type FirstEvent = (usize, RequestId, u32, Instant);
+
 /// A simulated engine. Requests are admitted to its slots by priority, and read in the order of admission.
 struct Engine {
     queue: Vec<Job>,
@@ -112,7 +115,7 @@
     }
 
     /// Ends the pass: returns the requests that have their first event, and those that are complete.
-    fn end_pass(&mut self) -> (Vec<(usize, RequestId, u32, Instant)>, Vec<Job>) {
+    fn end_pass(&mut self) -> (Vec<FirstEvent>, Vec<Job>) {
         let (complete, writing) = self
             .writing
             .drain(..)
@@ -233,7 +236,10 @@
                     }
                     engine.begin_pass(now);
                 }
-                if (TICK * step).as_millis() % REPORT_INTERVAL.as_millis() == 0 {
+                if (TICK * step)
+                    .as_millis()
+                    .is_multiple_of(REPORT_INTERVAL.as_millis())
+                {
                     for scheduler in &mut schedulers {
                         scheduler.report_answer_load(now, id, engine.load());
                     }
