--- a/bins/entry/tests/ingress/relays.rs
+++ b/bins/entry/tests/ingress/relays.rs
@@ -111,10 +111,9 @@
         .count()
 }
 
-// Guards against entries that all read the store when their relays are behind after an outage: on
-// sandhyatara-carob-grown trouble-3 the reads of a configuration of 500 KB by all entries of a domain filled the link
-// between regions, so that relays and entries gave their reads up and began anew. In the end all of them read, because
-// the relays may be the only ones that are cut off.
+// Guards against entries that all read the store when their relays are behind after an outage: the reads of a large
+// configuration by all entries of a domain fill the link between regions, so that relays and entries give their reads up
+// and begin anew. In the end all of them read, because the relays may be the only ones that are cut off.
 #[parameterized(
     at_once = { 20, 0, 0, 0 },
     first_second = { 20, 900, 0, 0 },
--- a/crates/rollout/tests/fallback.rs
+++ b/crates/rollout/tests/fallback.rs
@@ -33,7 +33,7 @@
 }
 
 // Guards against a configuration of 500 KB that every agent of a region reads after an outage, over the link that the
-// entries need to read it and to tell the agents of it: on sandhyatara-carob-grown trouble-3 nothing was served again.
+// entries need to read it and to tell the agents of it, so that the system doesn't recover.
 #[test]
 fn told_before_outage() {
     let start = Instant::now();
