--- a/bins/entry/src/ingress/reader.rs
+++ b/bins/entry/src/ingress/reader.rs
@@ -18,10 +18,7 @@
 const SHARED_WAIT: Duration = Duration::from_secs(3);
 /// Wait of a watch that checks whether an earlier one missed a change.
 const CHECK_WAIT: Duration = Duration::from_millis(500);
-/// Size in bytes up to which a list is small: a link between regions carries it to all entries of a domain in the time in
-/// which they must know of a change.
-const SMALL_LIST_BYTES: usize = 200 << 10;
-/// Bandwidth that the link to the store is assumed to have for one large list, in bytes per second.
+/// Bandwidth that the link to the store is assumed to have for one list, in bytes per second.
 const LIST_BYTES_PER_S: f64 = 2.5e6;
 /// Maximum time by which the entries of a domain read a large list one after the other.
 const MAX_LIST_TIME: Duration = Duration::from_millis(150);
@@ -156,17 +153,11 @@
         read
     }
 
-    /// Returns the time that the link to the store takes to carry all objects of the kind, or zero if they are so small
-    /// that all entries may read them at once.
+    /// Returns the time that the link to the store takes to carry all objects of the kind.
     fn list_time(&self) -> Duration {
-        match self.list_bytes {
-            None => MAX_LIST_TIME,
-            Some(bytes) if bytes <= SMALL_LIST_BYTES => Duration::ZERO,
-            Some(bytes) => {
-                let time = Duration::from_secs_f64(bytes as f64 / LIST_BYTES_PER_S);
-                time.min(MAX_LIST_TIME)
-            }
-        }
+        self.list_bytes.map_or(MAX_LIST_TIME, |bytes| {
+            Duration::from_secs_f64(bytes as f64 / LIST_BYTES_PER_S).min(MAX_LIST_TIME)
+        })
     }
 
     fn record_size(&mut self, update: &Update) {
--- a/bins/entry/src/ingress/relays.rs
+++ b/bins/entry/src/ingress/relays.rs
@@ -36,7 +36,7 @@
 pub struct Wait {
     /// Time of the first failure since the last read from a relay, or of the last failure of the store.
     pub since: Instant,
-    /// Time that the link to the store takes to carry one list, or zero if the list is small. Entries wait for a multiple of it, each further one of the
+    /// Time that the link to the store takes to carry one list. Entries wait for a multiple of it, each further one of the
     /// domain longer, so that a link doesn't carry a large list for all of them at once, and nobody waits long for a small
     /// one.
     pub list_time: Duration,
