--- a/bins/entry/src/ingress/reader.rs
+++ b/bins/entry/src/ingress/reader.rs
@@ -6,7 +6,7 @@
 use platform::{Client, Follower, ReadError, Revision, Update};
 
 use super::gateway::{Gateway, STORE_TIMEOUT};
-use super::relays::{Failure, Source, Wait};
+use super::relays::{Failure, Source};
 use super::watches::Watches;
 
 /// Timeout of a call to another entry of the domain, in addition to the wait of a watch.
@@ -18,10 +18,6 @@
 const SHARED_WAIT: Duration = Duration::from_secs(3);
 /// Wait of a watch that checks whether an earlier one missed a change.
 const CHECK_WAIT: Duration = Duration::from_millis(500);
-/// Bandwidth that the link to the store is assumed to have for one list, in bytes per second.
-const LIST_BYTES_PER_S: f64 = 2.5e6;
-/// Maximum time by which the entries of a domain read a large list one after the other.
-const MAX_LIST_TIME: Duration = Duration::from_millis(150);
 /// Minimum and maximum pause after a failed call; the pause doubles with each failure.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
@@ -33,8 +29,6 @@
     source: Source,
     /// Time of the first failure since the last read from a relay, or of the last failure of the store.
     waiting_since: Option<Instant>,
-    /// Size of all objects of the kind when they were last read, in bytes, or `None` if they have not been read yet.
-    list_bytes: Option<usize>,
     /// Notified when the store came back from an older copy.
     watches: &'a Watches,
     /// Revision of the store up to which no change can have been missed, or is being checked for.
@@ -55,7 +49,6 @@
             follower: Follower::new(&client(gateway, Source::Store), kind, backoff),
             source: Source::Store,
             waiting_since: None,
-            list_bytes: None,
             watches,
             checked: Revision::default(),
             checking: false,
@@ -87,11 +80,7 @@
 
     /// Selects the source for the next read, and returns it.
     pub(super) fn select_source(&mut self, now: Instant) -> Source {
-        let wait = self.waiting_since.map(|since| Wait {
-            since,
-            list_time: self.list_time(),
-        });
-        let source = self.gateway.relays.borrow().source(now, wait);
+        let source = self.gateway.relays.borrow().source(now, self.waiting_since);
         if source == self.source {
             return source;
         }
@@ -129,9 +118,6 @@
         if self.gateway.record_store_era() {
             self.watches.connectivity_changed.notify();
         }
-        if let Ok(update) = &read {
-            self.record_size(update);
-        }
         match (&read, self.source) {
             (Ok(update), Source::Shared) => {
                 let relay = &self.gateway.relay;
@@ -152,23 +138,6 @@
         }
         read
     }
-
-    /// Returns the time that the link to the store takes to carry all objects of the kind.
-    fn list_time(&self) -> Duration {
-        self.list_bytes.map_or(MAX_LIST_TIME, |bytes| {
-            Duration::from_secs_f64(bytes as f64 / LIST_BYTES_PER_S).min(MAX_LIST_TIME)
-        })
-    }
-
-    fn record_size(&mut self, update: &Update) {
-        let objects = update.listing.objects.iter();
-        let bytes = objects.map(|object| object.value.get().len()).sum();
-        self.list_bytes = match update.whole {
-            true => Some(bytes),
-            // A change may have made the only object of the kind larger.
-            false => self.list_bytes.map(|listed| listed.max(bytes)),
-        };
-    }
 }
 
 fn client(gateway: &Gateway, source: Source) -> Client {
--- a/bins/entry/src/ingress/relays.rs
+++ b/bins/entry/src/ingress/relays.rs
@@ -15,9 +15,11 @@
 const MAX_DIRECT_READERS: usize = 5;
 /// Time after which an entry that no agent reports any more is considered gone.
 const ENTRY_TIMEOUT: Duration = Duration::from_secs(6);
-/// Number of lists for which an entry waits at least before it reads the store itself because its relays are behind.
-/// The relays read theirs first, over a link that may be busy.
-const MIN_LISTS: u32 = 5;
+/// Time for which an entry waits for a relay that responds but is behind before it reads the store itself.
+const MIN_PATIENCE: Duration = Duration::from_millis(800);
+/// Time by which each further entry of the domain waits longer. The relays get what the entries wait for in this time; the
+/// link to the store would need longer for all entries.
+const PATIENCE_PER_RANK: Duration = Duration::from_millis(150);
 /// Time for which a relay is skipped after a failure.
 const FAILURE_BACKOFF: Duration = Duration::from_secs(3);
 
@@ -31,17 +33,6 @@
     failures: BTreeMap<SocketAddr, (Instant, Failure)>,
 }
 
-/// The wait of an entry for relays that are behind.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Wait {
-    /// Time of the first failure since the last read from a relay, or of the last failure of the store.
-    pub since: Instant,
-    /// Time that the link to the store takes to carry one list. Entries wait for a multiple of it, each further one of the
-    /// domain longer, so that a link doesn't carry a large list for all of them at once, and nobody waits long for a small
-    /// one.
-    pub list_time: Duration,
-}
-
 /// How a relay failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Failure {
@@ -119,11 +110,12 @@
         live
     }
 
-    /// Returns the source to read from now; `wait` is the wait for relays that has begun, if any.
+    /// Returns the source to read from now; `waiting_since` is the time of the first failure since the last read from a
+    /// relay or of the last failure of the store, if any.
     ///
     /// A relay that responds but is behind is asked again for a while: the store was down, or the link to it is full, and
     /// would be fuller if all entries of the domain read the store.
-    pub fn source(&self, now: Instant, wait: Option<Wait>) -> Source {
+    pub fn source(&self, now: Instant, waiting_since: Option<Instant>) -> Source {
         let mut candidates = self.live(now);
         if candidates.len() <= MAX_DIRECT_READERS {
             return Source::Store;
@@ -144,12 +136,8 @@
         if let Some(relay) = relays.find(|relay| last_failure(relay).is_none()) {
             return Source::Relay(*relay);
         }
-        let rank = rank.unwrap_or_default() as u32;
-        let is_over = |wait: Wait| {
-            let patience = wait.list_time * (MIN_LISTS + rank);
-            now.saturating_duration_since(wait.since) >= patience
-        };
-        if wait.is_some_and(is_over) {
+        let patience = MIN_PATIENCE + PATIENCE_PER_RANK * rank.unwrap_or_default() as u32;
+        if waiting_since.is_some_and(|at| now.saturating_duration_since(at) >= patience) {
             return Source::Store;
         }
         let behind = candidates
