--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -34,7 +34,7 @@
 mod watches;
 
 pub use gateway::Gateway;
-pub use relays::{Failure, Relays, Source};
+pub use relays::{Relays, Source};
 pub use serve::serve;
 pub use settings::{Bounds, CallerLimits, Settings};
 pub use subscriptions::Subscriptions;
--- a/bins/entry/src/ingress/reader.rs
+++ b/bins/entry/src/ingress/reader.rs
@@ -6,7 +6,7 @@
 use platform::{Client, Follower, ReadError, Revision, Update};
 
 use super::gateway::{Gateway, STORE_TIMEOUT};
-use super::relays::{Failure, Source};
+use super::relays::Source;
 use super::watches::Watches;
 
 /// Timeout of a call to another entry of the domain, in addition to the wait of a watch.
@@ -27,8 +27,6 @@
     kind: &'static str,
     follower: Follower,
     source: Source,
-    /// Time of the first failure since the last read from a relay, or of the last failure of the store.
-    waiting_since: Option<Instant>,
     /// Notified when the store came back from an older copy.
     watches: &'a Watches,
     /// Revision of the store up to which no change can have been missed, or is being checked for.
@@ -48,7 +46,6 @@
             kind,
             follower: Follower::new(&client(gateway, Source::Store), kind, backoff),
             source: Source::Store,
-            waiting_since: None,
             watches,
             checked: Revision::default(),
             checking: false,
@@ -80,7 +77,7 @@
 
     /// Selects the source for the next read, and returns it.
     pub(super) fn select_source(&mut self, now: Instant) -> Source {
-        let source = self.gateway.relays.borrow().source(now, self.waiting_since);
+        let source = self.gateway.relays.borrow().source(now);
         if source == self.source {
             return source;
         }
@@ -123,18 +120,11 @@
                 let relay = &self.gateway.relay;
                 relay.update(now, self.kind, update);
             }
-            (Err(failed), Source::Relay(relay)) => {
-                let failure = match failed.error.is_answer() {
-                    true => Failure::Behind,
-                    false => Failure::Silent,
-                };
+            (Err(_), Source::Relay(relay)) => {
                 let mut relays = self.gateway.relays.borrow_mut();
-                relays.record_failure(now, relay, failure);
-                self.waiting_since.get_or_insert(now);
+                relays.record_failure(now, relay);
             }
-            (Ok(_), Source::Relay(_)) => self.waiting_since = None,
-            (Err(_), Source::Store) => self.waiting_since = Some(now),
-            (Ok(_), Source::Store) | (Err(_), Source::Shared) => {}
+            _ => {}
         }
         read
     }
--- a/bins/entry/src/ingress/relays.rs
+++ b/bins/entry/src/ingress/relays.rs
@@ -15,11 +15,6 @@
 const MAX_DIRECT_READERS: usize = 5;
 /// Time after which an entry that no agent reports any more is considered gone.
 const ENTRY_TIMEOUT: Duration = Duration::from_secs(6);
-/// Time for which an entry waits for a relay that responds but is behind before it reads the store itself.
-const MIN_PATIENCE: Duration = Duration::from_millis(800);
-/// Time by which each further entry of the domain waits longer. The relays get what the entries wait for in this time; the
-/// link to the store would need longer for all entries.
-const PATIENCE_PER_RANK: Duration = Duration::from_millis(150);
 /// Time for which a relay is skipped after a failure.
 const FAILURE_BACKOFF: Duration = Duration::from_secs(3);
 
@@ -29,17 +24,8 @@
     own_address: SocketAddr,
     /// When each other entry was last reported.
     last_seen: BTreeMap<SocketAddr, Instant>,
-    /// When and how each relay last failed.
-    failures: BTreeMap<SocketAddr, (Instant, Failure)>,
-}
-
-/// How a relay failed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Failure {
-    /// It did not respond.
-    Silent,
-    /// It responded that it can't reach the store or has not read the objects yet, or its objects are outdated.
-    Behind,
+    /// When each relay last failed.
+    failures: BTreeMap<SocketAddr, Instant>,
 }
 
 /// Where an entry reads the objects that operators and targets write.
@@ -81,16 +67,11 @@
         self.last_seen.extend(others.map(|entry| (*entry, now)));
     }
 
-    /// Records a failure of a relay.
-    pub fn record_failure(&mut self, now: Instant, relay: SocketAddr, failure: Failure) {
+    /// Records that a relay did not respond, or responded that it can't reach the store.
+    pub fn record_failure(&mut self, now: Instant, relay: SocketAddr) {
         self.failures
-            .retain(|_, (at, _)| now.saturating_duration_since(*at) < FAILURE_BACKOFF);
-        self.failures.insert(relay, (now, failure));
-    }
-
-    /// Returns whether agents have reported other entries of the domain.
-    pub fn has_others(&self) -> bool {
-        !self.last_seen.is_empty()
+            .retain(|_, at| now.saturating_duration_since(*at) < FAILURE_BACKOFF);
+        self.failures.insert(relay, now);
     }
 
     /// Returns the rank of this entry among the live entries of its domain, and their number.
@@ -110,17 +91,12 @@
         live
     }
 
-    /// Returns the source to read from now; `waiting_since` is the time of the first failure since the last read from a
-    /// relay or of the last failure of the store, if any.
-    ///
-    /// A relay that responds but is behind is asked again for a while: the store was down, or the link to it is full, and
-    /// would be fuller if all entries of the domain read the store.
-    pub fn source(&self, now: Instant, waiting_since: Option<Instant>) -> Source {
+    /// Returns the source to read from now.
+    pub fn source(&self, now: Instant) -> Source {
         let mut candidates = self.live(now);
         if candidates.len() <= MAX_DIRECT_READERS {
             return Source::Store;
         }
-        let rank = candidates.iter().position(|it| *it == self.own_address);
         candidates.truncate(RELAYS_PER_DOMAIN);
         if candidates.contains(&self.own_address) {
             return Source::Shared;
@@ -128,26 +104,12 @@
         // The other entries are spread over the relays by the hash of their address.
         let first = hash_address(&self.own_address) as usize % candidates.len();
         candidates.rotate_left(first);
-        let last_failure = |relay: &SocketAddr| {
-            let last_failure = self.failures.get(relay).copied();
-            last_failure.filter(|(at, _)| now.saturating_duration_since(*at) < FAILURE_BACKOFF)
+        let failed_recently = |relay: &SocketAddr| {
+            let last_failure = self.failures.get(relay);
+            last_failure.is_some_and(|at| now.saturating_duration_since(*at) < FAILURE_BACKOFF)
         };
-        let mut relays = candidates.iter();
-        if let Some(relay) = relays.find(|relay| last_failure(relay).is_none()) {
-            return Source::Relay(*relay);
-        }
-        let patience = MIN_PATIENCE + PATIENCE_PER_RANK * rank.unwrap_or_default() as u32;
-        if waiting_since.is_some_and(|at| now.saturating_duration_since(at) >= patience) {
-            return Source::Store;
-        }
-        let behind = candidates
-            .iter()
-            .filter_map(|relay| match last_failure(relay) {
-                Some((at, Failure::Behind)) => Some((at, *relay)),
-                _ => None,
-            });
-        let longest_ago = behind.min_by_key(|(at, _)| *at);
-        longest_ago.map_or(Source::Store, |(_, relay)| Source::Relay(relay))
+        let relay = candidates.into_iter().find(|relay| !failed_recently(relay));
+        relay.map_or(Source::Store, Source::Relay)
     }
 }
 
