--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -184,22 +184,11 @@
 }
 
 /// Returns the agents of VMs that run engines, by service, and whether each is in this entry's failure domain.
-///
-/// Until the configuration says which services have engines, these are the targets that hold weights: agents report the
-/// other entries of the domain, one of which may have the configuration.
-pub(super) fn agents(gateway: &Gateway) -> BTreeMap<String, BTreeMap<SocketAddr, bool>> {
+fn agents(gateway: &Gateway) -> BTreeMap<String, BTreeMap<SocketAddr, bool>> {
     let port = gateway.settings.load_listen.port();
     let mut agents: BTreeMap<String, BTreeMap<SocketAddr, bool>> = BTreeMap::new();
     gateway.view(|scheduler| {
-        let configured = scheduler.config().is_some();
-        let with_weights = scheduler
-            .targets()
-            .filter(|target| !target.weights.is_empty());
-        let engines: Vec<_> = match configured {
-            true => scheduler.engines().collect(),
-            false => with_weights.collect(),
-        };
-        for target in engines {
+        for target in scheduler.engines() {
             let agent = SocketAddr::new(target.address.ip(), port);
             let agents = agents.entry(target.service.clone()).or_default();
             agents.insert(agent, target.domain == gateway.settings.domain);
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -1,6 +1,6 @@
 //! Follows the objects that operators and targets write to the platform's store.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::pin::pin;
 use std::rc::Rc;
@@ -14,7 +14,6 @@
 
 use super::evacuations;
 use super::gateway::Gateway;
-use super::loads;
 use super::reader::Reader;
 use super::relays::Source;
 use super::targets::{Insertion, Registrations, Removal};
@@ -39,26 +38,17 @@
 /// Time in which agents tell an entry that was stalled which versions were named meanwhile, and when.
 const AGENT_REPORT_TIME: Duration = Duration::from_millis(300);
 
-/// Maximum time after the start, and after the first read of targets, in which agents report the other entries of the
-/// domain before this entry reads the configuration.
-const NEIGHBOUR_WAITS: (Duration, Duration) = (Duration::from_secs(1), Duration::from_millis(500));
-/// Time after the first report in which agents report further entries that start at the same time.
-const NEIGHBOUR_SETTLING_TIME: Duration = Duration::from_millis(150);
-/// Interval between checks whether agents have reported other entries.
-const NEIGHBOUR_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Follows all kinds of objects that the ingress needs; never returns.
 pub(super) async fn run(gateway: Rc<Gateway>) {
     let heartbeat = gateway.settings.bounds.heartbeat;
     let targets = RefCell::new(Registrations::new(heartbeat));
     let watches = Watches::default();
     let stalls = RefCell::new(Stalls::new(uptime()));
-    let targets_read = Cell::new(None);
-    let configs = async {
-        wait_for_neighbours(&gateway, &targets_read).await;
-        let reader = Reader::new(&gateway, config::KIND, &watches);
-        follow_config(reader, &gateway, &watches).await;
-    };
+    let configs = follow_config(
+        Reader::new(&gateway, config::KIND, &watches),
+        &gateway,
+        &watches,
+    );
     let named = follow_versions(
         Reader::new(&gateway, versions::KIND, &watches),
         &gateway,
@@ -69,7 +59,6 @@
         Reader::new(&gateway, target::KIND, &watches),
         &gateway,
         &targets,
-        &targets_read,
         &watches,
     );
     let expired = expire(&gateway, &targets, &stalls);
@@ -81,28 +70,6 @@
     futures::join!(configs, named, registered, expired, evacuated);
 }
 
-/// Waits until agents report the other entries of the domain, so that a starting entry doesn't read a large
-/// configuration over the link between regions that its neighbours already have or are reading.
-///
-/// `targets_read` is the time of the first read of targets. The wait ends at once if no target of the domain has an agent.
-async fn wait_for_neighbours(gateway: &Gateway, targets_read: &Cell<Option<Instant>>) {
-    let start = Instant::now();
-    while start.elapsed() < NEIGHBOUR_WAITS.0 {
-        if gateway.relays.borrow().has_others() {
-            compio::time::sleep(NEIGHBOUR_SETTLING_TIME).await;
-            return;
-        }
-        if let Some(read) = targets_read.get() {
-            let agents = loads::agents(gateway);
-            let has_neighbours = agents.values().flatten().any(|(_, local)| *local);
-            if !has_neighbours || read.elapsed() >= NEIGHBOUR_WAITS.1 {
-                return;
-            }
-        }
-        compio::time::sleep(NEIGHBOUR_CHECK_INTERVAL).await;
-    }
-}
-
 /// Follows the configuration with short watches, which detect a store outage early.
 ///
 /// When an outage starts or ends, or the store came back from an older copy, `watches` cancels the long watches of the
@@ -187,7 +154,6 @@
     mut reader: Reader<'_>,
     gateway: &Gateway,
     targets: &RefCell<Registrations>,
-    targets_read: &Cell<Option<Instant>>,
     watches: &Watches,
 ) {
     loop {
@@ -200,7 +166,6 @@
                 targets.borrow_mut().record_success(now, revision);
                 let change_count = gateway.change_count();
                 apply_targets(gateway, &mut targets.borrow_mut(), &update);
-                targets_read.set(targets_read.get().or(Some(now)));
                 let membership_changed =
                     gateway.change_count() != change_count || !update.listing.deleted.is_empty();
                 compio::time::sleep(batch_pause(gateway, source, membership_changed)).await;
