--- a/bins/agent/src/rollout/state.rs
+++ b/bins/agent/src/rollout/state.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -11,7 +10,7 @@
 use dispatch::{Origin, Target, WeightSource};
 use node::event;
 use platform::engine::Report;
-use rollout::{Fallback, Position, Rollout, Settling};
+use rollout::{Position, Rollout, Settling};
 
 use super::Settings;
 use super::engine::Engine;
@@ -44,8 +43,6 @@
     source: RefCell<Option<WeightSource>>,
     /// Time at which an entry that reaches the store last sent the source.
     entry_info_at: Cell<Option<Instant>>,
-    /// When this agent reads the configuration itself.
-    pub(super) fallback: RefCell<Fallback>,
     /// Entries of the failure domain that relay the store, with the time of their last announcement.
     relays: RefCell<BTreeMap<SocketAddr, Instant>>,
     targets: RefCell<BTreeMap<String, Target>>,
@@ -65,7 +62,6 @@
 
 impl State {
     pub(super) fn new(settings: Settings) -> Rc<Self> {
-        let fallback = Fallback::new(Instant::now(), hash_position(settings.engine));
         Rc::new(Self {
             engine: Engine::new(settings.engine),
             rollout: RefCell::new(Rollout::new(settings.version)),
@@ -74,7 +70,6 @@
             report: RefCell::default(),
             source: RefCell::default(),
             entry_info_at: Cell::default(),
-            fallback: RefCell::new(fallback),
             relays: RefCell::default(),
             targets: RefCell::default(),
             targets_read_for: Cell::new(None),
@@ -149,9 +144,6 @@
             return;
         }
         let changed = known.as_ref() != Some(&source);
-        if changed || from_entry {
-            self.fallback.borrow_mut().record_told(now);
-        }
         self.source.replace(Some(source));
         if changed {
             self.update_expected_transfer_time();
@@ -299,10 +291,3 @@
         region.cloned().unwrap_or_else(|| domain.into())
     }
 }
-
-/// Returns the position of an engine in an even order of all addresses, from 0 to 1.
-fn hash_position(engine: SocketAddr) -> f64 {
-    let mut hasher = DefaultHasher::new();
-    engine.hash(&mut hasher);
-    hasher.finish() as f64 / u64::MAX as f64
-}
--- a/bins/agent/src/rollout/watch.rs
+++ b/bins/agent/src/rollout/watch.rs
@@ -3,15 +3,14 @@
 //! Every call to the store has a cost, and a watch returns at every change. So the registered targets are not watched
 //! but read at the start, whenever a version is named, and repeatedly while chunks are missing. Entries send the
 //! required versions and the part of the configuration that the agent needs, because the whole configuration may be
-//! large; both are read from the store only while no entry sends them. Entries send nothing after an outage or while the
-//! link to the store is full, so [`rollout::Fallback`] delays and spreads the reads of the configuration.
+//! large; both are read from the store only while no entry sends them.
 
 use std::collections::BTreeMap;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures::future::{Either, join3, select};
+use futures::future::{Either, join, select};
 use node::time::uptime;
 use node::{Backoff, Stalls, event};
 use platform::{Client, Error, Follower, Listing, ReadError, Update, config, target, versions};
@@ -30,10 +29,9 @@
 ///
 /// Agents that read different sets of targets may each consider the other one the owner of a chunk.
 const TARGETS_REFRESH_INTERVAL: Duration = Duration::from_secs(2);
-/// Minimum and maximum interval between two reads until this agent's engine is registered; it doubles with each read.
-const UNREGISTERED_REFRESH_INTERVALS: (Duration, Duration) =
-    (Duration::from_millis(500), Duration::from_secs(2));
-/// Time after the start within which an entry should have sent the versions.
+/// Interval between two reads until the model is known and this agent's engine is registered.
+const UNREGISTERED_REFRESH_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after the start within which an entry should have sent what the agent needs from the store.
 const ENTRY_INFO_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Minimum and maximum delay after a failed call; the delay doubles with each failure.
 const RETRY_DELAYS: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(1));
@@ -43,10 +41,9 @@
     let client = Client::new(state.settings.platform, STORE_TIMEOUT);
     let backoff = Backoff::new(RETRY_DELAYS.0, RETRY_DELAYS.1);
     let versions = Follower::new(&client, versions::KIND, backoff);
-    join3(
+    join(
         follow_versions(&state, versions),
         refresh_targets(&state, &client, backoff),
-        refresh_config(&state, &client),
     )
     .await;
 }
@@ -90,32 +87,34 @@
     }
 }
 
-/// Reads the targets at the start until this agent's engine is registered, after a version was named, and while chunks
-/// are missing.
+/// Reads the targets at the start until the model is known and this agent's engine is registered, after a version was
+/// named, and while chunks are missing. Reads the configuration with them if no entry sends it.
 async fn refresh_targets(state: &State, client: &Client, mut backoff: Backoff) {
-    let intervals = UNREGISTERED_REFRESH_INTERVALS;
-    let mut unregistered = Backoff::new(intervals.0, intervals.1);
-    let mut read_at = Instant::now();
+    let started = Instant::now();
+    let mut read_at = started;
+    let mut needs_read = true;
     loop {
         let newest = state.rollout.borrow().newest();
         let stale = read_at.elapsed() >= TARGETS_REFRESH_INTERVAL && state.has_missing_chunks();
-        if !stale && state.has_current_targets() && state.is_registered() {
+        if !needs_read && !stale && state.has_current_targets() && state.is_registered() {
             let changed = state.changed.changed(state.changed.count());
             let _ = compio::time::timeout(TARGETS_REFRESH_INTERVAL, changed).await;
             continue;
         }
-        match read_targets(state, client).await {
-            Ok(targets) => {
+        match read_objects(state, client, started).await {
+            Ok((configs, targets)) => {
                 if backoff.is_failing() {
                     event!(event::STORE_BACK, kind = target::KIND);
                 }
                 backoff.record_success();
                 read_at = Instant::now();
+                if let Some(configs) = configs {
+                    apply_config(state, &configs);
+                }
                 apply_targets(state, newest, &targets);
-                if state.is_registered() {
-                    unregistered.record_success();
-                } else {
-                    compio::time::sleep(unregistered.record_failure()).await;
+                needs_read = state.model().is_none();
+                if needs_read || !state.is_registered() {
+                    compio::time::sleep(UNREGISTERED_REFRESH_INTERVAL).await;
                 }
             }
             Err(error) => {
@@ -128,38 +127,10 @@
     }
 }
 
-/// Reads the configuration while this agent needs it and no entry sends its part of it.
-async fn refresh_config(state: &State, client: &Client) {
-    loop {
-        compio::time::sleep(ENTRY_INFO_CHECK_INTERVAL).await;
-        let needed =
-            state.model().is_none() || state.has_missing_chunks() || !state.has_current_targets();
-        if !needed || !state.fallback.borrow().is_due(Instant::now()) {
-            continue;
-        }
-        let known = state.model().is_some();
-        event!(event::CONFIG_READ, known = known);
-        let read = client.list(config::KIND).await;
-        let now = Instant::now();
-        match read {
-            Ok(configs) => {
-                state.fallback.borrow_mut().record_told(now);
-                apply_config(state, &configs);
-            }
-            Err(error) => {
-                event!(event::STORE_LOST, kind = config::KIND, error = error);
-                state.fallback.borrow_mut().record_failure(now);
-            }
-        }
-    }
-}
-
 /// Returns the target objects, from an entry of the failure domain if one relays the store.
 ///
 /// All agents read them when a version is named; a relay keeps these reads off the links between regions, which then
 /// carry the chunks of that version.
-///
-/// The list may be seconds old, because a stale read costs less.
 async fn read_targets(state: &State, store: &Client) -> Result<Listing, Error> {
     if let Some(relay) = state.relay(Instant::now()) {
         // Shares the newest era, so that a relay that is behind the restored store is refused.
@@ -171,6 +142,24 @@
     store.list_stale(target::KIND).await
 }
 
+/// Returns the configuration objects, unless an entry sends the configuration or should do so soon, and the target
+/// objects.
+///
+/// The list of targets may be seconds old, because a stale read costs less.
+async fn read_objects(
+    state: &State,
+    client: &Client,
+    started: Instant,
+) -> Result<(Option<Listing>, Listing), Error> {
+    let now = Instant::now();
+    let early = now.saturating_duration_since(started) < ENTRY_INFO_TIMEOUT;
+    let configs = match early || state.has_entry_info(now) {
+        true => None,
+        false => Some(client.list(config::KIND).await?),
+    };
+    Ok((configs, read_targets(state, client).await?))
+}
+
 fn apply_config(state: &State, listing: &Listing) {
     let named = |object: &&platform::Object| object.name == config::NAME;
     let Some(object) = listing.objects.iter().find(named) else {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -129,7 +129,6 @@
     OUTCOME_UNKNOWN = 365 Warn "outcome-unknown";
     UNEXPECTED_ORDER = 366 Error "unexpected-order";
     STAGED_DIFFERS = 367 Warn "staged-differs";
-    CONFIG_READ = 370 Info "config-read";
     STANDIN_SERVING = 600 Info "standin-serving";
     STANDIN_SWITCHED = 601 Info "standin-switched";
     STANDIN_RESTARTED = 602 Info "standin-restarted";
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -4,9 +4,8 @@
 //! of each agent therefore schedules its engine's load within the bound, at a [`Position`] in an order that all agents
 //! compute alike from the ids of the live targets, without communication. A [`ManifestSearch`] decides whom to ask for
 //! a version's manifest. [`Settling`] decides when a lost request can no longer take effect. [`Subscribers`] tracks
-//! which entries receive the engine's load, and when. [`Fallback`] decides when an agent reads the store itself.
+//! which entries receive the engine's load, and when.
 
-mod fallback;
 mod position;
 mod search;
 mod settling;
@@ -15,7 +14,6 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-pub use fallback::Fallback;
 pub use position::Position;
 pub use search::{ManifestSearch, SearchRound};
 pub use settling::Settling;
