entry: the port for other entries has no small limit of connections

Cause: the limits on ports gave the one that serves other entries and agents 256 connections or a sixteenth of the descriptors. All followers of a domain hold connections there in watches, which are never closed; with the limit, further ones waited until their deadline and read the store instead.

--- a/bins/entry/src/ingress/relay.rs
+++ b/bins/entry/src/ingress/relay.rs
@@ -138,7 +138,12 @@
         let relay = Rc::clone(&relay);
         async move { relay.answer(&request).await }
     };
-    let limits = Limits::internal("entries", &metrics);
+    // Every entry and agent of the domain has several connections here, most of them in a watch.
+    let limits = Limits {
+        port: "entries",
+        metrics,
+        ..Limits::default()
+    };
     http::serve(listener, limits, handler, std::future::pending()).await;
 }
 
