entry: size of the reads of the store, by kind and source

Cause: the logs didn't tell how much a read brings, so histories that fill a link, pauses of the entry's own and relays that are behind looked alike.

Change: Listing::bytes; counter store_read_bytes by kind and source; event 287 for reads of 64 KiB and more. No decision changes.

--- a/bins/burn/tests/command/support.rs
+++ b/bins/burn/tests/command/support.rs
@@ -96,6 +96,7 @@
         revision: Revision::new(0, 9),
         objects: objects.collect(),
         deleted: Vec::new(),
+        bytes: 0,
     }
 }
 
--- a/bins/catalog/tests/malformed.rs
+++ b/bins/catalog/tests/malformed.rs
@@ -60,6 +60,7 @@
         revision: Revision::new(0, 50),
         objects,
         deleted: Vec::new(),
+        bytes: 0,
     })
 }
 
--- a/bins/entry/src/ingress/metrics.rs
+++ b/bins/entry/src/ingress/metrics.rs
@@ -32,6 +32,7 @@
     store_era: Gauge,
     evacuated_domains: Gauge,
     overloaded_services: Gauge,
+    store_read_bytes: Family<ReadLabels, Counter>,
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -46,6 +47,13 @@
     taken_for: &'static str,
 }
 
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+struct ReadLabels {
+    kind: &'static str,
+    source: &'static str,
+}
+
 impl Metrics {
     pub(super) fn new(registry: &mut Registry) -> Self {
         let metrics = Self {
@@ -63,6 +71,7 @@
             store_era: Gauge::default(),
             evacuated_domains: Gauge::default(),
             overloaded_services: Gauge::default(),
+            store_read_bytes: Family::default(),
         };
         let registry = registry.sub_registry_with_prefix("carobport_ingress");
         registry.register(
@@ -136,6 +145,11 @@
             "Services whose less urgent requests are held back",
             metrics.overloaded_services.clone(),
         );
+        registry.register(
+            "store_read_bytes",
+            "Bytes of the store's objects that the entry read",
+            metrics.store_read_bytes.clone(),
+        );
         metrics
     }
 
@@ -192,6 +206,13 @@
         self.quarantined_parts.set(count as i64);
     }
 
+    /// Counts a read of objects of `kind` from a source of the kind `source`.
+    pub(super) fn count_store_read(&self, kind: &'static str, source: &'static str, bytes: usize) {
+        let labels = ReadLabels { kind, source };
+        let counter = self.store_read_bytes.get_or_create(&labels);
+        counter.inc_by(bytes as u64);
+    }
+
     pub(super) fn count_crash(&self) {
         self.target_crashes.inc();
     }
--- a/bins/entry/src/ingress/reader.rs
+++ b/bins/entry/src/ingress/reader.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use node::{Backoff, event};
-use platform::{Client, Follower, ReadError, Revision, Update};
+use platform::{Client, Follower, Listing, ReadError, Revision, Update};
 
 use super::gateway::{Gateway, STORE_TIMEOUT};
 use super::relays::Source;
@@ -18,6 +18,8 @@
 const SHARED_WAIT: Duration = Duration::from_secs(3);
 /// Wait of a watch that checks whether an earlier one missed a change.
 const CHECK_WAIT: Duration = Duration::from_millis(500);
+/// Length of a read from which on it is logged, in bytes.
+const LARGE_READ_BYTES: usize = 64 << 10;
 /// Minimum and maximum pause after a failed call; the pause doubles with each failure.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
@@ -109,9 +111,13 @@
             true => wait.min(CHECK_WAIT),
             false => wait,
         };
+        let called = Instant::now();
         let read = self.follower.next(wait).await;
         self.checking &= read.is_err();
         let now = Instant::now();
+        if let Ok(update) = &read {
+            self.record_size(now.saturating_duration_since(called), &update.listing);
+        }
         if self.gateway.record_store_era() {
             self.watches.connectivity_changed.notify();
         }
@@ -128,6 +134,22 @@
         }
         read
     }
+
+    /// Counts the bytes of a read that took `time`, and logs a large one.
+    fn record_size(&self, time: Duration, listing: &Listing) {
+        let metrics = &self.gateway.metrics;
+        metrics.count_store_read(self.kind, self.source.label(), listing.bytes);
+        if listing.bytes >= LARGE_READ_BYTES {
+            event!(
+                event::STORE_READ,
+                kind = self.kind,
+                source = self.source,
+                bytes = listing.bytes,
+                ms = time.as_millis(),
+                revision = listing.revision.number
+            );
+        }
+    }
 }
 
 fn client(gateway: &Gateway, source: Source) -> Client {
--- a/bins/entry/src/ingress/relays.rs
+++ b/bins/entry/src/ingress/relays.rs
@@ -42,13 +42,23 @@
 impl fmt::Display for Source {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Store => f.write_str("store"),
-            Self::Shared => f.write_str("store-for-others"),
+            Self::Store | Self::Shared => f.write_str(self.label()),
             Self::Relay(relay) => write!(f, "{relay}"),
         }
     }
 }
 
+impl Source {
+    /// Returns the name used as a label of metrics, which doesn't tell relays apart.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Shared => "store-for-others",
+            Self::Relay(_) => "relay",
+        }
+    }
+}
+
 impl Relays {
     /// Returns the view of the entry at `own_address`, which knows no other entries yet.
     pub fn new(own_address: SocketAddr) -> Self {
--- a/bins/entry/tests/peer.rs
+++ b/bins/entry/tests/peer.rs
@@ -91,6 +91,7 @@
                         .map_or(Revision::default(), |object| object.revision),
                     objects: objects.clone(),
                     deleted: Vec::new(),
+                    bytes: 0,
                 };
                 let vms = leaving.iter().map(
                     |name| serde_json::json!({"name": name, "domain": "a", "state": "leaving"}),
--- a/bins/standin/src/platform.rs
+++ b/bins/standin/src/platform.rs
@@ -348,6 +348,7 @@
             revision,
             objects: changed,
             deleted: Vec::new(),
+            bytes: 0,
         }
     }
 
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -98,6 +98,7 @@
     OVERLOAD_BEGAN = 282 Info "overload-began";
     OVERLOAD_ENDED = 283 Info "overload-ended";
     STREAM_BEGUN = 286 Debug "stream-begun";
+    STORE_READ = 287 Info "store-read";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
