http: a body on its way to a target is no longer held twice

Cause: the stream below hyper copies each write into a buffer of its own, which grows to the largest write and never shrinks while the connection is open. hyper writes a body in one piece, so each complete body that is sent on to a target was held twice, and the copy stayed with the pooled connection for up to 8 s after the body had been released. No limit counted it. Class: memory behind a library's buffer that is bounded by the peer's data only. The same held for whole responses to callers and for lists that relays serve.

Change: at most 16 KiB are given to that buffer at once.

--- a/crates/node/src/http/stream.rs
+++ b/crates/node/src/http/stream.rs
@@ -14,6 +14,10 @@
 /// Number of consecutive reads that complete immediately before the stream yields to other tasks.
 const MAX_CONSECUTIVE_READS: u32 = 16;
 
+/// Maximum number of bytes passed to the inner stream at once. It copies them into a buffer of its own, which grows to the
+/// largest write and stays that large while the connection is open.
+const MAX_WRITE_BYTES: usize = 16 << 10;
+
 /// [`HyperStream`] whose shutdown runs without compio's thread pool, and which yields to other tasks while data keeps
 /// arriving.
 pub struct Stream {
@@ -74,6 +78,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        let buf = &buf[..buf.len().min(MAX_WRITE_BYTES)];
         Write::poll_write(Pin::new(&mut self.inner), cx, buf)
     }
 
@@ -91,10 +96,12 @@
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Write::poll_write_vectored(Pin::new(&mut self.inner), cx, bufs)
+        // The inner stream writes the first buffer that isn't empty, and no others.
+        let first = bufs.iter().find(|buf| !buf.is_empty());
+        self.poll_write(cx, first.map_or(&[], |buf| &**buf))
     }
 }
