http: bodies in chunks are collected in blocks, and joining them is counted

Cause: a body in chunks grew in one buffer that doubled. Each growth copied it, and the smaller buffers left behind were of no use to the other bodies that grew at the same time, so the process held up to twice what was counted.

Change: blocks of 4 to 64 KiB, which stay where they are; each counts twice until the body is complete and the blocks are joined.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 server and client on the compio event loop, with their body type.
 
 mod admission;
+pub mod blocks;
 mod body;
 mod client;
 mod connections;
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -22,6 +22,7 @@
 use hyper::{Request, Response, StatusCode, header};
 
 use super::admission::{Admission, Connection, Reason, Reservation};
+use super::blocks::Blocks;
 use super::connections::Phase;
 use super::intake::Bounds;
 use super::stream::Stream;
@@ -43,9 +44,6 @@
 /// Maximum time for which they are awaited.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// First buffer of a body in chunks, in bytes.
-const MIN_BODY_BUFFER: usize = 4 << 10;
-
 /// Interval between checks for connections that stand still, while the port is full or has many unfinished heads.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -427,32 +425,36 @@
     connection: &Connection,
     reservation: &Reservation,
 ) -> Result<Bytes, Reason> {
-    let mut collected = Vec::new();
+    let mut collected = Blocks::default();
+    let mut reserved = 0;
     if let Some(length) = body.size_hint().exact() {
         // The caller of this function has compared the length with the limit.
-        reservation.grow(length as usize).await?;
-        collected.reserve_exact(length as usize);
+        reserved = length as usize;
+        reservation.grow(reserved).await?;
+        collected = Blocks::with_capacity(length as usize);
     }
     while let Some(frame) = next_frame(&mut body, reservation).await? {
         let Ok(piece) = frame.into_data() else {
             continue;
         };
-        let length = collected.len() + piece.len();
-        if length > limit {
+        if collected.len() + piece.len() > limit {
             return Err(Reason::TooLarge);
         }
-        if length > collected.capacity() {
-            let capacity = 2 * collected.capacity().max(MIN_BODY_BUFFER / 2);
-            let capacity = capacity.min(limit).max(length);
-            reservation.grow(capacity).await?;
-            collected.reserve_exact(capacity - collected.len());
+        let memory = collected.memory_for(piece.len());
+        if memory > reserved {
+            reservation.grow(memory).await?;
+            reserved = memory;
         }
-        collected.extend_from_slice(&piece);
+        collected.extend(&piece);
         if reservation.receive(piece.len()) {
             connection.enter(Phase::Body);
         }
     }
-    Ok(collected.into())
+    let bytes = collected.into_bytes();
+    if bytes.len() < reserved {
+        reservation.grow(bytes.len()).await?;
+    }
+    Ok(bytes)
 }
 
 /// Returns the next part of `body`, or `None` at its end.
