entry: entries without a relay read at most two versions of the configuration a second

Cause: when both relays of a domain lose the store, all other entries of the domain read every version of the configuration from the store. Reads of some bytes took up to 2 s. Class: a fallback that costs a shared link more, the more of them fall back.

Change: such an entry waits 0.5 s after each version that it read. Small domains, where every entry reads the store anyway, and relays don't wait.

Evidence: relays::versions_skipped_without_relays failed before: '40 reads within 2 s', bound 8.

--- a/bins/entry/src/ingress/relays.rs
+++ b/bins/entry/src/ingress/relays.rs
@@ -91,6 +91,11 @@
         (rank.unwrap_or_default(), live.len())
     }
 
+    /// Returns whether the domain has so many live entries that relays read the store for the others.
+    pub fn has_relays(&self, now: Instant) -> bool {
+        self.live(now).len() > MAX_DIRECT_READERS
+    }
+
     /// Returns the live entries of the domain, in an order that is the same at all of them.
     fn live(&self, now: Instant) -> Vec<SocketAddr> {
         let live = self.last_seen.iter();
@@ -104,7 +109,7 @@
     /// Returns the source to read from now.
     pub fn source(&self, now: Instant) -> Source {
         let mut candidates = self.live(now);
-        if candidates.len() <= MAX_DIRECT_READERS {
+        if !self.has_relays(now) {
             return Source::Store;
         }
         candidates.truncate(RELAYS_PER_DOMAIN);
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -28,7 +28,7 @@
 /// Wait of a watch of the other kinds. It is long because every call has a cost.
 const WATCH_WAIT: Duration = Duration::from_secs(29);
 /// Pause between watches of targets at the store while targets are added or removed, or while this entry serves other
-/// entries, so that changes arrive in batches.
+/// entries, and between reads of the configuration at the store while no relay serves it, so that changes arrive in batches.
 const BATCH_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause between watches of targets at the store while no target is added or removed and this entry serves no other
 /// entries, as a fraction of the time within which requests must stop going to a target that leaves.
@@ -105,12 +105,29 @@
                     watches.record_revision(update.listing.revision);
                 }
                 apply_config(gateway, &update.listing);
+                if !update.listing.is_empty() {
+                    compio::time::sleep(config_pause(gateway, source)).await;
+                }
             }
             Err(failed) => compio::time::sleep(failed.pause).await,
         }
     }
 }
 
+/// Returns the pause after a read of the configuration.
+///
+/// An entry whose relays fail reads the store itself, and so do all others of its domain. Versions that appear during the
+/// pause are skipped, which leaves room on the link to the store for smaller reads.
+fn config_pause(gateway: &Gateway, source: Source) -> Duration {
+    let replaces_relay =
+        source == Source::Store && gateway.relays.borrow().has_relays(Instant::now());
+    if replaces_relay {
+        BATCH_INTERVAL
+    } else {
+        Duration::ZERO
+    }
+}
+
 /// Follows the versions that operators name.
 async fn follow_versions(
     mut reader: Reader<'_>,
