entry: a target that left while this entry alone lost the store isn't kept as missing

Cause: after an outage of the store, targets register again within 2 s of its return, so a registration that is missing counts as gone only 2 s after this entry's own first successful read. The store had turned away a third of the entries from 2.5 to 11.5 s. Entry 7 of astana read through its relay at 14.6 s, saw that the registration was gone since 12.7 s, and used the target until 16.6 s, though the relay had reached the store again since 12.1 s and the others all the time. Class: an outage of one's own taken for one of the store.

Change: a relay says in its responses since when it has reached the store; the 2 s count from then at the latest. An entry that reads the store itself knows no better than before.

Evidence: targets::remove_after_own_outage::reached_long_ago failed with the header read but unused: 'Missing'.

--- a/bins/burn/tests/command/support.rs
+++ b/bins/burn/tests/command/support.rs
@@ -97,6 +97,7 @@
         objects: objects.collect(),
         deleted: Vec::new(),
         bytes: 0,
+        reached_for: None,
     }
 }
 
--- a/bins/catalog/tests/malformed.rs
+++ b/bins/catalog/tests/malformed.rs
@@ -61,6 +61,7 @@
         objects,
         deleted: Vec::new(),
         bytes: 0,
+        reached_for: None,
     })
 }
 
--- a/bins/entry/src/ingress/relay.rs
+++ b/bins/entry/src/ingress/relay.rs
@@ -30,6 +30,8 @@
     mirrors: RefCell<BTreeMap<&'static str, SharedKind>>,
     /// When the store last responded to this entry itself.
     last_response: Cell<Option<Instant>>,
+    /// Since when the store has responded to this entry without a failure.
+    reached_since: Cell<Option<Instant>>,
     /// Newest era of the store.
     era: Cell<u64>,
     changed: Notify,
@@ -58,6 +60,7 @@
     /// Sets the newest era of the store; objects of earlier eras are no longer served.
     pub(super) fn set_era(&self, era: u64) {
         if self.era.replace(era) != era {
+            self.record_failure();
             self.changed.notify();
         }
     }
@@ -65,6 +68,13 @@
     /// Records that the store responded.
     pub(super) fn record_response(&self, now: Instant) {
         self.last_response.set(Some(now));
+        let since = self.reached_since.get().unwrap_or(now);
+        self.reached_since.set(Some(since));
+    }
+
+    /// Records that the store did not respond, came back from an older copy, or is no longer read for others.
+    pub(super) fn record_failure(&self) {
+        self.reached_since.set(None);
     }
 
     /// Stops serving `kind`, which this entry no longer reads from the store.
@@ -98,7 +108,11 @@
                 "an entry passes on lists and watches\n",
             ),
         };
-        wire::with_era(response, self.era.get())
+        let response = wire::with_era(response, self.era.get());
+        match self.reached_since.get() {
+            Some(since) => wire::with_reached_for(response, since.elapsed()),
+            None => response,
+        }
     }
 
     fn list(&self, kind: &str) -> Response<Body> {
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -98,8 +98,9 @@
         }
         match read {
             Ok(update) => {
-                if source == Source::Shared {
-                    gateway.relay.record_response(Instant::now());
+                match source {
+                    Source::Shared => gateway.relay.record_response(Instant::now()),
+                    Source::Store | Source::Relay(_) => gateway.relay.record_failure(),
                 }
                 if !matches!(source, Source::Relay(_)) {
                     watches.record_revision(update.listing.revision);
@@ -109,7 +110,10 @@
                     compio::time::sleep(config_pause(gateway, source)).await;
                 }
             }
-            Err(failed) => compio::time::sleep(failed.pause).await,
+            Err(failed) => {
+                gateway.relay.record_failure();
+                compio::time::sleep(failed.pause).await;
+            }
         }
     }
 }
@@ -179,8 +183,11 @@
         let now = Instant::now();
         match read {
             Some(Ok(update)) => {
-                let revision = update.listing.revision;
-                targets.borrow_mut().record_success(now, revision);
+                let listing = &update.listing;
+                let (revision, reached_for) = (listing.revision, listing.reached_for);
+                targets
+                    .borrow_mut()
+                    .record_success(now, revision, reached_for);
                 let change_count = gateway.change_count();
                 apply_targets(gateway, &mut targets.borrow_mut(), &update);
                 let membership_changed =
--- a/bins/entry/src/ingress/targets.rs
+++ b/bins/entry/src/ingress/targets.rs
@@ -122,8 +122,20 @@
     }
 
     /// Records a call to the store that succeeded at `now` and returned its state at `revision`.
-    pub fn record_success(&mut self, now: Instant, revision: Revision) {
+    ///
+    /// `reached_for` is the time for which the entry that passed the state on has reached the store.
+    pub fn record_success(
+        &mut self,
+        now: Instant,
+        revision: Revision,
+        reached_for: Option<Duration>,
+    ) {
         self.record_reachable(now);
+        let reached_since = reached_for.and_then(|time| now.checked_sub(time));
+        if let (Some(recovered_at), Some(since)) = (&mut self.recovered_at, reached_since) {
+            // This entry alone may have lost the store for longer than others.
+            *recovered_at = since.min(*recovered_at);
+        }
         let Some(start) = self.era_start else {
             self.era_start = Some(revision);
             return;
--- a/bins/entry/tests/ingress/targets.rs
+++ b/bins/entry/tests/ingress/targets.rs
@@ -38,7 +38,7 @@
 /// Returns the registrations of the ready targets `ids`, as read at revision 10 of era 1.
 fn registrations(now: Instant, ids: &[&str]) -> Registrations {
     let mut registrations = Registrations::new(HEARTBEAT);
-    registrations.record_success(now, revision(10));
+    registrations.record_success(now, revision(10), None);
     for id in ids {
         let inserted = registrations.insert(now, target(id, 5, false), revision(9));
         assert!(matches!(inserted, Insertion::New(_)));
@@ -51,10 +51,28 @@
 fn remove_while_store_answers() {
     let now = Instant::now();
     let mut registrations = registrations(now, &["a"]);
-    registrations.record_success(now, revision(11));
+    registrations.record_success(now, revision(11), None);
     assert_eq!(registrations.remove(now, "a"), Removal::Gone);
 }
 
+// Guards against requests to a target that left while the store turned this entry alone away. Targets register again within
+// 2 s of the store's return, and an entry that reached the store all the time knows when that was.
+#[parameterized(
+    reached_long_ago = { Some(2_500), true },
+    reached_just_now = { Some(500), false },
+    unknown = { None, false },
+)]
+fn remove_after_own_outage(reached_for_ms: Option<u64>, is_gone: bool) {
+    let now = Instant::now();
+    let mut registrations = registrations(now, &["a"]);
+    registrations.record_failure(now + ms(1_000));
+    let recovered = now + ms(12_000);
+    registrations.record_reachable(recovered);
+    registrations.record_success(recovered, revision(20), reached_for_ms.map(ms));
+    let removal = registrations.remove(recovered, "a");
+    assert_eq!(removal == Removal::Gone, is_gone, "{removal:?}");
+}
+
 // Guards against a service without targets after an outage in which all registrations expired, and against keeping a
 // target that did not register again.
 #[test]
@@ -63,7 +81,7 @@
     let mut registrations = registrations(now, &["a", "b"]);
     registrations.record_failure(now);
     let recovered = now + ms(5_000);
-    registrations.record_success(recovered, revision(20));
+    registrations.record_success(recovered, revision(20), None);
     let missing = registrations.unlisted(&BTreeSet::new());
     assert_eq!(missing, ["a", "b"]);
     for id in &missing {
@@ -87,7 +105,7 @@
     let now = Instant::now();
     let mut registrations = registrations(now, &["a"]);
     registrations.record_failure(now);
-    registrations.record_success(now + ms(300), revision(11));
+    registrations.record_success(now + ms(300), revision(11), None);
     assert_eq!(registrations.remove(now + ms(300), "a"), Removal::Gone);
 }
 
@@ -96,7 +114,7 @@
 fn remove_after_restore() {
     let now = Instant::now();
     let mut registrations = registrations(now, &["a", "b"]);
-    registrations.record_success(now, Revision::new(2, 8));
+    registrations.record_success(now, Revision::new(2, 8), None);
     for id in ["a", "b"] {
         let removal = registrations.remove(now, id);
         assert_eq!(removal, Removal::Missing(now + ms(2_000)));
@@ -122,7 +140,7 @@
     assert_eq!(registrations.remove(now, "a"), Removal::Gone);
     let restored = now + ms(1_000);
     if revision.era == 2 {
-        registrations.record_success(restored, Revision::new(2, 8));
+        registrations.record_success(restored, Revision::new(2, 8), None);
     }
     let registered = target("a", started_at_ms, false);
     let inserted = registrations.insert(restored, registered.clone(), revision);
@@ -150,7 +168,7 @@
     let now = Instant::now();
     let mut registrations = registrations(now, &["a"]);
     registrations.remove(now, "a");
-    registrations.record_success(now, Revision::new(2, 8));
+    registrations.record_success(now, Revision::new(2, 8), None);
     registrations.insert(now, target("a", 5, false), Revision::new(2, 7));
     if !event {
         assert_eq!(registrations.unlisted(&BTreeSet::new()), ["a"]);
@@ -170,7 +188,7 @@
     let now = Instant::now();
     let mut registrations = registrations(now, &["a"]);
     registrations.insert(now, target("a", 5, true), revision(11));
-    registrations.record_success(now, Revision::new(2, 8));
+    registrations.record_success(now, Revision::new(2, 8), None);
     let ready = target("a", started_at_ms, false);
     let inserted = registrations.insert(now, ready, Revision::new(2, number));
     let expected = target("a", started_at_ms, draining);
@@ -183,7 +201,7 @@
     let now = Instant::now();
     let mut registrations = registrations(now, &["a"]);
     registrations.insert(now, target("a", 6, false), revision(11));
-    registrations.record_success(now, Revision::new(2, 8));
+    registrations.record_success(now, Revision::new(2, 8), None);
     let earlier = registrations.insert(now, target("a", 5, false), Revision::new(2, 7));
     assert_eq!(earlier, Insertion::Unconfirmed);
 }
--- a/bins/standin/src/platform.rs
+++ b/bins/standin/src/platform.rs
@@ -349,6 +349,7 @@
             objects: changed,
             deleted: Vec::new(),
             bytes: 0,
+            reached_for: None,
         }
     }
 
