entry: a relay that was silent doesn't say that it reached the store meanwhile

Cause: a relay that was frozen could have counted the time in which the store was away; its followers would then take targets whose registrations lapsed for gone.

Result: relays, store tests pass (21).

--- a/bins/entry/src/ingress/relay.rs
+++ b/bins/entry/src/ingress/relay.rs
@@ -67,9 +67,13 @@
 
     /// Records that the store responded.
     pub(super) fn record_response(&self, now: Instant) {
-        self.last_response.set(Some(now));
-        let since = self.reached_since.get().unwrap_or(now);
-        self.reached_since.set(Some(since));
+        // After a longer silence, for example of a frozen process, the store may have been away meanwhile.
+        let continuous = self
+            .last_response
+            .replace(Some(now))
+            .is_some_and(|last| now.saturating_duration_since(last) < MAX_STORE_SILENCE);
+        let since = self.reached_since.get().filter(|_| continuous);
+        self.reached_since.set(Some(since.unwrap_or(now)));
     }
 
     /// Records that the store did not respond, came back from an older copy, or is no longer read for others.
