--- a/bins/entry/src/ingress/relay.rs
+++ b/bins/entry/src/ingress/relay.rs
@@ -60,7 +60,7 @@
     /// Sets the newest era of the store; objects of earlier eras are no longer served.
     pub(super) fn set_era(&self, era: u64) {
         if self.era.replace(era) != era {
-            self.record_failure();
+            self.record_gap();
             self.changed.notify();
         }
     }
@@ -76,8 +76,9 @@
         self.reached_since.set(Some(since.unwrap_or(now)));
     }
 
-    /// Records that the store did not respond, came back from an older copy, or is no longer read for others.
-    pub(super) fn record_failure(&self) {
+    /// Records that the store did not respond, came back from an older copy, or is not read for others, so that this entry
+    /// can't tell whether it was away.
+    pub(super) fn record_gap(&self) {
         self.reached_since.set(None);
     }
 
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -100,7 +100,7 @@
             Ok(update) => {
                 match source {
                     Source::Shared => gateway.relay.record_response(Instant::now()),
-                    Source::Store | Source::Relay(_) => gateway.relay.record_failure(),
+                    Source::Store | Source::Relay(_) => gateway.relay.record_gap(),
                 }
                 if !matches!(source, Source::Relay(_)) {
                     watches.record_revision(update.listing.revision);
@@ -111,7 +111,7 @@
                 }
             }
             Err(failed) => {
-                gateway.relay.record_failure();
+                gateway.relay.record_gap();
                 compio::time::sleep(failed.pause).await;
             }
         }
