entry: how long after the start each kind is read for the first time

Nothing told when an entry first knew the evacuations, versions, targets and the configuration: 287 covers reads of 64 KiB and more only, so an entry that takes requests without knowing the evacuations looked like any other. Event 288 tells kind, source and time since the start. No logic changes.

--- a/bins/entry/src/ingress/reader.rs
+++ b/bins/entry/src/ingress/reader.rs
@@ -35,6 +35,8 @@
     checked: Revision,
     /// Whether the next read checks for changes up to `checked`.
     checking: bool,
+    /// When this reader was created; `None` once it has read the kind.
+    unread_since: Option<Instant>,
 }
 
 impl<'a> Reader<'a> {
@@ -51,6 +53,7 @@
             watches,
             checked: Revision::default(),
             checking: false,
+            unread_since: Some(Instant::now()),
         }
     }
 
@@ -117,6 +120,7 @@
         let now = Instant::now();
         if let Ok(update) = &read {
             self.record_size(now.saturating_duration_since(called), &update.listing);
+            self.record_first_read(now);
         }
         if self.gateway.record_store_era() {
             self.watches.connectivity_changed.notify();
@@ -135,6 +139,18 @@
         read
     }
 
+    /// Logs how long after the start the kind was read for the first time.
+    fn record_first_read(&mut self, now: Instant) {
+        if let Some(since) = self.unread_since.take() {
+            event!(
+                event::FIRST_READ,
+                kind = self.kind,
+                source = self.source,
+                ms = now.saturating_duration_since(since).as_millis()
+            );
+        }
+    }
+
     /// Counts the bytes of a read that took `time`, and logs a large one.
     fn record_size(&self, time: Duration, listing: &Listing) {
         let metrics = &self.gateway.metrics;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -99,6 +99,7 @@
     OVERLOAD_ENDED = 283 Info "overload-ended";
     STREAM_BEGUN = 286 Debug "stream-begun";
     STORE_READ = 287 Info "store-read";
+    FIRST_READ = 288 Info "first-read";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
