entry: evacuations that have not been read aren't taken for none

Cause: an entry was ready, and routed requests, as soon as it had a configuration. An entry that started and could not read the evacuations took them for none; it read them up to 8.8 s after its start. Evidence: entry 10 of astana-a sends to almaty-a at 20.459 s with a configuration of 20.3 s; event 268 of the entries there came at 24.3 s. Change: until the evacuations have been read once the entry isn't ready and refuses with 503, evacuations-unknown, and a time to return.

--- a/bins/entry/src/ingress/call.rs
+++ b/bins/entry/src/ingress/call.rs
@@ -12,7 +12,7 @@
 
 /// Timeout of a request whose caller states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
-/// Time after which a caller may retry while the entry has no configuration.
+/// Time after which a caller may retry while the entry has not read what it needs to route requests.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// A request admitted by the configuration.
@@ -50,14 +50,15 @@
 }
 
 impl Call {
-    /// Checks a request against the configuration; `random`, from 0 to 1, selects among weighted services.
+    /// Checks a request against the configuration, or refuses it for the reason why there is none; `random`, from 0 to 1,
+    /// selects among weighted services.
     ///
     /// # Errors
     ///
     /// Returns the request's id, or an empty string if its headers are malformed, and the refusal.
     pub(super) fn admit(
         request: Request<Bytes>,
-        config: Option<&Config>,
+        config: Result<&Config, &'static str>,
         now: Instant,
         random: f64,
     ) -> Result<Self, (String, Refusal)> {
@@ -67,12 +68,8 @@
             (String::new(), refusal)
         })?;
         let refuse = |refusal| (caller.id.clone(), refusal);
-        let config = config.ok_or_else(|| {
-            refuse(Refusal::unavailable(
-                "unconfigured",
-                UNCONFIGURED_RETRY_AFTER,
-            ))
-        })?;
+        let config = config
+            .map_err(|reason| refuse(Refusal::unavailable(reason, UNCONFIGURED_RETRY_AFTER)))?;
         let host = parts
             .headers
             .get(header::HOST)
--- a/bins/entry/src/ingress/evacuations.rs
+++ b/bins/entry/src/ingress/evacuations.rs
@@ -17,6 +17,10 @@
 /// Minimum wait of a watch.
 const MIN_WAIT: Duration = Duration::from_millis(100);
 
+/// Time without evacuations after which an entry that has a configuration routes requests as if there were none. A store
+/// that serves everything else but not these would keep all entries out of service.
+const MAX_UNKNOWN: Duration = Duration::from_secs(30);
+
 /// Time for which an evacuation stays in force that a store restored from an older copy lacks. Operators write again
 /// what is missing, or take it back meanwhile.
 const RESTORE_GRACE: Duration = Duration::from_secs(10);
@@ -32,16 +36,23 @@
 
 /// Follows evacuations, which must be in force within `bound`; never returns.
 ///
-/// While the store can't be read, the known evacuations stay in force.
+/// While the store can't be read, the known evacuations stay in force. Until they have been read once, no request is routed.
 pub(super) async fn follow(gateway: &Gateway, bound: Duration, watches: &Watches) {
     let mut reader = Reader::new(gateway, evacuations::KIND, watches);
     let mut tracker = Tracker::default();
     let wait = bound.mul_f64(WAIT_FACTOR).max(MIN_WAIT);
+    let mut configured_since = None;
     loop {
         reader.select_source(Instant::now());
         match read(&mut reader, wait, watches).await {
-            Some(Ok(update)) => apply(gateway, &mut tracker, &update),
-            Some(Err(failed)) => compio::time::sleep(failed.pause).await,
+            Some(Ok(update)) => {
+                apply(gateway, &mut tracker, &update);
+                gateway.set_evacuations_known();
+            }
+            Some(Err(failed)) => {
+                assume_none(gateway, Instant::now(), &mut configured_since);
+                compio::time::sleep(failed.pause).await;
+            }
             None => {}
         }
         for domain in tracker.expired(Instant::now()) {
@@ -50,6 +61,20 @@
     }
 }
 
+/// Routes requests without knowing the evacuations once nothing but these has been missing for [`MAX_UNKNOWN`].
+///
+/// `configured_since` is the time of the first call at which the entry had a configuration.
+fn assume_none(gateway: &Gateway, now: Instant, configured_since: &mut Option<Instant>) {
+    if gateway.are_evacuations_known() || gateway.config().is_none() {
+        return;
+    }
+    let waited = now.saturating_duration_since(*configured_since.get_or_insert(now));
+    if waited >= MAX_UNKNOWN {
+        event!(event::EVACUATIONS_UNREAD, waited_ms = waited.as_millis());
+        gateway.set_evacuations_known();
+    }
+}
+
 fn apply(gateway: &Gateway, tracker: &mut Tracker, update: &Update) {
     for object in &update.listing.objects {
         let domain = evacuations::domain(object);
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -34,6 +34,10 @@
 
 /// Timeout for connecting to a target.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Reason of a refusal while no configuration has been read.
+const UNCONFIGURED: &str = "unconfigured";
+/// Reason of a refusal while the evacuations of failure domains have not been read.
+const EVACUATIONS_UNKNOWN: &str = "evacuations-unknown";
 /// Timeout of a call to the store, in addition to the wait of a watch.
 pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Interval between scheduler polls while requests are queued.
@@ -66,6 +70,8 @@
     change_count: Cell<u64>,
     /// Whether the last read of the configuration succeeded.
     store_reachable: Cell<bool>,
+    /// Whether the evacuations of failure domains are known, or none are ever requested.
+    evacuations_known: Cell<bool>,
     /// Newest era of the store that the readers have been notified of.
     store_era: Cell<Option<u64>>,
     /// Client of the store; those of other servers of the same objects share the newest era with it.
@@ -97,6 +103,7 @@
         let retries = settings.bounds.retries;
         let seed = rand::rng().random();
         let store = platform::Client::new(settings.platform, STORE_TIMEOUT);
+        let has_evacuations = settings.bounds.evacuation.is_some();
         let mut scheduler = Scheduler::new(&settings.domain, versions, retries, seed);
         scheduler.set_regions(settings.regions.clone());
         Rc::new_cyclic(|me| Self {
@@ -117,6 +124,7 @@
             buffered: BufferedBytes::default(),
             change_count: Cell::default(),
             store_reachable: Cell::new(false),
+            evacuations_known: Cell::new(!has_evacuations),
             store_era: Cell::default(),
             store,
             draining: Cell::new(false),
@@ -129,9 +137,30 @@
         })
     }
 
-    /// Returns whether the entry accepts new callers: it has a configuration and is not stopping.
+    /// Returns whether the entry accepts new callers: it knows all that decides where requests may go, and is not stopping.
     pub fn is_ready(&self) -> bool {
-        self.scheduler.borrow().config().is_some() && !self.draining.get()
+        self.routing_config().is_ok() && !self.draining.get()
+    }
+
+    /// Returns the configuration in force if requests can be routed by it, or else the reason why they can't.
+    ///
+    /// An evacuation that has not been read can't be told from none.
+    fn routing_config(&self) -> Result<Rc<Config>, &'static str> {
+        let config = self.config().ok_or(UNCONFIGURED)?;
+        match self.evacuations_known.get() {
+            true => Ok(config),
+            false => Err(EVACUATIONS_UNKNOWN),
+        }
+    }
+
+    /// Returns whether the evacuations of failure domains are known.
+    pub(super) fn are_evacuations_known(&self) -> bool {
+        self.evacuations_known.get()
+    }
+
+    /// Records that the evacuations of failure domains are known from now on.
+    pub(super) fn set_evacuations_known(&self) {
+        self.evacuations_known.set(true);
     }
 
     /// Returns the configuration in force.
@@ -300,9 +329,10 @@
     pub async fn handle(self: Rc<Self>, request: Request<Bytes>) -> Response<Body> {
         let guard = InProgress::new(&self.in_progress);
         let now = Instant::now();
-        let config = self.config();
+        let config = self.routing_config();
+        let config = config.as_deref().map_err(|reason| *reason);
         let random = rand::rng().random();
-        let mut answer = match Call::admit(request, config.as_deref(), now, random) {
+        let mut answer = match Call::admit(request, config, now, random) {
             Ok(call) if self.refusing.get() => {
                 let stopping = Refusal::unavailable(STOPPING, STOPPING_RETRY_AFTER);
                 self.refuse(&call.caller.id, Some(&call), &stopping, None)
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -100,6 +100,7 @@
     STREAM_BEGUN = 286 Debug "stream-begun";
     STORE_READ = 287 Info "store-read";
     FIRST_READ = 288 Info "first-read";
+    EVACUATIONS_UNREAD = 289 Warn "evacuations-unread";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
