entry: a relay that the store turns away says so at once

Cause: a relay served what it had until the store had been silent for 1.4 s, also if the store had answered 429 or 503, or had closed the connection. Change: a failed call for the configuration ends the service to other entries at once and wakes their watches, which return 503. relays::turned_away_refuses failed before: 1.998 s, the bound is 1.0 s.

--- a/bins/entry/src/ingress/relay.rs
+++ b/bins/entry/src/ingress/relay.rs
@@ -65,6 +65,14 @@
         }
     }
 
+    /// Records that the store did not respond or refused a call: other entries are turned away from now on.
+    pub(super) fn record_failure(&self) {
+        self.record_gap();
+        if self.last_response.take().is_some() {
+            self.changed.notify();
+        }
+    }
+
     /// Records that the store responded.
     pub(super) fn record_response(&self, now: Instant) {
         // After a longer silence, for example of a frozen process, the store may have been away meanwhile.
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -111,7 +111,7 @@
                 }
             }
             Err(failed) => {
-                gateway.relay.record_gap();
+                gateway.relay.record_failure();
                 compio::time::sleep(failed.pause).await;
             }
         }
