entry: entries that start read the configuration from their neighbours

Callers saw: after a restart of all entries, 503 for up to 9.5 s in the regions without the store, and then answers by an older configuration (a room of -3.86 s to the bound of 3 s). Cause: an entry that starts knew its neighbours only through the configuration, so all read it from the store: 14 times 382 KB over one link of 27 Mbit/s. What had not begun after 0.8 s was given up and requested again, while the link went on carrying it, and small reads timed out behind it. A relay that was still reading answered like one that has lost the store, and was passed over for all kinds for 3 s; so the followers went to the store too. A relay that starts or is reading holds a call for 0.3 s and says that it reads; followers ask it again for 1 s, or 2 s and 0.15 s more for each entry before them if they have nothing yet. A refusal counts for its kind only, for 2 s.

--- a/bins/agent/src/rollout/loads.rs
+++ b/bins/agent/src/rollout/loads.rs
@@ -15,9 +15,12 @@
 
 use super::evidence::EvidenceRelay;
 use super::state::State;
+use crate::Notify;
 
 /// Interval at which the list of the failure domain's entries is sent to each of them.
-const ENTRY_LIST_INTERVAL: Duration = Duration::from_secs(2);
+const ENTRY_LIST_INTERVAL: Duration = Duration::from_millis(1900);
+/// Delay of a list after an entry subscribed, so that entries that start together share a list.
+const ENTRY_LIST_DELAY: Duration = Duration::from_millis(100);
 /// Maximum number of entries in a list, so that it fits into a datagram; more entries are sent as several lists.
 const MAX_LISTED_ENTRIES: usize = 100;
 /// Maximum number of target limits in a load report; entries learn the others when they request permits.
@@ -29,6 +32,8 @@
 #[derive(Default)]
 struct Entries {
     subscribers: RefCell<Subscribers>,
+    /// Notified when an entry of the failure domain subscribed for the first time.
+    joined: Notify,
     /// Issues permits for targets with a request limit.
     issuer: RefCell<Issuer<SocketAddr>>,
     evidence: EvidenceRelay,
@@ -50,7 +55,7 @@
     futures::join!(
         send_loads(&state, &socket, &entries),
         receive(&state, &socket, &entries),
-        send_entry_lists(&socket, &entries.subscribers),
+        send_entry_lists(&socket, &entries),
         entries.evidence.send_changes(&socket),
     );
 }
@@ -62,10 +67,12 @@
         match datagram {
             Datagram::Subscribe(subscription) => {
                 let same_domain = subscription.domain == state.settings.domain;
-                entries
-                    .subscribers
-                    .borrow_mut()
-                    .subscribe(now, entry, same_domain);
+                let mut subscribers = entries.subscribers.borrow_mut();
+                let is_new = subscribers.subscribe(now, entry, same_domain);
+                drop(subscribers);
+                if is_new && same_domain {
+                    entries.joined.notify();
+                }
                 state.set_relay(now, entry, same_domain && subscription.passes_on);
                 if let Some(source) = subscription.source {
                     state.set_source(now, source, subscription.in_touch);
@@ -95,10 +102,16 @@
 }
 
 /// Sends the list of the failure domain's entries to each of them, so that they know of each other.
-async fn send_entry_lists(socket: &DatagramSocket, subscribers: &RefCell<Subscribers>) {
+///
+/// One that starts needs the list before it reads the configuration, so a list follows its first subscription.
+async fn send_entry_lists(socket: &DatagramSocket, entries: &Entries) {
+    let mut seen = entries.joined.count();
     loop {
-        compio::time::sleep(ENTRY_LIST_INTERVAL).await;
-        let entries = subscribers.borrow().same_domain();
+        let joined = entries.joined.changed(seen);
+        let _ = compio::time::timeout(ENTRY_LIST_INTERVAL, joined).await;
+        compio::time::sleep(ENTRY_LIST_DELAY).await;
+        seen = entries.joined.count();
+        let entries = entries.subscribers.borrow().same_domain();
         for list in entries.chunks(MAX_LISTED_ENTRIES) {
             socket
                 .send(&Datagram::Entries(list.to_vec()), &entries)
--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -16,6 +16,7 @@
 mod hedge;
 mod loads;
 mod metrics;
+mod neighbours;
 mod overload;
 mod placed;
 mod reader;
--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -184,11 +184,23 @@
 }
 
 /// Returns the agents of VMs that run engines, by service, and whether each is in this entry's failure domain.
-fn agents(gateway: &Gateway) -> BTreeMap<String, BTreeMap<SocketAddr, bool>> {
+///
+/// Until the configuration says which services have engines, these are all targets of the entry's domain: agents report
+/// the other entries, one of which may have the configuration. Plain services have no agents and ignore a datagram.
+pub(super) fn agents(gateway: &Gateway) -> BTreeMap<String, BTreeMap<SocketAddr, bool>> {
     let port = gateway.settings.load_listen.port();
     let mut agents: BTreeMap<String, BTreeMap<SocketAddr, bool>> = BTreeMap::new();
     gateway.view(|scheduler| {
-        for target in scheduler.engines() {
+        let configured = scheduler.config().is_some();
+        let domain = &gateway.settings.domain;
+        let in_domain = scheduler
+            .targets()
+            .filter(|target| target.domain == *domain);
+        let engines: Vec<_> = match configured {
+            true => scheduler.engines().collect(),
+            false => in_domain.collect(),
+        };
+        for target in engines {
             let agent = SocketAddr::new(target.address.ip(), port);
             let agents = agents.entry(target.service.clone()).or_default();
             agents.insert(agent, target.domain == gateway.settings.domain);
--- a/bins/entry/src/ingress/reader.rs
+++ b/bins/entry/src/ingress/reader.rs
@@ -1,9 +1,11 @@
 //! Follows the objects of one kind at the source from which this entry currently reads them.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use node::{Backoff, event};
-use platform::{Client, Follower, Listing, ReadError, Revision, Update};
+use platform::{Client, Error, Follower, Listing, ReadError, Revision, Update};
 
 use super::gateway::{Gateway, STORE_TIMEOUT};
 use super::relays::Source;
@@ -18,6 +20,15 @@
 const SHARED_WAIT: Duration = Duration::from_secs(3);
 /// Wait of a watch that checks whether an earlier one missed a change.
 const CHECK_WAIT: Duration = Duration::from_millis(500);
+/// Time for which a relay that does not serve a kind is not asked for this kind again.
+const REFUSAL_BACKOFF: Duration = Duration::from_secs(2);
+/// Maximum time to wait for relays that are still reading, if an older state of the kind is in use meanwhile.
+const READING_PATIENCE: Duration = Duration::from_secs(1);
+/// The same for a kind that this entry has not read at all: it serves nobody meanwhile, and neither do others that start.
+const FIRST_PATIENCE: Duration = Duration::from_secs(2);
+/// Additional time for each entry before this one in the domain's order, so that those whose relays fail to read a large
+/// configuration don't read it at the same time.
+const PATIENCE_PER_RANK: Duration = Duration::from_millis(150);
 /// Length of a read from which on it is logged, in bytes.
 const LARGE_READ_BYTES: usize = 64 << 10;
 /// Minimum and maximum pause after a failed call; the pause doubles with each failure.
@@ -29,6 +40,10 @@
     kind: &'static str,
     follower: Follower,
     source: Source,
+    /// Relays that don't serve the kind, and when they said so.
+    refusals: BTreeMap<SocketAddr, Instant>,
+    /// Since when relays have been reading the kind while this reader waits for them.
+    waiting_since: Option<Instant>,
     /// Notified when the store came back from an older copy.
     watches: &'a Watches,
     /// Revision of the store up to which no change can have been missed, or is being checked for.
@@ -50,6 +65,8 @@
             kind,
             follower: Follower::new(&client(gateway, Source::Store), kind, backoff),
             source: Source::Store,
+            refusals: BTreeMap::new(),
+            waiting_since: None,
             watches,
             checked: Revision::default(),
             checking: false,
@@ -82,7 +99,10 @@
 
     /// Selects the source for the next read, and returns it.
     pub(super) fn select_source(&mut self, now: Instant) -> Source {
-        let source = self.gateway.relays.borrow().source(now);
+        self.refusals
+            .retain(|_, at| now.saturating_duration_since(*at) < REFUSAL_BACKOFF);
+        let is_refused = |relay: &SocketAddr| self.refusals.contains_key(relay);
+        let source = self.gateway.relays.borrow().source_without(now, is_refused);
         if source == self.source {
             return source;
         }
@@ -92,6 +112,7 @@
         if source == Source::Shared {
             // Other entries may list all objects, so this entry must read all of them and not only further changes.
             self.follower.restart();
+            self.gateway.relay.begin_reading(self.kind);
         }
         event!(event::SOURCE_CHANGED, kind = self.kind, source = source);
         self.follower.set_client(&client(self.gateway, source));
@@ -130,15 +151,46 @@
                 let relay = &self.gateway.relay;
                 relay.update(now, self.kind, update);
             }
-            (Err(_), Source::Relay(relay)) => {
-                let mut relays = self.gateway.relays.borrow_mut();
-                relays.record_failure(now, relay);
+            (Err(failed), Source::Relay(relay)) => {
+                self.record_relay_failure(now, relay, &failed.error);
             }
             _ => {}
         }
+        if read.is_ok() {
+            self.waiting_since = None;
+        }
         read
     }
 
+    /// Records why a relay did not return the kind.
+    ///
+    /// A relay that is still reading is asked again for a while. One that responds otherwise may serve other kinds.
+    fn record_relay_failure(&mut self, now: Instant, relay: SocketAddr, error: &Error) {
+        match error {
+            Error::Reading { .. } if self.is_patient(now) => {}
+            Error::Reading { .. } => {
+                self.refusals.insert(relay, now);
+            }
+            error if error.is_refusal() => {
+                self.refusals.insert(relay, now);
+            }
+            _ => self.gateway.relays.borrow_mut().record_failure(now, relay),
+        }
+    }
+
+    /// Returns whether this reader goes on waiting for relays that are reading.
+    fn is_patient(&mut self, now: Instant) -> bool {
+        let patience = match self.unread_since {
+            Some(_) => {
+                let (rank, _) = self.gateway.relays.borrow().rank(now);
+                FIRST_PATIENCE + PATIENCE_PER_RANK * rank as u32
+            }
+            None => READING_PATIENCE,
+        };
+        let since = *self.waiting_since.get_or_insert(now);
+        now.saturating_duration_since(since) < patience
+    }
+
     /// Logs how long after the start the kind was read for the first time.
     fn record_first_read(&mut self, now: Instant) {
         if let Some(since) = self.unread_since.take() {
--- a/bins/entry/src/ingress/relay.rs
+++ b/bins/entry/src/ingress/relay.rs
@@ -1,7 +1,7 @@
 //! Serves the objects that this entry reads from the store to other entries of the domain, through the store's own API.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -19,6 +19,8 @@
 const MAX_READ_AGE: Duration = Duration::from_millis(4500);
 /// Maximum wait of a watch.
 const MAX_WAIT: Duration = Duration::from_secs(2);
+/// Time for which a call waits for objects that are still being read; shorter than the timeout of the caller.
+const READING_WAIT: Duration = Duration::from_millis(300);
 /// Interval between checks that the store still responds.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -34,6 +36,10 @@
     reached_since: Cell<Option<Instant>>,
     /// Newest era of the store.
     era: Cell<u64>,
+    /// Whether this entry does not know yet which entries of the domain read the store.
+    starting: Cell<bool>,
+    /// Kinds that this entry is reading from the store for other entries, and has not read yet.
+    reading: RefCell<BTreeSet<&'static str>>,
     changed: Notify,
 }
 
@@ -44,6 +50,22 @@
 }
 
 impl Relay {
+    /// Records that this entry begins to find out which entries of the domain read the store.
+    pub(super) fn begin_start(&self) {
+        self.starting.set(true);
+    }
+
+    /// Records that this entry knows whether it reads the store for others.
+    pub(super) fn end_start(&self) {
+        self.starting.set(false);
+        self.changed.notify();
+    }
+
+    /// Records that this entry begins to read `kind` from the store for other entries.
+    pub(super) fn begin_reading(&self, kind: &'static str) {
+        self.reading.borrow_mut().insert(kind);
+    }
+
     /// Applies an update of `kind` to its mirror.
     pub(super) fn update(&self, now: Instant, kind: &'static str, update: &Update) {
         let mut mirrors = self.mirrors.borrow_mut();
@@ -54,6 +76,7 @@
         shared.mirror.apply(update);
         shared.read_at = now;
         drop(mirrors);
+        self.reading.borrow_mut().remove(kind);
         self.changed.notify();
     }
 
@@ -93,6 +116,7 @@
     /// Stops serving `kind`, which this entry no longer reads from the store.
     pub(super) fn remove(&self, kind: &str) {
         self.mirrors.borrow_mut().remove(kind);
+        self.reading.borrow_mut().remove(kind);
         self.changed.notify();
     }
 
@@ -114,7 +138,7 @@
 
     async fn answer(&self, request: &Request<Bytes>) -> Response<Body> {
         let response = match Call::parse(request) {
-            Some(Call::List { kind }) => self.list(&kind),
+            Some(Call::List { kind }) => self.list(&kind).await,
             Some(Call::Watch { kind, after, wait }) => self.watch(&kind, after, wait).await,
             _ => response(
                 StatusCode::NOT_FOUND,
@@ -128,15 +152,33 @@
         }
     }
 
-    fn list(&self, kind: &str) -> Response<Body> {
-        match self.read(Instant::now(), kind, Mirror::list).flatten() {
-            Some(listing) => wire::list_response(&listing),
-            None => unavailable(),
+    /// Returns whether this entry will have `kind` soon, as far as it knows.
+    fn is_reading(&self, kind: &str) -> bool {
+        self.starting.get() || self.reading.borrow().contains(kind)
+    }
+
+    async fn list(&self, kind: &str) -> Response<Body> {
+        let end = Instant::now() + READING_WAIT;
+        loop {
+            let now = Instant::now();
+            let seen = self.changed.count();
+            if let Some(listing) = self.read(now, kind, Mirror::list).flatten() {
+                return wire::list_response(&listing);
+            }
+            if !self.is_reading(kind) {
+                return unavailable();
+            }
+            if now >= end {
+                return wire::with_reading(unavailable());
+            }
+            let _ = compio::time::timeout_at(end, self.changed.changed(seen)).await;
         }
     }
 
     async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Response<Body> {
-        let end = Instant::now() + wait.min(MAX_WAIT);
+        let called = Instant::now();
+        let end = called + wait.min(MAX_WAIT);
+        let reading_end = called + READING_WAIT;
         let era = self.era.get();
         loop {
             let now = Instant::now();
@@ -146,7 +188,9 @@
                 return response(StatusCode::GONE, "");
             }
             match self.read(now, kind, |mirror| mirror.changes(after)) {
-                None => return unavailable(),
+                None if !self.is_reading(kind) => return unavailable(),
+                None if now >= reading_end => return wire::with_reading(unavailable()),
+                None => {}
                 Some(None) => return response(StatusCode::GONE, ""),
                 Some(Some(changes)) if now >= end || !changes.is_empty() => {
                     return wire::watch_response(&changes);
--- a/bins/entry/src/ingress/relays.rs
+++ b/bins/entry/src/ingress/relays.rs
@@ -77,7 +77,12 @@
         self.last_seen.extend(others.map(|entry| (*entry, now)));
     }
 
-    /// Records that a relay did not respond, or responded that it can't reach the store.
+    /// Returns whether agents have reported other entries of the domain.
+    pub fn has_others(&self) -> bool {
+        !self.last_seen.is_empty()
+    }
+
+    /// Records that a relay did not respond.
     pub fn record_failure(&mut self, now: Instant, relay: SocketAddr) {
         self.failures
             .retain(|_, at| now.saturating_duration_since(*at) < FAILURE_BACKOFF);
@@ -108,6 +113,11 @@
 
     /// Returns the source to read from now.
     pub fn source(&self, now: Instant) -> Source {
+        self.source_without(now, |_| false)
+    }
+
+    /// Returns the source to read from now, which is no relay for which `is_refused` returns true.
+    pub fn source_without(&self, now: Instant, is_refused: impl Fn(&SocketAddr) -> bool) -> Source {
         let mut candidates = self.live(now);
         if !self.has_relays(now) {
             return Source::Store;
@@ -123,7 +133,8 @@
             let last_failure = self.failures.get(relay);
             last_failure.is_some_and(|at| now.saturating_duration_since(*at) < FAILURE_BACKOFF)
         };
-        let relay = candidates.into_iter().find(|relay| !failed_recently(relay));
+        let mut relays = candidates.into_iter();
+        let relay = relays.find(|relay| !failed_recently(relay) && !is_refused(relay));
         relay.map_or(Source::Store, Source::Relay)
     }
 }
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -1,6 +1,6 @@
 //! Follows the objects that operators and targets write to the platform's store.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::pin::pin;
 use std::rc::Rc;
@@ -14,6 +14,7 @@
 
 use super::evacuations;
 use super::gateway::Gateway;
+use super::neighbours;
 use super::reader::Reader;
 use super::relays::Source;
 use super::targets::{Insertion, Registrations, Removal};
@@ -44,11 +45,14 @@
     let targets = RefCell::new(Registrations::new(heartbeat));
     let watches = Watches::default();
     let stalls = RefCell::new(Stalls::new(uptime()));
-    let configs = follow_config(
-        Reader::new(&gateway, config::KIND, &watches),
-        &gateway,
-        &watches,
-    );
+    let targets_read = Cell::new(None);
+    let config_reader = Reader::new(&gateway, config::KIND, &watches);
+    gateway.relay.begin_start();
+    let configs = async {
+        neighbours::wait(&gateway, &targets_read).await;
+        gateway.relay.end_start();
+        follow_config(config_reader, &gateway, &watches).await;
+    };
     let named = follow_versions(
         Reader::new(&gateway, versions::KIND, &watches),
         &gateway,
@@ -59,6 +63,7 @@
         Reader::new(&gateway, target::KIND, &watches),
         &gateway,
         &targets,
+        &targets_read,
         &watches,
     );
     let expired = expire(&gateway, &targets, &stalls);
@@ -175,6 +180,7 @@
     mut reader: Reader<'_>,
     gateway: &Gateway,
     targets: &RefCell<Registrations>,
+    targets_read: &Cell<Option<Instant>>,
     watches: &Watches,
 ) {
     loop {
@@ -190,6 +196,7 @@
                     .record_success(now, revision, reached_for);
                 let change_count = gateway.change_count();
                 apply_targets(gateway, &mut targets.borrow_mut(), &update);
+                targets_read.set(targets_read.get().or(Some(now)));
                 let membership_changed =
                     gateway.change_count() != change_count || !update.listing.deleted.is_empty();
                 compio::time::sleep(batch_pause(gateway, source, membership_changed)).await;
--- a/crates/rollout/src/subscribers.rs
+++ b/crates/rollout/src/subscribers.rs
@@ -51,8 +51,10 @@
 }
 
 impl Subscribers {
-    /// Adds or renews the subscription of an entry; `near` states whether it is in the agent's failure domain.
-    pub fn subscribe(&mut self, now: Instant, entry: SocketAddr, near: bool) {
+    /// Adds or renews the subscription of an entry, and returns whether it is new; `near` states whether the entry is in
+    /// the agent's failure domain.
+    pub fn subscribe(&mut self, now: Instant, entry: SocketAddr, near: bool) -> bool {
+        let is_new = !self.0.contains_key(&entry);
         let subscriber = self.0.entry(entry).or_insert(Subscriber {
             near,
             subscribed: now,
@@ -61,6 +63,7 @@
         });
         subscriber.near = near;
         subscriber.subscribed = now;
+        is_new
     }
 
     /// Returns the number of subscribed entries.
