entry: a relay refuses each kind that it can't read

Callers could see: targets that leave and evacuations up to 4.5 s late at entries that read from a relay whose own reads of that kind fail; the bounds are 3 s and 5 s. Cause: only a failed read of the configuration ended the service to others; the other kinds were served until the last read was 4.5 s old. Change: a failed read of a kind ends the service of that kind until it has been read again. After a refusal the next source is asked after 20 ms instead of 0.1 to 0.8 s, and an entry that has an older state waits 0.5 s instead of 1 s for relays that are still reading. turned_away_refuses has a case for each kind; that of the configuration failed before, those of the other kinds were not run on older code.

--- a/bins/entry/src/ingress/reader.rs
+++ b/bins/entry/src/ingress/reader.rs
@@ -22,8 +22,10 @@
 const CHECK_WAIT: Duration = Duration::from_millis(500);
 /// Time for which a relay that does not serve a kind is not asked for this kind again.
 const REFUSAL_BACKOFF: Duration = Duration::from_secs(2);
+/// Pause before the next source is asked after a refusal.
+const SWITCH_PAUSE: Duration = Duration::from_millis(20);
 /// Maximum time to wait for relays that are still reading, if an older state of the kind is in use meanwhile.
-const READING_PATIENCE: Duration = Duration::from_secs(1);
+const READING_PATIENCE: Duration = Duration::from_millis(500);
 /// The same for a kind that this entry has not read at all: it serves nobody meanwhile, and neither do others that start.
 const FIRST_PATIENCE: Duration = Duration::from_secs(2);
 /// Additional time for each entry before this one in the domain's order, so that those whose relays fail to read a large
@@ -136,7 +138,7 @@
             false => wait,
         };
         let called = Instant::now();
-        let read = self.follower.next(wait).await;
+        let mut read = self.follower.next(wait).await;
         self.checking &= read.is_err();
         let now = Instant::now();
         if let Ok(update) = &read {
@@ -146,12 +148,17 @@
         if self.gateway.record_store_era() {
             self.watches.connectivity_changed.notify();
         }
-        match (&read, self.source) {
+        match (&mut read, self.source) {
             (Ok(update), Source::Shared) => {
                 let relay = &self.gateway.relay;
                 relay.update(now, self.kind, update);
             }
+            (Err(_), Source::Shared) => self.gateway.relay.suspend(self.kind),
             (Err(failed), Source::Relay(relay)) => {
+                if failed.error.is_refusal() {
+                    // The next read is at another source.
+                    failed.pause = SWITCH_PAUSE;
+                }
                 self.record_relay_failure(now, relay, &failed.error);
             }
             _ => {}
--- a/bins/entry/src/ingress/relay.rs
+++ b/bins/entry/src/ingress/relay.rs
@@ -46,7 +46,8 @@
 /// The mirror of a kind, and when the kind was last read.
 struct SharedKind {
     mirror: Mirror,
-    read_at: Instant,
+    /// `None` after a read has failed.
+    read_at: Option<Instant>,
 }
 
 impl Relay {
@@ -71,10 +72,10 @@
         let mut mirrors = self.mirrors.borrow_mut();
         let shared = mirrors.entry(kind).or_insert(SharedKind {
             mirror: Mirror::default(),
-            read_at: now,
+            read_at: None,
         });
         shared.mirror.apply(update);
-        shared.read_at = now;
+        shared.read_at = Some(now);
         drop(mirrors);
         self.reading.borrow_mut().remove(kind);
         self.changed.notify();
@@ -113,6 +114,14 @@
         self.reached_since.set(None);
     }
 
+    /// Stops serving `kind` until it has been read again.
+    pub(super) fn suspend(&self, kind: &str) {
+        if let Some(shared) = self.mirrors.borrow_mut().get_mut(kind) {
+            shared.read_at = None;
+        }
+        self.changed.notify();
+    }
+
     /// Stops serving `kind`, which this entry no longer reads from the store.
     pub(super) fn remove(&self, kind: &str) {
         self.mirrors.borrow_mut().remove(kind);
@@ -130,9 +139,10 @@
         let last_response = self.last_response.get()?;
         let mirrors = self.mirrors.borrow();
         let shared = mirrors.get(kind)?;
+        let read_at = shared.read_at?;
         let fresh = shared.mirror.era() == Some(self.era.get())
             && now.saturating_duration_since(last_response) < MAX_STORE_SILENCE
-            && now.saturating_duration_since(shared.read_at) < MAX_READ_AGE;
+            && now.saturating_duration_since(read_at) < MAX_READ_AGE;
         fresh.then(|| get(&shared.mirror))
     }
 
