entry: readers choose their source anew once the neighbours are known

Cause: a reader whose watch waited at the store, up to 29 s, learned only then that it reads for others, or that others read for it: relays refused targets, so their followers watched them at the store. And agents that start together with the entries missed the first subscription; the next one came 1 s later, when the entry had given up and read the configuration from the store. Change: the watches end once the neighbours are known. Without a configuration an entry subscribes every 0.2 s and waits up to 0.7 s after the first read of targets, 1.5 s after its start at most.

--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -124,6 +124,10 @@
     let mut subscribed = Subscriptions::default();
     loop {
         let seen_changes = gateway.change_count();
+        if gateway.config().is_none() {
+            // Agents that start at the same time miss the first subscriptions.
+            subscribed = Subscriptions::default();
+        }
         let named = named_versions(gateway);
         let versions = named
             .iter()
--- a/bins/entry/src/ingress/neighbours.rs
+++ b/bins/entry/src/ingress/neighbours.rs
@@ -7,9 +7,9 @@
 use super::loads;
 
 /// Maximum wait after the start of this entry.
-const MAX_WAIT: Duration = Duration::from_secs(1);
+const MAX_WAIT: Duration = Duration::from_millis(1_500);
 /// Time after the first read of targets in which agents respond to this entry's subscription.
-const REPORT_TIME: Duration = Duration::from_millis(500);
+const REPORT_TIME: Duration = Duration::from_millis(700);
 /// Time after the first report in which agents report further entries that start at the same time.
 const SETTLING_TIME: Duration = Duration::from_millis(150);
 /// Interval between checks whether agents have reported other entries.
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -51,6 +51,8 @@
     let configs = async {
         neighbours::wait(&gateway, &targets_read).await;
         gateway.relay.end_start();
+        // Readers whose watches wait at the store may have to read for others now, or from others.
+        watches.connectivity_changed.notify();
         follow_config(config_reader, &gateway, &watches).await;
     };
     let named = follow_versions(
