entry: after an outage of the store for all, the relays read first

Cause: entries whose relays can't reach the store poll it themselves, and when it returns all of them read the configuration at once over one link. A relay also stopped serving when a single read of its own timed out on that link, and so sent its followers there. Change: an entry that has failed to read the store itself asks only the relays for 0.8 s, and 0.15 s more for each entry before it (at most 2 s); a success of a relay ends its refusals.

--- a/bins/entry/src/ingress/reader.rs
+++ b/bins/entry/src/ingress/reader.rs
@@ -8,7 +8,7 @@
 use platform::{Client, Error, Follower, Listing, ReadError, Revision, Update};
 
 use super::gateway::{Gateway, STORE_TIMEOUT};
-use super::relays::Source;
+use super::relays::{Relays, Source};
 use super::watches::Watches;
 
 /// Timeout of a call to another entry of the domain, in addition to the wait of a watch.
@@ -31,6 +31,12 @@
 /// Additional time for each entry before this one in the domain's order, so that those whose relays fail to read a large
 /// configuration don't read it at the same time.
 const PATIENCE_PER_RANK: Duration = Duration::from_millis(150);
+/// Time for which an entry that has failed to read the store itself leaves it to the relays, and the maximum of this time
+/// with [`PATIENCE_PER_RANK`].
+const OUTAGE_PATIENCE: Duration = Duration::from_millis(800);
+const MAX_OUTAGE_PATIENCE: Duration = Duration::from_secs(2);
+/// Maximum pause between the questions to relays meanwhile.
+const OUTAGE_PAUSE: Duration = Duration::from_millis(300);
 /// Length of a read from which on it is logged, in bytes.
 const LARGE_READ_BYTES: usize = 64 << 10;
 /// Minimum and maximum pause after a failed call; the pause doubles with each failure.
@@ -44,6 +50,8 @@
     source: Source,
     /// Relays that don't serve the kind, and when they said so.
     refusals: BTreeMap<SocketAddr, Instant>,
+    /// When this entry itself last failed to read the kind from the store, if it has not read it since.
+    store_failed_at: Option<Instant>,
     /// Since when relays have been reading the kind while this reader waits for them.
     waiting_since: Option<Instant>,
     /// Notified when the store came back from an older copy.
@@ -68,6 +76,7 @@
             follower: Follower::new(&client(gateway, Source::Store), kind, backoff),
             source: Source::Store,
             refusals: BTreeMap::new(),
+            store_failed_at: None,
             waiting_since: None,
             watches,
             checked: Revision::default(),
@@ -104,7 +113,13 @@
         self.refusals
             .retain(|_, at| now.saturating_duration_since(*at) < REFUSAL_BACKOFF);
         let is_refused = |relay: &SocketAddr| self.refusals.contains_key(relay);
-        let source = self.gateway.relays.borrow().source_without(now, is_refused);
+        let relays = self.gateway.relays.borrow();
+        let source = match relays.source_without(now, is_refused) {
+            // Relays that said no are asked again.
+            Source::Store if self.leaves_store(now, &relays) => relays.source(now),
+            source => source,
+        };
+        drop(relays);
         if source == self.source {
             return source;
         }
@@ -153,22 +168,41 @@
                 let relay = &self.gateway.relay;
                 relay.update(now, self.kind, update);
             }
-            (Err(_), Source::Shared) => self.gateway.relay.suspend(self.kind),
+            (Ok(_), Source::Relay(relay)) => {
+                self.refusals.remove(&relay);
+            }
+            (Err(failed), Source::Shared) if failed.error.is_refusal() => {
+                self.gateway.relay.suspend(self.kind);
+            }
+            (Err(_), Source::Store) => self.store_failed_at = Some(now),
             (Err(failed), Source::Relay(relay)) => {
-                if failed.error.is_refusal() {
+                failed.pause = match self.store_failed_at {
+                    Some(_) => failed.pause.min(OUTAGE_PAUSE),
                     // The next read is at another source.
-                    failed.pause = SWITCH_PAUSE;
-                }
+                    None if failed.error.is_refusal() => SWITCH_PAUSE,
+                    None => failed.pause,
+                };
                 self.record_relay_failure(now, relay, &failed.error);
             }
             _ => {}
         }
         if read.is_ok() {
             self.waiting_since = None;
+            self.store_failed_at = None;
         }
         read
     }
 
+    /// Returns whether this entry leaves the store to the relays after it has failed to read it too.
+    ///
+    /// After an outage for all, entries that read a large configuration at the same time would fill the link to the store.
+    fn leaves_store(&self, now: Instant, relays: &Relays) -> bool {
+        let (rank, _) = relays.rank(now);
+        let patience = (OUTAGE_PATIENCE + PATIENCE_PER_RANK * rank as u32).min(MAX_OUTAGE_PATIENCE);
+        let failed_recently = |at: Instant| now.saturating_duration_since(at) < patience;
+        relays.has_relays(now) && self.store_failed_at.is_some_and(failed_recently)
+    }
+
     /// Records why a relay did not return the kind.
     ///
     /// A relay that is still reading is asked again for a while. One that responds otherwise may serve other kinds.
--- a/bins/entry/src/ingress/relay.rs
+++ b/bins/entry/src/ingress/relay.rs
@@ -89,7 +89,7 @@
         }
     }
 
-    /// Records that the store did not respond or refused a call: other entries are turned away from now on.
+    /// Records that the store refused a call: other entries are turned away from now on.
     pub(super) fn record_failure(&self) {
         self.record_gap();
         if self.last_response.take().is_some() {
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -118,7 +118,10 @@
                 }
             }
             Err(failed) => {
-                gateway.relay.record_failure();
+                match failed.error.is_refusal() {
+                    true => gateway.relay.record_failure(),
+                    false => gateway.relay.record_gap(),
+                }
                 compio::time::sleep(failed.pause).await;
             }
         }
