--- a/bins/agent/src/rollout/loads.rs
+++ b/bins/agent/src/rollout/loads.rs
@@ -17,7 +17,7 @@
 use super::state::State;
 use crate::Notify;
 
-/// Interval at which the list of the failure domain's entries is sent to each of them.
+/// Interval at which the list of the failure domain's entries is sent to each of them, before [`ENTRY_LIST_DELAY`] is added.
 const ENTRY_LIST_INTERVAL: Duration = Duration::from_millis(1900);
 /// Delay of a list after an entry subscribed, so that entries that start together share a list.
 const ENTRY_LIST_DELAY: Duration = Duration::from_millis(100);
--- a/bins/entry/src/ingress/reader.rs
+++ b/bins/entry/src/ingress/reader.rs
@@ -26,16 +26,18 @@
 const SWITCH_PAUSE: Duration = Duration::from_millis(20);
 /// Maximum time to wait for relays that are still reading, if an older state of the kind is in use meanwhile.
 const READING_PATIENCE: Duration = Duration::from_millis(500);
-/// The same for a kind that this entry has not read at all: it serves nobody meanwhile, and neither do others that start.
+/// Maximum time to wait for relays that are still reading a kind that this entry has not read at all, before
+/// [`PATIENCE_PER_RANK`] is added. The entry serves nobody meanwhile.
 const FIRST_PATIENCE: Duration = Duration::from_secs(2);
 /// Additional time for each entry before this one in the domain's order, so that those whose relays fail to read a large
 /// configuration don't read it at the same time.
 const PATIENCE_PER_RANK: Duration = Duration::from_millis(150);
-/// Time for which an entry that has failed to read the store itself leaves it to the relays, and the maximum of this time
-/// with [`PATIENCE_PER_RANK`].
+/// Time for which an entry that has failed to read the store itself leaves it to the relays, before [`PATIENCE_PER_RANK`] is
+/// added.
 const OUTAGE_PATIENCE: Duration = Duration::from_millis(800);
+/// Maximum of this time with [`PATIENCE_PER_RANK`].
 const MAX_OUTAGE_PATIENCE: Duration = Duration::from_secs(2);
-/// Maximum pause between the questions to relays meanwhile.
+/// Maximum pause between the calls to relays meanwhile.
 const OUTAGE_PAUSE: Duration = Duration::from_millis(300);
 /// Length of a read from which on it is logged, in bytes.
 const LARGE_READ_BYTES: usize = 64 << 10;
@@ -115,7 +117,7 @@
         let is_refused = |relay: &SocketAddr| self.refusals.contains_key(relay);
         let relays = self.gateway.relays.borrow();
         let source = match relays.source_without(now, is_refused) {
-            // Relays that said no are asked again.
+            // Relays that refused the kind are asked again.
             Source::Store if self.leaves_store(now, &relays) => relays.source(now),
             source => source,
         };
--- a/bins/entry/src/ingress/relay.rs
+++ b/bins/entry/src/ingress/relay.rs
@@ -46,7 +46,7 @@
 /// The mirror of a kind, and when the kind was last read.
 struct SharedKind {
     mirror: Mirror,
-    /// `None` after a read has failed.
+    /// `None` after the store has refused a read.
     read_at: Option<Instant>,
 }
 
@@ -90,7 +90,7 @@
     }
 
     /// Records that the store refused a call: other entries are turned away from now on.
-    pub(super) fn record_failure(&self) {
+    pub(super) fn record_refusal(&self) {
         self.record_gap();
         if self.last_response.take().is_some() {
             self.changed.notify();
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -119,7 +119,7 @@
             }
             Err(failed) => {
                 match failed.error.is_refusal() {
-                    true => gateway.relay.record_failure(),
+                    true => gateway.relay.record_refusal(),
                     false => gateway.relay.record_gap(),
                 }
                 compio::time::sleep(failed.pause).await;
