entry: what an entry must have read before it routes has a module of its own

The reasons of such refusals and the check moved as they were to ingress::readiness. No logic changes; the tests of evacuations and relays cover both.

--- a/bins/entry/src/ingress.rs
+++ b/bins/entry/src/ingress.rs
@@ -20,6 +20,7 @@
 mod overload;
 mod placed;
 mod reader;
+mod readiness;
 mod relay;
 mod relays;
 mod serve;
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -34,10 +34,6 @@
 
 /// Timeout for connecting to a target.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Reason of a refusal while no configuration has been read.
-const UNCONFIGURED: &str = "unconfigured";
-/// Reason of a refusal while the evacuations of failure domains have not been read.
-const EVACUATIONS_UNKNOWN: &str = "evacuations-unknown";
 /// Timeout of a call to the store, in addition to the wait of a watch.
 pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Interval between scheduler polls while requests are queued.
@@ -71,7 +67,7 @@
     /// Whether the last read of the configuration succeeded.
     store_reachable: Cell<bool>,
     /// Whether the evacuations of failure domains are known, or none are ever requested.
-    evacuations_known: Cell<bool>,
+    pub(super) evacuations_known: Cell<bool>,
     /// Newest era of the store that the readers have been notified of.
     store_era: Cell<Option<u64>>,
     /// Client of the store; those of other servers of the same objects share the newest era with it.
@@ -142,27 +138,6 @@
         self.routing_config().is_ok() && !self.draining.get()
     }
 
-    /// Returns the configuration in force if requests can be routed by it, or else the reason why they can't.
-    ///
-    /// An evacuation that has not been read can't be told from none.
-    fn routing_config(&self) -> Result<Rc<Config>, &'static str> {
-        let config = self.config().ok_or(UNCONFIGURED)?;
-        match self.evacuations_known.get() {
-            true => Ok(config),
-            false => Err(EVACUATIONS_UNKNOWN),
-        }
-    }
-
-    /// Returns whether the evacuations of failure domains are known.
-    pub(super) fn are_evacuations_known(&self) -> bool {
-        self.evacuations_known.get()
-    }
-
-    /// Records that the evacuations of failure domains are known from now on.
-    pub(super) fn set_evacuations_known(&self) {
-        self.evacuations_known.set(true);
-    }
-
     /// Returns the configuration in force.
     pub(super) fn config(&self) -> Option<Rc<Config>> {
         self.scheduler.borrow().config().cloned()
