entry: entries pass changes on to each other as differences

Cause: each change went whole from two entries, chosen by hash, to all others of a domain, over the links of these two; each kind had a reader with sources, back-offs and patience of its own; and an entry that had the change passed it on only if it was one of the two.

Change: one task asks two other entries for all kinds, and gets differences (crate replica). Whoever has a change passes it on. The first entry of a domain reads the store, alone; others follow by the age of what they know, and tell the others at once. Versions take the same way, dated by when they can have been named at the earliest. Domains of up to five entries read the store each by itself, as before. The fall-backs between relays, their patience while reading, the pauses after an outage and the headers of the relays are gone.

--- a/bins/agent/src/rollout/loads.rs
+++ b/bins/agent/src/rollout/loads.rs
@@ -96,7 +96,10 @@
                 }
             }
             // Loads, lists of entries and grants are only sent to entries.
-            Datagram::Load(_) | Datagram::Entries(_) | Datagram::Grant { .. } => {}
+            Datagram::Load(_)
+            | Datagram::Entries(_)
+            | Datagram::Grant { .. }
+            | Datagram::Reader => {}
         }
     }
 }
--- a/bins/entry/src/ingress/evacuations.rs
+++ b/bins/entry/src/ingress/evacuations.rs
@@ -5,18 +5,12 @@
 
 use node::event;
 use platform::{Update, evacuations};
+use replica::Kind;
 
 use super::gateway::Gateway;
-use super::reader::Reader;
-use super::store::read;
-use super::watches::Watches;
-
-/// Wait of a watch, as a fraction of the time within which an evacuation must be in force. A call that is never
-/// answered must end, and the next one succeed, within that time.
-const WAIT_FACTOR: f64 = 0.4;
-/// Minimum wait of a watch.
-const MIN_WAIT: Duration = Duration::from_millis(100);
 
+/// Interval between checks for evacuations that no longer hold.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without evacuations after which an entry that has a configuration routes requests as if there were none. A store
 /// that serves everything else but not these would keep all entries out of service.
 const MAX_UNKNOWN: Duration = Duration::from_secs(30);
@@ -34,26 +28,22 @@
     missing: BTreeMap<String, Instant>,
 }
 
-/// Follows evacuations, which must be in force within `bound`; never returns.
+/// Applies evacuations as they become known; never returns.
 ///
-/// While the store can't be read, the known evacuations stay in force. Until they have been read once, no request is routed.
-pub(super) async fn follow(gateway: &Gateway, bound: Duration, watches: &Watches) {
-    let mut reader = Reader::new(gateway, evacuations::KIND, watches);
+/// While they can't be read, the known ones stay in force. Until they have been read once, no request is routed.
+pub(super) async fn follow(gateway: &Gateway) {
     let mut tracker = Tracker::default();
-    let wait = bound.mul_f64(WAIT_FACTOR).max(MIN_WAIT);
     let mut configured_since = None;
+    let mut after = None;
     loop {
-        reader.select_source(Instant::now());
-        match read(&mut reader, wait, watches).await {
-            Some(Ok(update)) => {
+        let update = gateway.objects.next_update(Kind::Evacuations, after);
+        match compio::time::timeout(CHECK_INTERVAL, update).await {
+            Ok(update) => {
+                after = Some(update.listing.revision);
                 apply(gateway, &mut tracker, &update);
                 gateway.set_evacuations_known();
             }
-            Some(Err(failed)) => {
-                assume_none(gateway, Instant::now(), &mut configured_since);
-                compio::time::sleep(failed.pause).await;
-            }
-            None => {}
+            Err(_) => assume_none(gateway, Instant::now(), &mut configured_since),
         }
         for domain in tracker.expired(Instant::now()) {
             end(gateway, &domain);
--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -17,6 +17,7 @@
 use prometheus_client::registry::Registry;
 use quota::{AdvertisedLimit, Limit, TargetStart};
 use rand::RngExt;
+use replica::{Peers, Replica};
 
 use super::Settings;
 use super::buffering::BufferedBytes;
@@ -25,10 +26,9 @@
 use super::disconnect::DisconnectGuard;
 use super::error::{LastAttempt, Rejection, RequestError};
 use super::metrics::Metrics;
+use super::objects::Objects;
 use super::overload::OverloadedServices;
 use super::placed::PlacedRequest;
-use super::relay::Relay;
-use super::relays::Relays;
 use super::stop::{STOPPING, STOPPING_RETRY_AFTER};
 use crate::in_progress::InProgress;
 
@@ -46,10 +46,14 @@
     pub(super) settings: Settings,
     pub(super) client: Client,
     pub(super) metrics: Metrics,
-    /// Live entries of the failure domain, from which the ones that read the store are chosen.
-    pub(super) relays: RefCell<Relays>,
-    /// Objects read from the store that this entry serves to other entries.
-    pub(super) relay: Rc<Relay>,
+    /// Live entries of the failure domain, with whom this one exchanges the store's objects.
+    pub(super) peers: RefCell<Peers>,
+    /// Notified when another entry of the domain has begun to hear the store.
+    pub(super) reader_found: Notify,
+    /// Notified when this entry has begun to hear the store.
+    pub(super) reading_begun: Notify,
+    /// The store's objects, as far as they are known.
+    pub(super) objects: Rc<Objects>,
     scheduler: RefCell<Scheduler>,
     decision_senders: RefCell<HashMap<RequestId, oneshot::Sender<Decision>>>,
     move_senders: RefCell<HashMap<RequestId, oneshot::Sender<PlacedRequest>>>,
@@ -64,13 +68,13 @@
     pub(super) buffered: BufferedBytes,
     /// Number of weights versions and targets that this process has discovered.
     change_count: Cell<u64>,
-    /// Whether the last read of the configuration succeeded.
+    /// Whether this entry hears the store, by itself or through others.
     store_reachable: Cell<bool>,
     /// Whether the evacuations of failure domains are known, or none are ever requested.
     pub(super) evacuations_known: Cell<bool>,
     /// Newest era of the store that the readers have been notified of.
     store_era: Cell<Option<u64>>,
-    /// Client of the store; those of other servers of the same objects share the newest era with it.
+    /// Client of the store.
     pub(super) store: platform::Client,
     draining: Cell<bool>,
     refusing: Cell<bool>,
@@ -102,13 +106,17 @@
         let has_evacuations = settings.bounds.evacuation.is_some();
         let mut scheduler = Scheduler::new(&settings.domain, versions, retries, seed);
         scheduler.set_regions(settings.regions.clone());
+        let metrics = Metrics::new(registry);
+        let objects = Objects::new(settings.load_listen, metrics.clone());
         Rc::new_cyclic(|me| Self {
             me: me.clone(),
-            relays: RefCell::new(Relays::new(settings.load_listen)),
-            relay: Rc::default(),
+            peers: RefCell::new(Peers::new(settings.load_listen)),
+            reader_found: Notify::default(),
+            reading_begun: Notify::default(),
+            objects: Rc::new(objects),
             settings,
             client: Client::new().with_connect_timeout(CONNECT_TIMEOUT),
-            metrics: Metrics::new(registry),
+            metrics,
             scheduler: RefCell::new(scheduler),
             decision_senders: RefCell::default(),
             move_senders: RefCell::default(),
@@ -246,22 +254,24 @@
         self.change_count.set(self.change_count.get() + 1);
     }
 
-    /// Returns whether the last read of the configuration succeeded.
+    /// Returns whether this entry hears the store, by itself or through others.
     pub(super) fn is_store_reachable(&self) -> bool {
         self.store_reachable.get()
     }
 
-    /// Records whether the last read of the configuration succeeded.
+    /// Records whether this entry hears the store.
     pub(super) fn set_store_reachable(&self, reachable: bool) {
         self.store_reachable.set(reachable);
     }
 
-    /// Records the newest era of the store in any response; returns whether it has risen.
+    /// Records the newest era of the store that is known; returns whether it has risen.
     pub(super) fn record_store_era(&self) -> bool {
+        if let Some(era) = self.objects.view(Replica::era) {
+            self.store.record_era(era);
+        }
         let Some(era) = self.store.era() else {
             return false;
         };
-        self.relay.set_era(era);
         self.metrics.set_store_era(era);
         let known = self.store_era.replace(Some(era));
         known.is_some_and(|known| known < era)
--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -7,8 +7,9 @@
 
 use dispatch::{Load, WeightSource};
 use node::event;
-use platform::target;
+use node::time::uptime;
 use quarantine::Evidence;
+use replica::{Kind, Replica};
 use wire::{Datagram, DatagramSocket, NamedVersion, Subscription};
 
 use super::gateway::Gateway;
@@ -40,6 +41,7 @@
         send_permit_queries(&gateway, &socket),
         send_evidence(&gateway, &socket),
         exchange_evidence(&gateway, &socket),
+        announce_reader(&gateway, &socket),
     );
 }
 
@@ -97,6 +99,16 @@
     }
 }
 
+/// Tells the other entries of the domain when this one begins to hear the store.
+async fn announce_reader(gateway: &Gateway, socket: &DatagramSocket) {
+    let mut seen = gateway.reading_begun.count();
+    loop {
+        seen = gateway.reading_begun.changed(seen).await;
+        let others = gateway.peers.borrow().others(Instant::now());
+        socket.send(&Datagram::Reader, &others).await;
+    }
+}
+
 /// Returns the agents that this entry gets evidence from: those of its own failure domain, if it has any.
 fn evidence_sources(gateway: &Gateway) -> Vec<SocketAddr> {
     let mut agents = engine_agents(gateway);
@@ -158,7 +170,7 @@
             domain: gateway.settings.domain.clone(),
             named: named.to_vec(),
             source: source.cloned(),
-            passes_on: gateway.relay.is_serving(Instant::now(), target::KIND),
+            passes_on: passes_on(gateway),
             in_touch: gateway.is_store_reachable(),
         })
     };
@@ -171,6 +183,12 @@
     }
 }
 
+/// Returns whether agents may list the targets at this entry. In a small domain they read them from the store.
+fn passes_on(gateway: &Gateway) -> bool {
+    let list = |replica: &Replica| replica.list(uptime(), Kind::Targets);
+    gateway.peers.borrow().are_many(Instant::now()) && gateway.objects.view(list).is_some()
+}
+
 /// Returns the versions that operators named and that may begin requests now or later.
 ///
 /// Agents learn of versions from entries, because entries may reach the store when agents can't.
@@ -218,13 +236,18 @@
         match socket.receive().await {
             (_, Datagram::Load(load)) => apply_load(gateway, load),
             (_, Datagram::Entries(entries)) => {
-                let mut relays = gateway.relays.borrow_mut();
-                relays.record_live(Instant::now(), &entries);
+                let mut peers = gateway.peers.borrow_mut();
+                peers.record_live(Instant::now(), &entries);
             }
             (_, Datagram::Grant { target, grant }) => {
                 gateway.update(|scheduler, now| scheduler.apply_grant(now, &target, &grant));
             }
             (_, Datagram::Evidence { evidence, .. }) => gateway.merge_evidence(&evidence),
+            (entry, Datagram::Reader) => {
+                let mut peers = gateway.peers.borrow_mut();
+                peers.record_reader(Instant::now(), entry);
+                gateway.reader_found.notify();
+            }
             // Only agents handle subscriptions and permit queries.
             (_, Datagram::Subscribe(_) | Datagram::Ask(_)) => {}
         }
--- a/bins/entry/src/ingress/metrics.rs
+++ b/bins/entry/src/ingress/metrics.rs
@@ -15,6 +15,9 @@
     0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0,
 ];
 
+/// Upper bounds in seconds of the histogram buckets for the delay of changes.
+const CHANGE_DELAY_BOUNDS: [f64; 8] = [0.1, 0.3, 0.7, 1.0, 1.5, 2.0, 3.0, 6.0];
+
 /// Counters and histograms of one entry.
 #[derive(Clone, Debug)]
 pub(super) struct Metrics {
@@ -32,7 +35,9 @@
     store_era: Gauge,
     evacuated_domains: Gauge,
     overloaded_services: Gauge,
-    store_read_bytes: Family<ReadLabels, Counter>,
+    store_read_bytes: Family<KindLabel, Counter>,
+    exchanged_bytes: Counter,
+    change_delay: Family<KindLabel, Histogram>,
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -49,9 +54,8 @@
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 #[derive(EncodeLabelSet)]
-struct ReadLabels {
+struct KindLabel {
     kind: &'static str,
-    source: &'static str,
 }
 
 impl Metrics {
@@ -72,6 +76,8 @@
             evacuated_domains: Gauge::default(),
             overloaded_services: Gauge::default(),
             store_read_bytes: Family::default(),
+            exchanged_bytes: Counter::default(),
+            change_delay: Family::new_with_constructor(|| Histogram::new(CHANGE_DELAY_BOUNDS)),
         };
         let registry = registry.sub_registry_with_prefix("carobport_ingress");
         registry.register(
@@ -150,6 +156,17 @@
             "Bytes of the store's objects that the entry read",
             metrics.store_read_bytes.clone(),
         );
+        registry.register(
+            "exchanged_bytes",
+            "Bytes that other entries sent of the store's objects",
+            metrics.exchanged_bytes.clone(),
+        );
+        registry.register_with_unit(
+            "change_delay",
+            "Time for which a changed object may have been in force at other entries before it was read",
+            Unit::Seconds,
+            metrics.change_delay.clone(),
+        );
         metrics
     }
 
@@ -206,13 +223,23 @@
         self.quarantined_parts.set(count as i64);
     }
 
-    /// Counts a read of objects of `kind` from a source of the kind `source`.
-    pub(super) fn count_store_read(&self, kind: &'static str, source: &'static str, bytes: usize) {
-        let labels = ReadLabels { kind, source };
-        let counter = self.store_read_bytes.get_or_create(&labels);
+    /// Counts a read of objects of `kind` from the store.
+    pub(super) fn count_store_read(&self, kind: &'static str, bytes: usize) {
+        let counter = self.store_read_bytes.get_or_create(&KindLabel { kind });
         counter.inc_by(bytes as u64);
     }
 
+    /// Counts an answer of another entry.
+    pub(super) fn count_exchanged(&self, bytes: usize) {
+        self.exchanged_bytes.inc_by(bytes as u64);
+    }
+
+    /// Records that objects of `kind` changed, `delay` after they can have changed at the earliest.
+    pub(super) fn observe_change(&self, kind: &'static str, delay: Duration) {
+        let histogram = self.change_delay.get_or_create(&KindLabel { kind });
+        histogram.observe(delay.as_secs_f64());
+    }
+
     pub(super) fn count_crash(&self) {
         self.target_crashes.inc();
     }
--- a/bins/entry/src/ingress/neighbours.rs
+++ b/bins/entry/src/ingress/neighbours.rs
@@ -23,7 +23,7 @@
 pub(super) async fn wait(gateway: &Gateway, targets_read: &Cell<Option<Instant>>) {
     let start = Instant::now();
     while start.elapsed() < MAX_WAIT {
-        if gateway.relays.borrow().has_others() {
+        if gateway.peers.borrow().has_others() {
             compio::time::sleep(SETTLING_TIME).await;
             return;
         }
--- a/bins/entry/src/ingress/serve.rs
+++ b/bins/entry/src/ingress/serve.rs
@@ -14,7 +14,7 @@
 
 use super::gateway::Gateway;
 use super::settings::CallerLimits;
-use super::{Settings, loads, relay, store};
+use super::{Settings, exchange, loads, store};
 
 /// Time from the stop signal until the balancer has detected that the entry is not ready.
 ///
@@ -56,9 +56,9 @@
         compio::runtime::spawn(node::signal::log_hangups()),
         compio::runtime::spawn(Rc::clone(&gateway).poll_periodically()),
         compio::runtime::spawn(store::run(Rc::clone(&gateway))),
-        compio::runtime::spawn(relay::serve(
+        compio::runtime::spawn(exchange::serve(
             entries,
-            Rc::clone(&gateway.relay),
+            Rc::clone(&gateway.objects),
             metrics.clone(),
         )),
         compio::runtime::spawn(loads::run(Rc::clone(&gateway), loads)),
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -101,6 +101,9 @@
     STORE_READ = 287 Info "store-read";
     FIRST_READ = 288 Info "first-read";
     EVACUATIONS_UNREAD = 289 Warn "evacuations-unread";
+    CHANGE_READ = 290 Info "change-read";
+    NEIGHBOUR_LOST = 291 Warn "neighbour-lost";
+    CHANGE_DROPPED = 292 Warn "change-dropped";
     GATE_CHANGED = 300 Info "gate-changed";
     STAGING = 301 Info "staging";
     ORDERED = 302 Info "ordered";
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -226,7 +226,7 @@
     ///
     /// A large body on a busy link may take longer than the deadline for a response to begin. Aborting a partly read
     /// body and requesting it again would only add load to the link. The deadline of the request therefore no longer
-    /// applies; `max_time` limits the whole read.
+    /// applies; `max_time` limits the whole read. `received` is called after each piece.
     ///
     /// # Errors
     ///
@@ -236,6 +236,7 @@
         limit: usize,
         stall: Duration,
         max_time: Duration,
+        received: impl Fn(),
     ) -> Result<Option<Bytes>, Error> {
         let end = Instant::now() + max_time;
         let mut collected = BytesMut::new();
@@ -248,6 +249,7 @@
             let Some(piece) = self.next().await? else {
                 return Ok(Some(collected.freeze()));
             };
+            received();
             if collected.len() + piece.len() > limit {
                 return Ok(None);
             }
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -49,6 +49,8 @@
         /// Whether the sender, an entry, wants what the agent knows and learns.
         subscribe: bool,
     },
+    /// The sender, an entry, has begun to hear the store, and sends this to the other entries of its failure domain.
+    Reader,
 }
 
 /// Request for permits to use a target.
--- a/crates/wire/tests/format.rs
+++ b/crates/wire/tests/format.rs
@@ -346,3 +346,9 @@
         "e80702010201000c636c6173732f757267656e742900027b7d0103",
     );
 }
+
+// Guards against datagrams that a process of another release decodes differently.
+#[test]
+fn format_without_contents() {
+    assert_encoding(&Datagram::Reader, "06");
+}
