agents: an entry that restarts is told its neighbours at once

Cause: agents list a domain's entries when one subscribes for the first time, else every 1.9 s. An entry that is back before its subscription expired isn't new to them, waits 0.7 s for a list and then takes its domain for a small one.

Change: an entry that knows no others asks for the list (datagram `Discover`), and agents answer at once.

--- a/bins/agent/src/rollout/loads.rs
+++ b/bins/agent/src/rollout/loads.rs
@@ -95,7 +95,8 @@
                     }
                 }
             }
-            // Loads, lists of entries and grants are only sent to entries.
+            Datagram::Discover => send_entry_list(socket, entries, &[entry]).await,
+            // The others are only sent to entries.
             Datagram::Load(_)
             | Datagram::Entries(_)
             | Datagram::Grant { .. }
@@ -114,12 +115,17 @@
         let _ = compio::time::timeout(ENTRY_LIST_INTERVAL, joined).await;
         compio::time::sleep(ENTRY_LIST_DELAY).await;
         seen = entries.joined.count();
-        let entries = entries.subscribers.borrow().same_domain();
-        for list in entries.chunks(MAX_LISTED_ENTRIES) {
-            socket
-                .send(&Datagram::Entries(list.to_vec()), &entries)
-                .await;
-        }
+        let receivers = entries.subscribers.borrow().same_domain();
+        send_entry_list(socket, entries, &receivers).await;
+    }
+}
+
+/// Sends the list of the failure domain's entries to `receivers`.
+async fn send_entry_list(socket: &DatagramSocket, entries: &Entries, receivers: &[SocketAddr]) {
+    let listed = entries.subscribers.borrow().same_domain();
+    for list in listed.chunks(MAX_LISTED_ENTRIES) {
+        let list = Datagram::Entries(list.to_vec());
+        socket.send(&list, receivers).await;
     }
 }
 
--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -151,6 +151,11 @@
             for subscription in subscriptions(gateway, &named, source.as_ref()) {
                 socket.send(&subscription, &due).await;
             }
+            if !gateway.peers.borrow().has_others() {
+                let local = due.into_iter().filter(|agent| agents[agent]);
+                let local: Vec<SocketAddr> = local.collect();
+                socket.send(&Datagram::Discover, &local).await;
+            }
         }
         let end = Instant::now() + SUBSCRIBE_INTERVAL;
         while gateway.change_count() == seen_changes && Instant::now() < end {
@@ -248,8 +253,8 @@
                 peers.record_reader(Instant::now(), entry);
                 gateway.reader_found.notify();
             }
-            // Only agents handle subscriptions and permit queries.
-            (_, Datagram::Subscribe(_) | Datagram::Ask(_)) => {}
+            // Only agents handle these.
+            (_, Datagram::Subscribe(_) | Datagram::Ask(_) | Datagram::Discover) => {}
         }
     }
 }
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -51,6 +51,9 @@
     },
     /// The sender, an entry, has begun to hear the store, and sends this to the other entries of its failure domain.
     Reader,
+    /// Asks an agent of the sender's failure domain for the entries there. An entry that restarts may be no new subscriber to
+    /// the agent, which then sends no [`Datagram::Entries`] for a while.
+    Discover,
 }
 
 /// Request for permits to use a target.
--- a/crates/wire/tests/format.rs
+++ b/crates/wire/tests/format.rs
@@ -351,4 +351,5 @@
 #[test]
 fn format_without_contents() {
     assert_encoding(&Datagram::Reader, "06");
+    assert_encoding(&Datagram::Discover, "07");
 }
