--- a/bins/trace/src/line.rs
+++ b/bins/trace/src/line.rs
@@ -39,7 +39,14 @@
         let (_level, process) = (rest.next()?, rest.next()?);
         let number = rest.next()?.parse().ok()?;
         let name = rest.next()?.to_owned();
-        let prefix = words[..time_index].join(" ");
+        // A time that a log collector added differs from line to line.
+        let is_origin = |word: &&&str| word.parse::<f64>().is_err();
+        let prefix: Vec<&str> = words[..time_index]
+            .iter()
+            .filter(is_origin)
+            .copied()
+            .collect();
+        let prefix = prefix.join(" ");
         let source = [file, &prefix, process]
             .into_iter()
             .filter(|part| !part.is_empty())
