replica: without reports of agents the entries known last count as live

Found by reading, in search of other ways in which all entries of a domain read the store at once: an entry that no agent reports for 6 s was taken for gone, so when the agents of a domain were gone or cut off, each entry took itself for the only one and read every version of the configuration. An entry is gone now if agents report others and not it; one that doesn't answer is passed over anyway.

peers::unreported_entries_expire checks both; its first half fails before (rank 0 of 1 after 7 s).

--- a/bins/entry/src/ingress/crashes.rs
+++ b/bins/entry/src/ingress/crashes.rs
@@ -129,7 +129,7 @@
         let rank = domains
             .keys()
             .position(|domain| *domain == self.settings.domain);
-        let (entry, entries) = self.peers.borrow().rank(Instant::now());
+        let (entry, entries) = self.peers.borrow().rank();
         let seat = Seat {
             domain: rank.unwrap_or_default(),
             domains: domains.len(),
--- a/bins/entry/src/ingress/loads.rs
+++ b/bins/entry/src/ingress/loads.rs
@@ -104,7 +104,7 @@
     let mut seen = gateway.reading_begun.count();
     loop {
         seen = gateway.reading_begun.changed(seen).await;
-        let others = gateway.peers.borrow().others(Instant::now());
+        let others = gateway.peers.borrow().others();
         socket.send(&Datagram::Reader, &others).await;
     }
 }
@@ -191,7 +191,7 @@
 /// Returns whether agents may list the targets at this entry. In a small domain they read them from the store.
 fn passes_on(gateway: &Gateway) -> bool {
     let list = |replica: &Replica| replica.list(uptime(), Kind::Targets);
-    gateway.peers.borrow().are_many(Instant::now()) && gateway.objects.view(list).is_some()
+    gateway.peers.borrow().are_many() && gateway.objects.view(list).is_some()
 }
 
 /// Returns the versions that operators named and that may begin requests now or later.
--- a/bins/entry/src/ingress/session.rs
+++ b/bins/entry/src/ingress/session.rs
@@ -6,7 +6,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::pin::pin;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures::future::{Either, select};
 use node::time::{Uptime, uptime};
@@ -139,7 +139,7 @@
                 Some(Err(failed)) => {
                     reader.is_current = false;
                     self.record_result(kind, true);
-                    let pace = self.gateway.peers.borrow().pace(Instant::now());
+                    let pace = self.gateway.peers.borrow().pace();
                     compio::time::sleep(failed.pause + pace).await;
                 }
                 None => {}
@@ -212,7 +212,7 @@
         }
         let recovery = self.gateway.settings.bounds.store_recovery;
         let config_wait = recovery.mul_f64(CONFIG_WAIT_FACTOR);
-        let heartbeat = match self.gateway.peers.borrow().are_many(Instant::now()) {
+        let heartbeat = match self.gateway.peers.borrow().are_many() {
             true => config_wait.min(MAX_SHARED_WAIT),
             false => config_wait,
         };
@@ -264,7 +264,7 @@
         }
         match kind {
             _ if listing.is_empty() => Duration::ZERO,
-            Kind::Config => gateway.peers.borrow().pace(Instant::now()),
+            Kind::Config => gateway.peers.borrow().pace(),
             Kind::Targets => self.batch_pause(has_joined || !listing.deleted.is_empty()),
             Kind::Versions | Kind::Evacuations => Duration::ZERO,
         }
@@ -272,14 +272,14 @@
 
     /// Tells other entries that this one has begun to hear the store.
     fn announce(&self) {
-        if self.gateway.peers.borrow().are_many(Instant::now()) {
+        if self.gateway.peers.borrow().are_many() {
             self.gateway.reading_begun.notify();
         }
     }
 
     /// Returns the pause before the next watch of targets, in which changes are batched.
     fn batch_pause(&self, membership_changed: bool) -> Duration {
-        let is_shared = self.gateway.peers.borrow().are_many(Instant::now());
+        let is_shared = self.gateway.peers.borrow().are_many();
         match is_shared || membership_changed {
             true => BATCH_INTERVAL,
             false => {
--- a/bins/entry/src/ingress/session/turns.rs
+++ b/bins/entry/src/ingress/session/turns.rs
@@ -1,7 +1,7 @@
 //! Whose turn it is to read the store, as seen by this entry.
 
 use std::cell::Cell;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use node::time::Uptime;
 use node::{Notify, event};
@@ -74,13 +74,12 @@
     /// at the same time would fill the link to the store.
     pub(super) fn may_read_config(&self, gateway: &Gateway, now: Uptime) -> bool {
         let peers = gateway.peers.borrow();
-        let instant = Instant::now();
-        if !peers.are_many(instant) || peers.rank(instant).0 == 0 {
+        if !peers.are_many() || peers.rank().0 == 0 {
             return true;
         }
         // Those before this one had their turn earlier, unless the store was away for all.
         let pace = match self.turns.iter().any(|turn| turn.has_failed.get()) {
-            true => peers.pace(instant),
+            true => peers.pace(),
             false => Duration::ZERO,
         };
         let heard_for = gateway.objects.view(|replica| replica.heard_for(now));
@@ -96,7 +95,7 @@
         let [silence, lag] = self.silence_and_lag(gateway, &peers, now, kind);
         // Others have had no chance to tell more before this entry knew them.
         let known_for = now.saturating_sub(started);
-        peers.reads_store(Instant::now(), silence.min(known_for), lag.min(known_for))
+        peers.reads_store(silence.min(known_for), lag.min(known_for))
     }
 
     /// Returns for how long others have not heard the store for `kind`, and for how long they have not known all of it.
--- a/crates/replica/src/peers.rs
+++ b/crates/replica/src/peers.rs
@@ -27,7 +27,7 @@
 const SILENCE_BACKOFF: Duration = Duration::from_millis(200);
 /// Time for which an entry that has begun to hear the store is asked first.
 const READER_TIME: Duration = Duration::from_secs(2);
-/// Time after which an entry that no agent reports any more is considered gone.
+/// Time after which an entry that agents no longer report, while they report others, is considered gone.
 const ENTRY_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// Place of an entry in the order of its domain: a hash of its address, and the address.
@@ -40,7 +40,7 @@
 #[derive(Clone, Debug)]
 pub struct Peers {
     own: Place,
-    /// When each other entry was last reported.
+    /// When each other live entry was last reported.
     last_seen: BTreeMap<Place, Instant>,
     /// Until when entries that did not answer are not asked.
     failed: BTreeMap<SocketAddr, Instant>,
@@ -63,6 +63,8 @@
     }
 
     /// Records the entries of the domain that an agent reports as live.
+    ///
+    /// Without any reports the entries known last count as live; those that don't answer are passed over.
     pub fn record_live(&mut self, now: Instant, entries: &[SocketAddr]) {
         self.last_seen
             .retain(|_, at| now.saturating_duration_since(*at) < ENTRY_TIMEOUT);
@@ -92,8 +94,8 @@
     }
 
     /// Returns the other live entries of the domain, in their order.
-    pub fn others(&self, now: Instant) -> Vec<SocketAddr> {
-        self.live(now).map(|(_, entry)| *entry).collect()
+    pub fn others(&self) -> Vec<SocketAddr> {
+        self.last_seen.keys().map(|(_, entry)| *entry).collect()
     }
 
     /// Returns whether agents have reported other entries of the domain.
@@ -102,26 +104,26 @@
     }
 
     /// Returns whether the domain has so many live entries that not all of them read the store.
-    pub fn are_many(&self, now: Instant) -> bool {
-        self.rank(now).1 > MAX_DIRECT_READERS
+    pub fn are_many(&self) -> bool {
+        self.rank().1 > MAX_DIRECT_READERS
     }
 
     /// Returns the rank of this entry among the live entries of its domain, and their number.
-    pub fn rank(&self, now: Instant) -> (usize, usize) {
-        let rank = self.live(now).filter(|other| **other < self.own).count();
-        (rank, self.live(now).count() + 1)
+    pub fn rank(&self) -> (usize, usize) {
+        let rank = self.last_seen.range(..self.own).count();
+        (rank, self.last_seen.len() + 1)
     }
 
     /// Returns whether this entry reads the store when other entries have not heard it for `silence`, and have not read all
     /// that it has for `lag`.
-    pub fn reads_store(&self, now: Instant, silence: Duration, lag: Duration) -> bool {
-        let (rank, count) = self.rank(now);
+    pub fn reads_store(&self, silence: Duration, lag: Duration) -> bool {
+        let (rank, count) = self.rank();
         let Some(further) = rank.checked_sub(1).filter(|_| count > MAX_DIRECT_READERS) else {
             return true;
         };
         let is_receiving =
             rank < MAX_RECEIVING && lag >= TAKEOVER + RECEIVING_STEP * further as u32;
-        is_receiving || silence >= TAKEOVER + self.pace(now)
+        is_receiving || silence >= TAKEOVER + self.pace()
     }
 
     /// Returns whether `entry` comes before this one in the domain's order, so that this one need not read the store beside it.
@@ -131,8 +133,8 @@
 
     /// Returns the pause by which this entry spaces its reads of the store, so that entries which read it in the place of
     /// others don't fill the link to it with a large configuration.
-    pub fn pace(&self, now: Instant) -> Duration {
-        let (rank, count) = self.rank(now);
+    pub fn pace(&self) -> Duration {
+        let (rank, count) = self.rank();
         let further = rank.saturating_sub(1) as u32;
         match count > MAX_DIRECT_READERS {
             true => (TAKEOVER_STEP * further).min(MAX_PACE),
@@ -142,7 +144,7 @@
 
     /// Returns the entry to ask, another one than `taken`; `None` if there is none at present.
     pub fn next(&self, now: Instant, taken: Option<SocketAddr>) -> Option<SocketAddr> {
-        let (rank, count) = self.rank(now);
+        let (rank, count) = self.rank();
         if count <= MAX_DIRECT_READERS {
             return None;
         }
@@ -154,19 +156,12 @@
             let is_skipped = is_until(&self.failed, entry) || is_until(&self.silent, entry);
             Some(*entry) != taken && !is_skipped
         };
-        let mut others = self.others(now);
+        let mut others = self.others();
         others.rotate_left(rank / FANOUT);
         others.retain(is_asked);
         let reader = others.iter().find(|entry| is_until(&self.readers, entry));
         reader.or(others.first()).copied()
     }
-
-    /// Returns the other live entries of the domain in their order, which is the same at all of them.
-    fn live(&self, now: Instant) -> impl Iterator<Item = &Place> {
-        let live = self.last_seen.iter();
-        let live = live.filter(move |(_, at)| now.saturating_duration_since(**at) < ENTRY_TIMEOUT);
-        live.map(|(place, _)| place)
-    }
 }
 
 fn place(entry: SocketAddr) -> Place {
--- a/crates/replica/tests/peers.rs
+++ b/crates/replica/tests/peers.rs
@@ -20,7 +20,7 @@
         peers
     };
     let mut peers: Vec<Peers> = entries.iter().map(view).collect();
-    peers.sort_by_key(|peers| peers.rank(now));
+    peers.sort_by_key(Peers::rank);
     peers
 }
 
@@ -42,7 +42,7 @@
     let mut queries: BTreeMap<SocketAddr, usize> = BTreeMap::new();
     let mut readers = 0;
     for peers in domain(now, count) {
-        readers += usize::from(peers.reads_store(now, Duration::ZERO, Duration::ZERO));
+        readers += usize::from(peers.reads_store(Duration::ZERO, Duration::ZERO));
         for entry in asked(&peers, now) {
             *queries.entry(entry).or_default() += 1;
         }
@@ -58,7 +58,7 @@
     let mut views = domain(now, 5);
     views.push(Peers::new(entry(0)));
     for peers in views {
-        assert!(peers.reads_store(now, Duration::ZERO, Duration::ZERO));
+        assert!(peers.reads_store(Duration::ZERO, Duration::ZERO));
         assert_eq!(peers.next(now, None), None);
     }
 }
@@ -96,7 +96,7 @@
         );
         let readers = domain
             .iter()
-            .filter(|peers| peers.reads_store(now, silence, lag));
+            .filter(|peers| peers.reads_store(silence, lag));
         readers.count()
     };
     let silent = [0, 800, 900, 1_000, 1_800, 1_900].map(|ms| readers(ms, ms));
@@ -106,11 +106,17 @@
     assert_eq!(receiving, [1, 1, 2, 3, 3]);
 }
 
-// Guards against an entry that waits for another one that no agent reports any more.
+// Guards against an entry that waits for another one that no agent reports any more, and against entries that all read the
+// store because the agents of their domain are gone.
 #[test]
 fn unreported_entries_expire() {
     let now = Instant::now();
-    let peers = domain(now, 20).pop().unwrap();
+    let mut peers = domain(now, 20).pop().unwrap();
     let later = now + Duration::from_secs(7);
-    assert!(peers.reads_store(later, Duration::ZERO, Duration::ZERO));
+    assert_eq!(peers.rank(), (19, 20));
+    assert!(peers.next(later, None).is_some());
+    let others = peers.others();
+    peers.record_live(later, &others[15..]);
+    assert_eq!(peers.rank(), (4, 5));
+    assert!(peers.reads_store(Duration::ZERO, Duration::ZERO));
 }
--- a/crates/replica/tests/simulation/mod.rs
+++ b/crates/replica/tests/simulation/mod.rs
@@ -151,7 +151,7 @@
         let addresses: Vec<SocketAddr> = (0..count).map(address).collect();
         let node = |address: &SocketAddr| Node::new(clock, *address, &addresses);
         let mut nodes: Vec<Node> = addresses.iter().map(node).collect();
-        nodes.sort_by_key(|node| node.rank(clock));
+        nodes.sort_by_key(|node| node.rank());
         let mut store = Store {
             objects: Vec::new(),
             revision: 0,
--- a/crates/replica/tests/simulation/node.rs
+++ b/crates/replica/tests/simulation/node.rs
@@ -94,8 +94,8 @@
         }
     }
 
-    pub fn rank(&self, clock: Clock) -> usize {
-        self.peers.rank(clock.instant()).0
+    pub fn rank(&self) -> usize {
+        self.peers.rank().0
     }
 
     pub fn set_fault(&mut self, fault: Option<Fault>) {
@@ -134,7 +134,7 @@
                 ];
                 let [silence, lag] =
                     times.map(|time| time.unwrap_or(Duration::MAX).min(now - self.started));
-                read.is_turn = self.peers.reads_store(clock.instant(), silence, lag);
+                read.is_turn = self.peers.reads_store(silence, lag);
             }
         }
         for (place, kind) in KINDS.into_iter().enumerate() {
@@ -176,7 +176,7 @@
             read.sent = None;
             read.is_current = false;
             read.has_failed = true;
-            read.retry_at = now + READ_PAUSE + self.peers.pace(clock.instant());
+            read.retry_at = now + READ_PAUSE + self.peers.pace();
             return;
         }
         if matches!(self.fault, Some(Fault::TurnedAway | Fault::CutFromStore)) {
@@ -220,12 +220,12 @@
     fn may_read_config(&self, clock: Clock) -> bool {
         let has_failed = self.reads.iter().any(|read| read.has_failed);
         let pace = match has_failed {
-            true => self.peers.pace(clock.instant()),
+            true => self.peers.pace(),
             false => Duration::ZERO,
         };
         let wait = ASKING_TIME + pace;
         let heard_for = self.replica.heard_for(clock.uptime());
-        self.rank(clock) == 0 || heard_for.is_some_and(|time| time >= wait)
+        self.rank() == 0 || heard_for.is_some_and(|time| time >= wait)
     }
 
     /// Returns the address to tell the other entries if this one has begun to hear the store.
