replica: changes that don't fit count for nothing, and their sender is passed over

Found by reading: an entry to which a neighbour sent differences that don't fit asked it again at once, without a pause, and counted its objects as complete although it had dropped the change; a version read later would have been dated too late.

--- a/bins/entry/src/ingress/exchange.rs
+++ b/bins/entry/src/ingress/exchange.rs
@@ -85,7 +85,7 @@
     }
 }
 
-/// Asks an entry for news and merges its answer; returns whether the entry has heard the store recently.
+/// Asks an entry for news and merges its answer; returns whether it has heard the store recently and all it sent was applied.
 async fn ask(gateway: &Gateway, client: &Client, entry: SocketAddr) -> Result<bool, Error> {
     let called = uptime();
     let query = gateway.objects.view(|replica| replica.query(called, WAIT));
@@ -112,7 +112,7 @@
     }
     gateway.metrics.count_exchanged(body.len());
     gateway.record_store_era();
-    Ok(answer.is_recent())
+    Ok(answer.is_recent() && merge.errors.is_empty())
 }
 
 /// An exchange that failed.
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -237,20 +237,22 @@
         let transit = now.saturating_sub(called).saturating_sub(held);
         let mut merge = Merge::default();
         for news in &answer.kinds {
+            let state = self.state_mut(news.kind);
+            if let Some(changes) = &news.changes {
+                let merged = state.mirror.merge(now, transit, changes);
+                state.is_broken = merged.is_err();
+                match merged {
+                    Ok(true) => merge.changed.push(news.kind),
+                    Ok(false) => {}
+                    Err(error) => {
+                        merge.errors.push((news.kind, error));
+                        continue;
+                    }
+                }
+            }
             if let Some(heard) = &news.heard {
                 merge.is_later |= self.merge_heard(now, transit, news.kind, heard);
             }
-            let state = self.state_mut(news.kind);
-            let Some(changes) = &news.changes else {
-                continue;
-            };
-            let merged = state.mirror.merge(now, transit, changes);
-            state.is_broken = merged.is_err();
-            match merged {
-                Ok(true) => merge.changed.push(news.kind),
-                Ok(false) => {}
-                Err(error) => merge.errors.push((news.kind, error)),
-            }
         }
         merge
     }
--- a/crates/replica/tests/mirror.rs
+++ b/crates/replica/tests/mirror.rs
@@ -1,8 +1,10 @@
 //! Reading from mirrors that may be behind the store.
 
+use std::time::Duration;
+
 use platform::{Listing, Object, Revision, Update};
 use proptest::prelude::*;
-use replica::Mirror;
+use replica::{Error, Kind, Mirror, Replica};
 use serde_json::value::RawValue;
 
 /// Returns a revision of era 0.
@@ -140,3 +142,38 @@
     let update = mirror.update_after(Some(revision(2_990))).unwrap();
     assert_eq!((update.whole, update.listing.deleted.len()), (false, 10));
 }
+
+// Guards against an entry that keeps asking for differences which don't fit what it holds.
+#[test]
+fn whole_kind_after_misfit() {
+    let (first, second) = ([10, 0, 0, 1], [10, 0, 0, 2]);
+    let [mut replica, mut other] = [first, second].map(|ip| Replica::new((ip, 7700).into()));
+    let text = |end: &str| {
+        let text = format!("\"{}{end}\"", end[..1].repeat(4_000));
+        RawValue::from_string(text).unwrap()
+    };
+    let config = |number, value| Update {
+        listing: Listing {
+            revision: revision(number),
+            objects: vec![Object {
+                value,
+                ..object("main", number)
+            }],
+            ..Listing::default()
+        },
+        whole: number == 1,
+    };
+    let now = Duration::from_secs(100);
+    replica.apply(Kind::Config, &config(1, text("a")), None);
+    other.apply(Kind::Config, &config(1, text("b")), None);
+    other.apply(Kind::Config, &config(2, text("bbbc")), None);
+    let mut ask = || {
+        let query = replica.query(now, Duration::ZERO);
+        let answer = other.answer(now, now, &query).unwrap();
+        replica.merge(now, now, &answer)
+    };
+    assert_eq!(ask().errors, [(Kind::Config, Error::Digest)]);
+    assert_eq!(ask().changed, [Kind::Config]);
+    let update = replica.update_after(Kind::Config, None).unwrap();
+    assert_eq!(update.listing.objects[0].value.get(), text("bbbc").get());
+}
