entry: the outage of a reader alone is none of the store

Seen in a test: a target that left was used for 2 s more at the entry that reads the store for its domain, if the store had turned this entry away before. It took its own failing reads for an outage of the store, after which missing registrations are kept for 2 s, though it heard the store through others. In domains whose entries exchange objects an outage is now the silence of all.

neighbours::outage_of_reader_alone: 11 of 20 requests reached the target before, none now.

--- a/bins/entry/src/ingress/session.rs
+++ b/bins/entry/src/ingress/session.rs
@@ -105,11 +105,12 @@
     pub(super) fn failing_since(&self, now: Uptime, kind: Kind) -> Option<Uptime> {
         let heard_at = self.gateway.objects.heard(kind).map(|heard| heard.at);
         let heard_at = heard_at.unwrap_or(self.began);
-        let is_failing = match self.turns.of(kind).is_own.get() {
-            true => [kind, Kind::Config]
+        let is_failing = match self.gateway.peers.borrow().are_many() {
+            // Others may hear the store while this entry doesn't.
+            true => now.saturating_sub(heard_at) >= MAX_GAP,
+            false => [kind, Kind::Config]
                 .iter()
                 .any(|kind| self.turns.of(*kind).is_failing.get()),
-            false => now.saturating_sub(heard_at) >= MAX_GAP,
         };
         is_failing.then_some(heard_at)
     }
