entry: evacuations aren't read where the platform has none

The exchange between entries had made every deployment read them: one list and a watch each 29 s, and a takeover of all entries if the store refuses an unknown kind. evacuations::not_read_without_bound checks the calls; it wasn't run on the code before.

--- a/bins/entry/src/ingress/session/turns.rs
+++ b/bins/entry/src/ingress/session/turns.rs
@@ -87,6 +87,9 @@
     }
 
     fn is_own(&self, gateway: &Gateway, now: Uptime, kind: Kind) -> bool {
+        if kind == Kind::Evacuations && gateway.settings.bounds.evacuation.is_none() {
+            return false;
+        }
         let Some(started) = self.started.get() else {
             // The small kinds tell who the others are; these may have the configuration.
             return kind != Kind::Config;
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -34,6 +34,11 @@
         neighbours::wait(&gateway, &targets_read).await;
         session.start();
     };
+    let evacuated = async {
+        if gateway.settings.bounds.evacuation.is_some() {
+            evacuations::follow(&gateway).await;
+        }
+    };
     futures::join!(
         start,
         exchange::follow(&gateway),
@@ -42,7 +47,7 @@
         follow_config(&gateway),
         follow_versions(&gateway),
         follow_targets(&gateway, &targets, &targets_read),
-        evacuations::follow(&gateway),
+        evacuated,
     );
 }
 
