--- a/bins/entry/src/ingress/gateway.rs
+++ b/bins/entry/src/ingress/gateway.rs
@@ -17,7 +17,7 @@
 use prometheus_client::registry::Registry;
 use quota::{AdvertisedLimit, Limit, TargetStart};
 use rand::RngExt;
-use replica::{Peers, Replica};
+use replica::Peers;
 
 use super::Settings;
 use super::buffering::BufferedBytes;
@@ -69,11 +69,11 @@
     /// Number of weights versions and targets that this process has discovered.
     change_count: Cell<u64>,
     /// Whether this entry hears the store, by itself or through others.
-    store_reachable: Cell<bool>,
+    pub(super) store_reachable: Cell<bool>,
     /// Whether the evacuations of failure domains are known, or none are ever requested.
     pub(super) evacuations_known: Cell<bool>,
     /// Newest era of the store that the readers have been notified of.
-    store_era: Cell<Option<u64>>,
+    pub(super) store_era: Cell<Option<u64>>,
     /// Client of the store.
     pub(super) store: platform::Client,
     draining: Cell<bool>,
@@ -254,29 +254,6 @@
         self.change_count.set(self.change_count.get() + 1);
     }
 
-    /// Returns whether this entry hears the store, by itself or through others.
-    pub(super) fn is_store_reachable(&self) -> bool {
-        self.store_reachable.get()
-    }
-
-    /// Records whether this entry hears the store.
-    pub(super) fn set_store_reachable(&self, reachable: bool) {
-        self.store_reachable.set(reachable);
-    }
-
-    /// Records the newest era of the store that is known; returns whether it has risen.
-    pub(super) fn record_store_era(&self) -> bool {
-        if let Some(era) = self.objects.view(Replica::era) {
-            self.store.record_era(era);
-        }
-        let Some(era) = self.store.era() else {
-            return false;
-        };
-        self.metrics.set_store_era(era);
-        let known = self.store_era.replace(Some(era));
-        known.is_some_and(|known| known < era)
-    }
-
     /// Polls the scheduler while requests are queued or after load reports, and cancels streams that have not begun and
     /// must not begin any more; never returns.
     pub async fn poll_periodically(self: Rc<Self>) {
--- a/bins/entry/src/ingress/store.rs
+++ b/bins/entry/src/ingress/store.rs
@@ -9,7 +9,7 @@
 use node::time::{Uptime, uptime};
 use node::{Stalls, event};
 use platform::{Listing, Object, Revision, Update, config, target, versions};
-use replica::{Heard, Kind};
+use replica::{Heard, Kind, Replica};
 
 use super::gateway::Gateway;
 use super::session::Session;
@@ -23,6 +23,31 @@
 /// Age of a version from which on agents may know better when it was named.
 const MIN_UNCERTAIN_AGE: Duration = Duration::from_millis(1000);
 
+impl Gateway {
+    /// Returns whether this entry hears the store, by itself or through others.
+    pub(super) fn is_store_reachable(&self) -> bool {
+        self.store_reachable.get()
+    }
+
+    /// Records whether this entry hears the store.
+    pub(super) fn set_store_reachable(&self, reachable: bool) {
+        self.store_reachable.set(reachable);
+    }
+
+    /// Records the newest era of the store that is known; returns whether it has risen.
+    pub(super) fn record_store_era(&self) -> bool {
+        if let Some(era) = self.objects.view(Replica::era) {
+            self.store.record_era(era);
+        }
+        let Some(era) = self.store.era() else {
+            return false;
+        };
+        self.metrics.set_store_era(era);
+        let known = self.store_era.replace(Some(era));
+        known.is_some_and(|known| known < era)
+    }
+}
+
 /// Reads and applies all kinds of objects that the ingress needs; never returns.
 pub(super) async fn run(gateway: Rc<Gateway>) {
     let heartbeat = gateway.settings.bounds.heartbeat;
